Lay out the shared types of the fleet

Cause: the packages are written side by side by several owners, so the types that pass between them must be agreed first.

--- /dev/null
+++ b/internal/keyring/keyring.go
@@ -0,0 +1,104 @@
+// Package keyring derives the fleet's working keys from shared secrets: one
+// current secret that signs, and previous ones that are still accepted while
+// a rotation is under way.
+package keyring
+
+import (
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// MinSecretBytes is the least length of a shared secret.
+const MinSecretBytes = 16
+
+// MaxSecrets is the number of secrets a ring may hold: current and previous.
+const MaxSecrets = 2
+
+// Secret is one shared secret with the number that tags what it signed.
+type Secret struct {
+	ID    uint8
+	Bytes []byte
+}
+
+// Ring holds the current secret first, then the previous one if there is one.
+// It is immutable.
+type Ring struct {
+	secrets []Secret
+}
+
+// Purpose names what a derived key is used for, so that a value signed for one
+// use is worthless for another.
+type Purpose string
+
+// Purposes of derived keys.
+const (
+	PurposeToken  Purpose = "saltbend flow token"
+	PurposeEncap  Purpose = "saltbend encapsulation"
+	PurposeTicket Purpose = "saltbend request ticket"
+	PurposeReset  Purpose = "saltbend stateless reset"
+	PurposePeer   Purpose = "saltbend peer identity"
+)
+
+// Parse reads "ID:HEX[,ID:HEX]", the current secret first. The error says
+// which entry is wrong and how, never the secret itself.
+func Parse(s string) (*Ring, error) {
+	parts := strings.Split(strings.TrimSpace(s), ",")
+	if len(parts) > MaxSecrets {
+		return nil, errors.Errorf("%d secrets given, %d allowed (current, previous)", len(parts), MaxSecrets)
+	}
+	ring := &Ring{}
+	for i, p := range parts {
+		secret, err := parseSecret(p)
+		if err != nil {
+			return nil, errors.Wrapf(err, "secret %d", i+1)
+		}
+		if i > 0 && secret.ID == ring.secrets[0].ID {
+			return nil, errors.Errorf("secret %d: id %d is used twice", i+1, secret.ID)
+		}
+		ring.secrets = append(ring.secrets, secret)
+	}
+	return ring, nil
+}
+
+func parseSecret(s string) (Secret, error) {
+	id, hexed, found := strings.Cut(strings.TrimSpace(s), ":")
+	if !found {
+		return Secret{}, errors.New("want ID:HEX")
+	}
+	n, err := strconv.ParseUint(id, 10, 8)
+	if err != nil {
+		return Secret{}, errors.New("the id must be 0 to 255")
+	}
+	raw, err := hex.DecodeString(hexed)
+	if err != nil {
+		return Secret{}, errors.New("the secret must be hexadecimal")
+	}
+	if len(raw) < MinSecretBytes {
+		return Secret{}, errors.Errorf("the secret has %d bytes, at least %d are needed", len(raw), MinSecretBytes)
+	}
+	return Secret{ID: uint8(n), Bytes: raw}, nil
+}
+
+// Key is a key derived for one purpose.
+type Key struct {
+	ID    uint8
+	Bytes []byte
+}
+
+// Derive returns a key of n bytes per secret, the current one first.
+func (r *Ring) Derive(purpose Purpose, n int) []Key {
+	keys := make([]Key, 0, len(r.secrets))
+	for _, s := range r.secrets {
+		b, err := hkdf.Key(sha256.New, s.Bytes, nil, string(purpose), n)
+		if err != nil {
+			panic(err) // only for lengths beyond 255 hashes: a programming error
+		}
+		keys = append(keys, Key{ID: s.ID, Bytes: b})
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/token/token.go
@@ -0,0 +1,147 @@
+// Package token makes and checks flow tokens: QUIC connection IDs that name
+// the agent which ends the flow, so that any balancer can forward any packet
+// of a flow without knowing the flow.
+//
+// Layout (20 bytes, the longest connection ID QUIC allows):
+//
+//	0      key id
+//	1-4    agent IPv4 address
+//	5-6    agent UDP port
+//	7-8    low half of the service tag
+//	9-10   agent incarnation tag
+//	11-13  nonce
+//	14-19  MAC: first 6 bytes of AES(bytes 0-13, high half of the service tag)
+//
+// The MAC covers exactly one cipher block of fixed length, for which the plain
+// block cipher is a sound MAC. A guess passes with probability 2^-48, and then
+// only reaches an agent that does not know the connection ID.
+package token
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/subtle"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/keyring"
+)
+
+// Size is the length of a token in bytes.
+const Size = 20
+
+const (
+	bodySize = 14
+	macSize  = Size - bodySize
+)
+
+// Errors of Codec.Open.
+var (
+	ErrLength  = errors.New("token: wrong length")
+	ErrKey     = errors.New("token: unknown key id")
+	ErrService = errors.New("token: other service")
+	ErrForged  = errors.New("token: MAC does not match")
+)
+
+// Token is what a flow token says.
+type Token struct {
+	Agent       netip.AddrPort // IPv4
+	Service     config.Tag
+	Incarnation uint16
+	Nonce       uint32 // 24 bits
+}
+
+// IncarnationTag shortens an incarnation to the 16 bits a token carries.
+func IncarnationTag(incarnation uint64) uint16 {
+	const mix = 0x9E3779B97F4A7C15 // 2^64 over the golden ratio, odd: spreads nearby starts
+	return uint16((incarnation * mix) >> 48)
+}
+
+type key struct {
+	id    uint8
+	block cipher.Block
+}
+
+// Codec seals and opens tokens. It holds scratch space and so belongs to one
+// goroutine; Clone gives each its own.
+type Codec struct {
+	keys []key
+	in   [aes.BlockSize]byte
+	out  [aes.BlockSize]byte
+}
+
+// NewCodec returns a codec that seals with the ring's current secret and opens
+// with any of them.
+func NewCodec(ring *keyring.Ring) *Codec {
+	c := &Codec{}
+	for _, k := range ring.Derive(keyring.PurposeToken, 16) {
+		block, err := aes.NewCipher(k.Bytes)
+		if err != nil {
+			panic(err) // the key length is a constant above
+		}
+		c.keys = append(c.keys, key{id: k.ID, block: block})
+	}
+	return c
+}
+
+// Clone returns an independent codec with the same keys.
+func (c *Codec) Clone() *Codec {
+	return &Codec{keys: c.keys}
+}
+
+// Seal writes the token into dst, which must have at least Size bytes.
+func (c *Codec) Seal(dst []byte, t Token) {
+	k := &c.keys[0]
+	ip := t.Agent.Addr().As4()
+	dst[0] = k.id
+	copy(dst[1:5], ip[:])
+	binary.BigEndian.PutUint16(dst[5:], t.Agent.Port())
+	binary.BigEndian.PutUint16(dst[7:], uint16(t.Service))
+	binary.BigEndian.PutUint16(dst[9:], t.Incarnation)
+	dst[11], dst[12], dst[13] = byte(t.Nonce>>16), byte(t.Nonce>>8), byte(t.Nonce)
+	copy(dst[bodySize:Size], c.mac(k, dst[:bodySize], t.Service))
+}
+
+// Open checks a connection ID that arrived at a face of the service and
+// returns what it says. The caller need not copy id.
+func (c *Codec) Open(id []byte, service config.Tag) (Token, error) {
+	if len(id) != Size {
+		return Token{}, ErrLength
+	}
+	k := c.key(id[0])
+	if k == nil {
+		return Token{}, ErrKey
+	}
+	if binary.BigEndian.Uint16(id[7:]) != uint16(service) {
+		return Token{}, ErrService
+	}
+	if subtle.ConstantTimeCompare(c.mac(k, id[:bodySize], service), id[bodySize:]) != 1 {
+		return Token{}, ErrForged
+	}
+	return Token{
+		Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte(id[1:5])), binary.BigEndian.Uint16(id[5:])),
+		Service:     service,
+		Incarnation: binary.BigEndian.Uint16(id[9:]),
+		Nonce:       uint32(id[11])<<16 | uint32(id[12])<<8 | uint32(id[13]),
+	}, nil
+}
+
+func (c *Codec) key(id uint8) *key {
+	for i := range c.keys {
+		if c.keys[i].id == id {
+			return &c.keys[i]
+		}
+	}
+	return nil
+}
+
+// mac returns the MAC in scratch space that the next call overwrites.
+func (c *Codec) mac(k *key, body []byte, service config.Tag) []byte {
+	copy(c.in[:], body)
+	binary.BigEndian.PutUint16(c.in[bodySize:], uint16(service>>16))
+	k.block.Encrypt(c.out[:], c.in[:])
+	return c.out[:macSize]
+}
