--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -8,10 +8,10 @@
 	"github.com/saltbend/saltbend/internal/config"
 )
 
-// Version is the format's version; a receiver drops others.
+// Version is the format's version; a receiver drops others. It has 4 bits.
 const Version = 1
 
-// Kind tells what a datagram between balancer and agent is.
+// Kind tells what a datagram between balancer and agent is. It has 4 bits.
 type Kind uint8
 
 // Kinds of datagrams.
@@ -24,27 +24,43 @@
 	KindHandOn
 	// KindProbe asks a balancer whether it lives; it answers KindProbeReply.
 	KindProbe
-	// KindProbeReply answers a probe.
+	// KindProbeReply answers a probe and repeats its other fields: a probe may
+	// carry a nonce in Revision to know its own answer.
 	KindProbeReply
 )
 
 // HeaderSize is the length of the header in bytes:
 //
-//	0      version
-//	1      kind
-//	2      key id
-//	3      reserved, zero
-//	4-9    caller IPv4 address and port
-//	10-15  face IPv4 address and port
-//	16-19  service tag
-//	20-27  configuration revision of the sender
-//	28-33  balancer IPv4 address and port that took the caller's datagram
-//	34-41  MAC over bytes 0-33 (8 bytes)
+//	0      version (high 4 bits) and kind (low 4 bits)
+//	1      key id
+//	2-7    caller IPv4 address and port
+//	8-13   face IPv4 address and port
+//	14-17  service tag
+//	18-25  configuration revision of the sender
+//	26-31  balancer IPv4 address and port that took the caller's datagram
+//	32-39  MAC over bytes 0-31 (8 bytes)
 //
-// The payload is not covered: QUIC protects it from end to end.
-const HeaderSize = 42
+// The MAC covers exactly two AES blocks. The payload is not covered: QUIC
+// protects it from end to end.
+const HeaderSize = bodySize + macSize
 
-// Header precedes each datagram between balancer and agent.
+const (
+	bodySize = 32
+	macSize  = 8
+)
+
+const (
+	// MaxDatagram is the largest UDP payload between balancer and agent in
+	// bytes: what an unfragmented IPv4 packet holds on a path with an MTU of
+	// 1500 (20 bytes of IP header, 8 of UDP header).
+	MaxDatagram = 1500 - 20 - 8
+	// MaxPayload is the largest caller's datagram that fits, in bytes. QUIC's
+	// path MTU discovery settles below it by itself.
+	MaxPayload = MaxDatagram - HeaderSize
+)
+
+// Header precedes each datagram between balancer and agent. Its addresses are
+// IPv4; the zero AddrPort stands for none.
 type Header struct {
 	Kind     Kind
 	Caller   netip.AddrPort
