Add the daemon's main, the shared settings and the ops endpoints

Cause: the roles need one set of flags, one way to report findings and one main before they can be built. Ruled out: flag types that fail while parsing (go-flags stops at the first, so findings could not be reported together); so addresses stay text until Check. Change: internal/settings (Common, Findings, Keys, Env), internal/ops (metrics, liveness, readiness), internal/exit, internal/version, cmd/saltbendd with stubs of both roles.

--- /dev/null
+++ b/cmd/saltbendd/run.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/agent"
+	"github.com/saltbend/saltbend/internal/balancer"
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/exit"
+	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/version"
+)
+
+// role is a subcommand: its settings and how to run it.
+type role struct {
+	name, short string
+	settings    any
+	common      *settings.Common
+	check       func() settings.Findings
+	run         func(context.Context, settings.Env) error
+}
+
+func roles() []role {
+	b, a := &balancer.Settings{}, &agent.Settings{}
+	return []role{
+		{
+			name: "balancer", short: "spread the flows of the public faces over the agents",
+			settings: b, common: &b.Common, check: b.Check,
+			run: func(ctx context.Context, env settings.Env) error { return balancer.Run(ctx, *b, env) },
+		},
+		{
+			name: "agent", short: "end the flows of one upstream beside it",
+			settings: a, common: &a.Common, check: a.Check,
+			run: func(ctx context.Context, env settings.Env) error { return agent.Run(ctx, *a, env) },
+		},
+	}
+}
+
+// run runs the program and returns its exit code.
+func run(args []string, out std, signals <-chan os.Signal) int {
+	chosen, code := parse(args, out)
+	if chosen == nil {
+		return code
+	}
+	if findings := chosen.check(); len(findings) > 0 {
+		fmt.Fprintln(out.err, findings.Error())
+		return exit.Usage
+	}
+	if chosen.common.CheckOnly {
+		fmt.Fprintln(out.out, "The settings are valid.")
+		return exit.OK
+	}
+	return serve(chosen, out, signals)
+}
+
+// parse returns the chosen role, or nil and the exit code.
+func parse(args []string, out std) (*role, int) {
+	var global struct {
+		Version bool `long:"version" description:"print the version and exit"`
+	}
+	parser := flags.NewNamedParser("saltbendd", flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddGroup("Global options", "", &global); err != nil {
+		panic(err) // a fault in the tags
+	}
+	all := roles()
+	for _, r := range all {
+		if _, err := parser.AddCommand(r.name, r.short, r.short, r.settings); err != nil {
+			panic(err)
+		}
+	}
+	rest, err := parser.ParseArgs(args)
+	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(out.out, help.Message)
+		return nil, exit.OK
+	}
+	if err == nil && global.Version {
+		fmt.Fprintln(out.out, version.Version())
+		return nil, exit.OK
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("unexpected argument %q", rest[0])
+	}
+	if err == nil && parser.Active == nil {
+		err = errors.New("name a role: balancer or agent")
+	}
+	if err != nil {
+		fmt.Fprintln(out.err, err)
+		return nil, exit.Usage
+	}
+	for i := range all {
+		if all[i].name == parser.Active.Name {
+			return &all[i], exit.OK
+		}
+	}
+	panic("unreachable: the parser knows only these roles")
+}
+
+// serve runs the role until it ends or a signal stops it.
+func serve(r *role, out std, signals <-chan os.Signal) int {
+	ring, err := r.common.LoadRing()
+	if err != nil {
+		fmt.Fprintln(out.err, err)
+		return exit.Usage
+	}
+	logger := logging.New(out.err, r.common.LogFormat, r.common.Level())
+	daemon := logging.Part(logger, part)
+	env := settings.Env{
+		Logger:  logger,
+		Events:  event.NewRing(event.DefaultRingSize, time.Now),
+		Version: version.Version(),
+		Keys:    settings.NewKeys(ring),
+		Ready:   func(a settings.Addresses) { settings.LogReady(daemon, a) },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- r.run(ctx, env) }()
+	return wait(r, env, daemon, done, cancel, signals)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,156 @@
+// Package settings holds the flags and environment variables that the roles
+// share, and checks them: all findings are reported together, each with its
+// place and a remedy.
+package settings
+
+import (
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// EnvPrefix starts the name of each environment variable.
+const EnvPrefix = "SALTBEND_"
+
+// Log formats.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+)
+
+// Address is the text of an IP address with a port, as it was given.
+type Address string
+
+// Parse returns the address, or an error that says what is wrong with it. Host
+// names are refused: a process must not depend on name resolution.
+func (a Address) Parse() (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(string(a))
+	if err != nil {
+		return netip.AddrPort{}, errors.Errorf("%q is not an IP address with a port", string(a))
+	}
+	return addr, nil
+}
+
+// AddrPort returns the address, or the zero value when it does not parse; Check
+// has reported that.
+func (a Address) AddrPort() netip.AddrPort {
+	addr, _ := a.Parse()
+	return addr
+}
+
+// Secret is text that never appears in a log or an error.
+type Secret string
+
+// String implements fmt.Stringer without the secret.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return "[redacted]"
+}
+
+// GoString implements fmt.GoStringer without the secret.
+func (s Secret) GoString() string { return s.String() }
+
+// LogValue implements slog.LogValuer without the secret.
+func (s Secret) LogValue() slog.Value { return slog.StringValue(s.String()) }
+
+// MarshalText implements encoding.TextMarshaler without the secret.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Common are the settings that both roles share.
+type Common struct {
+	Control     Address   `long:"control" env:"SALTBEND_CONTROL" default:"127.0.0.1:0" value-name:"IP:PORT" description:"listen address of the control traffic between processes (TCP); port 0 lets the kernel choose"`
+	Data        Address   `long:"data" env:"SALTBEND_DATA" default:"127.0.0.1:0" value-name:"IP:PORT" description:"listen address of the encapsulated datagrams between processes (UDP)"`
+	Ops         Address   `long:"ops" env:"SALTBEND_OPS" default:"127.0.0.1:0" value-name:"IP:PORT" description:"listen address of /metrics, /livez and /readyz (HTTP)"`
+	DataCentre  string    `long:"dc" env:"SALTBEND_DC" value-name:"NAME" description:"data centre of this host (required)"`
+	Secrets     Secret    `long:"secrets" env:"SALTBEND_SECRETS" value-name:"ID:HEX[,ID:HEX]" default-mask:"-" description:"fleet secrets, the current one first, then the previous one; a process list shows flags, so prefer the environment or --secrets-file"`
+	SecretsFile string    `long:"secrets-file" env:"SALTBEND_SECRETS_FILE" value-name:"PATH" description:"file with the fleet secrets; SIGHUP reads it again"`
+	Store       []string  `long:"store" env:"SALTBEND_STORE" env-delim:"," value-name:"URL" description:"base URL of the platform's key-value service; may be repeated"`
+	Join        []Address `long:"join" env:"SALTBEND_JOIN" env-delim:"," value-name:"IP:PORT" description:"control address of a process to learn the fleet from; may be repeated"`
+	LogFormat   string    `long:"log-format" env:"SALTBEND_LOG_FORMAT" default:"json" value-name:"json|text" description:"format of the log on standard error"`
+	LogLevel    string    `long:"log-level" env:"SALTBEND_LOG_LEVEL" default:"info" value-name:"debug|info|warn|error" description:"least level that is logged"`
+	Pprof       bool      `long:"pprof" env:"SALTBEND_PPROF" description:"serve /debug/pprof/ on the ops address"`
+	CheckOnly   bool      `long:"check" env:"SALTBEND_CHECK" description:"check the settings, report all findings and exit"`
+}
+
+// Check returns all findings about the common settings.
+func (c *Common) Check() Findings {
+	var f Findings
+	f = append(f, CheckAddress("control", c.Control)...)
+	f = append(f, CheckAddress("data", c.Data)...)
+	f = append(f, CheckAddress("ops", c.Ops)...)
+	if c.DataCentre == "" {
+		f.Add("dc", "no data centre is given", "name the data centre of this host")
+	}
+	if _, err := c.LoadRing(); err != nil {
+		f.Add(c.secretsFlag(), err.Error(), "give ID:HEX with at least 16 bytes of secret, the current one first")
+	}
+	for _, store := range c.Store {
+		f = append(f, checkStore(store)...)
+	}
+	for _, join := range c.Join {
+		f = append(f, checkJoin(join)...)
+	}
+	return append(f, c.checkLog()...)
+}
+
+// CheckAddress returns the finding about a listen address, if any. Roles use it
+// for addresses of their own.
+func CheckAddress(flag string, a Address) Findings {
+	if _, err := a.Parse(); err != nil {
+		var f Findings
+		f.Add(flag, err.Error(), "give numbers, such as 192.0.2.1:4100")
+		return f
+	}
+	return nil
+}
+
+func checkJoin(a Address) Findings {
+	f := CheckAddress("join", a)
+	if len(f) == 0 && a.AddrPort().Port() == 0 {
+		f.Add("join", "port 0 can't be called", "give the control port of the other process")
+	}
+	return f
+}
+
+func checkStore(text string) Findings {
+	var f Findings
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || !slices.Contains([]string{"http", "https"}, u.Scheme) {
+		// The text isn't repeated: it may hold a password.
+		f.Add("store", "an entry is not an http or https URL", "give the base URL, such as http://192.0.2.9:8500")
+	}
+	return f
+}
+
+func (c *Common) checkLog() Findings {
+	var f Findings
+	if !slices.Contains([]string{FormatJSON, FormatText}, c.LogFormat) {
+		f.Add("log-format", "unknown format "+quoted(c.LogFormat), "give json or text")
+	}
+	if _, err := parseLevel(c.LogLevel); err != nil {
+		f.Add("log-level", "unknown level "+quoted(c.LogLevel), "give debug, info, warn or error")
+	}
+	return f
+}
+
+// Level returns the least level that is logged.
+func (c *Common) Level() slog.Level {
+	level, _ := parseLevel(c.LogLevel)
+	return level
+}
+
+func parseLevel(text string) (slog.Level, error) {
+	var level slog.Level
+	err := level.UnmarshalText([]byte(text))
+	return level, err
+}
+
+func quoted(s string) string {
+	return `"` + strings.ToValidUTF8(s, "?") + `"`
+}
