Decide which configuration a process adopts and serves on

A process without memory that joins while the store is away may ask a single lagging peer, and would then serve an older file than its neighbours. Ruled out: to trust the first answer (reverts as seen from outside) and to wait for the store (no balancer could be replaced during an outage). A newcomer serves on a fresh reading of the store or on a quorum of peers that serve themselves; newcomers do not count, else they would vouch for each other.

The file parser reads YAML nodes, so that each finding has line and column.

--- /dev/null
+++ b/internal/adopt/adopt_test.go
@@ -0,0 +1,76 @@
+package adopt_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/adopt"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func peer(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+
+func serving(n int, revision uint64) adopt.Answer {
+	return adopt.Answer{Peer: peer(n), Revision: revision, Serving: true}
+}
+
+func TestDecide(t *testing.T) {
+	const late = time.Hour
+	tests := []struct {
+		name      string
+		balancers int
+		answers   []adopt.Answer
+		read      *adopt.Reading
+		adopted   uint64
+		after     time.Duration
+		want      adopt.Decision
+	}{
+		{name: "nothing known", want: adopt.Decision{Reason: adopt.ReasonNothing}},
+		{name: "fetch the highest", answers: []adopt.Answer{serving(1, 4), serving(2, 6)}, adopted: 4, balancers: 3,
+			want: adopt.Decision{Fetch: 6, From: peer(2), Reason: adopt.ReasonHigher}},
+		{name: "one of three has answered", answers: []adopt.Answer{serving(1, 4)}, adopted: 4, balancers: 3,
+			want: adopt.Decision{Reason: adopt.ReasonUnsure}},
+		{name: "a majority has answered", answers: []adopt.Answer{serving(1, 4), serving(2, 4)}, adopted: 4, balancers: 3,
+			want: adopt.Decision{Serve: true, Reason: adopt.ReasonPeers}},
+		{name: "newcomers do not vouch for each other", balancers: 3, adopted: 4,
+			answers: []adopt.Answer{serving(1, 4), {Peer: peer(2), Revision: 4}, {Peer: peer(3), Revision: 4}},
+			want:    adopt.Decision{Reason: adopt.ReasonUnsure}},
+		{name: "a newcomer's higher revision counts", balancers: 3, adopted: 4,
+			answers: []adopt.Answer{serving(1, 4), serving(2, 4), {Peer: peer(3), Revision: 5}},
+			want:    adopt.Decision{Fetch: 5, From: peer(3), Reason: adopt.ReasonHigher}},
+		{name: "a lagging peer does not outvote", balancers: 3, adopted: 6,
+			answers: []adopt.Answer{serving(1, 4), serving(2, 6)},
+			want:    adopt.Decision{Serve: true, Reason: adopt.ReasonPeers}},
+		{name: "a fresh reading vouches alone", balancers: 9, adopted: 4, read: &adopt.Reading{Revision: 4, Age: time.Second},
+			want: adopt.Decision{Serve: true, Reason: adopt.ReasonStore}},
+		{name: "a reading ages on its way", balancers: 9, adopted: 4, read: &adopt.Reading{Revision: 4, Age: 9 * time.Second},
+			after: 2 * time.Second, want: adopt.Decision{Reason: adopt.ReasonUnsure}},
+		{name: "a reading shows a higher revision", balancers: 1, adopted: 4, read: &adopt.Reading{Revision: 5},
+			answers: []adopt.Answer{serving(1, 4)}, want: adopt.Decision{Reason: adopt.ReasonHigher}},
+		{name: "old answers do not count", balancers: 1, adopted: 4, answers: []adopt.Answer{serving(1, 4)}, after: late,
+			want: adopt.Decision{Reason: adopt.ReasonUnsure}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := adopt.New(adopt.DefaultRules())
+			s.Expect(tt.balancers)
+			if tt.adopted > 0 {
+				s.Adopt(tt.adopted)
+			}
+			if tt.read != nil {
+				s.Read(*tt.read, start)
+			}
+			for _, a := range tt.answers {
+				s.Heard(a, start)
+			}
+			g.Expect(s.Decide(start.Add(tt.after))).To(gomega.Equal(tt.want))
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,9 +14,21 @@
 type Config struct {
 	// Revision is the store's revision of the file; it only rises.
 	Revision uint64
+	// Keys names the fleet secrets that sign and that are accepted.
+	Keys     Keys
 	Services []Service
 }
 
+// Keys refers to the fleet's secrets by their ids; the secrets themselves are
+// never part of a configuration.
+type Keys struct {
+	// Set is false where the file leaves the choice to each process's settings.
+	Set     bool
+	Current uint8
+	// Previous equals Current where no rotation is under way.
+	Previous uint8
+}
+
 // Service is a set of upstreams behind one public face.
 type Service struct {
 	Name string
@@ -26,6 +38,7 @@
 	Classes []Class
 	Drain   Drain
 	Health  Health
+	Retry   Retry
 }
 
 // Limits bound what one upstream of a service takes on.
@@ -68,6 +81,9 @@
 	Idempotent bool
 	// Deadline is the time a request has from its arrival to the whole answer.
 	Deadline time.Duration
+	// Resume tells that a feed may be subscribed to again at another upstream
+	// with the Last-Event-ID of its last event.
+	Resume bool
 }
 
 // Drain bounds a graceful stop.
@@ -89,6 +105,14 @@
 	SlowStart time.Duration
 }
 
+// Retry bounds how often idempotent requests are run again.
+type Retry struct {
+	// Attempts is the most times one request is tried, the first included.
+	Attempts int
+	// Budget is the share of first tries (0 to 1) that may be retried.
+	Budget float64
+}
+
 // Tag is a service's 32-bit identity on the wire: the low half of the xxhash
 // of its name. Validation refuses two services of one tag.
 type Tag uint32
--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,267 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+)
+
+// place is where a value stands in the file.
+type place struct {
+	line, column int
+	field        string
+}
+
+// decoder reads YAML nodes into typed values and collects findings; after a
+// finding it goes on with the default, so that all faults are found at once.
+type decoder struct {
+	findings Findings
+}
+
+func (d *decoder) report(p place, code Code, message, remedy string) {
+	d.findings = append(d.findings, Finding{
+		Line: p.line, Column: p.column, Field: p.field,
+		Code: code, Message: message, Remedy: remedy,
+	})
+}
+
+// mapping is a YAML mapping whose fields are taken one by one; what is left
+// over is unknown.
+type mapping struct {
+	d      *decoder
+	place  place
+	fields map[string]field
+	order  []string
+	taken  []string
+}
+
+type field struct {
+	key, value *yaml.Node
+}
+
+func placeOf(n *yaml.Node, path string) place {
+	return place{line: n.Line, column: n.Column, field: path}
+}
+
+// resolve follows aliases to the node they stand for.
+func resolve(n *yaml.Node) *yaml.Node {
+	for n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	return n
+}
+
+func (d *decoder) mapping(n *yaml.Node, path string) *mapping {
+	m := &mapping{d: d, place: placeOf(n, path), fields: map[string]field{}}
+	n = resolve(n)
+	if n.Kind != yaml.MappingNode {
+		d.report(m.place, CodeType, "want a mapping, found "+kindName(n), "write it as fields with values")
+		return m
+	}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		m.add(n.Content[i], n.Content[i+1])
+	}
+	return m
+}
+
+func (m *mapping) add(key, value *yaml.Node) {
+	name := key.Value
+	if _, again := m.fields[name]; again {
+		m.d.report(placeOf(key, m.path(name)), CodeRepeatedField, "the field stands twice", "keep one of them")
+		return
+	}
+	m.fields[name] = field{key: key, value: value}
+	m.order = append(m.order, name)
+}
+
+func (m *mapping) path(name string) string {
+	if m.place.field == "" {
+		return name
+	}
+	return m.place.field + "." + name
+}
+
+// take returns the value of a field, or nil where the file leaves it out.
+func (m *mapping) take(name string) (*yaml.Node, place) {
+	m.taken = append(m.taken, name)
+	f, ok := m.fields[name]
+	if !ok {
+		return nil, place{line: m.place.line, column: m.place.column, field: m.path(name)}
+	}
+	return f.value, placeOf(f.value, m.path(name))
+}
+
+// done reports the fields that nobody took.
+func (m *mapping) done() {
+	known := map[string]bool{}
+	for _, name := range m.taken {
+		known[name] = true
+	}
+	for _, name := range m.order {
+		if known[name] {
+			continue
+		}
+		m.d.report(placeOf(m.fields[name].key, m.path(name)), CodeUnknownField,
+			"unknown field", "remove it or use one of: "+strings.Join(m.taken, ", "))
+	}
+}
+
+// sub takes a field that is a mapping; nil where the file leaves it out.
+func (m *mapping) sub(name string) *mapping {
+	n, p := m.take(name)
+	if n == nil {
+		return nil
+	}
+	return m.d.mapping(n, p.field)
+}
+
+// list takes a field that is a list of at most limit items; nil where it is
+// left out. The limit also bounds the work that a file of aliases can cause.
+func (m *mapping) list(name string, limit int) ([]*yaml.Node, place) {
+	n, p := m.take(name)
+	if n == nil {
+		return nil, p
+	}
+	n = resolve(n)
+	if n.Kind != yaml.SequenceNode {
+		m.d.report(p, CodeType, "want a list, found "+kindName(n), "write it as a list")
+		return nil, p
+	}
+	if len(n.Content) > limit {
+		m.outOfRange(p, fmt.Sprintf("a list of %d", len(n.Content)), "1", strconv.Itoa(limit))
+		return n.Content[:limit], p
+	}
+	return n.Content, p
+}
+
+// scalar returns the text of a plain value of the wanted YAML tags.
+func (d *decoder) scalar(n *yaml.Node, p place, want string, tags ...string) (string, bool) {
+	n = resolve(n)
+	if n.Kind == yaml.ScalarNode {
+		for _, tag := range tags {
+			if n.Tag == tag {
+				return n.Value, true
+			}
+		}
+	}
+	d.report(p, CodeType, fmt.Sprintf("want %s, found %s", want, kindName(n)), "write "+want)
+	return "", false
+}
+
+func (m *mapping) text(name, def string) (string, place) {
+	n, p := m.take(name)
+	if n == nil {
+		return def, p
+	}
+	s, ok := m.d.scalar(n, p, "text", "!!str")
+	if !ok {
+		return def, p
+	}
+	return s, p
+}
+
+func (m *mapping) flag(name string, def bool) (bool, place) {
+	n, p := m.take(name)
+	if n == nil {
+		return def, p
+	}
+	s, ok := m.d.scalar(n, p, "true or false", "!!bool")
+	if !ok {
+		return def, p
+	}
+	return strings.EqualFold(s, "true"), p
+}
+
+// whole takes a whole number between low and high.
+func (m *mapping) whole(name string, def, low, high int) int {
+	n, p := m.take(name)
+	if n == nil {
+		return def
+	}
+	s, ok := m.d.scalar(n, p, "a whole number", "!!int")
+	if !ok {
+		return def
+	}
+	v, err := strconv.ParseInt(s, 0, 64)
+	if err != nil || v < int64(low) || v > int64(high) {
+		m.outOfRange(p, s, strconv.Itoa(low), strconv.Itoa(high))
+		return def
+	}
+	return int(v)
+}
+
+// share takes a number between 0 and 1.
+func (m *mapping) share(name string, def float64) float64 {
+	n, p := m.take(name)
+	if n == nil {
+		return def
+	}
+	s, ok := m.d.scalar(n, p, "a number", "!!int", "!!float")
+	if !ok {
+		return def
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0 && v <= 1) { // also refuses NaN
+		m.outOfRange(p, s, "0", "1")
+		return def
+	}
+	return v
+}
+
+// duration takes a time such as 250ms between low and high.
+func (m *mapping) duration(name string, def, low, high time.Duration) time.Duration {
+	n, p := m.take(name)
+	if n == nil {
+		return def
+	}
+	s, ok := m.d.scalar(n, p, "a duration such as 250ms", "!!str")
+	if !ok {
+		return def
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		m.d.report(p, CodeType, fmt.Sprintf("%q is no duration", s), "write a number with a unit: ms, s, m or h")
+		return def
+	}
+	if v < low || v > high {
+		m.outOfRange(p, s, low.String(), high.String())
+		return def
+	}
+	return v
+}
+
+func (m *mapping) outOfRange(p place, value, low, high string) {
+	m.d.report(p, CodeRange, fmt.Sprintf("%s is out of range", value), fmt.Sprintf("choose %s to %s", low, high))
+}
+
+func (d *decoder) address(n *yaml.Node, p place) (netip.AddrPort, bool) {
+	s, ok := d.scalar(n, p, "an address with a port", "!!str")
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || !a.Addr().Is4() || a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Port() == 0 {
+		d.report(p, CodeValue, fmt.Sprintf("%q is no address that callers can reach", s),
+			"write an IPv4 unicast address and a port from 1 to 65535, such as 192.0.2.10:443")
+		return netip.AddrPort{}, false
+	}
+	return a, true
+}
+
+func kindName(n *yaml.Node) string {
+	switch {
+	case n.Kind == yaml.MappingNode:
+		return "a mapping"
+	case n.Kind == yaml.SequenceNode:
+		return "a list"
+	case n.Tag == "!!null":
+		return "nothing"
+	case n.Kind == yaml.ScalarNode:
+		return fmt.Sprintf("%q", n.Value)
+	}
+	return "something else"
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// SchemaVersion is the version of the file format that this package reads.
+const SchemaVersion = 1
+
+// MaxFileBytes is the largest file that is accepted: the store's limit on one
+// value.
+const MaxFileBytes = 1 << 20
+
+// Bounds of lists.
+const (
+	maxServices = 4096
+	maxFaces    = 64
+	maxClasses  = 64
+	maxMethods  = 16
+)
+
+// Limits of numbers and times; docs/operations/configuration.md repeats them.
+const (
+	maxSlots       = 10_000
+	maxQueue       = 100_000
+	maxConnections = 1_000_000
+	maxBodyBytes   = 16 << 20
+	maxPriority    = 9
+	maxAttempts    = 5
+	minDeadline    = 10 * time.Millisecond
+	maxDeadline    = 24 * time.Hour
+	minInterval    = 100 * time.Millisecond
+	maxInterval    = time.Minute
+	maxDrain       = 48 * time.Hour
+	maxSlowStart   = time.Hour
+)
+
+// Defaults of fields that a file may leave out.
+const (
+	DefaultSlots          = 5
+	DefaultQueue          = 64
+	DefaultConnections    = 2000
+	DefaultBodyBytes      = 64 << 10
+	DefaultPriority       = 5
+	DefaultDeadline       = 5 * time.Second
+	DefaultDrainTimeout   = 6 * time.Hour
+	DefaultHealthPath     = "/health"
+	DefaultLoadPath       = "/load"
+	DefaultInterval       = time.Second
+	DefaultPanicThreshold = 0.5
+	DefaultSlowStart      = 30 * time.Second
+	DefaultAttempts       = 2
+	DefaultBudget         = 0.1
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
+	pathPattern   = regexp.MustCompile(`^/[^*?#\s]*\*?$`)
+	linePattern   = regexp.MustCompile(`line (\d+):?\s*`)
+)
+
+// Parse reads a configuration file and validates it as a whole. With findings
+// the configuration is nil.
+func Parse(data []byte, revision uint64) (*Config, Findings) {
+	d := &decoder{}
+	root := d.document(data)
+	if root == nil {
+		return nil, d.findings
+	}
+	f := d.file(root)
+	f.check(d)
+	if len(d.findings) > 0 {
+		d.findings.sort()
+		return nil, d.findings
+	}
+	f.config.Revision = revision
+	return f.config, nil
+}
+
+// document returns the one document of the file, nil after a finding.
+func (d *decoder) document(data []byte) *yaml.Node {
+	start := place{line: 1, column: 1}
+	if len(data) > MaxFileBytes {
+		d.report(place{}, CodeTooLarge, fmt.Sprintf("the file has %d bytes, the store holds %d", len(data), MaxFileBytes),
+			"leave out fields that equal their defaults, or comments")
+		return nil
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	var doc yaml.Node
+	err := dec.Decode(&doc)
+	if errors.Is(err, io.EOF) {
+		d.report(start, CodeNoService, "the file is empty", "list at least one service")
+		return nil
+	}
+	if err != nil {
+		d.report(syntaxPlace(err), CodeSyntax, err.Error(), "mend the YAML at this line")
+		return nil
+	}
+	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		d.report(start, CodeSyntax, "the file holds more than one YAML document", "keep one document")
+		return nil
+	}
+	return doc.Content[0]
+}
+
+// syntaxPlace reads the line from the library's message, which has it nowhere
+// else.
+func syntaxPlace(err error) place {
+	p := place{line: 1, column: 1}
+	if m := linePattern.FindStringSubmatch(err.Error()); m != nil {
+		p.line, _ = strconv.Atoi(m[1])
+	}
+	return p
+}
+
+// file is a configuration with the places of what later checks compare.
+type file struct {
+	config *Config
+	root   place
+	places []servicePlaces
+}
+
+type servicePlaces struct {
+	name    place
+	faces   []place
+	classes []classPlaces
+}
+
+type classPlaces struct {
+	self, name, path, methods, kind, idempotent place
+}
+
+func (d *decoder) file(root *yaml.Node) *file {
+	f := &file{config: &Config{}, root: placeOf(root, "")}
+	m := d.mapping(root, "")
+	f.version(m)
+	f.config.Keys = m.keys()
+	nodes, p := m.list("services", maxServices)
+	if len(nodes) == 0 {
+		d.report(p, CodeNoService, "no service is listed", "list at least one service")
+	}
+	for i, n := range nodes {
+		f.service(d.mapping(n, fmt.Sprintf("%s[%d]", p.field, i)))
+	}
+	m.done()
+	return f
+}
+
+func (f *file) version(m *mapping) {
+	n, p := m.take("version")
+	if n == nil {
+		m.d.report(p, CodeMissing, "the file's version is missing", fmt.Sprintf("begin with version: %d", SchemaVersion))
+		return
+	}
+	s, ok := m.d.scalar(n, p, "a whole number", "!!int")
+	if ok && s != strconv.Itoa(SchemaVersion) {
+		m.d.report(p, CodeVersion, "version "+s+" is not known here", fmt.Sprintf("use version: %d, or a newer saltbend", SchemaVersion))
+	}
+}
+
+func (m *mapping) keys() Keys {
+	sub := m.sub("keys")
+	if sub == nil {
+		return Keys{}
+	}
+	const none, maxID = -1, 255
+	current := sub.whole("current", none, 0, maxID)
+	previous := sub.whole("previous", current, 0, maxID)
+	if _, given := sub.fields["current"]; !given {
+		m.d.report(sub.place, CodeMissing, "the current key is missing", "name the id of the secret that signs")
+	}
+	sub.done()
+	return Keys{Set: true, Current: uint8(current), Previous: uint8(previous)}
+}
+
+// name takes the required name of a service or class.
+func (m *mapping) name() (string, place) {
+	s, p := m.text("name", "")
+	if _, given := m.fields["name"]; !given {
+		m.d.report(p, CodeMissing, "the name is missing", "give it a name")
+		return "", p
+	}
+	if s != "" && !namePattern.MatchString(s) {
+		m.d.report(p, CodeValue, fmt.Sprintf("%q is no valid name", s),
+			"use a lower-case letter, then at most 62 lower-case letters, digits or hyphens")
+	}
+	return s, p
+}
+
+// urlPath takes a path without a pattern.
+func (m *mapping) urlPath(name, def string) string {
+	s, p := m.text(name, def)
+	if !pathPattern.MatchString(s) || s[len(s)-1] == '*' {
+		m.d.report(p, CodeValue, fmt.Sprintf("%q is no path", s), "begin with a slash; leave out *, ?, # and blanks")
+		return def
+	}
+	return s
+}
