Place new flows by weighted rendezvous hashing

Cause: a balancer needs an agent for a new flow without knowing loads. Own data centre first, taken literally, overloads a data centre whose part of the agents is smaller than its part of the balancers (7 upstreams over 4 data centres always leave one such). So locality is folded into the weights: a data centre keeps all its flows while its part of capacity matches its part of the balancers, and only the excess leaves, to where there is capacity to spare. Ruled out: tables (they must agree), a second hash for the choice of the data centre (same result, one more step). If none is ready, ready agents of weight 0 and starting ones share, and the set says that it panics. Tests: table of who gets what, weights over all balancers together as a property, minimal disruption as a property, no allocation.

--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,176 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/placement"
+)
+
+func address(n, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), uint16(port))
+}
+
+func agent(n int, dataCentre string, state member.State, weight int) member.Member {
+	return member.Member{
+		Control: address(n, 1), Data: address(n, 2), Role: member.RoleAgent,
+		DataCentre: dataCentre, State: state, Weight: weight,
+	}
+}
+
+func balancers(dataCentres ...string) []member.Member {
+	var out []member.Member
+	for i, d := range dataCentres {
+		out = append(out, member.Member{
+			Control: address(100+i, 1), Role: member.RoleBalancer, DataCentre: d, State: member.StateReady,
+		})
+	}
+	return out
+}
+
+// spread counts the choices of n keys by agent.
+func spread(s *placement.Set, n int) map[netip.AddrPort]int {
+	counts := make(map[netip.AddrPort]int)
+	for k := range n {
+		if a, ok := s.Choose(uint64(k) * 0xD1342543DE82EF95); ok {
+			counts[a]++
+		}
+	}
+	return counts
+}
+
+// expectPart checks a count against a binomial's mean within five standard
+// deviations: keys are fixed, so the verdict is too.
+func expectPart(g Gomega, count, n int, p float64, what string) {
+	mean := float64(n) * p
+	slack := 5*math.Sqrt(mean*(1-p)) + 1
+	g.ExpectWithOffset(1, float64(count)).To(BeNumerically("~", mean, slack), what)
+}
+
+func TestWhoGetsNewFlows(t *testing.T) {
+	const n = 20000
+	type want map[int]float64 // agent number to its part
+	for _, tc := range []struct {
+		name      string
+		balancers []member.Member
+		agents    []member.Member
+		want      want
+		panics    bool
+	}{
+		{"nobody", balancers("a"), nil, want{}, false},
+		{"weights", balancers("a"), []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "a", member.StateReady, 250),
+		}, want{1: 0.8, 2: 0.2}, false},
+		{"draining and gone never", balancers("a"), []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "a", member.StateDraining, 1000),
+			agent(3, "a", member.StateGone, 1000), agent(4, "a", member.StateStarting, 1000),
+		}, want{1: 1}, false},
+		{"own data centre suffices", balancers("a", "b"), []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "b", member.StateReady, 1000),
+		}, want{1: 1}, false},
+		{"own data centre has none ready", balancers("a", "b"), []member.Member{
+			agent(1, "a", member.StateDraining, 1000), agent(2, "b", member.StateReady, 1000),
+			agent(3, "c", member.StateReady, 1000),
+		}, want{3: 1}, false},
+		{"own data centre has too little", balancers("a", "b"), []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "b", member.StateReady, 1000),
+			agent(3, "b", member.StateReady, 1000), agent(4, "b", member.StateReady, 1000),
+		}, want{1: 0.5, 2: 0.5 / 3, 3: 0.5 / 3, 4: 0.5 / 3}, false},
+		{"balancer not in its own list", nil, []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "b", member.StateReady, 1000),
+		}, want{1: 0.5, 2: 0.5}, false},
+		{"none ready", balancers("a"), []member.Member{
+			agent(1, "a", member.StateStarting, 0), agent(2, "a", member.StateReady, 0),
+			agent(3, "a", member.StateDraining, 1000),
+		}, want{1: 0.5, 2: 0.5}, true},
+		{"only draining", balancers("a"), []member.Member{agent(1, "a", member.StateDraining, 1000)}, want{}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := placement.NewSet("a", tc.balancers, tc.agents)
+			g.Expect(s.Panics()).To(Equal(tc.panics))
+			g.Expect(s.Len()).To(Equal(len(tc.want)))
+			counts := spread(s, n)
+			for i := range tc.agents {
+				expectPart(g, counts[tc.agents[i].Data], n, tc.want[i+1], fmt.Sprintf("agent %d", i+1))
+			}
+		})
+	}
+}
+
+// Whatever the layout of balancers and agents, each agent gets its weight's
+// part of all flows, and a data centre sends flows away only for want of
+// capacity.
+func TestAllBalancersTogetherRespectWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		names := []string{"a", "b", "c"}
+		homes := rapid.SliceOfN(rapid.SampledFrom(names), 1, 6).Draw(t, "balancers")
+		var agents []member.Member
+		total := 0
+		for i, d := range rapid.SliceOfN(rapid.SampledFrom(names), 1, 8).Draw(t, "agents") {
+			w := rapid.IntRange(1, 4).Draw(t, "weight") * 250
+			agents = append(agents, agent(i+1, d, member.StateReady, w))
+			total += w
+		}
+		const each = 4000
+		fleet := balancers(homes...)
+		sum := make(map[netip.AddrPort]int)
+		for _, home := range homes {
+			for a, c := range spread(placement.NewSet(home, fleet, agents), each) {
+				sum[a] += c
+			}
+		}
+		// The same keys at each balancer: the samples of balancers depend on
+		// each other, so allow the deviation of one balancer's sample.
+		for _, a := range agents {
+			p := float64(a.Weight) / float64(total)
+			got := float64(sum[a.Data]) / float64(each*len(homes))
+			g.Expect(got).To(BeNumerically("~", p, 6*math.Sqrt(p*(1-p)/each)+0.005))
+		}
+	})
+}
+
+// Within one data centre a change of one agent moves only flows from or to it.
+func TestMinimalDisruption(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		n := rapid.IntRange(2, 9).Draw(t, "agents")
+		var agents []member.Member
+		for i := range n {
+			agents = append(agents, agent(i+1, "a", member.StateReady, rapid.IntRange(1, 1000).Draw(t, "weight")))
+		}
+		victim := rapid.IntRange(0, n-1).Draw(t, "victim")
+		changed := append([]member.Member(nil), agents...)
+		changed[victim].State = member.StateDraining
+		fleet := balancers("a")
+		before, after := placement.NewSet("a", fleet, agents), placement.NewSet("a", fleet, changed)
+		for range 200 {
+			key := rapid.Uint64().Draw(t, "key")
+			was, _ := before.Choose(key)
+			is, ok := after.Choose(key)
+			g.Expect(ok).To(BeTrue())
+			if was != agents[victim].Data {
+				g.Expect(is).To(Equal(was))
+			} else {
+				g.Expect(is).NotTo(Equal(was))
+			}
+		}
+	})
+}
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	var agents []member.Member
+	for i := range 7 {
+		agents = append(agents, agent(i+1, "a", member.StateReady, 1000))
+	}
+	s := placement.NewSet("a", balancers("a"), agents)
+	key := uint64(0)
+	NewWithT(t).Expect(testing.AllocsPerRun(100, func() { key++; s.Choose(key) })).To(BeZero())
+}
