--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets of saltbend; `make help` lists them.
+
+GO ?= go
+BIN ?= bin
+# SKIP and SKIP_SPECS are regular expressions of tests and integration specs
+# to pass over; .ci/run fills them from KNOWN-RED.txt.
+SKIP ?=
+SKIP_SPECS ?=
+
+.PHONY: help build test unit integration demo bench bench-capacity model lint
+
+help: ## list the targets
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+build: ## build saltbendd and saltbend into bin/
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: unit integration ## run every test
+
+unit: ## unit, property and fuzz-seed tests under the race detector
+	$(GO) test -race -timeout 5m $(if $(SKIP),-skip '$(SKIP)') ./internal/... ./cmd/...
+
+integration: ## tests with real processes on loopback
+	$(GO) test -timeout 8m ./test/... $(if $(SKIP_SPECS),-args -ginkgo.skip '$(SKIP_SPECS)')
+
+demo: ## run a whole fleet on loopback under load while balancers die
+	$(GO) run ./test/cmd/demo
+
+bench: ## benchmarks in benchstat format
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 300ms ./internal/...
+
+bench-capacity: ## slopes for docs/CAPACITY.md
+	$(GO) test -run '^$$' -bench Capacity -benchtime 1x ./internal/...
+
+model: ## check the Promela models exhaustively, and that seeded faults are caught
+	bash spec/check.sh
+
+lint: ## gofmt, vet and staticcheck
+	@unformatted=$$(gofmt -l cmd internal test); test -z "$$unformatted" || { echo "gofmt: $$unformatted"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/test/caller/caller.go
@@ -0,0 +1,259 @@
+// Package caller stands in for callers over HTTP/3: lookups, feeds, timer
+// batches, exam answers and uploads. It checks each answer against its own
+// request and counts outcomes as they were told.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/saltbend/saltbend/test/upstream"
+)
+
+const (
+	headerTicket  = "Saltbend-Ticket"
+	headerOutcome = "Saltbend-Outcome"
+
+	idleTimeout = 60 * time.Second
+	// redialPause keeps a caller whose attempt failed in transport from
+	// spinning.
+	redialPause = 50 * time.Millisecond
+	// defaultRetryAfter is used where a refusal names no time.
+	defaultRetryAfter = time.Second
+)
+
+// Options of a caller.
+type Options struct {
+	// Name prefixes the request ids; it must be unique in a run.
+	Name string
+	// Face is the public address, Service the service expected behind it.
+	Face       netip.AddrPort
+	Service    string
+	ServerName string
+	Roots      *x509.CertPool
+	Tally      *Tally
+}
+
+// Caller has one HTTP/3 connection at a time. Its methods may be called
+// concurrently, but for Submit: a caller has one ticket.
+type Caller struct {
+	o         Options
+	transport *http3.Transport
+	ticket    string
+}
+
+// New returns a caller that connects at its first request.
+func New(o Options) *Caller {
+	return &Caller{
+		o: o,
+		transport: &http3.Transport{
+			TLSClientConfig: &tls.Config{RootCAs: o.Roots, ServerName: o.ServerName},
+			QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout},
+		},
+	}
+}
+
+// Close ends the caller's connection.
+func (c *Caller) Close() error { return c.transport.Close() }
+
+// Drop ends the connection without a word to the other side being awaited;
+// the next request opens a new one.
+func (c *Caller) Drop() {
+	_ = c.transport.Close() // whatever it says, the old connection is not used again
+	c.transport = New(c.o).transport
+}
+
+// reply is one response as the caller sees it.
+type reply struct {
+	status     int
+	outcome    string
+	ticket     string
+	retryAfter time.Duration
+	body       []byte
+}
+
+// refused reports whether the reply says that the request was not run.
+func (r reply) refused() bool {
+	return r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+}
+
+func (c *Caller) send(ctx context.Context, method, path, id, ticket string, body []byte) (reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "https://"+c.o.Face.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, errors.Wrap(err, "build request")
+	}
+	req.Header.Set(upstream.HeaderRequestID, id)
+	req.Header.Set(upstream.HeaderWanted, c.o.Service)
+	if ticket != "" {
+		req.Header.Set(headerTicket, ticket)
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return reply{}, errors.Wrap(err, "send request")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}, errors.Wrap(err, "read answer")
+	}
+	return reply{
+		status:     resp.StatusCode,
+		outcome:    resp.Header.Get(headerOutcome),
+		ticket:     resp.Header.Get(headerTicket),
+		retryAfter: retryAfter(resp.Header),
+		body:       data,
+	}, nil
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil {
+		return defaultRetryAfter
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// check compares a whole answer with the request it should belong to.
+func (c *Caller) check(r reply, id string, body []byte) error {
+	if r.status != http.StatusOK {
+		return errors.Errorf("status %d outcome %q: %.100s", r.status, r.outcome, r.body)
+	}
+	var a upstream.Answer
+	if err := json.Unmarshal(r.body, &a); err != nil {
+		return errors.Wrap(err, "answer is not whole")
+	}
+	sum := sha256.Sum256(body)
+	switch {
+	case a.Service != c.o.Service:
+		return errors.Errorf("answer of service %q to a request for %q", a.Service, c.o.Service)
+	case a.ID != id:
+		return errors.Errorf("answer to %q in place of %q", a.ID, id)
+	case a.BodySum != hex.EncodeToString(sum[:]):
+		return errors.Errorf("the upstream saw %d bytes, other than the %d sent", a.BodyBytes, len(body))
+	}
+	return nil
+}
+
+// Lookup asks for one runner. A refusal is tried again when it said, until ctx
+// ends; a failed connection is not.
+func (c *Caller) Lookup(ctx context.Context) error {
+	return c.idempotent(ctx, KindLookup, http.MethodGet, upstream.PathLookup, nil)
+}
+
+// Upload sends a photo.
+func (c *Caller) Upload(ctx context.Context, photo []byte) error {
+	return c.idempotent(ctx, KindUpload, http.MethodPut, upstream.PathUpload, photo)
+}
+
+func (c *Caller) idempotent(ctx context.Context, kind Kind, method, path string, body []byte) error {
+	id := c.newID()
+	start := time.Now()
+	for {
+		r, err := c.send(ctx, method, path+id, id, "", body)
+		if err == nil && r.refused() {
+			c.o.Tally.refuse(kind, id)
+			if sleep(ctx, r.retryAfter) {
+				continue
+			}
+			err = errors.New("refused until the deadline")
+		}
+		if err == nil {
+			err = c.check(r, id, body)
+		}
+		c.o.Tally.end(kind, id, start, err)
+		return err
+	}
+}
+
+// Outcome is how a submission ended.
+type Outcome string
+
+// Outcomes of Submit.
+const (
+	OutcomeComplete Outcome = "complete"
+	OutcomeUnknown  Outcome = "unknown"
+	OutcomeFailed   Outcome = "failed"
+)
+
+// Submit sends a non-idempotent request under a ticket. While it has no final
+// answer it asks again under the same ticket, on a new connection after a
+// transport failure; after a refusal it asks with a fresh ticket and a new
+// attempt in its id, so that a run behind a refusal is seen.
+func (c *Caller) Submit(ctx context.Context, path string, body []byte) (Outcome, error) {
+	stem := c.newID()
+	start := time.Now()
+	outcome, err := c.submit(ctx, stem, path, body)
+	c.o.Tally.endSubmission(stem, start, outcome, err)
+	return outcome, err
+}
+
+func (c *Caller) submit(ctx context.Context, stem, path string, body []byte) (Outcome, error) {
+	ticket := c.ticket
+	c.ticket = ""
+	for attempt := 0; ; {
+		id := AttemptID(stem, attempt)
+		r, err := c.send(ctx, http.MethodPost, path, id, ticket, body)
+		switch {
+		case err != nil:
+			c.Drop()
+			if !sleep(ctx, redialPause) {
+				return OutcomeFailed, err
+			}
+		case r.status == http.StatusPreconditionRequired:
+			ticket = r.ticket
+		case r.refused():
+			c.o.Tally.refuse(KindSubmission, id)
+			attempt++
+			ticket = r.ticket
+			if !sleep(ctx, r.retryAfter) {
+				return OutcomeFailed, errors.New("refused until the deadline")
+			}
+		case r.outcome == string(OutcomeUnknown):
+			c.ticket = r.ticket
+			return OutcomeUnknown, nil
+		default:
+			c.ticket = r.ticket
+			if err := c.check(r, id, body); err != nil {
+				return OutcomeFailed, err
+			}
+			return OutcomeComplete, nil
+		}
+		if ctx.Err() != nil {
+			return OutcomeFailed, ctx.Err()
+		}
+	}
+}
+
+// AttemptID is the request id of an attempt; attempts of one submission share
+// the stem.
+func AttemptID(stem string, attempt int) string { return fmt.Sprintf("%s.%d", stem, attempt) }
+
+func (c *Caller) newID() string {
+	return fmt.Sprintf("%s-%d", c.o.Name, c.o.Tally.nextID())
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/test/caller/tally.go
@@ -0,0 +1,181 @@
+package caller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Kind is a kind of work that callers do.
+type Kind string
+
+// Kinds of work.
+const (
+	KindLookup     Kind = "lookup"
+	KindUpload     Kind = "upload"
+	KindFeed       Kind = "feed"
+	KindSubmission Kind = "submission"
+)
+
+const (
+	maxLatencyMicros    = 120_000_000
+	significantFigures  = 3
+	maxRememberedErrors = 20
+)
+
+// Counts are the outcomes of one kind of work.
+type Counts struct {
+	OK, Failed, Unknown, Refused int
+}
+
+// Tally collects the outcomes of many callers. It is safe for concurrent use.
+type Tally struct {
+	mu          sync.Mutex
+	ids         int
+	counts      map[Kind]*Counts
+	latency     map[Kind]*hdrhistogram.Histogram
+	errors      []string
+	refused     map[string]bool
+	feedsOpened int
+	feedsBroken int
+	events      int
+	longestGap  time.Duration
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally {
+	return &Tally{
+		counts:  make(map[Kind]*Counts),
+		latency: make(map[Kind]*hdrhistogram.Histogram),
+		refused: make(map[string]bool),
+	}
+}
+
+func (t *Tally) nextID() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ids++
+	return t.ids
+}
+
+// of returns the counts of a kind; mu must be held.
+func (t *Tally) of(kind Kind) *Counts {
+	c := t.counts[kind]
+	if c == nil {
+		c = &Counts{}
+		t.counts[kind] = c
+		t.latency[kind] = hdrhistogram.New(1, maxLatencyMicros, significantFigures)
+	}
+	return c
+}
+
+func (t *Tally) refuse(kind Kind, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(kind).Refused++
+	t.refused[id] = true
+}
+
+func (t *Tally) end(kind Kind, id string, start time.Time, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.of(kind)
+	if err != nil {
+		c.Failed++
+		t.remember(kind, id, err)
+		return
+	}
+	c.OK++
+	t.measure(kind, time.Since(start))
+}
+
+func (t *Tally) endSubmission(id string, start time.Time, outcome Outcome, err error) {
+	if outcome != OutcomeUnknown {
+		t.end(KindSubmission, id, start, err)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(KindSubmission).Unknown++
+}
+
+func (t *Tally) openFeed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.feedsOpened++
+}
+
+func (t *Tally) event(gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.events++
+	t.longestGap = max(t.longestGap, gap)
+}
+
+func (t *Tally) endFeed(id string, err error) {
+	if err == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.feedsBroken++
+	t.remember(KindFeed, id, err)
+}
+
+// measure records a latency; mu must be held.
+func (t *Tally) measure(kind Kind, d time.Duration) {
+	_ = t.latency[kind].RecordValue(min(max(d.Microseconds(), 1), maxLatencyMicros)) // in range by the clamp
+}
+
+// remember keeps an error for the report; mu must be held.
+func (t *Tally) remember(kind Kind, id string, err error) {
+	if len(t.errors) < maxRememberedErrors {
+		t.errors = append(t.errors, string(kind)+" "+id+": "+err.Error())
+	}
+}
+
+// Report is a copy of a tally.
+type Report struct {
+	Counts map[Kind]Counts
+	// P50, P99 and Max are latencies of what went well.
+	P50, P99, Max map[Kind]time.Duration
+	FeedsOpened   int
+	FeedsBroken   int
+	Events        int
+	// LongestGap is the longest time between two events of one feed.
+	LongestGap time.Duration
+	// Refused holds the ids of attempts that were told "not run".
+	Refused map[string]bool
+	// Errors are the first failures in words.
+	Errors []string
+}
+
+// Report returns what was counted so far.
+func (t *Tally) Report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := Report{
+		Counts:      make(map[Kind]Counts),
+		P50:         make(map[Kind]time.Duration),
+		P99:         make(map[Kind]time.Duration),
+		Max:         make(map[Kind]time.Duration),
+		FeedsOpened: t.feedsOpened,
+		FeedsBroken: t.feedsBroken,
+		Events:      t.events,
+		LongestGap:  t.longestGap,
+		Refused:     make(map[string]bool, len(t.refused)),
+		Errors:      append([]string(nil), t.errors...),
+	}
+	for kind, c := range t.counts {
+		h := t.latency[kind]
+		r.Counts[kind] = *c
+		r.P50[kind] = time.Duration(h.ValueAtPercentile(50)) * time.Microsecond
+		r.P99[kind] = time.Duration(h.ValueAtPercentile(99)) * time.Microsecond
+		r.Max[kind] = time.Duration(h.Max()) * time.Microsecond
+	}
+	for id := range t.refused {
+		r.Refused[id] = true
+	}
+	return r
+}
--- /dev/null
+++ b/test/fabric/flow.go
@@ -0,0 +1,115 @@
+package fabric
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// face is one public address; run is its only reader.
+type face struct {
+	fabric *Fabric
+	conn   *net.UDPConn
+	public netip.AddrPort
+
+	mu    sync.Mutex
+	flows map[netip.AddrPort]*flow
+}
+
+// flow is the translation of one caller at one face: balancers see the caller
+// as the flow's own socket.
+type flow struct {
+	face   *face
+	caller netip.AddrPort
+	conn   *net.UDPConn
+}
+
+func (f *face) run() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, caller, err := f.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return // closed
+		}
+		flow := f.flow(caller)
+		if flow == nil {
+			f.fabric.dropped.Add(1)
+			continue
+		}
+		flow.toBalancer(buf[:n])
+	}
+}
+
+// flow returns the caller's flow, opening it if the bound allows.
+func (f *face) flow(caller netip.AddrPort) *flow {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known, ok := f.flows[caller]; ok {
+		return known
+	}
+	if len(f.flows) >= maxFlows {
+		return nil
+	}
+	conn, err := listen()
+	if err != nil {
+		return nil
+	}
+	opened := &flow{face: f, caller: caller, conn: conn}
+	f.flows[caller] = opened
+	go opened.run()
+	return opened
+}
+
+func (f *face) close() {
+	f.conn.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, flow := range f.flows {
+		flow.conn.Close()
+	}
+}
+
+func (f *flow) toBalancer(datagram []byte) {
+	fabric := f.face.fabric
+	b, local := fabric.table.Load().pick(f.face.public)
+	if b == nil {
+		fabric.unrouted.Add(1)
+		return
+	}
+	fabric.carry(b.faults, b.faults.CutTo, datagram, func(d []byte) {
+		if _, err := f.conn.WriteToUDPAddrPort(d, local); err == nil {
+			fabric.toBalancers.Add(1)
+		}
+	})
+}
+
+// run relays replies until the flow has been idle for flowIdleLimit.
+func (f *flow) run() {
+	defer f.forget()
+	fabric := f.face.fabric
+	buf := make([]byte, maxDatagram)
+	for {
+		_ = f.conn.SetReadDeadline(time.Now().Add(flowIdleLimit))
+		n, from, err := f.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return // idle or closed
+		}
+		var faults Faults
+		if b := fabric.table.Load().byLocal[from]; b != nil {
+			faults = b.faults
+		}
+		fabric.carry(faults, faults.CutFrom, buf[:n], func(d []byte) {
+			if _, err := f.face.conn.WriteToUDPAddrPort(d, f.caller); err == nil {
+				fabric.toCallers.Add(1)
+			}
+		})
+	}
+}
+
+func (f *flow) forget() {
+	f.face.mu.Lock()
+	delete(f.face.flows, f.caller)
+	f.face.mu.Unlock()
+	f.conn.Close()
+}
--- /dev/null
+++ b/test/upstream/http.go
@@ -0,0 +1,156 @@
+package upstream
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/saltbend/saltbend/test/jsonhttp"
+)
+
+// Paths that an upstream serves. Everything else is a request.
+const (
+	PathHealth    = "/health"
+	PathLoad      = "/load"
+	PathFeed      = "/feed"
+	PathUpload    = "/upload/"
+	PathLookup    = "/lookup/"
+	PathBatch     = "/batch"
+	PathAnswer    = "/answer"
+	pathBehaviour = "/behaviour"
+)
+
+// crashExitCode is the exit code of a crash that was asked for.
+const crashExitCode = 42
+
+// Answer is the body of a whole answer.
+type Answer struct {
+	Service  string
+	Upstream string
+	ID       string
+	// BodySum is the SHA-256 of the request body, BodyBytes its length.
+	BodySum   string
+	BodyBytes int64
+}
+
+// Load is the body of the load endpoint.
+type Load struct {
+	Busy  int `json:"busy"`
+	Slots int `json:"slots"`
+	Feeds int `json:"feeds"`
+}
+
+// Handler serves requests, health, load and the steering endpoint.
+func (u *Upstream) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, u.serveHealth)
+	mux.HandleFunc("GET "+PathLoad, u.serveLoad)
+	mux.HandleFunc("GET "+PathFeed, u.serveFeed)
+	mux.HandleFunc("PUT "+pathBehaviour, func(w http.ResponseWriter, r *http.Request) {
+		var b Behaviour
+		if jsonhttp.Read(w, r, &b) {
+			u.SetBehaviour(b)
+		}
+	})
+	mux.HandleFunc("/", u.serveRequest)
+	return mux
+}
+
+func (u *Upstream) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	b := u.current()
+	state, status := "ok", http.StatusOK
+	switch {
+	case b.Drain:
+		state = "draining"
+	case (b.Shed || b.ErrorFast) && !b.LieHealth:
+		state, status = "failing", http.StatusServiceUnavailable
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, "{\"status\":%q}\n", state)
+}
+
+func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	load := Load{Busy: u.busy, Slots: u.behaviour.Slots, Feeds: u.feeds}
+	if u.behaviour.LieLoad {
+		load.Busy = 0
+	}
+	u.mu.Unlock()
+	jsonhttp.Reply(w, load)
+}
+
+func (u *Upstream) serveRequest(w http.ResponseWriter, r *http.Request) {
+	b := u.current()
+	switch {
+	case b.Shed:
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case b.ErrorFast:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	b = u.acquire()
+	defer u.release()
+	u.record(r, PhaseStart)
+	if b.CrashNext {
+		os.Exit(crashExitCode)
+	}
+	sum := sha256.New()
+	n, err := io.Copy(sum, r.Body)
+	if err != nil || !sleep(r, u.serviceTime(b)) {
+		u.record(r, PhaseCut)
+		return
+	}
+	jsonhttp.Reply(w, Answer{
+		Service:   u.service,
+		Upstream:  u.name,
+		ID:        r.Header.Get(HeaderRequestID),
+		BodySum:   hex.EncodeToString(sum.Sum(nil)),
+		BodyBytes: n,
+	})
+	u.record(r, PhaseEnd)
+}
+
+// serveFeed sends numbered events for ever, from the one after Last-Event-ID.
+func (u *Upstream) serveFeed(w http.ResponseWriter, r *http.Request) {
+	u.record(r, PhaseStart)
+	u.countFeed(1)
+	defer u.countFeed(-1)
+	last, _ := strconv.ParseUint(r.Header.Get("Last-Event-ID"), 10, 64) // absent: from the first
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	for id := last + 1; ; id++ {
+		_, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", id, u.service, r.Header.Get(HeaderRequestID))
+		if err != nil || out.Flush() != nil {
+			return
+		}
+		if !sleep(r, u.current().FeedInterval) {
+			return
+		}
+	}
+}
+
+func (u *Upstream) countFeed(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.feeds += n
+}
+
+// sleep waits for d; it returns false when the request ends first.
+func sleep(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
