Carry net/rpc over mutually authenticated TLS

Cause: control traffic needs an authenticated transport whose errors tell truthfully whether a call may have run. Ruled out: net/rpc's own gob codec (unbounded messages, a write blocks the caller past its context); bodies bounded by a wrapper around the socket alone (it can't see where a message starts). Seen: a request over the reader's bound comes back as a remote error (net/rpc answers a body that it can't decode), not as interrupted; it has not run, so the spec says so.

--- /dev/null
+++ b/internal/peer/call_test.go
@@ -0,0 +1,230 @@
+package peer_test
+
+import (
+	"context"
+	"net/netip"
+	"net/rpc"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/peer"
+)
+
+// patience bounds each wait; no spec depends on how long one takes.
+const patience = 20 * time.Second
+
+const (
+	secretA = "1:000102030405060708090a0b0c0d0e0f"
+	secretB = "2:f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff"
+	secretC = "3:aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbb"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func ring(secrets ...string) *keyring.Ring {
+	GinkgoHelper()
+	r, err := keyring.Parse(strings.Join(secrets, ","))
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// service is a receiver whose methods the specs call.
+type service struct {
+	calls   atomic.Int64
+	entered chan struct{}
+	release chan struct{}
+}
+
+func newService() *service {
+	return &service{entered: make(chan struct{}, 64), release: make(chan struct{})}
+}
+
+// Echo returns its argument.
+func (s *service) Echo(in string, out *string) error {
+	s.calls.Add(1)
+	*out = in
+	return nil
+}
+
+// Fail returns an error.
+func (s *service) Fail(in string, _ *string) error {
+	return rpc.ServerError("no " + in)
+}
+
+// Block returns when the spec releases it.
+func (s *service) Block(in string, out *string) error {
+	s.calls.Add(1)
+	s.entered <- struct{}{}
+	<-s.release
+	*out = in
+	return nil
+}
+
+// serve starts a peer with a service.
+func serve(r *keyring.Ring, opts ...peer.Option) (*peer.Peer, *service) {
+	GinkgoHelper()
+	p, err := peer.Listen(loopback, r, opts...)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(p.Close)
+	s := newService()
+	Expect(p.Register("Test", s)).To(Succeed())
+	return p, s
+}
+
+func echo(p *peer.Peer, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var out string
+	err := p.Call(ctx, addr, "Test.Echo", "hello", &out)
+	if err == nil && out != "hello" {
+		return rpc.ServerError("wrong echo: " + out)
+	}
+	return err
+}
+
+// background starts a call of Block and returns its result's channel.
+func background(ctx context.Context, p *peer.Peer, addr netip.AddrPort) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		var out string
+		done <- p.Call(ctx, addr, "Test.Block", "x", &out)
+	}()
+	return done
+}
+
+var _ = Describe("Call", func() {
+	It("tells a remote error from a lost call", func() {
+		a, _ := serve(ring(secretA))
+		b, _ := serve(ring(secretA))
+		Expect(echo(a, b.Addr())).To(Succeed())
+		var out string
+		err := a.Call(context.Background(), b.Addr(), "Test.Fail", "luck", &out)
+		Expect(err).To(Equal(rpc.ServerError("no luck")))
+		err = a.Call(context.Background(), b.Addr(), "Test.Missing", "", &out)
+		Expect(err).To(BeAssignableToTypeOf(rpc.ServerError("")))
+	})
+
+	It("is unreachable where nobody listens", func() {
+		a, _ := serve(ring(secretA))
+		b, _ := serve(ring(secretA))
+		addr := b.Addr()
+		Expect(b.Close()).To(Succeed())
+		Expect(echo(a, addr)).To(MatchError(peer.ErrUnreachable))
+	})
+
+	It("is unreachable, not interrupted, once the other process has gone while idle", func() {
+		a, _ := serve(ring(secretA))
+		b, _ := serve(ring(secretA))
+		addr := b.Addr()
+		Expect(echo(a, addr)).To(Succeed())
+		Expect(b.Close()).To(Succeed())
+		Eventually(func() error { return echo(a, addr) }, patience).Should(MatchError(peer.ErrUnreachable))
+		again, err := peer.Listen(addr, ring(secretA))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(again.Close)
+		Expect(again.Register("Test", newService())).To(Succeed())
+		Expect(echo(a, addr)).To(Succeed())
+	})
+
+	It("returns with its context and leaves the reply alone", func() {
+		a, _ := serve(ring(secretA))
+		b, s := serve(ring(secretA))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := background(ctx, a, b.Addr())
+		Eventually(s.entered, patience).Should(Receive())
+		cancel()
+		var err error
+		Eventually(done, patience).Should(Receive(&err))
+		Expect(err).To(MatchError(peer.ErrInterrupted))
+		Expect(err).To(MatchError(context.Canceled))
+		Expect(echo(a, b.Addr())).To(Succeed())
+		close(s.release)
+	})
+
+	It("never leaves when its context has ended before", func() {
+		a, _ := serve(ring(secretA))
+		b, s := serve(ring(secretA))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var out string
+		Expect(a.Call(ctx, b.Addr(), "Test.Echo", "x", &out)).To(MatchError(peer.ErrUnreachable))
+		Expect(echo(a, b.Addr())).To(Succeed())
+		Expect(s.calls.Load()).To(Equal(int64(1)))
+	})
+
+	It("is interrupted when the other process dies over it", func() {
+		a, _ := serve(ring(secretA))
+		b, s := serve(ring(secretA))
+		done := background(context.Background(), a, b.Addr())
+		Eventually(s.entered, patience).Should(Receive())
+		Expect(b.Close()).To(Succeed())
+		var err error
+		Eventually(done, patience).Should(Receive(&err))
+		Expect(err).To(MatchError(peer.ErrInterrupted))
+		close(s.release)
+	})
+
+	It("lets no slow method hold up others, and bounds those under way", func() {
+		const pending = 4
+		a, _ := serve(ring(secretA), peer.WithPending(pending))
+		b, s := serve(ring(secretA))
+		var blocked []<-chan error
+		for range pending - 1 {
+			blocked = append(blocked, background(context.Background(), a, b.Addr()))
+			Eventually(s.entered, patience).Should(Receive())
+		}
+		Expect(echo(a, b.Addr())).To(Succeed())
+		blocked = append(blocked, background(context.Background(), a, b.Addr()))
+		Eventually(s.entered, patience).Should(Receive())
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		var out string
+		Expect(a.Call(ctx, b.Addr(), "Test.Echo", "x", &out)).To(MatchError(peer.ErrUnreachable))
+		close(s.release)
+		for _, done := range blocked {
+			Eventually(done, patience).Should(Receive(BeNil()))
+		}
+	})
+
+	It("refuses a request that is too large without harm to the others", func() {
+		a, _ := serve(ring(secretA), peer.WithMessageBytes(64<<10))
+		b, s := serve(ring(secretA))
+		done := background(context.Background(), a, b.Addr())
+		Eventually(s.entered, patience).Should(Receive())
+		var out string
+		err := a.Call(context.Background(), b.Addr(), "Test.Echo", strings.Repeat("x", 65<<10), &out)
+		Expect(err).To(MatchError(peer.ErrUnreachable))
+		Expect(err).To(MatchError(peer.ErrTooLarge))
+		Expect(echo(a, b.Addr())).To(Succeed())
+		close(s.release)
+		Eventually(done, patience).Should(Receive(BeNil()))
+	})
+
+	It("refuses a message that exceeds the reader's bound", func() {
+		a, _ := serve(ring(secretA))
+		b, s := serve(ring(secretA), peer.WithMessageBytes(16<<10))
+		var out string
+		err := a.Call(context.Background(), b.Addr(), "Test.Echo", strings.Repeat("x", 64<<10), &out)
+		Expect(err).To(BeAssignableToTypeOf(rpc.ServerError("")))
+		Expect(err).To(MatchError(ContainSubstring(peer.ErrTooLarge.Error())))
+		Expect(s.calls.Load()).To(BeZero())
+		Eventually(func() error { return echo(a, b.Addr()) }, patience).Should(Succeed())
+	})
+
+	It("closes idle connections and counts bytes by process", func() {
+		a, _ := serve(ring(secretA), peer.WithIdle(100*time.Millisecond))
+		b, _ := serve(ring(secretA))
+		Expect(echo(a, b.Addr())).To(Succeed())
+		sent := a.TrafficByPeer()[b.Addr().String()]
+		Expect(sent.Out).To(BeNumerically(">", 0))
+		Expect(sent.In).To(BeNumerically(">", 0))
+		Eventually(a.TrafficByPeer, patience).Should(BeEmpty())
+		Expect(a.Traffic().Out).To(BeNumerically(">=", sent.Out))
+		Expect(echo(a, b.Addr())).To(Succeed())
+	})
+})
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/netip"
+	"net/rpc"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// clientConn is one connection of the pool, from the dialling on.
+type clientConn struct {
+	addr netip.AddrPort
+	// ready is closed when the dialling ended; the fields below it, down to
+	// err, are then fixed.
+	ready   chan struct{}
+	tls     *tls.Conn
+	rpc     *rpc.Client
+	proved  string
+	dialErr error
+
+	queue   chan []byte
+	pending chan struct{}
+	lastUse atomic.Int64 // nanoseconds since the Unix epoch
+	// retired is set when no more calls can be sent; those that are pending
+	// go on, and the connection closes with the last of them.
+	retired atomic.Bool
+	ended   chan struct{}
+	once    sync.Once
+}
+
+func newClientConn(addr netip.AddrPort, pending int) *clientConn {
+	c := &clientConn{
+		addr:    addr,
+		ready:   make(chan struct{}),
+		queue:   make(chan []byte, pending),
+		pending: make(chan struct{}, pending),
+		ended:   make(chan struct{}),
+	}
+	c.touch()
+	return c
+}
+
+func (c *clientConn) touch() { c.lastUse.Store(time.Now().UnixNano()) }
+
+// key implements connection.
+func (c *clientConn) key() string {
+	select {
+	case <-c.ready:
+		return c.proved
+	default:
+		return ""
+	}
+}
+
+// close implements connection. Pending calls return ErrInterrupted.
+func (c *clientConn) close() {
+	c.once.Do(func() {
+		close(c.ended)
+		go func() {
+			<-c.ready
+			if c.tls != nil {
+				c.tls.Close()
+			}
+		}()
+	})
+}
+
+// alive reports whether calls can be sent.
+func (c *clientConn) alive() bool {
+	if c.retired.Load() {
+		return false
+	}
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// writer writes the queued requests until the connection ends.
+func (c *clientConn) writer(bound time.Duration) {
+	for {
+		select {
+		case <-c.ended:
+			return
+		case message := <-c.queue:
+			_ = c.tls.SetWriteDeadline(time.Now().Add(bound))
+			if _, err := c.tls.Write(message); err != nil {
+				c.close()
+				return
+			}
+		}
+	}
+}
+
+// Call implements Caller.
+func (p *Peer) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
+	for {
+		again, err := p.callOnce(ctx, addr, method, args, reply)
+		if !again {
+			return err
+		}
+	}
+}
+
+// callOnce makes one attempt. It asks for another only when the connection
+// from the pool turned out to be dead before the call left.
+func (p *Peer) callOnce(ctx context.Context, addr netip.AddrPort, method string, args, reply any) (again bool, _ error) {
+	unreachable := func(cause error) error {
+		return &CallError{Outcome: ErrUnreachable, Addr: addr, Method: method, Cause: cause}
+	}
+	c, fresh, err := p.connect(ctx, addr)
+	if err != nil {
+		return false, unreachable(err)
+	}
+	select {
+	case c.pending <- struct{}{}:
+	case <-ctx.Done():
+		return false, unreachable(ctx.Err())
+	case <-c.ended:
+		return !fresh, unreachable(errors.New("connection ended"))
+	}
+	c.touch()
+	out := &outgoing{args: args}
+	// An own value is filled: after ctx has ended the caller's may be reused.
+	result := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.rpc.Go(method, out, result.Interface(), make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		c.finish()
+	case <-ctx.Done():
+		go func() {
+			<-call.Done
+			c.finish()
+		}()
+		return false, &CallError{Outcome: ErrInterrupted, Addr: addr, Method: method, Cause: ctx.Err()}
+	}
+	var remote rpc.ServerError
+	switch {
+	case call.Error == nil:
+		reflect.ValueOf(reply).Elem().Set(result.Elem())
+		return false, nil
+	case errors.As(call.Error, &remote):
+		return false, remote
+	case !out.left.Load():
+		return !fresh && errors.Is(call.Error, rpc.ErrShutdown), unreachable(call.Error)
+	}
+	c.close()
+	return false, &CallError{Outcome: ErrInterrupted, Addr: addr, Method: method, Cause: call.Error}
+}
+
+// finish gives back the place of a call that has ended.
+func (c *clientConn) finish() {
+	c.touch()
+	<-c.pending
+	if c.retired.Load() && len(c.pending) == 0 {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of Call. They are matched with errors.Is; the cause, such as
+// context.DeadlineExceeded, matches too.
+var (
+	// ErrUnreachable says that the call never left this process: the method has
+	// not run and will not.
+	ErrUnreachable = errors.New("peer: unreachable")
+	// ErrInterrupted says that the call left and its reply didn't come: the
+	// method may have run, or may run yet.
+	ErrInterrupted = errors.New("peer: interrupted")
+	// ErrTooLarge says that a message exceeded the bound.
+	ErrTooLarge = errors.New("peer: message too large")
+	// ErrClosed says that this peer was closed.
+	ErrClosed = errors.New("peer: closed")
+	// ErrStranger says that the other end holds none of the fleet's keys.
+	ErrStranger = errors.New("peer: the other end holds no key of the fleet")
+	// ErrProtocol says that the other end speaks another protocol version.
+	ErrProtocol = errors.New("peer: other protocol version")
+)
+
+// CallError tells which call failed, how far it came and why.
+type CallError struct {
+	// Outcome is ErrUnreachable or ErrInterrupted.
+	Outcome error
+	Addr    netip.AddrPort
+	Method  string
+	Cause   error
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("%v: %s at %s: %v", e.Outcome, e.Method, e.Addr, e.Cause)
+}
+
+// Unwrap lets errors.Is match both the outcome and the cause.
+func (e *CallError) Unwrap() []error { return []error{e.Outcome, e.Cause} }
--- /dev/null
+++ b/internal/peer/options.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Default limits.
+const (
+	// DefaultMessageBytes bounds one request or reply: a configuration of the
+	// store's megabyte, encoded, with room to spare.
+	DefaultMessageBytes = 2 << 20
+	// DefaultPending bounds the calls under way on one connection, at either
+	// end. More wait.
+	DefaultPending = 256
+	// DefaultIdle closes a connection that carried no call for so long.
+	DefaultIdle = 2 * time.Minute
+	// DefaultDial bounds connecting and the handshake, at either end.
+	DefaultDial = 3 * time.Second
+	// DefaultWrite bounds one write to a process that doesn't read.
+	DefaultWrite = 10 * time.Second
+	// DefaultServed bounds the connections that are served at once, those in
+	// the handshake among them.
+	DefaultServed = 4096
+)
+
+// serverIdleFactor keeps the server's end open for longer than the caller's,
+// so that no call meets a connection that the server is closing for idleness.
+const serverIdleFactor = 3
+
+type options struct {
+	logger       *slog.Logger
+	messageBytes int64
+	pending      int
+	maxServed    int
+	idle         time.Duration
+	dial         time.Duration
+	write        time.Duration
+}
+
+func defaults() options {
+	return options{
+		logger:       slog.New(slog.DiscardHandler),
+		messageBytes: DefaultMessageBytes,
+		pending:      DefaultPending,
+		maxServed:    DefaultServed,
+		idle:         DefaultIdle,
+		dial:         DefaultDial,
+		write:        DefaultWrite,
+	}
+}
+
+// Option changes a limit of a peer.
+type Option func(*options)
+
+// WithLogger logs refused connections to l.
+func WithLogger(l *slog.Logger) Option {
+	return func(o *options) { o.logger = l }
+}
+
+// WithMessageBytes bounds one request or reply to n bytes.
+func WithMessageBytes(n int64) Option {
+	return func(o *options) { o.messageBytes = n }
+}
+
+// WithPending bounds the calls under way on one connection.
+func WithPending(n int) Option {
+	return func(o *options) { o.pending = n }
+}
+
+// WithIdle closes connections that carried no call for d.
+func WithIdle(d time.Duration) Option {
+	return func(o *options) { o.idle = d }
+}
+
+// WithDial bounds connecting and the handshake to d.
+func WithDial(d time.Duration) Option {
+	return func(o *options) { o.dial = d }
+}
+
+// WithServed bounds the connections that are served at once.
+func WithServed(n int) Option {
+	return func(o *options) { o.maxServed = n }
+}
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Bytes are bytes on the wire above TCP, handshakes among them.
+type Bytes struct {
+	In, Out uint64
+}
+
+// traffic counts the bytes of all connections and of each other process.
+type traffic struct {
+	set     *metrics.Set
+	in, out atomic.Uint64
+	refused *metrics.Counter
+
+	mu    sync.Mutex
+	peers map[string]*peerBytes
+}
+
+// peerBytes are the counters of one other process. Dialled ones are named by
+// address, callers by IP only: their ports mean nothing.
+type peerBytes struct {
+	in, out *metrics.Counter
+	conns   int
+}
+
+func newTraffic() *traffic {
+	t := &traffic{set: metrics.NewSet(), peers: make(map[string]*peerBytes)}
+	t.refused = t.set.NewCounter("saltbend_peer_refused_total")
+	t.set.NewGauge(`saltbend_peer_bytes{direction="in"}`, func() float64 { return float64(t.in.Load()) })
+	t.set.NewGauge(`saltbend_peer_bytes{direction="out"}`, func() float64 { return float64(t.out.Load()) })
+	metrics.RegisterSet(t.set)
+	return t
+}
+
+func (t *traffic) close() { metrics.UnregisterSet(t.set, true) }
+
+// Traffic returns the bytes of all connections since the start.
+func (p *Peer) Traffic() Bytes {
+	return Bytes{In: p.traffic.in.Load(), Out: p.traffic.out.Load()}
+}
+
+// TrafficByPeer returns the bytes per other process: by address for those that
+// this one called, by IP for those that called it.
+func (p *Peer) TrafficByPeer() map[string]Bytes {
+	p.traffic.mu.Lock()
+	defer p.traffic.mu.Unlock()
+	out := make(map[string]Bytes, len(p.traffic.peers))
+	for name, b := range p.traffic.peers {
+		out[name] = Bytes{In: b.in.Get(), Out: b.out.Get()}
+	}
+	return out
+}
+
+func metricName(peer, direction string) string {
+	return fmt.Sprintf("saltbend_peer_bytes_total{peer=%q,direction=%q}", peer, direction)
+}
+
+// count wraps conn so that its bytes are counted under the name.
+func (t *traffic) count(conn net.Conn, name string) net.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.peers[name]
+	if b == nil {
+		b = &peerBytes{
+			in:  t.set.GetOrCreateCounter(metricName(name, "in")),
+			out: t.set.GetOrCreateCounter(metricName(name, "out")),
+		}
+		t.peers[name] = b
+	}
+	b.conns++
+	return &countedConn{Conn: conn, traffic: t, name: name, bytes: b}
+}
+
+// drop gives up one connection's use of the counters; without any they vanish,
+// so that their number stays that of the processes in touch.
+func (t *traffic) drop(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.peers[name]
+	if b == nil {
+		return
+	}
+	b.conns--
+	if b.conns > 0 {
+		return
+	}
+	delete(t.peers, name)
+	t.set.UnregisterMetric(metricName(name, "in"))
+	t.set.UnregisterMetric(metricName(name, "out"))
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+	name    string
+	bytes   *peerBytes
+	once    sync.Once
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.in.Add(uint64(n))
+	c.bytes.in.Add(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.out.Add(uint64(n))
+	c.bytes.out.Add(n)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.traffic.drop(c.name) })
+	return c.Conn.Close()
+}
