Carry datagrams between callers and agents in batches

Cause: the balancer's data path was missing. Ruled out: the QUIC library's function for reading a connection ID, since this version keeps it in an internal package; the five lines here read only the fields that are the same in all versions (RFC 8999).

--- /dev/null
+++ b/internal/datapath/classify.go
@@ -0,0 +1,116 @@
+package datapath
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/token"
+)
+
+// minInitial is QUIC's least size of a datagram that opens a flow, in bytes.
+const minInitial = 1200
+
+// minInitialID is QUIC's least length of the connection ID that a caller
+// chooses, in bytes.
+const minInitialID = 8
+
+// Bits of a QUIC packet's first byte (RFC 8999, RFC 9000, RFC 9369).
+const (
+	longHeader = 0x80
+	fixedBit   = 0x40
+	longType   = 0x30
+)
+
+// Types of a long-header packet that opens a flow, by version.
+const (
+	version1         = 0x00000001
+	version2         = 0x6b3343cf
+	initialVersion1  = 0x00
+	initialVersion2  = 0x10
+	negotiateVersion = 0
+)
+
+// Places in a QUIC packet that hold for all versions (RFC 8999).
+const (
+	shortIDAt    = 1 // after the first byte
+	versionEnd   = 5 // bytes up to the end of a long header's version
+	longIDLength = 5
+	longIDAt     = 6
+)
+
+// verdict is what the classify filter found out about a datagram.
+type verdict struct {
+	drop Reason
+	// agent ends the datagram's flow; it is invalid for a new flow.
+	agent netip.AddrPort
+	// id is the connection ID that the caller chose for a new flow; it shares
+	// the datagram's memory.
+	id []byte
+}
+
+// classify decides whether a datagram that came in at a face of the service
+// belongs to an open flow, opens a new one, or is to be dropped.
+func classify(b []byte, service config.Tag, tokens *token.Codec) verdict {
+	if len(b) > encap.MaxPayload {
+		return verdict{drop: Oversized}
+	}
+	id, ok := connectionID(b)
+	if !ok {
+		return verdict{drop: Truncated}
+	}
+	t, err := tokens.Open(id, service)
+	if err == nil {
+		return verdict{agent: t.Agent}
+	}
+	if b[0]&longHeader == 0 {
+		return verdict{drop: tokenReason(err)}
+	}
+	if !opensFlow(b) || len(id) < minInitialID || len(id) > token.Size {
+		return verdict{drop: NotInitial}
+	}
+	if len(b) < minInitial {
+		return verdict{drop: SmallInitial}
+	}
+	return verdict{id: id}
+}
+
+// connectionID returns the destination connection ID, which shares b's memory.
+// It reads only what is the same in all versions of QUIC; the QUIC library
+// keeps its own function for this to itself. A short header does not tell the
+// ID's length: it is a token's.
+func connectionID(b []byte) (id []byte, ok bool) {
+	if len(b) == 0 {
+		return nil, false
+	}
+	if b[0]&longHeader == 0 {
+		return slice(b, shortIDAt, token.Size)
+	}
+	if len(b) < longIDAt {
+		return nil, false
+	}
+	return slice(b, longIDAt, int(b[longIDLength]))
+}
+
+func slice(b []byte, from, n int) ([]byte, bool) {
+	if len(b) < from+n {
+		return nil, false
+	}
+	return b[from : from+n], true
+}
+
+// opensFlow reports whether a whole long-header packet may be a flow's first. A
+// packet of an unknown version may: the agent answers it with the versions that
+// it knows.
+func opensFlow(b []byte) bool {
+	switch binary.BigEndian.Uint32(b[1:versionEnd]) {
+	case version1:
+		return b[0]&(fixedBit|longType) == fixedBit|initialVersion1
+	case version2:
+		return b[0]&(fixedBit|longType) == fixedBit|initialVersion2
+	case negotiateVersion:
+		return false // only servers send it
+	}
+	return true
+}
--- /dev/null
+++ b/internal/datapath/classify_test.go
@@ -0,0 +1,137 @@
+package datapath
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/token"
+)
+
+const (
+	testSecrets  = "2:f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff,1:000102030405060708090a0b0c0d0e0f"
+	otherSecrets = "2:0f0e0d0c0b0a09080706050403020100"
+	oldSecrets   = "1:000102030405060708090a0b0c0d0e0f"
+	goneSecrets  = "9:000102030405060708090a0b0c0d0e0f"
+)
+
+var (
+	results = config.TagOf("results")
+	intake  = config.TagOf("intake")
+	agent1  = netip.MustParseAddrPort("127.0.0.1:7001")
+)
+
+func testKeys(t testing.TB, secrets string) *Keys {
+	t.Helper()
+	ring, err := keyring.Parse(secrets)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewKeys(ring)
+}
+
+// short returns a short-header packet of n bytes with a token of the service.
+func short(k *Keys, service config.Tag, agent netip.AddrPort, n int) []byte {
+	b := make([]byte, n)
+	b[0] = fixedBit
+	k.Tokens.Seal(b[1:1+token.Size], token.Token{Agent: agent, Service: service})
+	return b
+}
+
+// long returns a long-header packet of n bytes.
+func long(first byte, version uint32, id []byte, n int) []byte {
+	b := make([]byte, n)
+	b[0] = longHeader | first
+	binary.BigEndian.PutUint32(b[1:], version)
+	b[longIDLength] = byte(len(id))
+	copy(b[longIDAt:], id)
+	return b
+}
+
+func TestClassify(t *testing.T) {
+	k := testKeys(t, testSecrets)
+	old, gone, other := testKeys(t, oldSecrets), testKeys(t, goneSecrets), testKeys(t, otherSecrets)
+	sealed := short(k, results, agent1, 60)[1 : 1+token.Size]
+	foreign := short(k, intake, agent1, 60)[1 : 1+token.Size]
+	id := []byte("12345678")
+	for _, tc := range []struct {
+		name string
+		in   []byte
+		drop Reason
+		flow bool
+	}{
+		{"token", short(k, results, agent1, 60), None, true},
+		{"token of the previous secret", short(old, results, agent1, 60), None, true},
+		{"token alone", short(k, results, agent1, 1+token.Size), None, true},
+		{"token in a long header", long(fixedBit|0x20, version1, sealed, 60), None, true},
+		{"token of another service", short(k, intake, agent1, 60), OtherService, false},
+		{"token of a secret long gone", short(gone, results, agent1, 60), UnknownKey, false},
+		{"token of another fleet", short(other, results, agent1, 60), Forged, false},
+		{"empty", nil, Truncated, false},
+		{"one byte", []byte{fixedBit}, Truncated, false},
+		{"token cut", short(k, results, agent1, 60)[:token.Size], Truncated, false},
+		{"long header cut", long(fixedBit, version1, id, 1200)[:longIDAt-1], Truncated, false},
+		{"long ID cut", long(fixedBit, version1, id, 1200)[:longIDAt+2], Truncated, false},
+		{"oversized", short(k, results, agent1, encap.MaxPayload+1), Oversized, false},
+		{"largest", short(k, results, agent1, encap.MaxPayload), None, true},
+		{"Initial of version 1", long(fixedBit, version1, id, 1200), None, false},
+		{"Initial of version 2", long(fixedBit|initialVersion2, version2, id, 1200), None, false},
+		{"unknown version", long(0, 0x1a2a3a4a, id, 1200), None, false},
+		{"Initial with another service's token", long(fixedBit, version1, foreign, 1200), None, false},
+		{"small Initial", long(fixedBit, version1, id, 1199), SmallInitial, false},
+		{"Initial with a short ID", long(fixedBit, version1, id[:7], 1200), NotInitial, false},
+		{"Initial with a long ID", long(fixedBit, version1, make([]byte, 21), 1200), NotInitial, false},
+		{"Initial without the fixed bit", long(0, version1, id, 1200), NotInitial, false},
+		{"0-RTT", long(fixedBit|0x10, version1, id, 1200), NotInitial, false},
+		{"Handshake", long(fixedBit|0x20, version1, id, 1200), NotInitial, false},
+		{"version negotiation", long(0, negotiateVersion, id, 1200), NotInitial, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := classify(tc.in, results, k.Tokens)
+			g.Expect(v.drop).To(Equal(tc.drop), v.drop.String())
+			g.Expect(v.agent.IsValid()).To(Equal(tc.flow))
+			if tc.flow {
+				g.Expect(v.agent).To(Equal(agent1))
+			}
+		})
+	}
+}
+
+func TestEveryReasonHasALabel(t *testing.T) {
+	seen := make(map[string]bool)
+	for r := range reasonCount {
+		NewWithT(t).Expect(seen[r.String()] || r.String() == "").To(BeFalse(), "%d", r)
+		seen[r.String()] = true
+	}
+}
+
+func FuzzClassify(f *testing.F) {
+	k := testKeys(f, testSecrets)
+	f.Add(short(k, results, agent1, 60))
+	f.Add(short(k, intake, agent1, 21))
+	f.Add(long(fixedBit, version1, []byte("12345678"), 1200))
+	f.Add(long(fixedBit|initialVersion2, version2, make([]byte, 20), 1200))
+	f.Add(long(0, 0x1a2a3a4a, make([]byte, 255), 300))
+	f.Add([]byte{longHeader, 0, 0, 0, 1, 255})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		v := classify(b, results, k.Tokens)
+		switch {
+		case v.drop >= reasonCount:
+			t.Fatalf("reason %d", v.drop)
+		case v.drop != None:
+			return
+		case v.agent.IsValid() && len(b) < 1+token.Size:
+			t.Fatal("a token from too few bytes")
+		case !v.agent.IsValid() && (len(b) < minInitial || len(v.id) < minInitialID || len(v.id) > token.Size):
+			t.Fatalf("a new flow from %d bytes with an ID of %d", len(b), len(v.id))
+		}
+		flowKey(agent1, v.id)
+	})
+}
--- /dev/null
+++ b/internal/datapath/route.go
@@ -0,0 +1,36 @@
+package datapath
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/saltbend/saltbend/internal/token"
+)
+
+// route decides where a classified datagram of a face goes.
+func route(f *Face, caller netip.AddrPort, v *verdict) (netip.AddrPort, Reason) {
+	if v.agent.IsValid() {
+		return v.agent, None
+	}
+	if f.Draining {
+		return netip.AddrPort{}, FaceDraining
+	}
+	agent, ok := f.Agents.Choose(flowKey(caller, v.id))
+	if !ok {
+		return netip.AddrPort{}, NoAgent
+	}
+	return agent, None
+}
+
+// flowKey identifies a new flow: a retransmitted Initial gets the same key at
+// every balancer.
+func flowKey(caller netip.AddrPort, id []byte) uint64 {
+	var b [6 + token.Size]byte
+	ip := caller.Addr().As4()
+	copy(b[:4], ip[:])
+	binary.BigEndian.PutUint16(b[4:], caller.Port())
+	n := copy(b[6:], id)
+	return xxhash.Sum64(b[:6+n])
+}
--- /dev/null
+++ b/internal/datapath/snapshot.go
@@ -0,0 +1,49 @@
+package datapath
+
+import (
+	"net/netip"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/placement"
+	"github.com/saltbend/saltbend/internal/token"
+)
+
+// Snapshot is what the filters act on at one moment. It is immutable once it
+// was published.
+type Snapshot struct {
+	// Revision is the configuration's revision, told to the agents.
+	Revision uint64
+	Keys     *Keys
+	// Faces holds the open faces by their public address.
+	Faces map[netip.AddrPort]*Face
+}
+
+// Face is one public address of a service as a balancer serves it.
+type Face struct {
+	Socket  *Socket
+	Service config.Tag
+	// Agents may get the face's new flows.
+	Agents *placement.Set
+	// Draining is set once the configuration has dropped the face: open flows
+	// go on, new ones are refused.
+	Draining bool
+}
+
+// Keys are the codecs of the current secrets. Each goroutine clones them once
+// for each new value.
+type Keys struct {
+	Tokens  *token.Codec
+	Headers *encap.Codec
+}
+
+// NewKeys derives the codecs from the ring.
+func NewKeys(ring *keyring.Ring) *Keys {
+	return &Keys{Tokens: token.NewCodec(ring), Headers: encap.NewCodec(ring)}
+}
+
+// clone returns codecs for one goroutine.
+func (k *Keys) clone() Keys {
+	return Keys{Tokens: k.Tokens.Clone(), Headers: k.Headers.Clone()}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,7 +28,7 @@
 }
 
 // NewSet returns the set for a balancer in the data centre own. Draining and
-// gone agents get nothing. Ready agents share by Weight; their data centre
+// gone agents get nothing, nor do agents without an IPv4 data address. Ready agents share by Weight; their data centre
 // matters as shares tells. If no ready agent has a weight, all ready and
 // starting agents share equally: the fleet's view may be wrong, and an agent
 // can still answer that a request was not run. Panics reports that case.
@@ -54,7 +54,7 @@
 	var w weights
 	for i := range agents {
 		a := &agents[i]
-		if a.State == member.StateReady && a.Weight > 0 {
+		if a.State == member.StateReady && a.Weight > 0 && a.Data.Addr().Is4() {
 			w = append(w, weighted{place: i, dataCentre: a.DataCentre, weight: float64(a.Weight)})
 		}
 	}
@@ -65,7 +65,8 @@
 	var w weights
 	for i := range agents {
 		a := &agents[i]
-		if a.State == member.StateReady || a.State == member.StateStarting {
+		known := a.State == member.StateReady || a.State == member.StateStarting
+		if known && a.Data.Addr().Is4() {
 			w = append(w, weighted{place: i, dataCentre: a.DataCentre, weight: 1})
 		}
 	}
@@ -93,10 +94,10 @@
 	var out []entry
 	for _, x := range w {
 		s := share[x.dataCentre] * x.weight / sums[x.dataCentre]
+		a := &agents[x.place]
 		if s <= 0 {
 			continue
 		}
-		a := &agents[x.place]
 		out = append(out, entry{addr: a.Data, seed: seed(a.Control), inverse: 1 / s})
 	}
 	return out
