Join processes into a fleet without a list

Roles need one source for the configuration in force and the live members, and nothing kept them yet.

- internal/member: a table that merges records in any order, keeps tombstones, and sums the live records in 256 bucket hashes; rendezvous choice of the three balancers at which a process renews.
- internal/gossip: the pure engine.
Announcements are answered with what changed since the sender's cursor; transitions are flooded over a sparse graph of balancers within a byte budget; digests repair what was lost.

Ruled out: full-state messages on a period, which at 6,900 members would need some 500 KB each.

--- /dev/null
+++ b/internal/control/perform.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/gossip"
+)
+
+// callTimeout bounds one control call. It stays under the renewal period, so
+// that calls to a silent process do not pile up.
+const callTimeout = 2 * time.Second
+
+// perform carries an action of the engine out. Calls run on goroutines of
+// their own and post their outcome back.
+func (n *Node) perform(now time.Time, a gossip.Action) {
+	claim := n.claim(now)
+	switch a := a.(type) {
+	case gossip.SendAnnounce:
+		a.Message.Claim = claim
+		go n.sendAnnounce(a)
+	case gossip.SendPush:
+		a.Message.Claim = claim
+		go n.sendPush(a)
+	case gossip.SendDigest:
+		a.Message.Claim = claim
+		go n.sendDigest(a)
+	case gossip.SendExchange:
+		go n.sendExchange(a)
+	case gossip.Probe:
+		go n.sendProbe(a)
+	case gossip.FindPeers:
+		n.findPeers()
+	}
+}
+
+// call makes one control call and returns its round trip.
+func (n *Node) call(to netip.AddrPort, method string, args, reply any) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	start := time.Now()
+	err := n.options.Peer.Call(ctx, to, serviceName+"."+method, args, reply)
+	return time.Since(start), err
+}
+
+func (n *Node) sendAnnounce(a gossip.SendAnnounce) {
+	var reply gossip.AnnounceReply
+	trip, err := n.call(a.To, "Announce", a.Message, &reply)
+	n.post(func(now time.Time) {
+		if a.Message.Moved {
+			return
+		}
+		if err != nil {
+			n.engine.AnnounceFailed(now, a.To)
+			return
+		}
+		n.heard(now, a.To, reply.Claim, trip)
+		n.engine.AnnounceDone(now, a.To, reply)
+	})
+}
+
+func (n *Node) sendPush(a gossip.SendPush) {
+	var reply gossip.PushReply
+	trip, err := n.call(a.To, "Push", a.Message, &reply)
+	if err != nil {
+		return // the periodic digests repair what was lost
+	}
+	n.post(func(now time.Time) { n.heard(now, a.To, reply.Claim, trip) })
+}
+
+func (n *Node) sendDigest(a gossip.SendDigest) {
+	var reply gossip.DigestReply
+	trip, err := n.call(a.To, "Digest", a.Message, &reply)
+	if err != nil {
+		return
+	}
+	n.post(func(now time.Time) {
+		n.heard(now, a.To, reply.Claim, trip)
+		n.engine.DigestDone(now, a.To, reply)
+	})
+}
+
+func (n *Node) sendExchange(a gossip.SendExchange) {
+	var reply gossip.Exchange
+	if _, err := n.call(a.To, "Exchange", a.Message, &reply); err != nil {
+		return
+	}
+	n.post(func(now time.Time) { n.engine.ExchangeDone(now, reply) })
+}
+
+func (n *Node) sendProbe(gossip.Probe) {}
+
+func (n *Node) findPeers() {}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/gossip"
+	"github.com/saltbend/saltbend/internal/member"
+)
+
+// serviceName is the name under which the net/rpc methods are registered.
+const serviceName = "Control"
+
+// Limits on what a message may hold.
+const (
+	maxNameBytes = 128
+	maxRecords   = 4096
+)
+
+// Errors of the service's methods.
+var (
+	errInvalid = errors.New("control: invalid message")
+	errStopped = errors.New("control: the process stops")
+)
+
+// Service holds the methods that other processes call over net/rpc.
+type Service struct {
+	node *Node
+}
+
+// answer runs the task of one call on the state's goroutine and stores what it
+// returns. The reply is written here, since the task may run on after the wait
+// for it was given up.
+func answer[R any](s *Service, reply *R, task func(now time.Time) R) error {
+	ctx, cancel := context.WithTimeout(s.node.ctx, callTimeout)
+	defer cancel()
+	var out R
+	if !s.node.ask(ctx, func(now time.Time) { out = task(now) }) {
+		return errStopped
+	}
+	*reply = out
+	return nil
+}
+
+// Announce takes a renewal and answers with what changed for its sender.
+func (s *Service) Announce(a gossip.Announce, reply *gossip.AnnounceReply) error {
+	if !validMember(a.Self) {
+		return errInvalid
+	}
+	return answer(s, reply, func(now time.Time) gossip.AnnounceReply {
+		s.node.heardFrom(now, a.Self.Control, a.Claim)
+		r := s.node.engine.HandleAnnounce(now, a)
+		r.Claim = s.node.claim(now)
+		return r
+	})
+}
+
+// Push takes transitions in.
+func (s *Service) Push(p gossip.Push, reply *gossip.PushReply) error {
+	if !p.From.IsValid() || !validMembers(p.Members) {
+		return errInvalid
+	}
+	return answer(s, reply, func(now time.Time) gossip.PushReply {
+		s.node.heardFrom(now, p.From, p.Claim)
+		r := s.node.engine.HandlePush(now, p)
+		r.Claim = s.node.claim(now)
+		return r
+	})
+}
+
+// Digest answers whether the caller knows the same members.
+func (s *Service) Digest(d gossip.Digest, reply *gossip.DigestReply) error {
+	if !d.From.IsValid() {
+		return errInvalid
+	}
+	return answer(s, reply, func(now time.Time) gossip.DigestReply {
+		s.node.heardFrom(now, d.From, d.Claim)
+		r := s.node.engine.HandleDigest(now, d)
+		r.Claim = s.node.claim(now)
+		return r
+	})
+}
+
+// Exchange merges the caller's records and answers with its own.
+func (s *Service) Exchange(x gossip.Exchange, reply *gossip.Exchange) error {
+	if !x.From.IsValid() || !validMembers(x.Members) || !validBuckets(x.Buckets) {
+		return errInvalid
+	}
+	return answer(s, reply, func(now time.Time) gossip.Exchange {
+		return s.node.engine.HandleExchange(now, x)
+	})
+}
+
+// Ping answers that the process lives.
+func (s *Service) Ping(_ Empty, _ *Empty) error { return nil }
+
+// Empty is the message that says nothing.
+type Empty struct{}
+
+func validMembers(ms []member.Member) bool {
+	if len(ms) > maxRecords {
+		return false
+	}
+	for _, m := range ms {
+		if !validMember(m) {
+			return false
+		}
+	}
+	return true
+}
+
+func validMember(m member.Member) bool {
+	role := m.Role == member.RoleBalancer && m.Service == "" || m.Role == member.RoleAgent && m.Service != ""
+	state := m.State >= member.StateStarting && m.State <= member.StateGone
+	names := len(m.Service) <= maxNameBytes && len(m.DataCentre) <= maxNameBytes
+	numbers := m.Incarnation > 0 && m.Slots >= 0 && m.Weight >= 0
+	return role && state && names && numbers && validAddr(m.Control)
+}
+
+func validAddr(a netip.AddrPort) bool { return a.IsValid() && a.Port() != 0 }
+
+func validBuckets(buckets []int) bool {
+	for _, b := range buckets {
+		if b < 0 || b >= member.DigestBuckets {
+			return false
+		}
+	}
+	return len(buckets) <= member.DigestBuckets
+}
--- /dev/null
+++ b/internal/gossip/engine.go
@@ -0,0 +1,164 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/saltbend/saltbend/internal/member"
+)
+
+const (
+	// fanOut is the number of balancers to which a balancer passes transitions.
+	fanOut = 4
+	// balancerSample is the number of balancers that an agent is told of.
+	balancerSample = 16
+	// jitterShare is the part of a period by which it may be shorter or longer.
+	jitterShare = 5
+)
+
+// cursor says up to where a balancer's table is known.
+type cursor struct {
+	epoch, seq uint64
+}
+
+// Engine decides for one process. It belongs to one goroutine.
+type Engine struct {
+	self   member.Member
+	table  *member.Table
+	timing Timing
+	rand   *rand.Rand
+	budget *rate.Limiter
+
+	// join are addresses to announce to while no balancer is known.
+	join []netip.AddrPort
+	// cursors are kept per balancer that the process renews at.
+	cursors map[netip.AddrPort]cursor
+	// witnesses are the balancers at which the process renews.
+	witnesses []netip.AddrPort
+	// avoid holds the balancers that failed to answer, until when.
+	avoid map[netip.AddrPort]time.Time
+	// pending waits for the next push.
+	pending []member.Member
+	// notify asks for a push even if it carries no transition.
+	notify bool
+
+	nextAnnounce time.Time
+	nextDigest   time.Time
+	nextExpire   time.Time
+	nextFind     time.Time
+	actions      []Action
+}
+
+// New returns an engine of the process self.
+func New(self member.Member, timing Timing, random *rand.Rand) *Engine {
+	e := &Engine{
+		self:    self,
+		table:   member.NewTable(timing.Tombstone),
+		timing:  timing,
+		rand:    random,
+		budget:  rate.NewLimiter(rate.Limit(timing.BytesPerSecond), timing.BurstBytes),
+		cursors: make(map[netip.AddrPort]cursor),
+		avoid:   make(map[netip.AddrPort]time.Time),
+	}
+	e.table.Merge(self, time.Time{})
+	return e
+}
+
+// Self returns the process's own record.
+func (e *Engine) Self() member.Member { return e.self }
+
+// Table returns the members the process knows. The caller must not change it.
+func (e *Engine) Table() *member.Table { return e.table }
+
+// SetJoin sets the addresses to announce to while no balancer is known.
+func (e *Engine) SetJoin(addrs []netip.AddrPort) { e.join = addrs }
+
+// SetRevision notes the configuration revision in force and tells the
+// neighbours at once.
+func (e *Engine) SetRevision(revision uint64) {
+	e.self.Revision = revision
+	e.table.NoteRevision(e.self.Control, e.self.Incarnation, revision)
+	e.notify = e.isBalancer()
+}
+
+// Update changes the process's own record and announces the change at once.
+func (e *Engine) Update(now time.Time, change func(*member.Member)) {
+	next := e.self
+	change(&next)
+	if next == e.self {
+		return
+	}
+	next.Version++
+	e.publishSelf(now, next)
+}
+
+// publishSelf puts a new version of the process's own record in force.
+func (e *Engine) publishSelf(now time.Time, next member.Member) {
+	e.self = next
+	e.table.Merge(next, now)
+	e.spread(next)
+	e.nextAnnounce = now
+}
+
+// Actions returns what is to be done at now. It is to be called after each
+// message and every few hundred milliseconds.
+func (e *Engine) Actions(now time.Time) []Action {
+	e.announce(now)
+	e.push(now)
+	e.reconcile(now)
+	e.expire(now)
+	out := e.actions
+	e.actions = nil
+	return out
+}
+
+func (e *Engine) do(a Action) { e.actions = append(e.actions, a) }
+
+func (e *Engine) isBalancer() bool { return e.self.Role == member.RoleBalancer }
+
+// merge takes a record in and passes it on where it is news.
+func (e *Engine) merge(now time.Time, m member.Member) {
+	if m.Control == e.self.Control {
+		e.refute(now, m)
+		return
+	}
+	if e.table.Merge(m, now) {
+		e.spread(m)
+	}
+}
+
+// refute answers a record of the process itself that supersedes its own: the
+// process lives, so it outbids the record.
+func (e *Engine) refute(now time.Time, m member.Member) {
+	if !m.Supersedes(e.self) {
+		return
+	}
+	next := e.self
+	if m.Incarnation > next.Incarnation {
+		next.Incarnation = m.Incarnation + 1
+	}
+	next.Version = m.Version + 1
+	e.publishSelf(now, next)
+}
+
+func (e *Engine) expire(now time.Time) {
+	if now.Before(e.nextExpire) {
+		return
+	}
+	e.nextExpire = now.Add(time.Minute)
+	e.table.Expire(now)
+	for addr, until := range e.avoid {
+		if now.After(until) {
+			delete(e.avoid, addr)
+		}
+	}
+}
+
+// jitter spreads a period evenly over its neighbourhood.
+func (e *Engine) jitter(d time.Duration) time.Duration {
+	span := int64(d) / jitterShare
+	return d - time.Duration(span) + time.Duration(e.rand.Int64N(2*span+1))
+}
--- /dev/null
+++ b/internal/gossip/messages.go
@@ -0,0 +1,122 @@
+// Package gossip decides how knowledge of members spreads between processes:
+// announcements to a few balancers, transitions flooded over a sparse graph of
+// balancers, digests that repair what was lost. It is pure: time, randomness
+// and messages come in, actions go out.
+package gossip
+
+import (
+	"net/netip"
+
+	"github.com/saltbend/saltbend/internal/adopt"
+	"github.com/saltbend/saltbend/internal/member"
+)
+
+// Claim is what a process says of its configuration in each message. The
+// engine leaves it to the caller, which fills and reads it.
+type Claim struct {
+	// Revision is the adopted revision, 0 for none.
+	Revision uint64
+	// Serving tells that the process serves on it.
+	Serving bool
+	// Reading is the newest reading of the store that the process knows of.
+	Reading *adopt.Reading
+}
+
+// Announce tells a balancer that its sender lives, and asks for news.
+type Announce struct {
+	Self member.Member
+	// Epoch and Cursor say up to where the sender knows the balancer's table:
+	// the balancer's incarnation and the change number of its last reply.
+	Epoch, Cursor uint64
+	// Moved says that the sender stops renewing at this balancer.
+	Moved bool
+	Claim Claim
+}
+
+// AnnounceReply carries what changed since the sender's cursor.
+type AnnounceReply struct {
+	Epoch, Cursor uint64
+	// Suspected says that some balancer takes the sender for dead.
+	Suspected bool
+	Claim     Claim
+	// Members are records the sender needs: for an agent its siblings and a
+	// sample of balancers, for anyone a newer record of itself.
+	Members []member.Member
+}
+
+// Push passes transitions on.
+type Push struct {
+	From       netip.AddrPort
+	Claim      Claim
+	Members    []member.Member
+	Suspicions []member.Suspicion
+}
+
+// PushReply acknowledges a push.
+type PushReply struct {
+	Claim Claim
+}
+
+// Digest asks whether two balancers know the same live members.
+type Digest struct {
+	From  netip.AddrPort
+	Claim Claim
+	Root  uint64
+}
+
+// DigestReply carries the buckets of the answering side where roots differ.
+type DigestReply struct {
+	Claim   Claim
+	Equal   bool
+	Buckets []uint32
+}
+
+// Exchange carries the sender's records of the buckets that differ and asks
+// for those of the receiver; the reply has the same type.
+type Exchange struct {
+	From    netip.AddrPort
+	Buckets []int
+	Members []member.Member
+}
+
+// Action is what the caller of the engine has to do next.
+type Action interface{ action() }
+
+// SendAnnounce calls a balancer; the outcome goes to Engine.AnnounceDone.
+type SendAnnounce struct {
+	To      netip.AddrPort
+	Message Announce
+}
+
+// SendPush calls a balancer; a failure goes to Engine.PushFailed.
+type SendPush struct {
+	To      netip.AddrPort
+	Message Push
+}
+
+// SendDigest calls a balancer; the reply goes to Engine.DigestDone.
+type SendDigest struct {
+	To      netip.AddrPort
+	Message Digest
+}
+
+// SendExchange calls a balancer; the reply goes to Engine.ExchangeDone.
+type SendExchange struct {
+	To      netip.AddrPort
+	Message Exchange
+}
+
+// Probe asks a member whether it lives; the outcome goes to Engine.ProbeDone.
+type Probe struct {
+	To netip.AddrPort
+}
+
+// FindPeers looks for addresses to join at: no known balancer answers.
+type FindPeers struct{}
+
+func (SendAnnounce) action() {}
+func (SendPush) action()     {}
+func (SendDigest) action()   {}
+func (SendExchange) action() {}
+func (Probe) action()        {}
+func (FindPeers) action()    {}
--- /dev/null
+++ b/internal/member/query.go
@@ -0,0 +1,90 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+)
+
+// Balancers returns the balancers that are not gone, in order of address.
+func (t *Table) Balancers() []Member {
+	return collect(t.balancers, isLive)
+}
+
+// Service returns the agents of a service that are not gone, in order of
+// address.
+func (t *Table) Service(name string) []Member {
+	return collect(t.services[name], isLive)
+}
+
+// Agents returns all agents that are not gone, in order of address.
+func (t *Table) Agents() []Member {
+	var out []Member
+	for _, group := range t.services {
+		for _, e := range group {
+			if isLive(e) {
+				out = append(out, e.member)
+			}
+		}
+	}
+	sortMembers(out)
+	return out
+}
+
+// Services returns the names of the services that have records, in order.
+func (t *Table) Services() []string {
+	out := make([]string, 0, len(t.services))
+	for name := range t.services {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ServiceSince returns the records of a service, tombstones included, that
+// changed after the change number seq.
+func (t *Table) ServiceSince(name string, seq uint64) []Member {
+	return collect(t.services[name], func(e *entry) bool { return e.seq > seq })
+}
+
+// BalancersSince returns the records of balancers, tombstones included, that
+// changed after the change number seq.
+func (t *Table) BalancersSince(seq uint64) []Member {
+	if t.balancerSeq <= seq {
+		return nil
+	}
+	return collect(t.balancers, func(e *entry) bool { return e.seq > seq })
+}
+
+// InBuckets returns the members that are not gone in the given buckets of the
+// digest.
+func (t *Table) InBuckets(buckets []int) []Member {
+	var wanted [DigestBuckets]bool
+	for _, b := range buckets {
+		wanted[b] = true
+	}
+	return collect(t.entries, func(e *entry) bool {
+		return isLive(e) && wanted[bucketOf(e.member.Control)]
+	})
+}
+
+func isLive(e *entry) bool { return e.member.State != StateGone }
+
+func collect(entries map[netip.AddrPort]*entry, keep func(*entry) bool) []Member {
+	var out []Member
+	for _, e := range entries {
+		if keep(e) {
+			out = append(out, e.member)
+		}
+	}
+	sortMembers(out)
+	return out
+}
+
+func sortMembers(ms []Member) {
+	slices.SortFunc(ms, func(a, b Member) int { return compareAddr(a.Control, b.Control) })
+}
+
+func compareAddr(a, b netip.AddrPort) int {
+	return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Port(), b.Port()))
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,146 @@
+package member
+
+import (
+	"net/netip"
+	"time"
+)
+
+// DefaultTombstoneTTL is how long a table remembers that a member is gone. It
+// must exceed the longest time for which a peer can be cut off and come back
+// with an old table.
+const DefaultTombstoneTTL = 24 * time.Hour
+
+// entry is one record with the local number of its last change.
+type entry struct {
+	member Member
+	seq    uint64
+	goneAt time.Time
+}
+
+// Table holds the newest record of each member. It is pure: it reads no clock,
+// and the order in which records arrive does not change what it ends with.
+// It belongs to one goroutine.
+type Table struct {
+	entries   map[netip.AddrPort]*entry
+	balancers map[netip.AddrPort]*entry
+	services  map[string]map[netip.AddrPort]*entry
+	digest    Digest
+	seq       uint64
+	live      int
+	ttl       time.Duration
+	// balancerSeq is the change number of the last change to any balancer.
+	balancerSeq uint64
+}
+
+// NewTable returns an empty table that keeps tombstones for ttl.
+func NewTable(ttl time.Duration) *Table {
+	return &Table{
+		entries:   make(map[netip.AddrPort]*entry),
+		balancers: make(map[netip.AddrPort]*entry),
+		services:  make(map[string]map[netip.AddrPort]*entry),
+		ttl:       ttl,
+	}
+}
+
+// Merge takes a record in if it supersedes what is known, and reports whether
+// it did. A record that is gone is kept as a tombstone, which keeps late
+// records of the same life out.
+func (t *Table) Merge(m Member, now time.Time) bool {
+	e := t.entries[m.Control]
+	if e != nil && !m.Supersedes(e.member) {
+		return false
+	}
+	if e == nil {
+		e = &entry{}
+		t.entries[m.Control] = e
+	} else {
+		t.unindex(e)
+	}
+	t.seq++
+	e.member, e.seq, e.goneAt = m, t.seq, time.Time{}
+	if m.State == StateGone {
+		e.goneAt = now
+	}
+	t.index(e)
+	return true
+}
+
+// NoteRevision records the configuration revision that a member has in force.
+// It is no transition: the record's order does not change.
+func (t *Table) NoteRevision(control netip.AddrPort, incarnation, revision uint64) {
+	e := t.entries[control]
+	if e != nil && e.member.Incarnation == incarnation {
+		e.member.Revision = max(e.member.Revision, revision)
+	}
+}
+
+// Expire drops the tombstones that are older than the table's limit.
+func (t *Table) Expire(now time.Time) {
+	for addr, e := range t.entries {
+		if e.member.State == StateGone && now.Sub(e.goneAt) > t.ttl {
+			t.unindex(e)
+			delete(t.entries, addr)
+		}
+	}
+}
+
+// index adds the entry to the digest and to the index of its role.
+func (t *Table) index(e *entry) {
+	m := e.member
+	if m.State != StateGone {
+		t.digest.toggle(m)
+		t.live++
+	}
+	if m.Role == RoleBalancer {
+		t.balancers[m.Control] = e
+		t.balancerSeq = t.seq
+		return
+	}
+	group := t.services[m.Service]
+	if group == nil {
+		group = make(map[netip.AddrPort]*entry)
+		t.services[m.Service] = group
+	}
+	group[m.Control] = e
+}
+
+func (t *Table) unindex(e *entry) {
+	m := e.member
+	if m.State != StateGone {
+		t.digest.toggle(m)
+		t.live--
+	}
+	if m.Role == RoleBalancer {
+		delete(t.balancers, m.Control)
+		return
+	}
+	delete(t.services[m.Service], m.Control)
+	if len(t.services[m.Service]) == 0 {
+		delete(t.services, m.Service)
+	}
+}
+
+// Get returns the record of a member, gone or not.
+func (t *Table) Get(control netip.AddrPort) (Member, bool) {
+	e := t.entries[control]
+	if e == nil {
+		return Member{}, false
+	}
+	return e.member, true
+}
+
+// Live returns the number of members that are not gone, Len also counts the
+// tombstones.
+func (t *Table) Live() int { return t.live }
+
+// Len returns the number of records, tombstones included.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Seq returns the number of the last change. It rises with each merge.
+func (t *Table) Seq() uint64 { return t.seq }
+
+// BalancerSeq returns the number of the last change to any balancer.
+func (t *Table) BalancerSeq() uint64 { return t.balancerSeq }
+
+// Digest returns the digest of the members that are not gone.
+func (t *Table) Digest() *Digest { return &t.digest }
