--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -49,33 +49,38 @@
 	Tally      *Tally
 }
 
-// Caller has one HTTP/3 connection at a time. Its methods may be called
+// Caller has one HTTP/3 connection at a time, and another for submissions,
+// which it leaves when an attempt fails. Its methods may be called
 // concurrently, but for Submit: a caller has one ticket.
 type Caller struct {
-	o         Options
-	transport *http3.Transport
-	ticket    string
+	o          Options
+	transport  *http3.Transport
+	submitting *http3.Transport
+	ticket     string
 }
 
 // New returns a caller that connects at its first request.
 func New(o Options) *Caller {
-	return &Caller{
-		o: o,
-		transport: &http3.Transport{
-			TLSClientConfig: &tls.Config{RootCAs: o.Roots, ServerName: o.ServerName},
-			QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout},
-		},
+	return &Caller{o: o, transport: newTransport(o), submitting: newTransport(o)}
+}
+
+func newTransport(o Options) *http3.Transport {
+	return &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: o.Roots, ServerName: o.ServerName},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout},
 	}
 }
 
-// Close ends the caller's connection.
-func (c *Caller) Close() error { return c.transport.Close() }
+// Close ends the caller's connections.
+func (c *Caller) Close() {
+	_ = c.transport.Close() // whatever they say, they are not used again
+	_ = c.submitting.Close()
+}
 
-// Drop ends the connection without a word to the other side being awaited;
-// the next request opens a new one.
-func (c *Caller) Drop() {
-	_ = c.transport.Close() // whatever it says, the old connection is not used again
-	c.transport = New(c.o).transport
+// redial leaves the submissions' connection; the next one opens another.
+func (c *Caller) redial() {
+	_ = c.submitting.Close() // whatever it says, it is not used again
+	c.submitting = newTransport(c.o)
 }
 
 // reply is one response as the caller sees it.
@@ -92,7 +97,7 @@
 	return r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
 }
 
-func (c *Caller) send(ctx context.Context, method, path, id, ticket string, body []byte) (reply, error) {
+func (c *Caller) send(ctx context.Context, over *http3.Transport, method, path, id, ticket string, body []byte) (reply, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "https://"+c.o.Face.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return reply{}, errors.Wrap(err, "build request")
@@ -102,7 +107,7 @@
 	if ticket != "" {
 		req.Header.Set(headerTicket, ticket)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := over.RoundTrip(req)
 	if err != nil {
 		return reply{}, errors.Wrap(err, "send request")
 	}
@@ -164,7 +169,7 @@
 	id := c.newID()
 	start := time.Now()
 	for {
-		r, err := c.send(ctx, method, path+id, id, "", body)
+		r, err := c.send(ctx, c.transport, method, path+id, id, "", body)
 		if err == nil && r.refused() {
 			c.o.Tally.refuse(kind, id)
 			if sleep(ctx, r.retryAfter) {
@@ -207,10 +212,10 @@
 	c.ticket = ""
 	for attempt := 0; ; {
 		id := AttemptID(stem, attempt)
-		r, err := c.send(ctx, http.MethodPost, path, id, ticket, body)
+		r, err := c.send(ctx, c.submitting, http.MethodPost, path, id, ticket, body)
 		switch {
 		case err != nil:
-			c.Drop()
+			c.redial()
 			if !sleep(ctx, redialPause) {
 				return OutcomeFailed, err
 			}
--- /dev/null
+++ b/test/harness/audit.go
@@ -0,0 +1,99 @@
+package harness
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/saltbend/saltbend/test/caller"
+	"github.com/saltbend/saltbend/test/upstream"
+)
+
+// Audit is what the upstreams' own logs say about the runs.
+type Audit struct {
+	// Runs counts started runs by service and upstream.
+	Runs map[string]map[string]int
+	// WrongService counts runs of requests that were meant for another service.
+	WrongService int
+	// RanTwice counts submissions that ran more than once.
+	RanTwice int
+	// RanRefused counts attempts that ran though the caller was told that
+	// they were not run.
+	RanRefused int
+	// Findings name the first of them.
+	Findings []string
+}
+
+// Audit reads the run logs of all upstreams, also of dead ones, against what
+// callers were told.
+func (f *Fleet) Audit(report caller.Report) (Audit, error) {
+	a := Audit{Runs: make(map[string]map[string]int)}
+	paths, err := filepath.Glob(filepath.Join(f.dir, runLogPrefix+"*"))
+	if err != nil {
+		return a, err
+	}
+	submissions := make(map[string]int)
+	for _, path := range paths {
+		records, err := upstream.ReadLog(path)
+		if err != nil {
+			return a, err
+		}
+		for _, r := range records {
+			a.add(r, report.Refused, submissions)
+		}
+	}
+	for stem, runs := range submissions {
+		if runs > 1 {
+			a.RanTwice++
+			a.find("submission %s ran %d times", stem, runs)
+		}
+	}
+	return a, nil
+}
+
+func (a *Audit) add(r upstream.Record, refused map[string]bool, submissions map[string]int) {
+	if r.Phase != upstream.PhaseStart {
+		return
+	}
+	if r.Wanted != r.Service {
+		a.WrongService++
+		a.find("request %s for %q ran at %q", r.ID, r.Wanted, r.Service)
+	}
+	switch {
+	case r.Path == upstream.PathBatch || r.Path == upstream.PathAnswer:
+		stem, _, _ := strings.Cut(r.ID, ".")
+		submissions[stem]++
+		if refused[r.ID] {
+			a.RanRefused++
+			a.find("attempt %s ran behind a refusal", r.ID)
+		}
+	case r.Path == upstream.PathFeed:
+		return // takes no slot
+	}
+	if a.Runs[r.Service] == nil {
+		a.Runs[r.Service] = make(map[string]int)
+	}
+	a.Runs[r.Service][r.Upstream]++
+}
+
+func (a *Audit) find(format string, args ...any) {
+	const limit = 20
+	if len(a.Findings) < limit {
+		a.Findings = append(a.Findings, fmt.Sprintf(format, args...))
+	}
+}
+
+// Imbalance returns the largest ratio of the busiest upstream's runs to the
+// mean of its service, over all services.
+func (a *Audit) Imbalance() float64 {
+	worst := 0.0
+	for _, upstreams := range a.Runs {
+		total, most := 0, 0
+		for _, runs := range upstreams {
+			total += runs
+			most = max(most, runs)
+		}
+		worst = max(worst, float64(most)*float64(len(upstreams))/float64(total))
+	}
+	return worst
+}
--- /dev/null
+++ b/test/harness/fleet.go
@@ -0,0 +1,323 @@
+package harness
+
+import (
+	"context"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/test/caller"
+	"github.com/saltbend/saltbend/test/fabric"
+	"github.com/saltbend/saltbend/test/jsonhttp"
+	"github.com/saltbend/saltbend/test/storefake"
+	"github.com/saltbend/saltbend/test/upstream"
+)
+
+const (
+	runLogPrefix = "runs-"
+	dataCentre   = "cardiff-1"
+	pollInterval = 50 * time.Millisecond
+	stopTimeout  = 10 * time.Second
+	// maxJoin is the number of processes a new one is told to learn from.
+	maxJoin = 3
+)
+
+// Pair is an upstream with the agent beside it.
+type Pair struct {
+	Service  string
+	Upstream *Process
+	Agent    *Process
+}
+
+// SetBehaviour changes how the upstream acts.
+func (p *Pair) SetBehaviour(ctx context.Context, b upstream.Behaviour) error {
+	return jsonhttp.Do(ctx, http.MethodPut, p.Upstream.URL("address")+"/behaviour", b, nil)
+}
+
+// Fleet is the whole system as processes.
+type Fleet struct {
+	Store  *Process
+	Fabric fabric.Client
+	// Faces maps each service to its public face.
+	Faces map[string]netip.AddrPort
+
+	dir    string
+	bin    string
+	roots  *x509.CertPool
+	env    []string
+	mu     sync.Mutex // guards what follows
+	all    []*Process
+	live   map[string]*Process // balancers
+	pairs  map[string]*Pair
+	nextID int
+}
+
+// New builds the programs into dir and starts the store and the fabric with
+// one face for each service.
+func New(ctx context.Context, dir string, services ...string) (*Fleet, error) {
+	f := &Fleet{
+		Faces: make(map[string]netip.AddrPort),
+		dir:   dir,
+		bin:   filepath.Join(dir, "bin"),
+		env:   []string{"SALTBEND_SECRETS=1:" + strings.Repeat("5a", 32), "SALTBEND_DC=" + dataCentre},
+		live:  make(map[string]*Process),
+		pairs: make(map[string]*Pair),
+	}
+	if err := build(ctx, f.bin); err != nil {
+		return nil, err
+	}
+	if err := f.startPlatform(ctx, services); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func build(ctx context.Context, bin string) error {
+	const module = "github.com/saltbend/saltbend"
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", bin+"/",
+		module+"/cmd/saltbendd", module+"/cmd/saltbend", module+"/test/cmd/standin")
+	out, err := cmd.CombinedOutput()
+	return errors.Wrapf(err, "go build: %s", out)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context, services []string) error {
+	var err error
+	f.roots, err = writeCertificate(f.path("cert.pem"), f.path("key.pem"))
+	if err != nil {
+		return err
+	}
+	f.Store, err = f.start(ctx, "store", "standin", "store")
+	if err != nil {
+		return err
+	}
+	process, err := f.start(ctx, "fabric", "standin", "fabric")
+	if err != nil {
+		return err
+	}
+	f.Fabric = fabric.Client{URL: process.URL("address")}
+	for _, service := range services {
+		if f.Faces[service], err = f.Fabric.OpenFace(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts a program of the fleet and keeps it for Close.
+func (f *Fleet) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	p, err := Start(ctx, f.dir, name, filepath.Join(f.bin, program), f.env, args...)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = append(f.all, p)
+	return p, nil
+}
+
+func (f *Fleet) path(name string) string { return filepath.Join(f.dir, name) }
+
+// id returns a name that no process of the fleet has had.
+func (f *Fleet) id(kind string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nextID++
+	return fmt.Sprintf("%s-%d", kind, f.nextID)
+}
+
+// memberArgs are the settings by which a new process finds the fleet.
+func (f *Fleet) memberArgs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	args := []string{"--store", f.Store.URL("address")}
+	joined := 0
+	for _, b := range f.live {
+		if joined < maxJoin && b.Alive() {
+			args = append(args, "--join", b.Address("control").String())
+			joined++
+		}
+	}
+	return args
+}
+
+// AddBalancer starts a balancer, waits until it serves all faces, and lets the
+// fabric spray over it.
+func (f *Fleet) AddBalancer(ctx context.Context) (*Process, error) {
+	args := append([]string{"balancer", "--face-host", "127.0.0.1"}, f.memberArgs()...)
+	p, err := f.start(ctx, f.id("balancer"), "saltbendd", args...)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.live[p.Name] = p
+	f.mu.Unlock()
+	return p, f.Spray(ctx, p)
+}
+
+// Spray waits until the balancer is ready with all faces and tells the fabric.
+func (f *Fleet) Spray(ctx context.Context, p *Process) error {
+	var faces map[netip.AddrPort]netip.AddrPort
+	err := f.await(ctx, p, func() bool {
+		faces = nil
+		if jsonhttp.Do(ctx, http.MethodGet, p.URL("ops")+"/faces", nil, &faces) != nil {
+			return false
+		}
+		for _, public := range f.Faces {
+			if _, ok := faces[public]; !ok {
+				return false
+			}
+		}
+		return f.Ready(ctx, p)
+	})
+	if err != nil {
+		return err
+	}
+	return f.Fabric.SetBalancer(ctx, p.Name, faces)
+}
+
+// Ready asks a process whether it is ready.
+func (f *Fleet) Ready(ctx context.Context, p *Process) bool {
+	return jsonhttp.Do(ctx, http.MethodGet, p.URL("ops")+"/readyz", nil, nil) == nil
+}
+
+// await polls until done or the process has ended or readyTimeout is over.
+func (f *Fleet) await(ctx context.Context, p *Process, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-tick.C:
+		case <-p.Done():
+			return errors.Errorf("%s ended:\n%s", p.Name, p.LogTail())
+		case <-ctx.Done():
+			return errors.Errorf("%s does not get ready:\n%s", p.Name, p.LogTail())
+		}
+	}
+	return nil
+}
+
+// KillBalancer kills a balancer and, as a fabric with health checks does,
+// takes it out of the spray afterwards.
+func (f *Fleet) KillBalancer(ctx context.Context, p *Process) error {
+	p.Kill()
+	f.forget(p)
+	return f.Fabric.RemoveBalancer(ctx, p.Name)
+}
+
+// StopBalancer takes a balancer out of the spray and stops it gracefully.
+func (f *Fleet) StopBalancer(ctx context.Context, p *Process) error {
+	if err := f.Fabric.RemoveBalancer(ctx, p.Name); err != nil {
+		return err
+	}
+	f.forget(p)
+	_, err := p.Stop(stopTimeout)
+	return err
+}
+
+func (f *Fleet) forget(p *Process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.live, p.Name)
+}
+
+// Balancers returns the live balancers.
+func (f *Fleet) Balancers() []*Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*Process
+	for _, p := range f.live {
+		out = append(out, p)
+	}
+	return out
+}
+
+// AddPair starts an upstream of the service with its agent and waits until the
+// agent is ready. upstreamArgs are further flags of the stand-in.
+func (f *Fleet) AddPair(ctx context.Context, service string, upstreamArgs ...string) (*Pair, error) {
+	name := f.id("upstream")
+	args := append([]string{
+		"upstream", "--name", name, "--service", service, "--run-log", f.path(runLogPrefix + name),
+	}, upstreamArgs...)
+	up, err := f.start(ctx, name, "standin", args...)
+	if err != nil {
+		return nil, err
+	}
+	pair := &Pair{Service: service, Upstream: up}
+	return pair, f.AddAgent(ctx, pair)
+}
+
+// AddAgent starts an agent beside the pair's upstream, in place of an earlier
+// one if there was any.
+func (f *Fleet) AddAgent(ctx context.Context, pair *Pair) error {
+	args := append([]string{
+		"agent", "--service", pair.Service, "--upstream", pair.Upstream.URL("address"),
+		"--tls-cert", f.path("cert.pem"), "--tls-key", f.path("key.pem"),
+	}, f.memberArgs()...)
+	var err error
+	pair.Agent, err = f.start(ctx, f.id("agent"), "saltbendd", args...)
+	if err != nil {
+		return err
+	}
+	return f.await(ctx, pair.Agent, func() bool { return f.Ready(ctx, pair.Agent) })
+}
+
+// Caller returns a caller of the service that counts into tally.
+func (f *Fleet) Caller(name, service string, tally *caller.Tally) *caller.Caller {
+	return caller.New(caller.Options{
+		Name:       name,
+		Face:       f.Faces[service],
+		Service:    service,
+		ServerName: ServerName,
+		Roots:      f.roots,
+		Tally:      tally,
+	})
+}
+
+// SetStoreFaults changes how the store acts.
+func (f *Fleet) SetStoreFaults(ctx context.Context, faults storefake.Faults) error {
+	return jsonhttp.Do(ctx, http.MethodPut, f.Store.URL("address")+"/faults", faults, nil)
+}
+
+// Close ends all processes that the fleet started.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, p := range f.all {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			p.Kill()
+		}()
+	}
+	wait.Wait()
+}
+
+// Logs returns the end of each process's log, for a failed test.
+func (f *Fleet) Logs() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out strings.Builder
+	for _, p := range f.all {
+		fmt.Fprintf(&out, "== %s\n%s\n", p.Name, p.LogTail())
+	}
+	return out.String()
+}
+
+// MakeDir returns a new temporary directory for a fleet.
+func MakeDir() (string, error) {
+	dir, err := os.MkdirTemp("", "saltbend-")
+	return dir, errors.Wrap(err, "make directory")
+}
--- /dev/null
+++ b/test/harness/process.go
@@ -0,0 +1,168 @@
+// Package harness starts the product and the stand-ins as real processes on
+// loopback, with ports that the kernel chooses, and ends them by process id.
+package harness
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readyMessage = "Ready."
+	readyTimeout = 20 * time.Second
+	maxLogLine   = 1 << 20
+)
+
+// Process is one running process of the fleet.
+type Process struct {
+	Name string
+	// LogPath is the file with what the process wrote to standard error.
+	LogPath string
+
+	cmd   *exec.Cmd
+	ready chan map[string]any
+	attrs map[string]any
+	done  chan struct{}
+}
+
+// Start starts a program and waits until it logs that it is ready.
+func Start(ctx context.Context, dir, name, program string, env []string, args ...string) (*Process, error) {
+	p := &Process{
+		Name:    name,
+		LogPath: filepath.Join(dir, name+".log"),
+		cmd:     exec.Command(program, args...),
+		ready:   make(chan map[string]any, 1),
+		done:    make(chan struct{}),
+	}
+	p.cmd.Env = append(os.Environ(), env...)
+	// Its own group, so that signals reach no other process; the kernel ends
+	// it with the harness.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "open standard error")
+	}
+	log, err := os.Create(p.LogPath)
+	if err != nil {
+		return nil, errors.Wrap(err, "create log")
+	}
+	if err := p.cmd.Start(); err != nil {
+		log.Close()
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	go p.follow(stderr, log)
+	if err := p.awaitReady(ctx); err != nil {
+		p.Kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) awaitReady(ctx context.Context) error {
+	timeout := time.NewTimer(readyTimeout)
+	defer timeout.Stop()
+	select {
+	case p.attrs = <-p.ready:
+		return nil
+	case <-p.done:
+		return errors.Errorf("%s ended before it was ready:\n%s", p.Name, p.LogTail())
+	case <-timeout.C:
+		return errors.Errorf("%s is not ready after %s:\n%s", p.Name, readyTimeout, p.LogTail())
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// follow copies the log to its file, reports the ready line and reaps the
+// process.
+func (p *Process) follow(stderr io.Reader, log *os.File) {
+	defer close(p.done)
+	defer log.Close()
+	lines := bufio.NewScanner(io.TeeReader(stderr, log))
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		var attrs map[string]any
+		if json.Unmarshal(lines.Bytes(), &attrs) == nil && attrs["msg"] == readyMessage {
+			select {
+			case p.ready <- attrs:
+			default: // told once already
+			}
+		}
+	}
+	_ = p.cmd.Wait() // the exit code is read from the process state
+}
+
+// Address returns an address that the process logged when it was ready.
+func (p *Process) Address(key string) netip.AddrPort {
+	text, _ := p.attrs[key].(string)
+	addr, _ := netip.ParseAddrPort(text) // the zero value fails at its use
+	return addr
+}
+
+// URL returns the base URL of an address that the process logged.
+func (p *Process) URL(key string) string { return "http://" + p.Address(key).String() }
+
+// Alive reports whether the process still runs.
+func (p *Process) Alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the process if it still runs.
+func (p *Process) Signal(s syscall.Signal) {
+	if p.Alive() {
+		_ = p.cmd.Process.Signal(s) // it may have ended by now
+	}
+}
+
+// Freeze stops the process without its noticing; Thaw lets it go on.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop asks for a graceful end and returns the exit code. When the process
+// has not ended within the timeout it is killed and Stop fails.
+func (p *Process) Stop(timeout time.Duration) (int, error) {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(timeout):
+		p.Kill()
+		return p.cmd.ProcessState.ExitCode(), errors.Errorf("%s did not stop within %s:\n%s", p.Name, timeout, p.LogTail())
+	}
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// LogTail returns the end of the process's log.
+func (p *Process) LogTail() string {
+	const tail = 4000
+	data, err := os.ReadFile(p.LogPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-tail):])
+}
