Assemble the balancer role

Cause: saltbendd balancer only waited. Changed secrets take effect without a restart. Not wired yet: the store, whose adapter is not there, and the decoder of configuration records; until then a balancer has no configuration. Tests: faces through configurations and time, a taken port, agents by service, all findings about settings together.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,24 +1,202 @@
-// Package balancer assembles the balancer role of the daemon.
+// Package balancer assembles the balancer role of the daemon: the control node
+// that learns of the fleet, the data path that carries datagrams, and the one
+// goroutine that turns what control knows into what the data path acts on.
 package balancer
 
 import (
 	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/datapath"
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/ops"
+	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/settings"
 )
 
-// Settings are the settings of the balancer role.
-type Settings struct {
-	settings.Common
-}
+// Part is the fixed prefix of this package's logs and events.
+const Part = "balancer"
 
-// Check returns all findings about the settings.
-func (s *Settings) Check() settings.Findings {
-	return s.Common.Check()
+// goodbye bounds the time in which the fleet is told that the process ends and
+// the listeners close.
+const goodbye = 2 * time.Second
+
+// role is a running balancer.
+type role struct {
+	settings  Settings
+	env       settings.Env
+	log       *slog.Logger
+	peer      *peer.Peer
+	ops       *ops.Server
+	data      *net.UDPConn
+	node      *control.Node
+	path      *datapath.Path
+	publisher *publisher
 }
 
-// Run serves until ctx ends.
-func Run(ctx context.Context, _ Settings, _ settings.Env) error {
+// Run serves until ctx ends. It then announces that it leaves, forwards on for
+// the grace period, and returns.
+func Run(ctx context.Context, s Settings, env settings.Env) error {
+	r := &role{settings: s, env: env, log: logging.Part(env.Logger, Part)}
+	defer r.close()
+	if err := r.listen(); err != nil {
+		return err
+	}
+	// What runs in the background outlives ctx by the grace period.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := r.start(background); err != nil {
+		return err
+	}
 	<-ctx.Done()
+	r.leave()
 	return nil
 }
+
+// listen opens the process's own listeners.
+func (r *role) listen() (err error) {
+	ring := r.env.Keys.Ring()
+	r.peer, err = peer.Listen(r.settings.Control.AddrPort(), ring, peer.WithLogger(logging.Part(r.env.Logger, "peer")))
+	if err != nil {
+		return err
+	}
+	r.data, err = datapath.Bind(r.settings.Data.AddrPort())
+	if err != nil {
+		return errors.Wrap(err, "data socket")
+	}
+	r.ops, err = ops.Listen(r.settings.Ops.AddrPort())
+	if err != nil {
+		return err
+	}
+	if r.settings.Pprof {
+		r.ops.EnablePprof()
+	}
+	return nil
+}
+
+// start joins the fleet and begins to publish what it learns.
+func (r *role) start(ctx context.Context) error {
+	var err error
+	r.node, err = control.Start(ctx, control.Options{
+		Self:   r.self(),
+		Peer:   r.peer,
+		Join:   addresses(r.settings.Join),
+		Events: r.env.Events,
+		Logger: r.env.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	keys := datapath.NewKeys(r.env.Keys.Ring())
+	r.path = datapath.Start(r.data, r.addresses().Data, &datapath.Snapshot{Keys: keys})
+	host, _ := r.settings.faceHost()
+	r.publisher = &publisher{
+		source: r.node,
+		path:   r.path,
+		faces:  newFaces(host, r.settings.FaceDrain, r.faceChanged),
+		keys:   make(chan *datapath.Keys, 1),
+		inUse:  keys,
+		ready:  r.ready,
+	}
+	r.env.Keys.OnChange(r.setRing)
+	r.ops.AddCheck(r.publisher.check)
+	r.ops.HandleJSON("GET /faces", func() any { return r.publisher.local() })
+	go r.publisher.run(ctx)
+	return nil
+}
+
+func (r *role) self() member.Member {
+	a := r.addresses()
+	return member.Member{
+		Control:    a.Control,
+		Data:       a.Data,
+		Ops:        a.Ops,
+		Role:       member.RoleBalancer,
+		DataCentre: r.settings.DataCentre,
+	}
+}
+
+// addresses returns the addresses of the process's own listeners.
+func (r *role) addresses() settings.Addresses {
+	data := r.data.LocalAddr().(*net.UDPAddr).AddrPort()
+	return settings.Addresses{
+		Control: r.peer.Addr(),
+		Data:    netip.AddrPortFrom(data.Addr().Unmap(), data.Port()),
+		Ops:     r.ops.Addr(),
+	}
+}
+
+// ready announces that the process serves.
+func (r *role) ready() {
+	r.node.SetState(member.StateReady)
+	a := r.addresses()
+	a.Faces = r.publisher.local()
+	r.env.Ready(a)
+}
+
+// setRing puts changed secrets in force.
+func (r *role) setRing(ring *keyring.Ring) {
+	if err := r.peer.SetRing(ring); err != nil {
+		r.log.Error("Secrets not in force for control traffic.", slog.String("error", err.Error()))
+	}
+	r.publisher.setRing(ring)
+}
+
+// faceChanged tells operators of a face that opened, closed or failed.
+func (r *role) faceChanged(change faceChange, public netip.AddrPort, err error) {
+	detail := public.String()
+	if err != nil {
+		detail += ": " + err.Error()
+		r.log.Error("Face not bound.", slog.String("face", public.String()), slog.String("error", err.Error()))
+	} else {
+		r.log.Info("Face changed.", slog.String("face", public.String()), slog.String("change", string(change)))
+	}
+	r.env.Events.Add(Part, event.Kind(change), detail)
+}
+
+// leave announces the end and forwards on, until the fabric and the agents
+// have had time to turn to other balancers.
+func (r *role) leave() {
+	r.log.Info("Leaving.", slog.Duration("grace", r.settings.Grace))
+	r.env.Events.Add(Part, "leaving", r.settings.Grace.String())
+	r.node.SetState(member.StateDraining)
+	time.Sleep(r.settings.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), goodbye)
+	defer cancel()
+	r.node.Leave(ctx)
+}
+
+// close closes what was opened.
+func (r *role) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), goodbye)
+	defer cancel()
+	if r.path != nil {
+		r.path.Close()
+	}
+	if r.data != nil {
+		_ = r.data.Close()
+	}
+	if r.ops != nil {
+		_ = r.ops.Close(ctx)
+	}
+	if r.peer != nil {
+		_ = r.peer.Close()
+	}
+}
+
+func addresses(list []settings.Address) []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(list))
+	for _, a := range list {
+		out = append(out, a.AddrPort())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/balancer/faces.go
@@ -0,0 +1,127 @@
+package balancer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/datapath"
+)
+
+// faces holds the open face sockets. It belongs to the goroutine that turns
+// control snapshots into data path snapshots.
+type faces struct {
+	// host binds all faces; if it is invalid, each is bound at itself.
+	host  netip.Addr
+	drain time.Duration
+	open  map[netip.AddrPort]*face
+	// failed holds the faces that could not be bound. It is replaced, never
+	// changed, by update.
+	failed map[netip.AddrPort]error
+	notify func(change faceChange, public netip.AddrPort, err error)
+}
+
+// face is one open face socket.
+type face struct {
+	socket  *datapath.Socket
+	service string
+	// drainEnds is when the socket closes; zero while the configuration holds
+	// the face.
+	drainEnds time.Time
+}
+
+// faceChange is what happened to a face.
+type faceChange string
+
+// Changes of a face; they name the events, too.
+const (
+	faceOpened   faceChange = "face-opened"
+	faceDraining faceChange = "face-draining"
+	faceClosed   faceChange = "face-closed"
+	faceFailed   faceChange = "face-failed"
+)
+
+func newFaces(host netip.Addr, drain time.Duration, notify func(faceChange, netip.AddrPort, error)) *faces {
+	return &faces{
+		host:   host,
+		drain:  drain,
+		open:   make(map[netip.AddrPort]*face),
+		failed: make(map[netip.AddrPort]error),
+		notify: notify,
+	}
+}
+
+// update opens the faces that the configuration has and that are not open, and
+// lets those drain that it has not. It returns the sockets whose drain has
+// ended: they are no longer in open, and are to be closed once no snapshot
+// holds them.
+func (f *faces) update(c *config.Config, now time.Time) (ended []*datapath.Socket) {
+	wanted := facesOf(c)
+	before := f.failed
+	f.failed = make(map[netip.AddrPort]error)
+	for public, service := range wanted {
+		if err := f.want(public, service); err != nil {
+			f.failed[public] = err
+			if before[public] == nil {
+				f.notify(faceFailed, public, err)
+			}
+		}
+	}
+	for public, open := range f.open {
+		if _, ok := wanted[public]; ok {
+			continue
+		}
+		if open.drainEnds.IsZero() {
+			open.drainEnds = now.Add(f.drain)
+			f.notify(faceDraining, public, nil)
+		}
+		if !now.Before(open.drainEnds) {
+			delete(f.open, public)
+			ended = append(ended, open.socket)
+			f.notify(faceClosed, public, nil)
+		}
+	}
+	return ended
+}
+
+func (f *faces) want(public netip.AddrPort, service string) error {
+	if open := f.open[public]; open != nil {
+		open.drainEnds = time.Time{}
+		open.service = service
+		return nil
+	}
+	socket, err := datapath.Open(public, f.bindAddr(public))
+	if err != nil {
+		return err
+	}
+	f.open[public] = &face{socket: socket, service: service}
+	f.notify(faceOpened, public, nil)
+	return nil
+}
+
+func (f *faces) bindAddr(public netip.AddrPort) netip.AddrPort {
+	if f.host.IsValid() {
+		return netip.AddrPortFrom(f.host, 0)
+	}
+	return public
+}
+
+// local returns the local address of each open face by its public one.
+func (f *faces) local() map[netip.AddrPort]netip.AddrPort {
+	out := make(map[netip.AddrPort]netip.AddrPort, len(f.open))
+	for public, open := range f.open {
+		out[public] = open.socket.Addr()
+	}
+	return out
+}
+
+// facesOf returns the configuration's faces with the names of their services.
+func facesOf(c *config.Config) map[netip.AddrPort]string {
+	out := make(map[netip.AddrPort]string)
+	for i := range c.Services {
+		for _, public := range c.Services[i].Faces {
+			out[public] = c.Services[i].Name
+		}
+	}
+	return out
+}
