Parse, compare and submit configuration files

A faulty file must be refused whole, with all its faults, and a writer whose answer was lost must learn the truth. Parsing into structs was ruled out: it ends at the first fault of a kind and has no columns, so the file is read from YAML nodes.

--- /dev/null
+++ b/cmd/saltbend/main.go
@@ -0,0 +1,80 @@
+// Command saltbend is the operators' tool: it checks and submits configuration
+// files, and shows what the fleet does with them.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/exit"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], std{out: os.Stdout, err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
+
+// std are the standard streams of the process.
+type std struct {
+	out, err io.Writer
+}
+
+// command is a subcommand: its fields are its flags and arguments.
+type command interface {
+	// run does the work and returns the exit code.
+	run(ctx context.Context, out std) int
+}
+
+// entry is a command's place in the help.
+type entry struct {
+	name, short, long string
+	command           command
+}
+
+// commands lists the subcommands.
+func commands() []entry {
+	return []entry{
+		{"validate", "check a configuration file", validateHelp, &validateCommand{}},
+		{"apply", "submit a configuration file", applyHelp, &applyCommand{}},
+		{"get", "print the configuration in the store", getHelp, &getCommand{}},
+		{"version", "print the version", "Prints the version of this tool.", &versionCommand{}},
+	}
+}
+
+// run runs the tool and returns its exit code.
+func run(ctx context.Context, args []string, out std) int {
+	parser := flags.NewNamedParser("saltbend", flags.HelpFlag|flags.PassDoubleDash)
+	all := commands()
+	for _, e := range all {
+		if _, err := parser.AddCommand(e.name, e.short, e.long, e.command); err != nil {
+			panic(err) // a fault in the tags
+		}
+	}
+	rest, err := parser.ParseArgs(args)
+	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(out.out, help.Message)
+		return exit.OK
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintln(out.err, err)
+		return exit.Usage
+	}
+	for _, e := range all {
+		if e.name == parser.Active.Name {
+			return e.command.run(ctx, out)
+		}
+	}
+	panic("unreachable: the parser knows only these commands")
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -61,6 +61,30 @@
 	}
 }
 
+// checkMoved refuses a face that belonged to another service. While balancers
+// disagree, one that lags would send the new service's callers to the old one.
+func (f *file) checkMoved(d *decoder, previous *Config) {
+	if previous == nil {
+		return
+	}
+	owners := map[netip.AddrPort]string{}
+	for i := range previous.Services {
+		for _, face := range previous.Services[i].Faces {
+			owners[face] = previous.Services[i].Name
+		}
+	}
+	for i := range f.config.Services {
+		s := &f.config.Services[i]
+		for j, face := range s.Faces {
+			if was, owned := owners[face]; owned && was != s.Name {
+				d.report(f.places[i].faces[j], CodeFaceMoved,
+					fmt.Sprintf("the face %s belongs to %s in the configuration in force and can't move to %s in one step", face, was, s.Name),
+					"apply a file without the face, wait until it is in force, then add the face")
+			}
+		}
+	}
+}
+
 func (f *file) checkClasses(d *decoder, i int) {
 	classes, places := f.config.Services[i].Classes, f.places[i].classes
 	names := map[string]bool{}
@@ -87,34 +111,30 @@
 // checkReachable compares a class with those before it: the first that
 // matches a request wins.
 func checkReachable(d *decoder, before []Class, c *Class, p *classPlaces) {
-	for i := range before {
-		if !before[i].covers(c) {
-			continue
-		}
-		if before[i].Path == c.Path && sameMethods(before[i].Methods, c.Methods) {
-			d.report(p.self, CodeConflict, fmt.Sprintf("the class %s matches the same requests as %s", c.Name, before[i].Name),
+	over := slices.DeleteFunc(slices.Clone(before), func(b Class) bool { return !b.coversPath(c.Path) })
+	if !coverMethods(over, c.Methods) {
+		return
+	}
+	for i := range over {
+		if over[i].Path == c.Path && sameMethods(over[i].Methods, c.Methods) {
+			d.report(p.self, CodeConflict, fmt.Sprintf("the class %s matches the same requests as %s", c.Name, over[i].Name),
 				"remove one of them, or change its path or methods")
 			return
 		}
-		d.report(p.self, CodeUnreachable, fmt.Sprintf("no request reaches the class %s, because %s above it matches them all", c.Name, before[i].Name),
-			"move it above "+before[i].Name)
-		return
 	}
+	d.report(p.self, CodeUnreachable, fmt.Sprintf("no request reaches the class %s, because classes above it match them all", c.Name),
+		"move it above "+over[0].Name)
 }
 
-// covers reports whether each request that matches o also matches c.
-func (c *Class) covers(o *Class) bool {
-	return c.coversMethods(o) && c.coversPath(o.Path)
-}
-
-func (c *Class) coversMethods(o *Class) bool {
-	if len(c.Methods) == 0 {
-		return true
-	}
-	if len(o.Methods) == 0 {
-		return false
+// coverMethods reports whether each of the methods, none standing for all, is
+// matched by one of the classes.
+func coverMethods(classes []Class, methods []string) bool {
+	if len(methods) == 0 {
+		return slices.ContainsFunc(classes, func(c Class) bool { return len(c.Methods) == 0 })
 	}
-	return !slices.ContainsFunc(o.Methods, func(m string) bool { return !slices.Contains(c.Methods, m) })
+	return !slices.ContainsFunc(methods, func(m string) bool {
+		return !slices.ContainsFunc(classes, func(c Class) bool { return c.matchesMethod(m) })
+	})
 }
 
 func (c *Class) coversPath(path string) bool {
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -71,6 +71,12 @@
 // Parse reads a configuration file and validates it as a whole. With findings
 // the configuration is nil.
 func Parse(data []byte, revision uint64) (*Config, Findings) {
+	return ParseNext(data, revision, nil)
+}
+
+// ParseNext is Parse with the rules for what may follow the previous
+// configuration, which may be nil.
+func ParseNext(data []byte, revision uint64, previous *Config) (*Config, Findings) {
 	d := &decoder{}
 	root := d.document(data)
 	if root == nil {
@@ -78,6 +84,7 @@
 	}
 	f := d.file(root)
 	f.check(d)
+	f.checkMoved(d, previous)
 	if len(d.findings) > 0 {
 		d.findings.sort()
 		return nil, d.findings
@@ -184,12 +191,13 @@
 
 // name takes the required name of a service or class.
 func (m *mapping) name() (string, place) {
-	s, p := m.text("name", "")
-	if _, given := m.fields["name"]; !given {
+	n, p := m.take("name")
+	if n == nil {
 		m.d.report(p, CodeMissing, "the name is missing", "give it a name")
 		return "", p
 	}
-	if s != "" && !namePattern.MatchString(s) {
+	s, ok := m.d.scalar(n, p, "text", "!!str")
+	if ok && !namePattern.MatchString(s) {
 		m.d.report(p, CodeValue, fmt.Sprintf("%q is no valid name", s),
 			"use a lower-case letter, then at most 62 lower-case letters, digits or hyphens")
 	}
