--- /dev/null
+++ b/internal/peer/cut_test.go
@@ -0,0 +1,150 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/rpc"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/saltbend/saltbend/internal/peer"
+)
+
+// proxy starts a fault-injecting proxy before p.
+func proxy(p *peer.Peer) (*toxiproxy.Proxy, netip.AddrPort) {
+	GinkgoHelper()
+	logrus.SetOutput(io.Discard)
+	proxy := toxiproxy.NewProxy()
+	proxy.Name = "peer"
+	proxy.Listen = loopback.String()
+	proxy.Upstream = p.Addr().String()
+	Expect(proxy.Start()).To(Succeed())
+	DeferCleanup(proxy.Stop)
+	return proxy, netip.MustParseAddrPort(proxy.Listen)
+}
+
+// toxic adds a fault to the proxy; attributes is a JSON object.
+func toxic(proxy *toxiproxy.Proxy, kind, stream, attributes string) {
+	GinkgoHelper()
+	body := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":%s}`, kind, kind, stream, attributes)
+	_, err := proxy.Toxics.AddToxicJson(strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// recorder counts how often each call ran.
+type recorder struct {
+	mu  sync.Mutex
+	ran map[int]int
+}
+
+// Run records the call.
+func (r *recorder) Run(id int, reply *int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran[id]++
+	*reply = id
+	return nil
+}
+
+func (r *recorder) count(id int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran[id]
+}
+
+var _ = Describe("A cut network", func() {
+	It("interrupts a call under way; calls after it are unreachable", func() {
+		a, _ := serve(ring(secretA))
+		b, s := serve(ring(secretA))
+		proxy, addr := proxy(b)
+		done := background(context.Background(), a, addr)
+		Eventually(s.entered, patience).Should(Receive())
+		proxy.Stop()
+		var err error
+		Eventually(done, patience).Should(Receive(&err))
+		Expect(err).To(MatchError(peer.ErrInterrupted))
+		Expect(echo(a, addr)).To(MatchError(peer.ErrUnreachable))
+		Expect(proxy.Start()).To(Succeed())
+		Expect(echo(a, addr)).To(Succeed())
+		close(s.release)
+	})
+
+	It("that swallows replies leaves the outcome open", func() {
+		a, _ := serve(ring(secretA))
+		b, s := serve(ring(secretA))
+		proxy, addr := proxy(b)
+		Expect(echo(a, addr)).To(Succeed())
+		toxic(proxy, "timeout", "downstream", `{"timeout":0}`)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := background(ctx, a, addr)
+		Eventually(s.entered, patience).Should(Receive())
+		close(s.release)
+		cancel()
+		var err error
+		Eventually(done, patience).Should(Receive(&err))
+		Expect(err).To(MatchError(peer.ErrInterrupted))
+	})
+
+	It("at any byte never makes an outcome untrue", func() {
+		// The handshake takes some 1500 bytes each way, a call less than 200.
+		const steps, stepBytes, perStep = 40, 61, 20
+		r := &recorder{ran: make(map[int]int)}
+		b, _ := serve(ring(secretA))
+		Expect(b.Register("Record", r)).To(Succeed())
+		outcomes := make(map[int]error)
+		for step := range steps {
+			stream := []string{"upstream", "downstream"}[step%2]
+			proxy, addr := proxy(b)
+			toxic(proxy, "limit_data", stream, fmt.Sprintf(`{"bytes":%d}`, 700+step*stepBytes))
+			a, err := peer.NewCaller(ring(secretA), peer.WithDial(shortDial))
+			Expect(err).NotTo(HaveOccurred())
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			for i := range perStep {
+				id := step*perStep + i
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					var reply int
+					err := a.Call(ctx, addr, "Record.Run", id, &reply)
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[id] = err
+				})
+			}
+			wg.Wait()
+			Expect(a.Close()).To(Succeed())
+			proxy.Stop()
+		}
+		kinds := make(map[string]int)
+		for id, err := range outcomes {
+			switch {
+			case err == nil:
+				kinds["answered"]++
+				Expect(r.count(id)).To(Equal(1))
+			case errors.Is(err, peer.ErrUnreachable):
+				kinds["unreachable"]++
+				Expect(r.count(id)).To(BeZero())
+			case errors.Is(err, peer.ErrInterrupted):
+				kinds["interrupted"]++
+				Expect(r.count(id)).To(BeNumerically("<=", 1))
+			default:
+				var remote rpc.ServerError
+				Expect(errors.As(err, &remote)).To(BeTrue(), "untyped error: %v", err)
+			}
+		}
+		GinkgoWriter.Println(kinds)
+		Expect(kinds).To(HaveKey("answered"))
+		Expect(kinds).To(HaveKey("unreachable"))
+		Expect(kinds).To(HaveKey("interrupted"))
+	})
+})
