Read configuration records into configurations

The control loop had no decoder of the store's value, so that a balancer could adopt nothing. record.Parse reads a stored value and validates its file again: a process trusts neither the store nor the peer that passed the value on. Ruled out: to leave the decoder to each role's assembly, where one would be forgotten. The tests show the largest ASCII file fits the store's limit.

--- /dev/null
+++ b/internal/record/parse.go
@@ -0,0 +1,14 @@
+package record
+
+import "github.com/saltbend/saltbend/internal/config"
+
+// Parse returns the configuration in a stored value, for a process that is to
+// adopt it.
+func Parse(value []byte, revision uint64) (*config.Config, error) {
+	r, err := Decode(value)
+	if err != nil {
+		return nil, err
+	}
+	c, findings := config.Parse([]byte(r.Text), revision)
+	return c, findings.Err()
+}
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,65 @@
+package record_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/store"
+)
+
+var now = time.Unix(1_000_000, 0).UTC()
+
+const text = "version: 1\nservices: [{name: a, faces: ['192.0.2.1:1'], classes: [{name: c, path: /c}]}]\n"
+
+func TestRecordKeepsWhatItWasGiven(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := record.First("one", "ann", now, []byte(text)).Next(7, "two", "bob", now, []byte(text))
+	value, err := r.Encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(record.Decode(value)).To(gomega.Equal(r))
+	parsed, err := record.Parse(value, 9)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(parsed.Revision).To(gomega.BeEquivalentTo(9))
+}
+
+func TestRecentChangesAreFoundUpToTheBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const first, last = 10, 10 + record.MaxRecent + 1
+	r := record.First("c10", "ann", now, nil)
+	g.Expect(r.Covers(store.Create)).To(gomega.BeTrue())
+	for revision := uint64(first); revision < last; revision++ {
+		r = r.Next(revision, record.ChangeID(fmt.Sprint("c", revision+1)), "ann", now, nil)
+	}
+	found := func(n uint64) bool {
+		revision, ok := r.Find(record.ChangeID(fmt.Sprint("c", n)), last)
+		return ok && revision == n
+	}
+	g.Expect(found(last)).To(gomega.BeTrue())
+	g.Expect(found(first + 1)).To(gomega.BeTrue())
+	g.Expect(found(first)).To(gomega.BeFalse())
+	g.Expect(r.Covers(first + 1)).To(gomega.BeTrue())
+	g.Expect(r.Covers(first)).To(gomega.BeFalse())
+	g.Expect(r.Covers(store.Create)).To(gomega.BeFalse())
+}
+
+func TestValuesThatCannotBeHeldAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	noise := make([]byte, config.MaxFileBytes)
+	for i := range noise {
+		noise[i] = byte(rand.IntN(127-' ') + ' ')
+	}
+	value, err := record.First("one", "ann", now, noise).Encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the largest text of ASCII has to fit")
+	g.Expect(record.Decode(value)).To(gomega.HaveField("Text", string(noise)))
+	_, err = record.Decode(value[:len(value)/2])
+	g.Expect(err).To(gomega.MatchError(record.ErrDamaged))
+	_, err = record.Decode(bytes.Repeat([]byte("plain"), 9))
+	g.Expect(err).To(gomega.MatchError(record.ErrDamaged))
+}
