Let the control loop read configuration records by default

Its default decoder only returned an error. The product's decoder takes its place; an alias keeps the package apart from the loop's own type record.

--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -14,6 +14,7 @@
 	"github.com/saltbend/saltbend/internal/gossip"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/peer"
+	configrecord "github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/store"
 )
 
@@ -81,16 +82,11 @@
 		o.Rules = adopt.DefaultRules()
 	}
 	if o.Decode == nil {
-		o.Decode = decodeRecord
+		o.Decode = configrecord.Parse
 	}
 	return o, nil
 }
 
-// decodeRecord parses the product's configuration record.
-func decodeRecord([]byte, uint64) (*config.Config, error) {
-	return nil, errors.New("control: no decoder of configuration records is set")
-}
-
 // newRand returns a source of randomness for jitter and choices, seeded by the
 // process's identity and start.
 func newRand(self member.Member) *rand.Rand {
