request: serve callers' requests over one scheduler

Cause: an agent has to give each request one truthful outcome and keep order among waiting requests. internal/dispatch decides (time and messages in, actions out); internal/request carries the decisions out: one goroutine owns the scheduler, handlers and siblings reach it by messages, a job has at most one word to come. Siblings: an agent with a slot to spare announces it, one without pushes an idempotent request there, a freed slot offers itself under a reservation to a sibling with a queue. The agent that admitted a request stays its owner, so a pull is an offer that the owner answers by a push. Ruled out: handing the request over in the reply of a pull (two owners while the reply is on its way).

--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// queue holds waiting requests in the order in which they start: by priority,
+// then arrival, then ID. It is bounded by the scheduler, so a sorted slice is
+// quick enough.
+type queue struct {
+	waiting []Request
+	movable int
+}
+
+func before(a, b *Request) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if !a.Arrived.Equal(b.Arrived) {
+		return a.Arrived.Before(b.Arrived)
+	}
+	return a.ID < b.ID
+}
+
+func (q *queue) len() int { return len(q.waiting) }
+
+// position returns the number of requests that would start before r.
+func (q *queue) position(r *Request) int {
+	at, _ := slices.BinarySearchFunc(q.waiting, r, func(have Request, want *Request) int {
+		if before(&have, want) {
+			return -1
+		}
+		return 1
+	})
+	return at
+}
+
+func (q *queue) push(r Request) {
+	q.waiting = slices.Insert(q.waiting, q.position(&r), r)
+	if r.Movable {
+		q.movable++
+	}
+}
+
+func (q *queue) removeAt(i int) Request {
+	r := q.waiting[i]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	if r.Movable {
+		q.movable--
+	}
+	return r
+}
+
+// remove takes out the request with the ID and tells whether it was there.
+func (q *queue) remove(id ID) bool {
+	i := slices.IndexFunc(q.waiting, func(r Request) bool { return r.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.removeAt(i)
+	return true
+}
+
+// firstMovable returns the index of the first request that may move, or -1.
+func (q *queue) firstMovable() int {
+	if q.movable == 0 {
+		return -1
+	}
+	return slices.IndexFunc(q.waiting, func(r Request) bool { return r.Movable })
+}
+
+// expired takes out all requests whose deadline is at or before now.
+func (q *queue) expired(now time.Time) []Request {
+	var out []Request
+	for i := 0; i < len(q.waiting); {
+		if q.waiting[i].Deadline.After(now) {
+			i++
+			continue
+		}
+		out = append(out, q.removeAt(i))
+	}
+	return out
+}
+
+// nextDeadline returns the earliest deadline of a waiting request.
+func (q *queue) nextDeadline() (at time.Time, ok bool) {
+	for i := range q.waiting {
+		if d := q.waiting[i].Deadline; !ok || d.Before(at) {
+			at, ok = d, true
+		}
+	}
+	return at, ok
+}
--- /dev/null
+++ b/internal/request/fake_test.go
@@ -0,0 +1,265 @@
+package request_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/rpc"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/internal/upstream"
+)
+
+func TestRequest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "request")
+}
+
+const patience = 10 * time.Second
+
+// exams is a service with all kinds of classes.
+func exams(limits config.Limits) config.Service {
+	return config.Service{Name: "exams", Limits: limits, Classes: []config.Class{
+		{Name: "lookup", Methods: []string{"GET"}, Path: "/runners/*", Kind: config.KindRequest, Idempotent: true, Deadline: patience},
+		{Name: "report", Methods: []string{"GET"}, Path: "/reports/*", Kind: config.KindRequest, Priority: 5, Idempotent: true, Deadline: patience},
+		{Name: "answer", Methods: []string{"POST"}, Path: "/answers", Kind: config.KindRequest, Priority: 1, Deadline: patience},
+		{Name: "photo", Methods: []string{"PUT"}, Path: "/photos/*", Kind: config.KindUpload, Priority: 2, Deadline: patience},
+		{Name: "feed", Methods: []string{"GET"}, Path: "/feed", Kind: config.KindFeed, Idempotent: true},
+	}}
+}
+
+// source is a control.Source that tests change.
+type source struct {
+	mu       sync.Mutex
+	snapshot *control.Snapshot
+	changed  chan struct{}
+}
+
+func newSource(s config.Service) *source {
+	return &source{
+		snapshot: &control.Snapshot{Config: &config.Config{Services: []config.Service{s}}},
+		changed:  make(chan struct{}),
+	}
+}
+
+func (s *source) Snapshot() *control.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *source) setAgents(agents []member.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.snapshot
+	next.Agents = agents
+	s.snapshot = &next
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// runner is an upstream that holds each request until the test lets it go.
+type runner struct {
+	began  chan *http.Request
+	answer chan reply
+	mu     sync.Mutex
+	log    []string
+}
+
+type reply struct {
+	status int
+	body   io.Reader
+	err    error
+}
+
+func newRunner() *runner {
+	return &runner{began: make(chan *http.Request, 100), answer: make(chan reply, 100)}
+}
+
+func (r *runner) Run(ctx context.Context, q *http.Request, _ config.Class) (*http.Response, error) {
+	r.mu.Lock()
+	r.log = append(r.log, q.URL.Path)
+	r.mu.Unlock()
+	if q.Body != nil {
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return nil, &upstream.Error{Outcome: upstream.ErrMayHaveRun, Cause: err}
+		}
+	}
+	r.began <- q
+	select {
+	case a := <-r.answer:
+		if a.err != nil {
+			return nil, a.err
+		}
+		return &http.Response{StatusCode: a.status, Header: http.Header{}, Body: io.NopCloser(a.body)}, nil
+	case <-ctx.Done():
+		return nil, &upstream.Error{Outcome: upstream.ErrMayHaveRun, Cause: ctx.Err()}
+	}
+}
+
+func (r *runner) ran() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string{}, r.log...)
+}
+
+func text(body string) reply { return reply{status: http.StatusOK, body: strings.NewReader(body)} }
+
+func notSent() reply {
+	return reply{err: &upstream.Error{Outcome: upstream.ErrNotSent, Cause: errors.New("refused")}}
+}
+
+func mayHaveRun() reply {
+	return reply{err: &upstream.Error{Outcome: upstream.ErrMayHaveRun, Cause: errors.New("reset")}}
+}
+
+// tickets is a home that knows one state per ticket.
+type tickets struct {
+	mu       sync.Mutex
+	decision request.Decision
+	finished []*request.Answer
+	voided   int
+}
+
+func (t *tickets) Issue() string { return "fresh" }
+
+func (t *tickets) Begin(string, time.Time, time.Time) request.Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.decision
+}
+
+func (t *tickets) Finish(_ request.TicketID, _ time.Time, a *request.Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.finished = append(t.finished, a)
+}
+
+func (t *tickets) Void(request.TicketID, time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.voided++
+	return true
+}
+
+func (t *tickets) Pass(context.Context, netip.AddrPort, string, *request.Call) (*request.Answer, error) {
+	return nil, errors.New("no home")
+}
+
+// wires is a peer network in memory, on net/rpc.
+type wires struct {
+	mu      sync.Mutex
+	servers map[netip.AddrPort]*rpc.Server
+	clients map[netip.AddrPort]*rpc.Client
+	cut     map[netip.AddrPort]bool
+}
+
+func newWires() *wires {
+	return &wires{
+		servers: map[netip.AddrPort]*rpc.Server{},
+		clients: map[netip.AddrPort]*rpc.Client{},
+		cut:     map[netip.AddrPort]bool{},
+	}
+}
+
+// registry registers receivers at one address.
+type registry struct{ server *rpc.Server }
+
+func (r registry) Register(name string, receiver any) error {
+	return r.server.RegisterName(name, receiver)
+}
+
+func (w *wires) at(addr netip.AddrPort) registry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	server := rpc.NewServer()
+	here, there := net.Pipe()
+	go server.ServeConn(there)
+	w.servers[addr] = server
+	w.clients[addr] = rpc.NewClient(here)
+	return registry{server}
+}
+
+func (w *wires) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
+	w.mu.Lock()
+	client, cut := w.clients[addr], w.cut[addr]
+	w.mu.Unlock()
+	if client == nil || cut {
+		return errors.New("unreachable")
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return call.Error
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// agent is a handler with its stand-ins.
+type agent struct {
+	handler  *request.Handler
+	source   *source
+	upstream *runner
+	tickets  *tickets
+}
+
+func address(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+}
+
+func startAgent(ctx context.Context, port uint16, limits config.Limits, net *wires) *agent {
+	a := &agent{source: newSource(exams(limits)), upstream: newRunner(), tickets: &tickets{}}
+	o := request.Options{
+		Service: "exams", Self: address(port), Source: a.source, Upstream: a.upstream, Tickets: a.tickets,
+		Logger: slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
+	}
+	if net != nil {
+		o.Caller, o.Registry = net, net.at(o.Self)
+	}
+	h, err := request.NewHandler(ctx, o)
+	Expect(err).NotTo(HaveOccurred())
+	a.handler = h
+	return a
+}
+
+// send serves a request in the background.
+func (a *agent) send(ctx context.Context, method, path, body, ticket string) <-chan *httptest.ResponseRecorder {
+	out := make(chan *httptest.ResponseRecorder, 1)
+	r := httptest.NewRequest(method, path, strings.NewReader(body)).WithContext(ctx)
+	if ticket != "" {
+		r.Header.Set(request.HeaderTicket, ticket)
+	}
+	go func() {
+		w := httptest.NewRecorder()
+		defer func() {
+			if recover() != nil {
+				w.Code = 0 // the stream was aborted
+			}
+			out <- w
+		}()
+		a.handler.ServeHTTP(w, r)
+	}()
+	return out
+}
--- /dev/null
+++ b/internal/request/follow.go
@@ -0,0 +1,56 @@
+package request
+
+import (
+	"context"
+
+	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/member"
+)
+
+// Limits that hold until there is a configuration.
+const (
+	defaultSlots = 1
+	defaultQueue = 16
+	defaultFeeds = 100
+)
+
+// follow tells the engine of changes of configuration and siblings.
+func (h *Handler) follow(ctx context.Context) {
+	for {
+		changed := h.o.Source.Changed()
+		siblings := h.siblings()
+		h.links.siblings.Store(&siblings)
+		h.engine.post(surroundings{limits: h.limits(), siblings: siblings})
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// limits returns the limits in force for the own upstream.
+func (h *Handler) limits() dispatch.Limits {
+	service := h.service()
+	if service == nil {
+		return dispatch.Limits{Slots: defaultSlots, Queue: defaultQueue, Feeds: defaultFeeds}
+	}
+	l := service.Limits
+	feeds := max(l.Connections-l.Slots, 0) // each slot keeps a connection of its own
+	return dispatch.Limits{Slots: l.Slots, Queue: l.Queue, Feeds: feeds}
+}
+
+// siblings returns the other ready agents of the service.
+func (h *Handler) siblings() []dispatch.Sibling {
+	snapshot := h.o.Source.Snapshot()
+	if snapshot == nil || h.o.Caller == nil {
+		return nil
+	}
+	var out []dispatch.Sibling
+	for _, m := range snapshot.Agents {
+		if m.Service == h.o.Service && m.State == member.StateReady && m.Control != h.o.Self {
+			out = append(out, m.Control)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/request/handler.go
@@ -0,0 +1,222 @@
+package request
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/retry"
+	"github.com/saltbend/saltbend/internal/upstream"
+)
+
+const (
+	// defaultDeadline holds for classes without one.
+	defaultDeadline = 30 * time.Second
+	// defaultBodyBytes holds for services without a limit.
+	defaultBodyBytes = 64 << 10
+)
+
+// Options are what a Handler works with.
+type Options struct {
+	// Service is the name of the service that the agent serves.
+	Service string
+	// Self is the control address of this agent.
+	Self     netip.AddrPort
+	Source   control.Source
+	Upstream upstream.Runner
+	// Caller and Registry connect siblings; both may be nil for an agent that
+	// works alone.
+	Caller   peer.Caller
+	Registry peer.Registry
+	// Tickets keeps non-idempotent requests to one run; without it they are
+	// answered "not run".
+	Tickets Tickets
+	Events  *event.Ring
+	Logger  *slog.Logger
+}
+
+// Handler serves the callers' requests of one agent.
+type Handler struct {
+	o       Options
+	log     *slog.Logger
+	engine  *engine
+	links   *links
+	metrics *counters
+
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// NewHandler returns a handler that serves until ctx ends.
+func NewHandler(ctx context.Context, o Options) (*Handler, error) {
+	h := &Handler{
+		o:       o,
+		log:     logging.Part(o.Logger, "request"),
+		metrics: newCounters(),
+		budget:  retry.NewBudget(retry.DefaultPolicy()),
+	}
+	h.links = newLinks(ctx, o, h.log)
+	h.engine = newEngine(h.limits(), h.links, h.log)
+	h.links.engine = h.engine
+	if o.Registry != nil {
+		if err := o.Registry.Register(siblingService, &Sibling{handler: h}); err != nil {
+			return nil, errors.Wrap(err, "request: register")
+		}
+	}
+	go h.engine.run(ctx)
+	go h.follow(ctx)
+	return h, nil
+}
+
+// Drain ends the intake of new requests and feeds; admitted work runs on.
+func (h *Handler) Drain() { h.engine.post(draining{}) }
+
+// Load returns what the agent has in hand.
+func (h *Handler) Load() dispatch.Load { return *h.engine.load.Load() }
+
+// ServeHTTP answers one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	class, ok := h.classify(r)
+	if !ok {
+		h.write(w, "", NotRun(http.StatusNotFound, "no-class", 0))
+		return
+	}
+	if class.Kind == config.KindFeed {
+		h.serveFeed(w, r, class)
+		return
+	}
+	j, err := h.newJob(w, r, class, arrived)
+	if err != nil {
+		h.write(w, class.Name, NotRun(http.StatusBadRequest, "body", 0))
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	e := h.serveJob(ctx, r, j)
+	h.finish(w, class.Name, e)
+}
+
+func (h *Handler) serveJob(ctx context.Context, r *http.Request, j *job) end {
+	if j.class.Idempotent {
+		return h.runIdempotent(ctx, j)
+	}
+	return h.runTicketed(ctx, r.Header.Get(HeaderTicket), j)
+}
+
+// service returns the agent's service in the configuration in force.
+func (h *Handler) service() *config.Service {
+	snapshot := h.o.Source.Snapshot()
+	if snapshot == nil || snapshot.Config == nil {
+		return nil
+	}
+	for i := range snapshot.Config.Services {
+		if snapshot.Config.Services[i].Name == h.o.Service {
+			return &snapshot.Config.Services[i]
+		}
+	}
+	return nil
+}
+
+func (h *Handler) classify(r *http.Request) (config.Class, bool) {
+	service := h.service()
+	if service == nil {
+		return config.Class{}, false
+	}
+	return service.Class(r.Method, r.URL.Path)
+}
+
+func (h *Handler) bodyBytes() int {
+	if service := h.service(); service != nil && service.Limits.BodyBytes > 0 {
+		return service.Limits.BodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// newJob reads what the scheduler needs of a request. A short body is read
+// before a slot is taken, so that a slow caller holds none.
+func (h *Handler) newJob(w http.ResponseWriter, r *http.Request, class config.Class, arrived time.Time) (*job, error) {
+	deadline := class.Deadline
+	if deadline <= 0 {
+		deadline = defaultDeadline
+	}
+	j := &job{
+		id:       h.engine.nextID(),
+		class:    class,
+		arrived:  arrived,
+		deadline: arrived.Add(deadline),
+		next:     make(chan dispatch.Action, 1),
+		call: &Call{
+			Service: h.o.Service,
+			Method:  r.Method,
+			URI:     r.URL.RequestURI(),
+			Header:  endToEnd(r.Header),
+		},
+	}
+	j.stream = func(head *Answer, rest io.Reader) error { return h.stream(w, head, rest) }
+	if r.Body == nil || r.Body == http.NoBody {
+		return j, nil
+	}
+	if class.Kind == config.KindUpload {
+		j.body = r.Body
+		return j, nil
+	}
+	head, more, err := readBounded(r.Body, h.bodyBytes())
+	if err != nil {
+		return nil, err
+	}
+	j.call.Body = head
+	if more {
+		j.body = r.Body
+	}
+	return j, nil
+}
+
+// finish gives the caller the one outcome of the request.
+func (h *Handler) finish(w http.ResponseWriter, class string, e end) {
+	if !e.streamed {
+		h.write(w, class, e.answer)
+		return
+	}
+	if e.cut {
+		h.metrics.ended(class, OutcomeUnknown)
+		panic(http.ErrAbortHandler) // the caller must not take the part for the whole
+	}
+	h.metrics.ended(class, OutcomeComplete)
+}
+
+func (h *Handler) write(w http.ResponseWriter, class string, a *Answer) {
+	h.metrics.ended(class, a.Outcome)
+	writeHead(w, a, h.freshTicket())
+	if _, err := w.Write(a.Body); err != nil {
+		h.log.Debug("Caller left before its answer.", "error", err)
+	}
+}
+
+func (h *Handler) freshTicket() string {
+	if h.o.Tickets == nil {
+		return ""
+	}
+	return h.o.Tickets.Issue()
+}
+
+// stream passes a long answer on as it comes.
+func (h *Handler) stream(w http.ResponseWriter, head *Answer, rest io.Reader) error {
+	writeHead(w, head, h.freshTicket())
+	if _, err := w.Write(head.Body); err != nil {
+		return errors.Wrap(err, "request: write")
+	}
+	return copyFlushing(w, rest)
+}
--- /dev/null
+++ b/internal/request/run.go
@@ -0,0 +1,247 @@
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/retry"
+	"github.com/saltbend/saltbend/internal/upstream"
+)
+
+// copyBufferSize is the size of a piece of a streamed answer.
+const copyBufferSize = 16 << 10
+
+// errLongAnswer tells that an answer doesn't fit memory and can't be streamed.
+var errLongAnswer = errors.New("request: answer too long to pass on")
+
+// errTransient tells of an answer that speaks of the upstream's state rather
+// than of the request.
+var errTransient = errors.New("request: upstream is unavailable")
+
+// reasonStopped is the end of a request at a process that stops.
+const reasonStopped dispatch.Reason = "stopped"
+
+// runIdempotent runs a job, here or at a sibling, until it succeeds or no
+// retry is allowed.
+func (h *Handler) runIdempotent(ctx context.Context, j *job) end {
+	h.countRequest()
+	for elsewhere := false; ; elsewhere = true {
+		request := j.scheduled()
+		request.Elsewhere = elsewhere
+		e, err := h.runOnce(ctx, j, request)
+		if err == nil {
+			return e
+		}
+		if ctx.Err() != nil || !h.allowRetry(j) {
+			return h.failed(j, err)
+		}
+		h.metrics.retried(j.class.Name)
+	}
+}
+
+// runOnce submits the job and follows the scheduler's word. An error is a
+// failed run.
+func (h *Handler) runOnce(ctx context.Context, j *job, request dispatch.Request) (end, error) {
+	if !h.engine.post(arrival{job: j, request: request}) {
+		return j.refusedEnd(dispatch.Refuse{ID: j.id, Reason: reasonStopped}), nil
+	}
+	for {
+		switch a := h.await(ctx, j).(type) {
+		case dispatch.Start:
+			return h.runHere(ctx, j)
+		case dispatch.Refuse:
+			return j.refusedEnd(a), nil
+		case dispatch.Push:
+			e, taken, err := h.runThere(ctx, j, a)
+			if taken {
+				return e, err
+			}
+		}
+	}
+}
+
+// refusedEnd is the end of a job that the scheduler gave up: not run, unless
+// an earlier attempt may have.
+func (j *job) refusedEnd(r dispatch.Refuse) end {
+	if j.fallback != nil {
+		return end{answer: j.fallback}
+	}
+	if j.mayHaveRun {
+		return end{answer: Unknown(string(r.Reason))}
+	}
+	return end{answer: refused(r)}
+}
+
+// failed is the end of a job whose last run failed.
+func (h *Handler) failed(j *job, err error) end {
+	if j.fallback != nil {
+		return end{answer: j.fallback}
+	}
+	if j.mayHaveRun {
+		return end{answer: Unknown(failureReason(err))}
+	}
+	return end{answer: NotRun(http.StatusServiceUnavailable, failureReason(err), time.Second)}
+}
+
+func failureReason(err error) string {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	case errors.Is(err, context.Canceled):
+		return "cancelled"
+	case errors.Is(err, upstream.ErrNotSent):
+		return "upstream-unreachable"
+	default:
+		return "upstream-failed"
+	}
+}
+
+// await returns the scheduler's next word on the job. When ctx ends first, the
+// job is taken out of the queue; if it wasn't there, the word is on its way.
+func (h *Handler) await(ctx context.Context, j *job) dispatch.Action {
+	select {
+	case a := <-j.next:
+		return a
+	case <-ctx.Done():
+	case <-h.engine.done:
+		return dispatch.Refuse{ID: j.id, Reason: reasonStopped}
+	}
+	if h.removeQueued(j) {
+		return dispatch.Refuse{ID: j.id, Reason: dispatch.ReasonExpired}
+	}
+	select {
+	case a := <-j.next:
+		return a
+	case <-h.engine.done:
+		return dispatch.Refuse{ID: j.id, Reason: reasonStopped}
+	}
+}
+
+func (h *Handler) removeQueued(j *job) bool {
+	reply := make(chan bool, 1)
+	if !h.engine.post(removal{id: j.id, reply: reply}) {
+		return false
+	}
+	select {
+	case wasQueued := <-reply:
+		return wasQueued
+	case <-h.engine.done:
+		return false
+	}
+}
+
+// runHere runs a started job on the own upstream and frees its slot when the
+// answer is whole.
+func (h *Handler) runHere(ctx context.Context, j *job) (end, error) {
+	began := time.Now()
+	h.metrics.waited(j.class.Name, began.Sub(j.arrived))
+	e, err := h.exchange(ctx, j)
+	service := time.Since(began)
+	whole := err == nil && !e.cut
+	h.engine.post(ended{id: j.id, service: service, whole: whole})
+	return e, err
+}
+
+// exchange is one run on the own upstream.
+func (h *Handler) exchange(ctx context.Context, j *job) (end, error) {
+	if err := ctx.Err(); err != nil {
+		return end{}, errors.Wrap(err, "request: before the run")
+	}
+	r, err := j.upstreamRequest(ctx)
+	if err != nil {
+		return end{}, err
+	}
+	j.attempts++
+	response, err := h.o.Upstream.Run(ctx, r, j.class)
+	if err != nil {
+		j.mayHaveRun = j.mayHaveRun || !errors.Is(err, upstream.ErrNotSent)
+		return end{}, errors.Wrap(err, "request: run")
+	}
+	defer response.Body.Close()
+	return h.receive(j, response)
+}
+
+// receive takes the answer of the upstream into memory, or streams it where it
+// is too long for that.
+func (h *Handler) receive(j *job, response *http.Response) (end, error) {
+	limit := h.bodyBytes()
+	body, more, err := readBounded(response.Body, limit)
+	if err != nil {
+		j.mayHaveRun = true
+		return end{}, errors.Wrap(err, "request: read answer")
+	}
+	answer := &Answer{
+		Outcome: OutcomeComplete,
+		Status:  response.StatusCode,
+		Header:  endToEnd(response.Header),
+		Body:    body,
+	}
+	if j.class.Idempotent && !more && transient(answer.Status) {
+		j.fallback = answer
+		return end{}, errTransient
+	}
+	if !more {
+		return end{answer: answer}, nil
+	}
+	if j.stream == nil {
+		j.mayHaveRun = true
+		return end{}, errLongAnswer
+	}
+	err = j.stream(answer, response.Body)
+	return end{streamed: true, cut: err != nil}, nil
+}
+
+// transient reports whether a status speaks of the upstream's state.
+func transient(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *Handler) countRequest() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.Request()
+}
+
+func (h *Handler) allowRetry(j *job) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.budget.Allow(retry.Failure{
+		Idempotent: j.class.Idempotent,
+		Attempts:   j.attempts,
+		Left:       time.Until(j.deadline),
+	})
+}
+
+// copyFlushing copies and flushes each piece, so that nothing waits in a
+// buffer for more.
+func copyFlushing(w http.ResponseWriter, r io.Reader) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, copyBufferSize)
+	for {
+		n, err := r.Read(buffer)
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return errors.Wrap(werr, "request: write")
+			}
+			if ferr := controller.Flush(); ferr != nil {
+				return errors.Wrap(ferr, "request: flush")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "request: read")
+		}
+	}
+}
