Serve HTTP/3 callers beside an upstream

Cause: the agent role did nothing. It now takes encapsulated datagrams on its data socket, ends QUIC and HTTP/3 with flow tokens as connection IDs, and passes requests to its upstream over HTTP/1.1, feeds piece by piece.

The return path follows the balancer that last carried a flow; a silent flow turns over the usable balancers every 20 ms, and a balancer that leaves probes unanswered for 200 ms is suspected. Probes are bounded to 10 per second and agent, because at fleet size every agent uses every balancer of its data centre. That a balancer carries datagrams to the agent proves nothing of the way back, so only an answered probe lifts a suspicion.

Requests that must not run twice get a connection of their own: net/http sends some requests again by itself, but never after a fresh connection failed. Ruled out: the library's connection ID parser, which this version does not export; five lines read the fields that no QUIC version changes.

Seen: 20 lookups, a feed of 20 events and a 3 MB upload pass through three balancers that take each datagram in turn, also under the race detector.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,196 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/settings"
+)
+
+// patience bounds each wait; nothing is meant to take as long.
+const patience = 20 * time.Second
+
+// certificatePEM returns a fresh self-signed certificate and its key.
+func certificatePEM(t testing.TB) (cert, key []byte) {
+	g := NewWithT(t)
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	g.Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		DNSNames:     []string{testService},
+		NotAfter:     time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	g.Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(private)
+	g.Expect(err).NotTo(HaveOccurred())
+	cert = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	key = pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER})
+	return cert, key
+}
+
+// process is an agent role that runs inside the test.
+type process struct {
+	addresses settings.Addresses
+	stop      context.CancelFunc
+	ended     chan error
+}
+
+// startAgent runs the role until the test ends.
+func startAgent(t testing.TB, upstreamURL string, change func(*Settings)) *process {
+	g := NewWithT(t)
+	cert, key := certificatePEM(t)
+	s := Settings{
+		Common: settings.Common{
+			Control: "127.0.0.1:0", Data: "127.0.0.1:0", Ops: "127.0.0.1:0", DataCentre: "north",
+			Secrets: "1:000102030405060708090a0b0c0d0e0f", LogFormat: "text", LogLevel: "info",
+		},
+		Service: testService, Upstream: upstreamURL, Slots: 5, DrainTimeout: patience,
+		TLSCertPEM: settings.Secret(cert), TLSKeyPEM: settings.Secret(key),
+	}
+	if change != nil {
+		change(&s)
+	}
+	g.Expect(s.Check()).To(BeEmpty())
+	ready := make(chan settings.Addresses, 1)
+	env := settings.Env{
+		Logger: slog.New(slog.DiscardHandler),
+		Events: event.NewRing(event.DefaultRingSize, time.Now),
+		Keys:   settings.NewKeys(testRing(t)),
+		Ready:  func(a settings.Addresses) { ready <- a },
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{stop: stop, ended: make(chan error, 1)}
+	go func() { p.ended <- Run(ctx, s, env) }()
+	t.Cleanup(stop)
+	g.Eventually(ready).WithTimeout(patience).Should(Receive(&p.addresses))
+	return p
+}
+
+// newCaller returns an HTTP/3 client that reaches every name at the face.
+func newCaller(t testing.TB, face netip.AddrPort) *http.Client {
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{InsecureSkipVerify: true, ServerName: testService},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: time.Minute, KeepAlivePeriod: 15 * time.Second},
+		Dial: func(ctx context.Context, _ string, t *tls.Config, c *quic.Config) (*quic.Conn, error) {
+			return quic.DialAddrEarly(ctx, face.String(), t, c)
+		},
+	}
+	t.Cleanup(func() { _ = transport.Close() })
+	return &http.Client{Transport: transport}
+}
+
+// feedHandler is an upstream: lookups, uploads that are counted, and a feed
+// whose events the test sends.
+func feedHandler(events <-chan string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runner/{id}", func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "runner "+r.PathValue("id"))
+	})
+	mux.HandleFunc("POST /photo", func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n, err)
+	})
+	mux.HandleFunc("GET /feed", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		_ = control.Flush()
+		for {
+			select {
+			case <-r.Context().Done():
+				return
+			case e, ok := <-events:
+				if !ok {
+					return
+				}
+				fmt.Fprintf(w, "data: %s\n\n", e)
+				_ = control.Flush()
+			}
+		}
+	})
+	return mux
+}
+
+func get(g Gomega, c *http.Client, url string) string {
+	resp, err := c.Get(url)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK), string(body))
+	return string(body)
+}
+
+// openFeed opens the feed; what it brings comes through the channel, which is
+// closed when the feed ends.
+func openFeed(g Gomega, c *http.Client) <-chan string {
+	resp, err := c.Get("https://results/feed")
+	g.Expect(err).NotTo(HaveOccurred())
+	out := make(chan string, 100)
+	go func() {
+		defer close(out)
+		defer resp.Body.Close()
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() {
+			if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+				out <- data
+			}
+		}
+	}()
+	return out
+}
+
+func TestRequestsFeedsAndUploadsThroughSprayingBalancers(t *testing.T) {
+	g := NewWithT(t)
+	events := make(chan string)
+	up := httptest.NewServer(feedHandler(events))
+	t.Cleanup(up.Close)
+	f := newFabric(t, 3)
+	f.setNewFlow(startAgent(t, up.URL, nil).addresses.Data)
+	caller := newCaller(t, addrOf(f.face))
+
+	feed := openFeed(g, caller)
+	for i := range 20 {
+		g.Expect(get(g, caller, fmt.Sprintf("https://results/runner/%d", i))).To(Equal(fmt.Sprintf("runner %d", i)))
+		events <- fmt.Sprint(i)
+		g.Eventually(feed).WithTimeout(patience).Should(Receive(Equal(fmt.Sprint(i))))
+	}
+	const size = 3 << 20
+	resp, err := caller.Post("https://results/photo", "image/jpeg", io.LimitReader(zeros{}, size))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal(fmt.Sprint(size, nil)))
+	for _, b := range f.balancers {
+		g.Expect(b.replies.Load()).To(BeNumerically(">", 0))
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/agent/server.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// maxHeaderBytes bounds the headers of a caller's request.
+const maxHeaderBytes = 32 << 10
+
+// goAwayGrace is how long callers without a request may take to leave by
+// themselves after they were told to.
+const goAwayGrace = time.Second
+
+// server serves HTTP/3 on one QUIC transport.
+type server struct {
+	transport *quic.Transport
+	listener  *quic.EarlyListener
+	http      *http3.Server
+	running   running
+	done      chan error
+}
+
+// newServer listens on the transport and serves handler.
+func newServer(transport *quic.Transport, cert tls.Certificate, handler http.Handler, log *slog.Logger) (*server, error) {
+	s := &server{transport: transport, done: make(chan error, 1)}
+	listener, err := transport.ListenEarly(tlsConfig(cert), quicConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for QUIC")
+	}
+	s.listener = listener
+	s.http = &http3.Server{
+		Handler:        s.running.count(handler),
+		MaxHeaderBytes: maxHeaderBytes,
+		Logger:         log,
+	}
+	go func() { s.done <- s.http.ServeListener(listener) }()
+	return s, nil
+}
+
+// shutdown tells all callers to leave, lets running requests end until ctx
+// does, and closes what is left then. The last packets of an answer get time to
+// arrive before its connection is closed.
+func (s *server) shutdown(ctx context.Context) {
+	graceful, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		s.running.wait(graceful)
+		wait(graceful, goAwayGrace)
+	}()
+	// The error only says that some connections were still open.
+	_ = s.http.Shutdown(graceful)
+}
+
+// close ends everything at once.
+func (s *server) close() {
+	_ = s.http.Close()
+	_ = s.listener.Close()
+	_ = s.transport.Close()
+}
+
+// wait waits for d or the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// running counts the requests in progress, feeds included.
+type running struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{} // closed when n falls to 0; nil when nobody waits
+}
+
+// count wraps a handler.
+func (r *running) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.add(1)
+		defer r.add(-1)
+		next.ServeHTTP(w, req)
+	})
+}
+
+func (r *running) add(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n += n
+	if r.n == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+// number returns how many requests are in progress.
+func (r *running) number() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.n
+}
+
+// wait returns when no request is in progress or ctx ends.
+func (r *running) wait(ctx context.Context) {
+	r.mu.Lock()
+	if r.n == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-idle:
+	}
+}
--- /dev/null
+++ b/internal/flow/conn.go
@@ -0,0 +1,219 @@
+package flow
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/ipv4"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/token"
+)
+
+// socketBuffer is the size of the kernel's buffers per direction in bytes:
+// about 20 ms of datagrams at a gigabit per second.
+const socketBuffer = 2 << 20
+
+// expireEvery is how often old flows are looked for.
+const expireEvery = 10 * time.Second
+
+// Options of Listen.
+type Options struct {
+	// Data is the address to bind, IPv4; port 0 lets the kernel choose.
+	Data    netip.AddrPort
+	Service config.Tag
+	Ring    *keyring.Ring
+	// Hand may place new flows at siblings; nil keeps all.
+	Hand HandFunc
+}
+
+// Conn is the agent's data socket as the net.PacketConn of a QUIC transport.
+// One goroutine may read at a time; any number may write.
+type Conn struct {
+	socket  *net.UDPConn
+	service config.Tag
+	hand    HandFunc
+	writer  *writer
+	once    sync.Once
+
+	// The reading goroutine owns these.
+	batch    *ipv4.PacketConn
+	messages []ipv4.Message
+	next     int
+	count    int
+	codec    *encap.Codec
+	tokens   *token.Codec
+	placed   *hands
+
+	// keys are codecs of a rotated ring that the reader has not yet taken up.
+	keys atomic.Pointer[keys]
+	// revision is the configuration revision in force here.
+	revision atomic.Uint64
+
+	mu    sync.Mutex
+	paths *Paths
+}
+
+type keys struct {
+	codec  *encap.Codec
+	tokens *token.Codec
+}
+
+var _ net.PacketConn = (*Conn)(nil)
+
+// Listen binds the data socket and starts to send and to probe.
+func Listen(o Options) (*Conn, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Data))
+	if err != nil {
+		return nil, errors.Wrap(err, "flow: bind the data address")
+	}
+	// The kernel may grant less; that costs throughput, not correctness.
+	_ = socket.SetReadBuffer(socketBuffer)
+	_ = socket.SetWriteBuffer(socketBuffer)
+	codec := encap.NewCodec(o.Ring)
+	c := &Conn{
+		socket:   socket,
+		service:  o.Service,
+		hand:     o.Hand,
+		batch:    ipv4.NewPacketConn(socket),
+		messages: newMessages(),
+		codec:    codec,
+		tokens:   token.NewCodec(o.Ring),
+		placed:   newHands(),
+		paths:    NewPaths(uint64(time.Now().UnixNano())),
+	}
+	for i := range c.messages {
+		c.messages[i].Buffers[0] = make([]byte, encap.MaxDatagram)
+	}
+	c.writer = newWriter(c.batch, codec.Clone())
+	go c.writer.run()
+	go c.probe()
+	return c, nil
+}
+
+// Addr returns the bound data address.
+func (c *Conn) Addr() netip.AddrPort {
+	return c.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// SetKeys puts a rotated ring in force.
+func (c *Conn) SetKeys(ring *keyring.Ring) {
+	codec := encap.NewCodec(ring)
+	c.keys.Store(&keys{codec: codec, tokens: token.NewCodec(ring)})
+	c.writer.codec.Store(codec.Clone())
+}
+
+// SetLive names the balancers that the fleet knows to live.
+func (c *Conn) SetLive(balancers []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths.SetLive(time.Now(), balancers)
+}
+
+// SetRevision sets the configuration revision that headers carry.
+func (c *Conn) SetRevision(revision uint64) {
+	c.revision.Store(revision)
+}
+
+// Flows returns the number of remembered flows.
+func (c *Conn) Flows() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.Flows()
+}
+
+// Suspects returns the number of balancers that don't answer.
+func (c *Conn) Suspects() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paths.Suspects()
+}
+
+// WriteTo implements net.PacketConn: it sends a reply to a caller, given by an
+// address that ReadFrom returned. It does not wait for the socket.
+func (c *Conn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	f, ok := addr.(*Flow)
+	if !ok {
+		return 0, errors.Errorf("flow: %v is not the address of a caller", addr)
+	}
+	c.mu.Lock()
+	via := c.paths.Choose(time.Now(), f)
+	c.mu.Unlock()
+	h := encap.Header{
+		Kind:     encap.KindReply,
+		Caller:   f.Caller,
+		Face:     f.Face,
+		Service:  c.service,
+		Revision: c.revision.Load(),
+		Balancer: via,
+	}
+	c.writer.send(h, p, via)
+	sent.Inc()
+	return len(p), nil
+}
+
+// LocalAddr implements net.PacketConn.
+func (c *Conn) LocalAddr() net.Addr { return c.socket.LocalAddr() }
+
+// SetDeadline implements net.PacketConn; writes never wait.
+func (c *Conn) SetDeadline(t time.Time) error { return c.socket.SetReadDeadline(t) }
+
+// SetReadDeadline implements net.PacketConn.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.socket.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.PacketConn; writes never wait.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// Close implements net.PacketConn. It sends what is queued first.
+func (c *Conn) Close() error {
+	c.once.Do(func() { close(c.writer.done) })
+	<-c.writer.ended
+	return c.socket.Close()
+}
+
+// probe asks balancers in use whether they answer, until Close.
+func (c *Conn) probe() {
+	ticker := time.NewTicker(TickEvery)
+	defer ticker.Stop()
+	expired := time.Now()
+	for {
+		select {
+		case <-c.writer.done:
+			return
+		case now := <-ticker.C:
+			if now.Sub(expired) >= expireEvery {
+				c.expire(now)
+				expired = now
+			}
+			c.tick(now)
+		}
+	}
+}
+
+func (c *Conn) expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths.Expire(now)
+}
+
+func (c *Conn) tick(now time.Time) {
+	c.mu.Lock()
+	due := c.paths.Tick(now)
+	c.mu.Unlock()
+	for _, p := range due {
+		h := encap.Header{
+			Kind:     encap.KindProbe,
+			Service:  c.service,
+			Revision: p.Nonce,
+			Balancer: p.Balancer,
+		}
+		c.writer.send(h, nil, p.Balancer)
+		probesSent.Inc()
+	}
+}
--- /dev/null
+++ b/internal/flow/metrics.go
@@ -0,0 +1,50 @@
+package flow
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/encap"
+)
+
+func dropped(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`saltbend_agent_datagrams_dropped_total{reason="` + reason + `"}`)
+}
+
+// Counters of datagrams; a dropped one is counted under one reason.
+var (
+	received       = metrics.GetOrCreateCounter(`saltbend_agent_datagrams_received_total`)
+	sent           = metrics.GetOrCreateCounter(`saltbend_agent_datagrams_sent_total`)
+	handedOn       = metrics.GetOrCreateCounter(`saltbend_agent_flows_handed_on_total`)
+	probesSent     = metrics.GetOrCreateCounter(`saltbend_agent_probes_sent_total`)
+	probesAnswered = metrics.GetOrCreateCounter(`saltbend_agent_probes_answered_total`)
+
+	droppedShort   = dropped("short")
+	droppedVersion = dropped("version")
+	droppedKind    = dropped("kind")
+	droppedKey     = dropped("key")
+	droppedForged  = dropped("forged")
+	droppedService = dropped("service")
+	droppedEmpty   = dropped("empty")
+	droppedFlows   = dropped("flows")
+	droppedTooLong = dropped("too_long")
+	droppedQueue   = dropped("queue")
+	droppedEncode  = dropped("encode")
+	droppedSend    = dropped("send")
+)
+
+// countDecode counts a datagram that the codec refused.
+func countDecode(err error) {
+	switch {
+	case errors.Is(err, encap.ErrShort):
+		droppedShort.Inc()
+	case errors.Is(err, encap.ErrVersion):
+		droppedVersion.Inc()
+	case errors.Is(err, encap.ErrKind):
+		droppedKind.Inc()
+	case errors.Is(err, encap.ErrKey):
+		droppedKey.Inc()
+	default:
+		droppedForged.Inc()
+	}
+}
--- /dev/null
+++ b/internal/flow/paths.go
@@ -0,0 +1,204 @@
+package flow
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Times and bounds of the return path.
+const (
+	// silentAfter is the time without a datagram of the caller after which a
+	// flow no longer relies on the balancer that carried its last one.
+	silentAfter = 250 * time.Millisecond
+	// rotateEvery is how long the packets of a silent flow go through one
+	// balancer: long enough for a burst to stay in order, shorter than QUIC's
+	// shortest probe timeout, so that each retransmission takes another way.
+	rotateEvery = 20 * time.Millisecond
+	// handshakeFor and establishedFor are how long a flow without a datagram
+	// of its caller is remembered; the second is longer than MaxIdleTimeout,
+	// after which QUIC has given up the connection.
+	handshakeFor   = 15 * time.Second
+	establishedFor = MaxIdleTimeout + 30*time.Second
+	// balancerFor is how long a balancer that the fleet's membership doesn't
+	// (or not yet) name is used after it last carried a datagram.
+	balancerFor = time.Second
+	// maxFlows bounds the remembered flows. New callers are refused at the
+	// bound, so that a flood cannot push out flows that are open.
+	maxFlows = 1 << 15
+)
+
+// Key identifies a flow's addresses: who sent and which public face took it.
+type Key struct {
+	Caller netip.AddrPort
+	Face   netip.AddrPort
+}
+
+// Flow is a caller at a face. It is the net.Addr that QUIC knows the caller
+// by, so that a reply finds its way without a look-up.
+type Flow struct {
+	Key
+	text        string
+	balancer    netip.AddrPort
+	heard       time.Time
+	established bool
+}
+
+// Network implements net.Addr.
+func (f *Flow) Network() string { return "udp" }
+
+// String implements net.Addr. It names caller and face: QUIC takes two
+// addresses for one path when their strings are equal.
+func (f *Flow) String() string { return f.text }
+
+// Paths decides through which balancer a reply returns. It is pure: time and
+// what was heard come in, decisions go out. It is not safe for concurrent use.
+type Paths struct {
+	flows     map[Key]*Flow
+	balancers map[netip.AddrPort]*balancer
+	live      []netip.AddrPort
+	usable    []netip.AddrPort
+	probes    probes
+}
+
+// NewPaths returns a Paths that knows no flow. The first nonce of a probe is
+// nonce+1; a start's nonces should not overlap those of an earlier one.
+func NewPaths(nonce uint64) *Paths {
+	return &Paths{
+		flows:     map[Key]*Flow{},
+		balancers: map[netip.AddrPort]*balancer{},
+		probes:    probes{nonce: nonce},
+	}
+}
+
+// Arrived records that a balancer carried a datagram of the caller. It returns
+// nil when the bound of flows is reached. established tells that the datagram
+// belongs to a connection whose handshake is over.
+func (p *Paths) Arrived(now time.Time, key Key, via netip.AddrPort, established bool) *Flow {
+	f := p.flows[key]
+	if f == nil {
+		if len(p.flows) >= maxFlows {
+			return nil
+		}
+		f = &Flow{Key: key, text: key.Caller.String() + " at " + key.Face.String()}
+		p.flows[key] = f
+	}
+	f.balancer = via
+	f.heard = now
+	f.established = f.established || established
+	p.heard(now, via)
+	return f
+}
+
+// heard notes that a balancer carried a datagram to here. That says nothing of
+// the way back, so it lifts no suspicion.
+func (p *Paths) heard(now time.Time, via netip.AddrPort) {
+	b := p.balancers[via]
+	if b == nil {
+		b = &balancer{addr: via}
+		p.balancers[via] = b
+		b.heard = now
+		p.rebuild(now)
+		return
+	}
+	was := b.usable(now)
+	b.heard = now
+	if !was && !b.suspect {
+		p.rebuild(now)
+	}
+}
+
+// SetLive names the balancers that the fleet's membership knows to live.
+func (p *Paths) SetLive(now time.Time, live []netip.AddrPort) {
+	p.live = slices.Clone(live)
+	for _, b := range p.balancers {
+		b.member = false
+	}
+	for _, addr := range p.live {
+		b := p.balancers[addr]
+		if b == nil {
+			b = &balancer{addr: addr}
+			p.balancers[addr] = b
+		}
+		b.member = true
+	}
+	p.rebuild(now)
+}
+
+// Choose returns the balancer through which a datagram to the flow's caller
+// goes now: the one that last carried the flow while the caller speaks and the
+// balancer is usable, else the usable ones in turn.
+func (p *Paths) Choose(now time.Time, f *Flow) netip.AddrPort {
+	last := p.balancers[f.balancer]
+	if now.Sub(f.heard) <= silentAfter && last != nil && last.usable(now) {
+		last.used = now
+		return last.addr
+	}
+	if len(p.usable) == 0 {
+		return f.balancer // nothing better is known
+	}
+	turn := uint64(now.UnixNano() / int64(rotateEvery))
+	turn += uint64(f.Caller.Port()) // spreads the flows over the balancers
+	chosen := p.balancers[p.usable[turn%uint64(len(p.usable))]]
+	chosen.used = now
+	return chosen.addr
+}
+
+// Tick expires what is old and returns the probes to send.
+func (p *Paths) Tick(now time.Time) []Probe {
+	for addr, b := range p.balancers {
+		if !b.member && now.Sub(b.heard) > balancerFor {
+			delete(p.balancers, addr)
+		}
+	}
+	out := p.probes.due(now, p.balancers)
+	p.rebuild(now)
+	return out
+}
+
+// Answered records a balancer's answer to a probe: both ways work.
+func (p *Paths) Answered(now time.Time, addr netip.AddrPort, nonce uint64) {
+	b := p.balancers[addr]
+	if b == nil || !b.answered(now, nonce) {
+		return
+	}
+	p.rebuild(now)
+}
+
+// Expire forgets flows whose callers have long been silent.
+func (p *Paths) Expire(now time.Time) {
+	for key, f := range p.flows {
+		limit := handshakeFor
+		if f.established {
+			limit = establishedFor
+		}
+		if now.Sub(f.heard) > limit {
+			delete(p.flows, key)
+		}
+	}
+}
+
+// Flows returns the number of remembered flows.
+func (p *Paths) Flows() int { return len(p.flows) }
+
+// Suspects returns the number of balancers that don't answer probes.
+func (p *Paths) Suspects() int {
+	n := 0
+	for _, b := range p.balancers {
+		if b.suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// rebuild makes the list of usable balancers, in the order of their addresses.
+func (p *Paths) rebuild(now time.Time) {
+	p.usable = p.usable[:0]
+	for addr, b := range p.balancers {
+		if b.usable(now) {
+			p.usable = append(p.usable, addr)
+		}
+	}
+	slices.SortFunc(p.usable, netip.AddrPort.Compare)
+}
--- /dev/null
+++ b/internal/flow/read.go
@@ -0,0 +1,123 @@
+package flow
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/encap"
+)
+
+// ReadFrom implements net.PacketConn: it returns the next datagram of a caller
+// and the caller's *Flow. Other datagrams are handled or dropped on the way.
+func (c *Conn) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		if c.next == c.count {
+			if err := c.readBatch(); err != nil {
+				return 0, nil, err
+			}
+		}
+		m := &c.messages[c.next]
+		c.next++
+		received.Inc()
+		payload, f := c.take(m.Buffers[0][:m.N])
+		if f != nil {
+			return copy(p, payload), f, nil
+		}
+	}
+}
+
+func (c *Conn) readBatch() error {
+	c.next, c.count = 0, 0
+	n, err := c.batch.ReadBatch(c.messages, 0)
+	if err != nil {
+		return err
+	}
+	c.count = n
+	if k := c.keys.Swap(nil); k != nil {
+		c.codec, c.tokens = k.codec, k.tokens
+	}
+	return nil
+}
+
+// take handles one datagram; the flow is nil when it is not for QUIC here.
+func (c *Conn) take(b []byte) ([]byte, *Flow) {
+	h, payload, err := c.codec.Decode(b)
+	if err != nil {
+		countDecode(err)
+		return nil, nil
+	}
+	if h.Service != c.service {
+		droppedService.Inc()
+		return nil, nil
+	}
+	now := time.Now()
+	switch h.Kind {
+	case encap.KindForward, encap.KindHandOn:
+		return c.takePayload(now, h, payload)
+	case encap.KindProbeReply:
+		c.answered(now, h)
+	default:
+		droppedKind.Inc()
+	}
+	return nil, nil
+}
+
+func (c *Conn) answered(now time.Time, h encap.Header) {
+	probesAnswered.Inc()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths.Answered(now, h.Balancer, h.Revision)
+}
+
+func (c *Conn) takePayload(now time.Time, h encap.Header, payload []byte) ([]byte, *Flow) {
+	if len(payload) == 0 {
+		droppedEmpty.Inc()
+		return nil, nil
+	}
+	if to := c.place(now, h, payload); to.IsValid() {
+		h.Kind = encap.KindHandOn
+		c.writer.send(h, payload, to)
+		return nil, nil
+	}
+	key := Key{Caller: h.Caller, Face: h.Face}
+	c.mu.Lock()
+	f := c.paths.Arrived(now, key, h.Balancer, !isLongHeader(payload))
+	c.mu.Unlock()
+	if f == nil {
+		droppedFlows.Inc()
+		return nil, nil
+	}
+	return payload, f
+}
+
+// place returns the sibling that takes a new flow, or the zero AddrPort when
+// the datagram is for here. What was handed on to here stays here.
+func (c *Conn) place(now time.Time, h encap.Header, payload []byte) netip.AddrPort {
+	if c.hand == nil {
+		return netip.AddrPort{}
+	}
+	dcid, ok := longHeaderDCID(payload)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	if _, err := c.tokens.Open(dcid, c.service); err == nil {
+		return netip.AddrPort{} // a token of ours: the flow is here already
+	}
+	key := makeDCIDKey(dcid)
+	if to, ok := c.placed.get(now, key); ok {
+		return to
+	}
+	if h.Kind == encap.KindHandOn || len(payload) < minInitialSize {
+		c.placed.put(now, key, netip.AddrPort{})
+		return netip.AddrPort{}
+	}
+	to, ok := c.hand(h, dcid)
+	if !ok || to == c.Addr() {
+		to = netip.AddrPort{}
+	} else {
+		handedOn.Inc()
+	}
+	c.placed.put(now, key, to)
+	return to
+}
--- /dev/null
+++ b/internal/flow/writer.go
@@ -0,0 +1,145 @@
+package flow
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/net/ipv4"
+
+	"github.com/saltbend/saltbend/internal/encap"
+)
+
+const (
+	// batchSize is the number of datagrams of one system call.
+	batchSize = 64
+	// sendQueue is the number of datagrams that wait for the socket; more are
+	// dropped, and QUIC sends their content again.
+	sendQueue = 1024
+)
+
+// datagram is one datagram to send. buf has room for the header, then the
+// payload.
+type datagram struct {
+	header encap.Header
+	to     netip.AddrPort
+	buf    *[encap.MaxDatagram]byte
+	n      int
+}
+
+// writer sends encapsulated datagrams in batches. Its one goroutine owns the
+// codec.
+type writer struct {
+	socket *ipv4.PacketConn
+	codec  atomic.Pointer[encap.Codec]
+	queue  chan datagram
+	// done ends run, which sends what is queued and then closes ended.
+	done  chan struct{}
+	ended chan struct{}
+	pool  sync.Pool
+}
+
+func newWriter(socket *ipv4.PacketConn, codec *encap.Codec) *writer {
+	w := &writer{
+		socket: socket,
+		queue:  make(chan datagram, sendQueue),
+		done:   make(chan struct{}),
+		ended:  make(chan struct{}),
+		pool:   sync.Pool{New: func() any { return new([encap.MaxDatagram]byte) }},
+	}
+	w.codec.Store(codec)
+	return w
+}
+
+// send queues a datagram; it copies the payload and does not block.
+func (w *writer) send(h encap.Header, payload []byte, to netip.AddrPort) {
+	if len(payload) > encap.MaxPayload {
+		droppedTooLong.Inc()
+		return
+	}
+	d := datagram{header: h, to: to, buf: w.pool.Get().(*[encap.MaxDatagram]byte)}
+	d.n = encap.HeaderSize + copy(d.buf[encap.HeaderSize:], payload)
+	select {
+	case w.queue <- d:
+	default:
+		w.pool.Put(d.buf)
+		droppedQueue.Inc()
+	}
+}
+
+// run sends until done is closed, and then what is queued by then.
+func (w *writer) run() {
+	defer close(w.ended)
+	messages := newMessages()
+	batch := make([]datagram, 0, batchSize)
+	for {
+		batch = batch[:0]
+		select {
+		case d := <-w.queue:
+			batch = append(batch, d)
+		case <-w.done:
+		}
+		batch = w.fill(batch)
+		if len(batch) == 0 {
+			return
+		}
+		w.flush(batch, messages)
+		for _, d := range batch {
+			w.pool.Put(d.buf)
+		}
+	}
+}
+
+// fill adds what is queued already.
+func (w *writer) fill(batch []datagram) []datagram {
+	for len(batch) < batchSize {
+		select {
+		case d := <-w.queue:
+			batch = append(batch, d)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (w *writer) flush(batch []datagram, messages []ipv4.Message) {
+	codec := w.codec.Load()
+	n := 0
+	for i := range batch {
+		d := &batch[i]
+		if err := codec.Encode(d.buf[:], &d.header); err != nil {
+			droppedEncode.Inc()
+			continue
+		}
+		m := &messages[n]
+		m.Buffers[0] = d.buf[:d.n]
+		setAddr(m.Addr.(*net.UDPAddr), d.to)
+		n++
+	}
+	for sent := 0; sent < n; {
+		k, err := w.socket.WriteBatch(messages[sent:n], 0)
+		if err != nil {
+			// One datagram was refused, for example by a route that is gone.
+			droppedSend.Inc()
+			k = max(k, 0) + 1
+		}
+		sent += k
+	}
+}
+
+func newMessages() []ipv4.Message {
+	messages := make([]ipv4.Message, batchSize)
+	for i := range messages {
+		messages[i].Buffers = make([][]byte, 1)
+		messages[i].Addr = &net.UDPAddr{IP: make(net.IP, net.IPv4len)}
+	}
+	return messages
+}
+
+func setAddr(dst *net.UDPAddr, a netip.AddrPort) {
+	ip := a.Addr().As4()
+	copy(dst.IP, ip[:])
+	dst.Port = int(a.Port())
+}
--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -37,11 +37,12 @@
 
 // Purposes of derived keys.
 const (
-	PurposeToken  Purpose = "saltbend flow token"
-	PurposeEncap  Purpose = "saltbend encapsulation"
-	PurposeTicket Purpose = "saltbend request ticket"
-	PurposeReset  Purpose = "saltbend stateless reset"
-	PurposePeer   Purpose = "saltbend peer identity"
+	PurposeToken   Purpose = "saltbend flow token"
+	PurposeEncap   Purpose = "saltbend encapsulation"
+	PurposeTicket  Purpose = "saltbend request ticket"
+	PurposeReset   Purpose = "saltbend stateless reset"
+	PurposeAddress Purpose = "saltbend address validation"
+	PurposePeer    Purpose = "saltbend peer identity"
 )
 
 // Parse reads "ID:HEX[,ID:HEX]", the current secret first. The error says
