Give the agent the platform's store and quiet its start

Cause: the agent knew the fleet only through other processes, and the QUIC library wrote a plain line about socket buffers into the structured log. The node now gets the store; the data socket lets the library size its buffers. Seen: a test's end could wait 20 s for a feed whose goodbye was lost on the way to a closed fabric; the tests now use a drain of one second.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -54,7 +54,8 @@
 type process struct {
 	addresses settings.Addresses
 	stop      context.CancelFunc
-	ended     chan error
+	ended     chan struct{}
+	err       error // valid after ended
 }
 
 // startAgent runs the role until the test ends.
@@ -66,7 +67,7 @@
 			Control: "127.0.0.1:0", Data: "127.0.0.1:0", Ops: "127.0.0.1:0", DataCentre: "north",
 			Secrets: "1:000102030405060708090a0b0c0d0e0f", LogFormat: "text", LogLevel: "info",
 		},
-		Service: testService, Upstream: upstreamURL, Slots: 5, DrainTimeout: patience,
+		Service: testService, Upstream: upstreamURL, Slots: 5, DrainTimeout: time.Second,
 		TLSCertPEM: settings.Secret(cert), TLSKeyPEM: settings.Secret(key),
 	}
 	if change != nil {
@@ -81,9 +82,15 @@
 		Ready:  func(a settings.Addresses) { ready <- a },
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{stop: stop, ended: make(chan error, 1)}
-	go func() { p.ended <- Run(ctx, s, env) }()
-	t.Cleanup(stop)
+	p := &process{stop: stop, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.err = Run(ctx, s, env)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-p.ended
+	})
 	g.Eventually(ready).WithTimeout(patience).Should(Receive(&p.addresses))
 	return p
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -20,6 +20,8 @@
 	"github.com/saltbend/saltbend/internal/ops"
 	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/store/httpstore"
 	"github.com/saltbend/saltbend/internal/upstream"
 )
 
@@ -121,6 +123,10 @@
 
 // join makes the agent a member of the fleet.
 func (a *agent) join(incarnation uint64) error {
+	platform, err := a.store()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	node, err := control.Start(ctx, control.Options{
@@ -136,6 +142,7 @@
 			Weight:      fullWeight,
 		},
 		Peer:   a.peer,
+		Store:  platform,
 		Join:   addresses(a.settings.Join),
 		Events: a.env.Events,
 		Logger: a.env.Logger,
@@ -148,6 +155,14 @@
 	return nil
 }
 
+// store returns the platform's key-value service, or nil when none is given.
+func (a *agent) store() (store.Store, error) {
+	if len(a.settings.Store) == 0 {
+		return nil, nil
+	}
+	return httpstore.New(a.settings.Store, httpstore.Options{})
+}
+
 func addresses(texts []settings.Address) []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(texts))
 	for _, text := range texts {
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -16,10 +16,6 @@
 	"github.com/saltbend/saltbend/internal/token"
 )
 
-// socketBuffer is the size of the kernel's buffers per direction in bytes:
-// about 20 ms of datagrams at a gigabit per second.
-const socketBuffer = 2 << 20
-
 // expireEvery is how often old flows are looked for.
 const expireEvery = 10 * time.Second
 
@@ -73,9 +69,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "flow: bind the data address")
 	}
-	// The kernel may grant less; that costs throughput, not correctness.
-	_ = socket.SetReadBuffer(socketBuffer)
-	_ = socket.SetWriteBuffer(socketBuffer)
 	codec := encap.NewCodec(o.Ring)
 	c := &Conn{
 		socket:   socket,
@@ -170,6 +163,13 @@
 // SetWriteDeadline implements net.PacketConn; writes never wait.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
+// SetReadBuffer sets the size of the kernel's receive buffer in bytes. The QUIC
+// library asks for what it needs; the kernel may grant less.
+func (c *Conn) SetReadBuffer(n int) error { return c.socket.SetReadBuffer(n) }
+
+// SetWriteBuffer sets the size of the kernel's send buffer in bytes.
+func (c *Conn) SetWriteBuffer(n int) error { return c.socket.SetWriteBuffer(n) }
+
 // Close implements net.PacketConn. It sends what is queued first.
 func (c *Conn) Close() error {
 	c.once.Do(func() { close(c.writer.done) })
