--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,15 +17,20 @@
 // Set holds the agents of one service that may get new flows, with the share
 // of each. It is immutable and safe for concurrent use.
 type Set struct {
+	groups []group
+	panics bool
+}
+
+// group holds the agents of one share.
+type group struct {
 	entries []entry
-	panics  bool
+	// inverse is one over the share of new flows that each agent has.
+	inverse float64
 }
 
 type entry struct {
 	addr netip.AddrPort
 	seed uint64
-	// inverse is one over the agent's share of new flows.
-	inverse float64
 }
 
 // NewSet returns the set for a balancer in the data centre own. Draining and
@@ -35,10 +41,10 @@
 func NewSet(own string, balancers, agents []member.Member) *Set {
 	ready := weightOfReady(agents)
 	if len(ready) > 0 {
-		return &Set{entries: entries(agents, ready, shares(own, balancers, ready))}
+		return &Set{groups: groups(agents, ready, shares(own, balancers, ready))}
 	}
 	last := weightOfLastResort(agents)
-	return &Set{entries: entries(agents, last, shares(own, balancers, last)), panics: len(last) > 0}
+	return &Set{groups: groups(agents, last, shares(own, balancers, last)), panics: len(last) > 0}
 }
 
 // weights holds the weight of agents by their place in the list.
@@ -86,19 +92,25 @@
 	return sums
 }
 
-func entries(agents []member.Member, w weights, share map[string]float64) []entry {
+// groups puts the agents of one share together.
+func groups(agents []member.Member, w weights, share map[string]float64) []group {
 	sums := make(map[string]float64)
 	for _, x := range w {
 		sums[x.dataCentre] += x.weight
 	}
-	var out []entry
+	var out []group
 	for _, x := range w {
 		s := share[x.dataCentre] * x.weight / sums[x.dataCentre]
-		a := &agents[x.place]
 		if s <= 0 {
 			continue
 		}
-		out = append(out, entry{addr: a.Data, seed: seed(a.Control), inverse: 1 / s})
+		a := &agents[x.place]
+		i := slices.IndexFunc(out, func(g group) bool { return g.inverse == 1/s })
+		if i < 0 {
+			i = len(out)
+			out = append(out, group{inverse: 1 / s})
+		}
+		out[i].entries = append(out[i].entries, entry{addr: a.Data, seed: seed(a.Control)})
 	}
 	return out
 }
@@ -115,7 +127,11 @@
 
 // Len returns the number of agents that may get new flows.
 func (s *Set) Len() int {
-	return len(s.entries)
+	n := 0
+	for i := range s.groups {
+		n += len(s.groups[i].entries)
+	}
+	return n
 }
 
 // Panics reports that no agent is known to be ready and that the set holds the
@@ -125,29 +141,42 @@
 }
 
 // Choose returns the data address of the agent for a flow's key; ok is false
-// if there is none. It costs one hash and one logarithm per agent and
-// allocates nothing.
+// if there is none. It allocates nothing and costs one hash per agent and one
+// logarithm per group of agents with one share.
 func (s *Set) Choose(key uint64) (agent netip.AddrPort, ok bool) {
-	best := math.Inf(1)
-	at := -1
-	for i := range s.entries {
-		e := &s.entries[i]
+	first := math.Inf(1)
+	var best *entry
+	for i := range s.groups {
+		g := &s.groups[i]
+		e, hash := g.best(key)
 		// The first arrival among exponential clocks, whose rates are the
-		// shares, falls on each agent with just its share.
-		if arrival := exponential(mix(key^e.seed)) * e.inverse; arrival < best {
-			best, at = arrival, i
+		// shares, falls on each agent with just its share. Within a group, the
+		// largest hash arrives first.
+		if arrival := -math.Log(uniform(hash)) * g.inverse; arrival < first {
+			first, best = arrival, e
 		}
 	}
-	if at < 0 {
+	if best == nil {
 		return netip.AddrPort{}, false
 	}
-	return s.entries[at].addr, true
+	return best.addr, true
+}
+
+// best returns the agent with the largest hash of the key.
+func (g *group) best(key uint64) (*entry, uint64) {
+	at, largest := 0, uint64(0)
+	for i := range g.entries {
+		if h := mix(key ^ g.entries[i].seed); h >= largest {
+			at, largest = i, h
+		}
+	}
+	return &g.entries[at], largest
 }
 
-// exponential turns 64 random bits into a sample with mean 1.
-func exponential(h uint64) float64 {
+// uniform turns 64 random bits into a number above 0 and at most 1.
+func uniform(h uint64) float64 {
 	const scale = 1.0 / (1 << 53)
-	return -math.Log((float64(h>>11) + 0.5) * scale)
+	return (float64(h>>11) + 0.5) * scale
 }
 
 // mix spreads each input bit over all output bits (the finalizer of
