Give the balancer the platform's store

Cause: the store adapter is there; without it a balancer only learned the configuration from other processes. Change: the balancer's control node gets the store of its settings.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,6 +21,8 @@
 	"github.com/saltbend/saltbend/internal/ops"
 	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/store/httpstore"
 )
 
 // Part is the fixed prefix of this package's logs and events.
@@ -85,10 +87,14 @@
 
 // start joins the fleet and begins to publish what it learns.
 func (r *role) start(ctx context.Context) error {
-	var err error
+	platform, err := r.store()
+	if err != nil {
+		return err
+	}
 	r.node, err = control.Start(ctx, control.Options{
 		Self:   r.self(),
 		Peer:   r.peer,
+		Store:  platform,
 		Join:   addresses(r.settings.Join),
 		Events: r.env.Events,
 		Logger: r.env.Logger,
@@ -114,6 +120,14 @@
 	return nil
 }
 
+// store returns the platform's service, or nil if the settings name none.
+func (r *role) store() (store.Store, error) {
+	if len(r.settings.Store) == 0 {
+		return nil, nil
+	}
+	return httpstore.New(r.settings.Store, httpstore.Options{})
+}
+
 func (r *role) self() member.Member {
 	a := r.addresses()
 	return member.Member{
