--- a/test/caller/tally.go
+++ b/test/caller/tally.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// OK returns how much work of a kind went well so far.
+func (t *Tally) OK(kind Kind) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.of(kind).OK
+}
+
+// Events returns the feed events that were received so far.
+func (t *Tally) Events() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.events
+}
+
 // Report is a copy of a tally.
 type Report struct {
 	Counts map[Kind]Counts
