sim: compare ways to spread lookups with one ideal queue

Cause: the policy between siblings has to be judged by figures on the code that runs. The queue now remembers its earliest deadline, so that an event doesn't scan all waiting requests.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -11,6 +11,9 @@
 type queue struct {
 	waiting []Request
 	movable int
+	// earliest is at or before the earliest deadline of a waiting request; it
+	// is corrected when it has passed.
+	earliest time.Time
 }
 
 func before(a, b *Request) bool {
@@ -41,6 +44,9 @@
 	if r.Movable {
 		q.movable++
 	}
+	if len(q.waiting) == 1 || r.Deadline.Before(q.earliest) {
+		q.earliest = r.Deadline
+	}
 }
 
 func (q *queue) removeAt(i int) Request {
@@ -72,6 +78,9 @@
 
 // expired takes out all requests whose deadline is at or before now.
 func (q *queue) expired(now time.Time) []Request {
+	if q.len() == 0 || q.earliest.After(now) {
+		return nil
+	}
 	var out []Request
 	for i := 0; i < len(q.waiting); {
 		if q.waiting[i].Deadline.After(now) {
@@ -80,15 +89,19 @@
 		}
 		out = append(out, q.removeAt(i))
 	}
+	q.correctEarliest()
 	return out
 }
 
-// nextDeadline returns the earliest deadline of a waiting request.
-func (q *queue) nextDeadline() (at time.Time, ok bool) {
+func (q *queue) correctEarliest() {
 	for i := range q.waiting {
-		if d := q.waiting[i].Deadline; !ok || d.Before(at) {
-			at, ok = d, true
+		if d := q.waiting[i].Deadline; i == 0 || d.Before(q.earliest) {
+			q.earliest = d
 		}
 	}
-	return at, ok
+}
+
+// nextDeadline returns a time at or before the earliest deadline.
+func (q *queue) nextDeadline() (at time.Time, ok bool) {
+	return q.earliest, q.len() > 0
 }
--- /dev/null
+++ b/internal/sim/balance_test.go
@@ -0,0 +1,50 @@
+package sim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	balanceLength = 30 * time.Second
+	balanceSeeds  = 4
+	busyShare     = 0.85
+)
+
+var lookups = []class{{name: "lookup", movable: true, deadline: time.Hour, share: 1}}
+
+func today() []service {
+	return []service{
+		evenService("7x5", 7, 5),
+		evenService("7x7", 7, 7),
+		evenService("7x5", 7, 5).withSlow(3),
+		evenService("7x5", 7, 5).withCold(),
+	}
+}
+
+// BenchmarkBalance compares ways to spread lookups with one ideal queue over
+// all slots.
+func BenchmarkBalance(b *testing.B) {
+	for _, s := range today() {
+		var loads [][]*work
+		for seed := range uint64(balanceSeeds) {
+			loads = append(loads, arrivals(seed, s, busyShare, balanceLength, lookups))
+		}
+		for _, delay := range []time.Duration{500 * time.Microsecond, 1500 * time.Microsecond} {
+			ideal := pooled(policies()[0], s, loads, delay).quantile(0.99, wait)
+			for _, p := range policies() {
+				r := pooled(p, s, loads, delay)
+				p99 := r.quantile(0.99, wait)
+				b.Run(fmt.Sprintf("%s/%s/%s", s.name, delay, p.name), func(b *testing.B) {
+					b.ReportMetric(r.quantile(0.5, wait).Seconds()*1e3, "p50-ms")
+					b.ReportMetric(p99.Seconds()*1e3, "p99-ms")
+					b.ReportMetric(float64(p99)/float64(ideal), "p99/ideal")
+					b.ReportMetric(r.maxLoad, "max/mean")
+					b.ReportMetric(r.messages, "msg/req")
+					b.ReportMetric(0, "ns/op")
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/load_test.go
@@ -0,0 +1,214 @@
+package sim_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/saltbend/saltbend/internal/dispatch"
+)
+
+const (
+	meanService = 20 * time.Millisecond
+	// warmUp is left out of the figures.
+	warmUp = 2 * time.Second
+	flows  = 400
+)
+
+// service is a service of the size that users run today.
+type service struct {
+	name      string
+	upstreams []*upstream
+	// capacity is the work that the service does in a second, in seconds.
+	capacity float64
+}
+
+func warm(time.Duration) float64 { return 1 }
+
+func evenService(name string, n, slots int) service {
+	s := service{name: name, capacity: float64(n * slots)}
+	for range n {
+		s.upstreams = append(s.upstreams, &upstream{slots: slots, slow: warm})
+	}
+	return s
+}
+
+// withSlow makes the first upstream so many times slower.
+func (s service) withSlow(factor float64) service {
+	s.name += "-slow"
+	s.upstreams[0].slow = func(time.Duration) float64 { return factor }
+	s.capacity -= float64(s.upstreams[0].slots) * (1 - 1/factor)
+	return s
+}
+
+// withCold makes the second upstream start four times slower than it is when
+// it has been warm for 10 s.
+func (s service) withCold() service {
+	const coldFactor, warmTime = 3, 10 * time.Second
+	s.name += "-cold"
+	s.upstreams[1].slow = func(now time.Duration) float64 {
+		return 1 + coldFactor*max(0, 1-now.Seconds()/warmTime.Seconds())
+	}
+	return s
+}
+
+// arrivals draws a workload at that share of the capacity.
+func arrivals(seed uint64, s service, busy float64, length time.Duration, classes []class) []*work {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	rate := busy * s.capacity / meanService.Seconds()
+	var out []*work
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / rate
+		arrival := time.Duration(at * float64(time.Second))
+		if arrival >= length {
+			return out
+		}
+		out = append(out, &work{
+			class:   pick(rng, classes),
+			arrival: arrival,
+			service: time.Duration(rng.ExpFloat64() * float64(meanService)),
+			flow:    rng.IntN(flows),
+		})
+	}
+}
+
+func pick(rng *rand.Rand, classes []class) *class {
+	at := rng.Float64()
+	for i := range classes {
+		if at -= classes[i].share; at < 0 {
+			return &classes[i]
+		}
+	}
+	return &classes[len(classes)-1]
+}
+
+// chooser says at which node a request arrives.
+type chooser func(k *work, n int) int
+
+// policy is a way to spread requests.
+type policy struct {
+	name    string
+	choose  func(rng *rand.Rand) chooser
+	options dispatch.Options
+	// single puts all servers behind one queue.
+	single bool
+	// fifo forgets priorities.
+	fifo  bool
+	queue int
+}
+
+func byHash(*rand.Rand) chooser {
+	return func(k *work, n int) int {
+		var b [8]byte
+		b[0], b[1] = byte(k.flow), byte(k.flow>>8)
+		return int(xxhash.Sum64(b[:]) % uint64(n))
+	}
+}
+
+func atRandom(rng *rand.Rand) chooser {
+	return func(_ *work, n int) int { return rng.IntN(n) }
+}
+
+// roundRobin has each of four balancers go round on its own.
+func roundRobin(rng *rand.Rand) chooser {
+	var next [4]int
+	return func(_ *work, n int) int {
+		b := rng.IntN(len(next))
+		next[b]++
+		return (next[b] + b) % n
+	}
+}
+
+const endless = 1 << 20
+
+func policies() []policy {
+	alone := dispatch.Options{Alone: true, IgnoreDeadlines: true}
+	return []policy{
+		{name: "ideal", choose: atRandom, options: alone, single: true, queue: endless},
+		{name: "random", choose: atRandom, options: alone, queue: endless},
+		{name: "round-robin", choose: roundRobin, options: alone, queue: endless},
+		{name: "hash", choose: byHash, options: alone, queue: endless},
+		{name: "chosen", choose: byHash, queue: endless},
+	}
+}
+
+// result is what a run showed.
+type result struct {
+	works    []*work
+	maxLoad  float64
+	messages float64 // between siblings, per request
+}
+
+func simulate(p policy, s service, load []*work, delay time.Duration) result {
+	w := &world{rng: rand.New(rand.NewPCG(1, 2)), delay: delay}
+	if p.single {
+		w.add(s.upstreams, p.queue, p.options)
+	} else {
+		for _, u := range s.upstreams {
+			w.add([]*upstream{u}, p.queue, p.options)
+		}
+	}
+	w.introduce()
+	choose := p.choose(w.rng)
+	works := make([]*work, len(load))
+	for i := range load {
+		k := *load[i]
+		works[i] = &k
+		if p.fifo {
+			c := *k.class
+			c.priority = 0
+			works[i].class = &c
+		}
+		w.after(k.arrival, func() { w.arrive(w.nodes[choose(&k, len(w.nodes))], dispatch.ID(i+1), works[i]) })
+	}
+	w.run()
+	return result{works: works, maxLoad: w.maxLoad(), messages: float64(w.messages) / float64(len(load))}
+}
+
+// pooled simulates the policy on several workloads at once and puts the
+// results together.
+func pooled(p policy, s service, loads [][]*work, delay time.Duration) result {
+	results := make([]result, len(loads))
+	var wait sync.WaitGroup
+	for i := range loads {
+		wait.Go(func() { results[i] = simulate(p, s, loads[i], delay) })
+	}
+	wait.Wait()
+	var all result
+	for _, r := range results {
+		all.works = append(all.works, r.works...)
+		all.maxLoad += r.maxLoad / float64(len(results))
+		all.messages += r.messages / float64(len(results))
+	}
+	return all
+}
+
+// maxLoad is the highest load of a node over the mean.
+func (w *world) maxLoad() float64 {
+	highest, sum := 0.0, 0.0
+	for _, n := range w.nodes {
+		highest = max(highest, n.inHand)
+		sum += n.inHand
+	}
+	return highest * float64(len(w.nodes)) / sum
+}
+
+// quantile returns the q-quantile of what value gives for the works it takes.
+func (r result) quantile(q float64, value func(*work) (time.Duration, bool)) time.Duration {
+	var all []time.Duration
+	for _, k := range r.works {
+		if v, ok := value(k); ok && k.arrival >= warmUp {
+			all = append(all, v)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[int(q*float64(len(all)-1))]
+}
+
+func wait(k *work) (time.Duration, bool) { return k.started - k.arrival, !k.refused }
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,252 @@
+// Package sim measures the scheduler of internal/dispatch in simulated time:
+// the agents of one service, their slots, and messages that take a while.
+// Everything is drawn from fixed seeds.
+package sim_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/dispatch"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// work is one request of the workload; policies see the same ones.
+type work struct {
+	class   *class
+	arrival time.Duration
+	service time.Duration
+	flow    int
+
+	started time.Duration
+	ended   time.Duration
+	refused bool
+}
+
+// class is a class of requests.
+type class struct {
+	name     string
+	priority int
+	movable  bool
+	deadline time.Duration
+	share    float64 // of all arrivals
+}
+
+// server is one slot of an upstream.
+type server struct {
+	upstream *upstream
+}
+
+// upstream tells how one upstream treats its requests.
+type upstream struct {
+	slots int
+	// slow multiplies service times at a time.
+	slow func(now time.Duration) float64
+}
+
+// node is an agent with its upstream; the ideal queue is one node with the
+// servers of all.
+type node struct {
+	addr   netip.AddrPort
+	sched  *dispatch.Scheduler
+	free   []server
+	busy   time.Duration // slot time in use, summed
+	inHand float64       // requests in hand, integrated over time
+	since  time.Duration
+	works  map[dispatch.ID]*work
+	wakeAt time.Duration
+}
+
+// world is one run.
+type world struct {
+	now      time.Duration
+	events   events
+	nodes    []*node
+	rng      *rand.Rand
+	delay    time.Duration
+	messages int
+	order    uint64
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.events, event{at: w.now + d, order: w.order, do: do})
+}
+
+func (w *world) clock() time.Time { return epoch.Add(w.now) }
+
+func (w *world) run() {
+	for len(w.events) > 0 {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+}
+
+func (w *world) node(addr netip.AddrPort) *node { return w.nodes[addr.Port()-1] }
+
+// add makes a node with the servers of the upstreams.
+func (w *world) add(upstreams []*upstream, queue int, o dispatch.Options) *node {
+	n := &node{works: map[dispatch.ID]*work{}}
+	for _, u := range upstreams {
+		for range u.slots {
+			n.free = append(n.free, server{u})
+		}
+	}
+	limits := dispatch.Limits{Slots: len(n.free), Queue: queue}
+	seed := uint64(len(w.nodes))
+	n.sched = dispatch.New(limits, 1, rand.New(rand.NewPCG(seed, seed)), o)
+	w.nodes = append(w.nodes, n)
+	n.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(len(w.nodes)))
+	return n
+}
+
+// introduce makes all nodes siblings.
+func (w *world) introduce() {
+	for _, n := range w.nodes {
+		var others []netip.AddrPort
+		for _, o := range w.nodes {
+			if o != n {
+				others = append(others, o.addr)
+			}
+		}
+		w.do(n, n.sched.SetSiblings(w.clock(), others))
+	}
+}
+
+func (w *world) arrive(n *node, id dispatch.ID, k *work) {
+	n.works[id] = k
+	w.do(n, n.sched.Arrive(w.clock(), request(id, k)))
+}
+
+func request(id dispatch.ID, k *work) dispatch.Request {
+	return dispatch.Request{
+		ID: id, Priority: k.class.priority, Movable: k.class.movable,
+		Arrived: epoch.Add(k.arrival), Deadline: epoch.Add(k.arrival + k.class.deadline),
+	}
+}
+
+// do carries actions out, as the shell would.
+func (w *world) do(n *node, actions []dispatch.Action) {
+	n.account(w.now)
+	for _, a := range slices.Clone(actions) {
+		switch a := a.(type) {
+		case dispatch.Start:
+			w.start(n, a.ID)
+		case dispatch.Refuse:
+			w.refuse(n, a)
+		case dispatch.Push:
+			w.push(n, a)
+		case dispatch.Pull:
+			w.send(n, a.From, a.Standing, func(to *node) []dispatch.Action {
+				return to.sched.Offered(w.clock(), n.addr, a.Reservation)
+			})
+		case dispatch.Decline:
+			w.send(n, a.To, a.Standing, func(to *node) []dispatch.Action {
+				return to.sched.Declined(w.clock(), n.addr, a.Reservation)
+			})
+		case dispatch.Announce:
+			for _, to := range w.nodes {
+				if to != n {
+					w.send(n, to.addr, a.Standing, nil)
+				}
+			}
+		}
+	}
+	w.wake(n)
+}
+
+func (w *world) send(from *node, to netip.AddrPort, s dispatch.Standing, then func(to *node) []dispatch.Action) {
+	w.messages++
+	w.after(w.delay, func() {
+		n := w.node(to)
+		w.do(n, n.sched.Heard(w.clock(), from.addr, s))
+		if then != nil {
+			w.do(n, then(n))
+		}
+	})
+}
+
+func (w *world) wake(n *node) {
+	at, ok := n.sched.NextWake()
+	due := at.Sub(epoch)
+	if !ok || (n.wakeAt > w.now && n.wakeAt <= due) {
+		return
+	}
+	n.wakeAt = max(due, w.now)
+	w.after(n.wakeAt-w.now, func() { w.do(n, n.sched.Tick(w.clock())) })
+}
+
+func (w *world) start(n *node, id dispatch.ID) {
+	k := n.works[id]
+	k.started = w.now
+	at := w.rng.IntN(len(n.free))
+	s := n.free[at]
+	n.free = slices.Delete(n.free, at, at+1)
+	service := time.Duration(float64(k.service) * s.upstream.slow(w.now))
+	n.busy += service
+	w.after(service, func() {
+		k.ended = w.now
+		n.free = append(n.free, s)
+		w.do(n, n.sched.Done(w.clock(), id, service, true))
+	})
+}
+
+func (w *world) refuse(n *node, a dispatch.Refuse) {
+	k := n.works[a.ID]
+	delete(n.works, a.ID)
+	k.refused, k.ended = true, w.now
+}
+
+func (w *world) push(from *node, p dispatch.Push) {
+	k := from.works[p.ID]
+	w.messages++
+	w.after(w.delay, func() {
+		to := w.node(p.To)
+		w.do(to, to.sched.Heard(w.clock(), from.addr, p.Standing))
+		to.works[p.ID] = k
+		w.do(to, to.sched.ArriveMoved(w.clock(), request(p.ID, k), p.Reservation, p.Admit))
+		if !k.refused {
+			// The owner's end matters to its bookkeeping alone.
+			w.after(w.delay, func() { w.do(from, from.sched.Settled(w.clock(), p.ID)) })
+			return
+		}
+		k.refused = false
+		w.messages++
+		w.after(w.delay, func() { w.do(from, from.sched.Returned(w.clock(), p.ID)) })
+	})
+}
+
+// account integrates what the node had in hand.
+func (n *node) account(now time.Duration) {
+	l := n.sched.Load()
+	n.inHand += float64(l.Running+l.Queued) * (now - n.since).Seconds()
+	n.since = now
+}
