Merge the events of all processes into one time line

Cause: what the fleet did can be read only process by process, each by its own clock. Ruled out: ordering by raw time stamps (a clock that is off by a second reverses cause and effect); one estimate of the network's delay for all (asymmetric delays make it untrue, so half of the best round trip is shown as the error of each event).

--- /dev/null
+++ b/cmd/saltbend/peers.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/survey"
+)
+
+// peerFlags say how to reach the processes of the fleet.
+type peerFlags struct {
+	Peers       []settings.Address `long:"peer" env:"SALTBEND_PEERS" env-delim:"," value-name:"IP:PORT" description:"control address of a process to ask first, best a balancer; may be repeated (required)"`
+	Secrets     settings.Secret    `long:"secrets" env:"SALTBEND_SECRETS" value-name:"ID:HEX[,ID:HEX]" default-mask:"-" description:"fleet secrets, the current one first; a process list shows flags, so prefer the environment or --secrets-file"`
+	SecretsFile string             `long:"secrets-file" env:"SALTBEND_SECRETS_FILE" value-name:"PATH" description:"file with the fleet secrets"`
+	PeerTimeout time.Duration      `long:"peer-timeout" env:"SALTBEND_PEER_TIMEOUT" default:"3s" value-name:"DURATION" description:"time for one call of a process"`
+}
+
+// fleet is the way to the processes of the fleet.
+type fleetAccess struct {
+	caller *peer.Peer
+	asker  survey.Asker
+	first  []netip.AddrPort
+}
+
+// open checks the flags, all findings together, and returns the way to the
+// fleet. The caller closes it.
+func (p *peerFlags) open() (*fleetAccess, error) {
+	var f settings.Findings
+	if len(p.Peers) == 0 {
+		f = append(f, settings.Finding{Place: "--peer (SALTBEND_PEERS)", What: "no process is given", Remedy: "give the control address of a balancer"})
+	}
+	var first []netip.AddrPort
+	for _, a := range p.Peers {
+		if _, err := a.Parse(); err != nil {
+			f = append(f, settings.Finding{Place: "--peer (SALTBEND_PEERS)", What: err.Error(), Remedy: "give numbers, such as 192.0.2.1:4100"})
+		}
+		first = append(first, a.AddrPort())
+	}
+	if p.PeerTimeout <= 0 {
+		f.Add("peer-timeout", "the time is not positive", "give a duration such as 3s")
+	}
+	common := settings.Common{Secrets: p.Secrets, SecretsFile: p.SecretsFile}
+	ring, err := common.LoadRing()
+	if err != nil {
+		f.Add("secrets", err.Error(), "give the fleet's secrets as ID:HEX")
+	}
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	caller, err := peer.NewCaller(ring, peer.WithDial(p.PeerTimeout))
+	if err != nil {
+		return nil, err
+	}
+	return &fleetAccess{
+		caller: caller,
+		asker:  survey.Asker{Caller: caller, Timeout: p.PeerTimeout},
+		first:  first,
+	}, nil
+}
--- a/cmd/saltbendd/run.go
+++ b/cmd/saltbendd/run.go
@@ -119,6 +119,7 @@
 		Keys:    settings.NewKeys(ring),
 		Ready:   func(a settings.Addresses) { settings.LogReady(daemon, a) },
 	}
+	env.Events.Add(part, eventStart, r.name+" "+env.Version)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan error, 1)
--- a/cmd/saltbendd/signals.go
+++ b/cmd/saltbendd/signals.go
@@ -13,9 +13,10 @@
 
 // Kinds of events of the daemon.
 const (
-	eventStop      event.Kind = "stop"
-	eventKeys      event.Kind = "keys"
-	eventKeysError event.Kind = "keys-error"
+	eventStart     event.Kind = "Started."
+	eventStop      event.Kind = "Stopping."
+	eventKeys      event.Kind = "Secrets read again."
+	eventKeysError event.Kind = "Secrets not read again."
 )
 
 // part names the daemon in logs and events.
@@ -67,5 +68,5 @@
 	}
 	env.Keys.Set(ring)
 	log.Info("Secrets read again.")
-	env.Events.Add(part, eventKeys, "secrets read again")
+	env.Events.Add(part, eventKeys, "")
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -22,6 +22,7 @@
 	"github.com/saltbend/saltbend/internal/settings"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/internal/timeline"
 	"github.com/saltbend/saltbend/internal/upstream"
 )
 
@@ -91,7 +92,10 @@
 		return err
 	}
 	a.upstream = upstream.New(base)
-	if a.peer, err = peer.Listen(a.settings.Control.AddrPort(), ring, peer.WithLogger(a.env.Logger)); err != nil {
+	if a.peer, err = peer.Listen(a.settings.Control.AddrPort(), ring, peer.WithLogger(logging.Part(a.env.Logger, peer.Part))); err != nil {
+		return err
+	}
+	if err := timeline.Register(a.peer, a.env.Events); err != nil {
 		return err
 	}
 	if a.ops, err = ops.Listen(a.settings.Ops.AddrPort()); err != nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -23,6 +23,7 @@
 	"github.com/saltbend/saltbend/internal/settings"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/internal/timeline"
 )
 
 // Part is the fixed prefix of this package's logs and events.
@@ -67,10 +68,13 @@
 // listen opens the process's own listeners.
 func (r *role) listen() (err error) {
 	ring := r.env.Keys.Ring()
-	r.peer, err = peer.Listen(r.settings.Control.AddrPort(), ring, peer.WithLogger(logging.Part(r.env.Logger, "peer")))
+	r.peer, err = peer.Listen(r.settings.Control.AddrPort(), ring, peer.WithLogger(logging.Part(r.env.Logger, peer.Part)))
 	if err != nil {
 		return err
 	}
+	if err := timeline.Register(r.peer, r.env.Events); err != nil {
+		return err
+	}
 	r.data, err = datapath.Bind(r.settings.Data.AddrPort())
 	if err != nil {
 		return errors.Wrap(err, "data socket")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,9 @@
 	"github.com/saltbend/saltbend/internal/keyring"
 )
 
+// Part is the fixed prefix of this package's logs.
+const Part = "peer"
+
 // Caller calls methods of other processes.
 type Caller interface {
 	// Call runs method at addr and fills reply. It returns when the reply is
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,7 +91,7 @@
 		f.Add(c.secretsFlag(), err.Error(), "give ID:HEX with at least 16 bytes of secret, the current one first")
 	}
 	for _, store := range c.Store {
-		f = append(f, checkStore(store)...)
+		f = append(f, CheckStore(store)...)
 	}
 	for _, join := range c.Join {
 		f = append(f, checkJoin(join)...)
@@ -118,7 +118,8 @@
 	return f
 }
 
-func checkStore(text string) Findings {
+// CheckStore returns the finding about a URL of the store, if any.
+func CheckStore(text string) Findings {
 	var f Findings
 	u, err := url.Parse(text)
 	if err != nil || u.Host == "" || !slices.Contains([]string{"http", "https"}, u.Scheme) {
--- /dev/null
+++ b/internal/timeline/collect_test.go
@@ -0,0 +1,65 @@
+package timeline_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/timeline"
+)
+
+var processAddr = netip.MustParseAddrPort("192.0.2.1:4100")
+
+// direct calls a service in this process; the service may be replaced.
+type direct struct {
+	service *timeline.Service
+	calls   int
+}
+
+func (d *direct) Call(_ context.Context, _ netip.AddrPort, _ string, args, reply any) error {
+	d.calls++
+	return d.service.Since(args.(timeline.SinceArgs), reply.(*timeline.SinceReply))
+}
+
+// tick returns a clock that moves with each reading.
+func tick(start time.Time) func() time.Time {
+	return func() time.Time {
+		start = start.Add(time.Millisecond)
+		return start
+	}
+}
+
+func TestCollectorFollowsAProcessAndItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	clock := tick(epoch.Add(time.Hour))
+	ring := event.NewRing(4096, clock)
+	d := &direct{service: timeline.NewService(processAddr, ring, clock)}
+	c := timeline.NewCollector(d, processAddr, tick(epoch))
+	for range timeline.MaxEvents + 10 {
+		ring.Add("part", "kind", "")
+	}
+	log, err := c.Collect(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Events).To(HaveLen(timeline.MaxEvents + 10))
+	g.Expect(log.Events[0].Process).To(Equal(processAddr.String()))
+	g.Expect(log.Offset.Ahead).To(BeNumerically("~", time.Hour, 10*time.Second))
+
+	ring.Add("part", "later", "")
+	log, err = c.Collect(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Events).To(HaveLen(1))
+
+	clock = tick(epoch.Add(2 * time.Hour))
+	ring = event.NewRing(16, clock)
+	d.service = timeline.NewService(processAddr, ring, clock)
+	ring.Add("part", "first", "")
+	log, err = c.Collect(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Events).To(HaveLen(1))
+	g.Expect(log.Events[0].Kind).To(Equal(event.Kind("first")))
+	g.Expect(log.Offset.Ahead).To(BeNumerically("~", 2*time.Hour, 10*time.Second))
+}
