--- /dev/null
+++ b/cmd/saltbendd/run_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/exit"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/settings"
+)
+
+const (
+	patience = 20 * time.Second
+	secret1  = "1:000102030405060708090a0b0c0d0e0f"
+	secret2  = "2:f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff"
+)
+
+func TestCommandLine(t *testing.T) {
+	t.Setenv("SALTBEND_SECRETS", secret1)
+	cases := []struct {
+		name     string
+		args     []string
+		code     int
+		out, err string
+	}{
+		{"help", []string{"--help"}, exit.OK, "balancer", ""},
+		{"help of a role", []string{"agent", "--help"}, exit.OK, "$SALTBEND_CONTROL", ""},
+		{"version", []string{"--version"}, exit.OK, "\n", ""},
+		{"no role", nil, exit.Usage, "", "name a role"},
+		{"unknown role", []string{"proxy"}, exit.Usage, "", "proxy"},
+		{"unknown flag", []string{"balancer", "--fast"}, exit.Usage, "", "fast"},
+		{"stray argument", []string{"balancer", "--dc", "a", "b"}, exit.Usage, "", `"b"`},
+		{"findings together", []string{"balancer", "--control", "x"}, exit.Usage, "", "--control (SALTBEND_CONTROL): \"x\" is not an IP address with a port; give numbers, such as 192.0.2.1:4100\n--dc"},
+		{"check", []string{"balancer", "--dc", "a", "--check"}, exit.OK, "valid", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var out, errs bytes.Buffer
+			g.Expect(run(c.args, std{out: &out, err: &errs}, nil)).To(Equal(c.code), errs.String())
+			g.Expect(out.String()).To(ContainSubstring(c.out))
+			g.Expect(errs.String()).To(ContainSubstring(c.err))
+			if c.err == "" {
+				g.Expect(errs.String()).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// stub returns a role that runs f.
+func stub(f func(context.Context, settings.Env) error) *role {
+	common := &settings.Common{Secrets: secret1, LogFormat: settings.FormatJSON, LogLevel: "info"}
+	return &role{name: "stub", common: common, run: f}
+}
+
+func TestExitCodes(t *testing.T) {
+	untilStopped := func(ctx context.Context, _ settings.Env) error {
+		<-ctx.Done()
+		return nil
+	}
+	cases := []struct {
+		name    string
+		run     func(context.Context, settings.Env) error
+		signals []os.Signal
+		code    int
+	}{
+		{"failure", func(context.Context, settings.Env) error { return errors.New("no socket") }, nil, exit.Failure},
+		{"graceful stop", untilStopped, []os.Signal{syscall.SIGTERM}, exit.OK},
+		{"interrupt", untilStopped, []os.Signal{syscall.SIGINT}, exit.OK},
+		{"second signal", func(context.Context, settings.Env) error { select {} }, []os.Signal{syscall.SIGTERM, syscall.SIGTERM}, exit.Forced},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			signals := make(chan os.Signal, signalBuffer)
+			for _, s := range c.signals {
+				signals <- s
+			}
+			var log bytes.Buffer
+			g.Expect(serve(stub(c.run), std{out: &log, err: &log}, signals)).To(Equal(c.code))
+			for _, line := range strings.Split(strings.TrimSpace(log.String()), "\n") {
+				g.Expect(line).To(ContainSubstring(`"part":"daemon"`))
+			}
+		})
+	}
+}
+
+func TestSIGHUPReadsTheSecretsAgain(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "secrets")
+	write := func(text string) { g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed()) }
+	write(secret1)
+	rings := make(chan *keyring.Ring, 1)
+	envs := make(chan settings.Env, 1)
+	r := stub(func(ctx context.Context, env settings.Env) error {
+		env.Keys.OnChange(func(ring *keyring.Ring) { rings <- ring })
+		envs <- env
+		<-ctx.Done()
+		return nil
+	})
+	r.common.Secrets, r.common.SecretsFile = "", path
+	signals := make(chan os.Signal, signalBuffer)
+	code := make(chan int, 1)
+	var log bytes.Buffer
+	go func() { code <- serve(r, std{out: &log, err: &log}, signals) }()
+	var env settings.Env
+	g.Eventually(envs, patience).Should(Receive(&env))
+
+	write(secret2 + "," + secret1)
+	signals <- syscall.SIGHUP
+	var ring *keyring.Ring
+	g.Eventually(rings, patience).Should(Receive(&ring))
+	g.Expect(ring.Derive(keyring.PurposePeer, 1)).To(HaveLen(2))
+
+	write("nonsense")
+	signals <- syscall.SIGHUP
+	signals <- syscall.SIGTERM
+	g.Eventually(code, patience).Should(Receive(Equal(exit.OK)))
+	g.Expect(env.Keys.Ring()).To(BeIdenticalTo(ring))
+	g.Expect(log.String()).To(ContainSubstring("Secrets not read again."))
+}
