Read without allocating; send from a queue for each socket

Cause: the batch read of the socket library allocates each sender's address, 2 allocations and 52 bytes a packet; the path is to allocate nothing. Change: each socket has one goroutine that receives, classifies and routes, and a queue whose goroutine sends in batches what came meanwhile. Buffers change hands, nothing is copied.

--- a/internal/datapath/bench_test.go
+++ b/internal/datapath/bench_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
 
 	"github.com/saltbend/saltbend/internal/encap"
 )
@@ -22,176 +24,176 @@
 		agents = append(agents, netip.AddrPortFrom(agent1.Addr(), uint16(7000+i)))
 	}
 	face := &Face{Service: results, Agents: agentsAt(agents...)}
-	for name, packet := range map[string][]byte{
-		"flow":    short(k, results, agent1, 400),
-		"initial": long(fixedBit, version1, []byte("12345678"), 1252),
-		"forged":  short(testKeys(b, otherSecrets), results, agent1, 400),
+	for _, tc := range []struct {
+		name   string
+		packet []byte
+		vary   int // the byte to change each time, if any
+	}{
+		{"flow", short(k, results, agent1, 400), 300},
+		{"initial", long(fixedBit, version1, []byte("12345678"), 1252), longIDAt},
+		{"forged", short(testKeys(b, otherSecrets), results, agent1, 400), 300},
 	} {
-		b.Run(name, func(b *testing.B) {
-			f := newForwarder(agent1, newForwardCounters())
-			f.own = k.clone()
-			f.in.messages[0].N = copy(f.in.buffers[0][f.in.headroom:], packet)
-			h := encap.Header{
-				Kind: encap.KindForward, Caller: agent1, Face: publicFace, Service: results, Balancer: agent1,
-			}
+		b.Run(tc.name, func(b *testing.B) {
+			f := newForwarder(agent1, publicFace)
+			f.use(&Snapshot{Keys: k, Faces: map[netip.AddrPort]*Face{publicFace: face}})
+			c := newForwardCounters()
+			buffer := make([]byte, bufferSize)
+			end := encap.HeaderSize + copy(buffer[encap.HeaderSize:], tc.packet)
 			b.ReportAllocs()
-			for name == "initial" && b.Loop() {
-				f.in.datagram(0)[longIDAt]++ // another flow each time
-				f.decide(face, &h, 0)
-			}
-			for name != "initial" && b.Loop() {
-				f.decide(face, &h, 0)
+			for b.Loop() {
+				buffer[encap.HeaderSize+tc.vary]++
+				f.decide(buffer, end, agent1, c)
 			}
 		})
 	}
 }
 
-// relay is one hop over three sockets: it reads batches at in and sends them
-// from out to the sink.
-type relay struct {
-	sender, in, out, sink *net.UDPConn
-	senderIO, sinkIO      *ipv4.PacketConn
-	// step relays what one read yields and returns the number of datagrams; ok
-	// is false once in is closed.
-	step func() (n int, ok bool)
+// bareRelay reads batches at one socket and sends them on from another, and
+// does nothing else.
+func bareRelay(in, out *net.UDPConn, to netip.AddrPort) {
+	inIO, outIO := ipv4.NewPacketConn(in), ipv4.NewPacketConn(out)
+	received, sending := newBatch(dataBatch), newBatch(dataBatch)
+	for i := range received.messages {
+		received.messages[i].Buffers[0] = received.buffers[i]
+	}
+	for {
+		n, err := inIO.ReadBatch(received.messages, 0)
+		if err != nil {
+			return
+		}
+		for i := range n {
+			sending.add(received.buffers[i], 0, received.messages[i].N, to)
+		}
+		if sending.send(outIO, func() {}) != nil {
+			return
+		}
+	}
 }
 
-func newRelay(b *testing.B) *relay {
-	r := &relay{sender: listen(b), in: listen(b), out: listen(b), sink: listen(b)}
-	r.senderIO, r.sinkIO = ipv4.NewPacketConn(r.sender), ipv4.NewPacketConn(r.sink)
-	return r
+// hop is a relay between a sender and a sink.
+type hop struct {
+	sender, sink *net.UDPConn
+	in           netip.AddrPort
 }
 
-// newBareRelay does nothing but to read and write batches.
-func newBareRelay(b *testing.B) *relay {
-	r := newRelay(b)
-	inIO, outIO := ipv4.NewPacketConn(r.in), ipv4.NewPacketConn(r.out)
-	to := localAddr(r.sink)
-	in, out := newInbox(0), newOutbox()
-	r.step = func() (int, bool) {
-		n, ok := receive(inIO, in)
-		for i := range n {
-			out.add(in.framed(i), to)
-		}
-		out.flush(outIO)
-		return n, ok
-	}
-	return r
+func bareHop(b *testing.B) hop {
+	in, out, sink := listen(b), listen(b), listen(b)
+	go bareRelay(in, out, localAddr(sink))
+	return hop{sender: listen(b), sink: sink, in: localAddr(in)}
 }
 
-// newPathRelay is the forwarding path.
-func newPathRelay(b *testing.B, k *Keys) *relay {
-	r := newRelay(b)
-	outIO := ipv4.NewPacketConn(r.out)
-	socket := &Socket{face: publicFace, conn: r.in, io: ipv4.NewPacketConn(r.in)}
-	face := &Face{Socket: socket, Service: results, Agents: agentsAt(localAddr(r.sink))}
-	s := &Snapshot{Keys: k, Faces: map[netip.AddrPort]*Face{publicFace: face}}
-	f := newForwarder(localAddr(r.out), newForwardCounters())
-	r.step = func() (int, bool) {
-		n, ok := receive(socket.io, f.in)
-		f.process(s, publicFace, n)
-		f.out.flush(outIO)
-		return n, ok
-	}
-	return r
+func pathHop(b *testing.B) hop {
+	r := newRig(b)
+	return hop{sender: r.caller, sink: r.agent, in: r.face.Socket.Addr()}
 }
 
-// fill returns a full outbox of copies of the packet for the relay.
-func (r *relay) fill(packet []byte) *outbox {
-	out := newOutbox()
-	for range BatchSize {
-		out.add(packet, localAddr(r.in))
-	}
-	return out
+var hops = []struct {
+	name string
+	make func(*testing.B) hop
+}{{"bare", bareHop}, {"path", pathHop}}
+
+// packet returns a datagram of an open flow that ends at the sink.
+func (h hop) packet(b *testing.B, size int) []byte {
+	return short(testKeys(b, testSecrets), results, localAddr(h.sink), size)
 }
 
-// timeStep relays one full batch and returns the time that the relay took.
-func (r *relay) timeStep(b *testing.B, load *outbox, drain *inbox) time.Duration {
-	load.n = BatchSize
-	load.flush(r.senderIO)
-	began := time.Now()
-	for done := 0; done < BatchSize; {
-		n, _ := r.step()
-		done += n
-	}
-	took := time.Since(began)
-	for done := 0; done < BatchSize; {
-		n, ok := receive(r.sinkIO, drain)
-		if !ok {
-			b.Fatal("sink is closed")
+// flood sends full batches to the relay until stop is set.
+func (h hop) flood(packet []byte, stop *atomic.Bool, done chan<- struct{}) {
+	io, load := ipv4.NewPacketConn(h.sender), newBatch(dataBatch)
+	for !stop.Load() {
+		for !load.full() {
+			load.add(packet, 0, len(packet), h.in)
 		}
-		done += n
+		_ = load.send(io, func() {})
 	}
-	return took
+	done <- struct{}{}
 }
 
-// BenchmarkForwardingPath times one full batch through the bare relay and one
-// through the forwarding path in turn, on the same kinds of sockets, and
-// reports the cost of a packet in each and the ratio of their rates.
-func BenchmarkForwardingPath(b *testing.B) {
-	for _, size := range []int{100, 1200} {
-		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
-			k := testKeys(b, testSecrets)
-			bare, path := newBareRelay(b), newPathRelay(b, k)
-			bareLoad := bare.fill(short(k, results, localAddr(bare.sink), size))
-			pathLoad := path.fill(short(k, results, localAddr(path.sink), size))
-			drain := newInbox(0)
-			var bareTook, pathTook time.Duration
-			for b.Loop() {
-				bareTook += bare.timeStep(b, bareLoad, drain)
-				pathTook += path.timeStep(b, pathLoad, drain)
-			}
-			packets := float64(b.N) * BatchSize
-			b.ReportMetric(float64(bareTook.Nanoseconds())/packets, "bare-ns/packet")
-			b.ReportMetric(float64(pathTook.Nanoseconds())/packets, "path-ns/packet")
-			b.ReportMetric(bareTook.Seconds()/pathTook.Seconds(), "path/bare")
-		})
+// processorTime is what the process has used, sender and sink included.
+func processorTime(b *testing.B) time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
 	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkRelayRate floods the bare relay and the forwarding path with more
-// than they can carry, and reports how many packets a second pass each.
+// BenchmarkRelayRate floods a bare batched relay and the forwarding path, on the
+// same kinds of sockets, with more than they can carry, and reports how many
+// packets a second pass each.
 func BenchmarkRelayRate(b *testing.B) {
-	const size = 400
-	k := testKeys(b, testSecrets)
-	for _, kind := range []string{"bare", "path"} {
-		b.Run(kind, func(b *testing.B) {
-			r := newBareRelay(b)
-			if kind == "path" {
-				r = newPathRelay(b, k)
-			}
-			load := r.fill(short(k, results, localAddr(r.sink), size))
+	for _, kind := range hops {
+		b.Run(kind.name, func(b *testing.B) {
+			h := kind.make(b)
 			var stop atomic.Bool
-			done := make(chan struct{}, 2)
-			go func() {
-				for !stop.Load() {
-					load.n = BatchSize
-					load.flush(r.senderIO)
-				}
-				done <- struct{}{}
-			}()
-			go func() {
-				for drain := newInbox(0); ; {
-					if _, ok := receive(r.sinkIO, drain); !ok {
-						break
-					}
-				}
-				done <- struct{}{}
-			}()
-			packets, syscalls := 0, 0
-			began := time.Now()
+			done := make(chan struct{})
+			go h.flood(h.packet(b, 400), &stop, done)
+			buffer := make([]byte, bufferSize)
+			began, used := time.Now(), processorTime(b)
 			b.ReportAllocs()
-			for packets < b.N {
-				n, _ := r.step()
-				packets += n
-				syscalls++
+			for b.Loop() {
+				if _, _, err := receive(h.sink, buffer, 0); err != nil {
+					b.Fatal(err)
+				}
 			}
-			b.ReportMetric(float64(packets)/time.Since(began).Seconds(), "packets/s")
-			b.ReportMetric(float64(packets)/float64(syscalls), "packets/batch")
+			b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "packets/s")
+			b.ReportMetric(float64(processorTime(b)-used)/float64(b.N), "cpu-ns/packet")
 			stop.Store(true)
 			<-done
-			_ = r.sink.Close()
-			<-done
 		})
 	}
 }
+
+// BenchmarkRelayDelay sends one packet at a time and measures the time to the
+// sink.
+func BenchmarkRelayDelay(b *testing.B) {
+	for _, kind := range hops {
+		b.Run(kind.name, func(b *testing.B) {
+			h := kind.make(b)
+			packet := h.packet(b, 400)
+			buffer := make([]byte, bufferSize)
+			b.ReportAllocs()
+			for b.Loop() {
+				send(b, h.sender, h.in, packet)
+				if _, _, err := receive(h.sink, buffer, 0); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityFaces measures what an open face costs a balancer in heap
+// and stack.
+func BenchmarkCapacityFaces(b *testing.B) {
+	for _, n := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("faces=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := memoryInUse()
+				p := Start(listen(b), agent1, &Snapshot{Keys: testKeys(b, testSecrets), Faces: faces(b, n)})
+				b.ReportMetric(float64(memoryInUse()-before), "bytes")
+				p.Close()
+			}
+		})
+	}
+}
+
+func faces(b *testing.B, n int) map[netip.AddrPort]*Face {
+	out := make(map[netip.AddrPort]*Face, n)
+	for i := range n {
+		public := netip.AddrPortFrom(publicFace.Addr(), uint16(1000+i))
+		s, err := Open(public, anyPort)
+		if err != nil {
+			b.Fatal(err)
+		}
+		out[public] = &Face{Socket: s, Service: results, Agents: agentsAt(agent1)}
+	}
+	return out
+}
+
+func memoryInUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/internal/datapath/forward.go
+++ b/internal/datapath/forward.go
@@ -21,89 +21,78 @@
 	}
 }
 
-// forwarder is what the goroutine of one face works with.
+// forwarder decides on the datagrams of one face; it belongs to one goroutine.
 type forwarder struct {
-	self     netip.AddrPort
-	counters *forwardCounters
-	in       *inbox
-	out      *outbox
-	// keys is the published value that own was cloned from.
-	keys *Keys
-	own  Keys
+	// snapshot is the one that face, header and keys were taken from.
+	snapshot *Snapshot
+	face     *Face
+	header   encap.Header
+	keys     Keys
+}
+
+func newForwarder(self, public netip.AddrPort) *forwarder {
+	return &forwarder{header: encap.Header{Kind: encap.KindForward, Face: public, Balancer: self}}
 }
 
 // serveFace carries the datagrams of one face until its socket is closed.
 func (p *Path) serveFace(s *Socket) {
-	f := newForwarder(p.self, p.forward)
+	defer s.replies.close()
+	f := newForwarder(p.self, s.face)
+	buffer := make([]byte, bufferSize)
 	for {
-		n, ok := receive(s.io, f.in)
-		if !ok {
+		end, caller, err := receive(s.conn, buffer, encap.HeaderSize)
+		if err != nil {
 			return
 		}
-		f.process(p.snapshot.Load(), s.face, n)
-		for range f.out.flush(p.io) {
-			p.forward.drop(SendFailed)
+		f.use(p.snapshot.Load())
+		agent, counter := f.decide(buffer, end, caller, p.forward)
+		counter.Inc()
+		if agent.IsValid() {
+			buffer = p.toAgents.add(buffer, 0, end, agent)
 		}
 	}
 }
 
-func newForwarder(self netip.AddrPort, c *forwardCounters) *forwarder {
-	return &forwarder{self: self, counters: c, in: newInbox(encap.HeaderSize), out: newOutbox()}
-}
-
-// process runs the filters over the first n datagrams of the inbox.
-func (f *forwarder) process(s *Snapshot, public netip.AddrPort, n int) {
-	face := s.Faces[public]
-	if face == nil {
-		f.counters.drops[NoFace].Add(n)
+// use makes the snapshot the one that decide acts on.
+func (f *forwarder) use(s *Snapshot) {
+	if f.snapshot == s {
 		return
 	}
-	if f.keys != s.Keys {
-		f.keys, f.own = s.Keys, s.Keys.clone()
+	if f.snapshot == nil || f.snapshot.Keys != s.Keys {
+		f.keys = s.Keys.clone()
 	}
-	h := encap.Header{
-		Kind:     encap.KindForward,
-		Face:     public,
-		Service:  face.Service,
-		Revision: s.Revision,
-		Balancer: f.self,
+	f.snapshot = s
+	f.face = s.Faces[f.header.Face]
+	f.header.Revision = s.Revision
+	if f.face != nil {
+		f.header.Service = f.face.Service
 	}
-	flows, initials := 0, 0
-	for i := range n {
-		h.Caller = f.in.source(i)
-		if !h.Caller.IsValid() {
-			f.counters.drop(BadSource)
-			continue
-		}
-		agent, opened, reason := f.decide(face, &h, i)
-		if reason != None {
-			f.counters.drop(reason)
-			continue
-		}
-		if opened {
-			initials++
-		} else {
-			flows++
-		}
-		f.out.add(f.in.framed(i), agent)
-	}
-	f.counters.flows.Add(flows)
-	f.counters.initials.Add(initials)
 }
 
-// decide runs one datagram through classify and route and writes its header.
-// opened says that it opens a flow.
-func (f *forwarder) decide(face *Face, h *encap.Header, i int) (agent netip.AddrPort, opened bool, _ Reason) {
-	v := classify(f.in.datagram(i), face.Service, f.own.Tokens)
+// decide runs the datagram behind the buffer's headroom through classify and
+// route and writes its header. It returns the agent and what to count; the
+// agent is invalid for a datagram to be dropped.
+func (f *forwarder) decide(buffer []byte, end int, caller netip.AddrPort, c *forwardCounters) (netip.AddrPort, *metrics.Counter) {
+	if f.face == nil {
+		return netip.AddrPort{}, c.drops[NoFace]
+	}
+	if !caller.Addr().Is4() {
+		return netip.AddrPort{}, c.drops[BadSource]
+	}
+	v := classify(buffer[encap.HeaderSize:end], f.face.Service, f.keys.Tokens)
 	if v.drop != None {
-		return agent, false, v.drop
+		return netip.AddrPort{}, c.drops[v.drop]
 	}
-	agent, reason := route(face, h.Caller, &v)
+	agent, reason := route(f.face, caller, &v)
 	if reason != None {
-		return agent, false, reason
+		return netip.AddrPort{}, c.drops[reason]
+	}
+	f.header.Caller = caller
+	if f.keys.Headers.Encode(buffer, &f.header) != nil {
+		return netip.AddrPort{}, c.drops[BadHeader]
 	}
-	if err := f.own.Headers.Encode(f.in.buffers[i], h); err != nil {
-		return agent, false, BadHeader
+	if v.agent.IsValid() {
+		return agent, c.flows
 	}
-	return agent, !v.agent.IsValid(), None
+	return agent, c.initials
 }
--- a/internal/datapath/path.go
+++ b/internal/datapath/path.go
@@ -4,68 +4,53 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
-	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/net/ipv4"
 )
 
-// Path is a balancer's data path. One goroutine for each face carries callers'
-// datagrams to agents, one carries replies.
+// Path is a balancer's data path. Each socket has one goroutine that receives,
+// classifies and routes, and one that sends.
 type Path struct {
 	data     *net.UDPConn
-	io       *ipv4.PacketConn
 	self     netip.AddrPort
 	snapshot atomic.Pointer[Snapshot]
 	forward  *forwardCounters
 	reply    *replyCounters
+	// toAgents goes out through data.
+	toAgents *queue
 }
 
 // Start returns a running path that exchanges encapsulated datagrams with
 // agents through data. self is the address of data as agents reach it; first
 // is the first snapshot.
 func Start(data *net.UDPConn, self netip.AddrPort, first *Snapshot) *Path {
-	p := &Path{
-		data:    data,
-		io:      ipv4.NewPacketConn(data),
-		self:    self,
-		forward: newForwardCounters(),
-		reply:   newReplyCounters(),
-	}
+	p := &Path{data: data, self: self, forward: newForwardCounters(), reply: newReplyCounters()}
+	p.toAgents = newQueue(ipv4.NewPacketConn(data), dataBatch, p.forward.refused)
 	p.Publish(first)
+	go p.toAgents.run()
 	go p.serveReplies()
 	return p
 }
 
 // Publish puts a snapshot in force and starts its sockets that do not run yet.
 func (p *Path) Publish(s *Snapshot) {
-	p.snapshot.Store(s)
 	for _, f := range s.Faces {
-		f.Socket.start.Do(func() { go p.serveFace(f.Socket) })
+		f.Socket.start.Do(func() { p.startFace(f.Socket) })
 	}
+	p.snapshot.Store(s)
+}
+
+func (p *Path) startFace(s *Socket) {
+	s.replies = newQueue(ipv4.NewPacketConn(s.conn), faceBatch, p.reply.refused)
+	go s.replies.run()
+	go p.serveFace(s)
 }
 
 // Close closes the data socket and all face sockets of the snapshot in force.
 func (p *Path) Close() {
 	_ = p.data.Close()
+	p.toAgents.close()
 	for _, f := range p.snapshot.Load().Faces {
 		_ = f.Socket.Close()
 	}
 }
-
-// receiveRetry is the pause after an error of a socket that is not closed.
-const receiveRetry = 10 * time.Millisecond
-
-// receive fills the inbox and returns the number of datagrams; ok is false
-// once the socket is closed.
-func receive(conn *ipv4.PacketConn, in *inbox) (n int, ok bool) {
-	n, err := conn.ReadBatch(in.messages, 0)
-	switch {
-	case err == nil:
-		return n, true
-	case errors.Is(err, net.ErrClosed):
-		return 0, false
-	}
-	time.Sleep(receiveRetry)
-	return 0, true
-}
--- a/internal/datapath/reason.go
+++ b/internal/datapath/reason.go
@@ -87,8 +87,9 @@
 	return c
 }
 
-func (c *counters) drop(r Reason) {
-	c.drops[r].Inc()
+// refused counts a datagram that the kernel did not take.
+func (c *counters) refused() {
+	c.drops[SendFailed].Inc()
 }
 
 // tokenReason translates an error of token.Codec.Open.
--- a/internal/datapath/reply.go
+++ b/internal/datapath/reply.go
@@ -1,6 +1,8 @@
 package datapath
 
 import (
+	"net/netip"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/saltbend/saltbend/internal/encap"
@@ -19,115 +21,88 @@
 	}
 }
 
-// replier is what the goroutine that carries replies works with.
+// replier decides on the datagrams of agents; it belongs to one goroutine.
 type replier struct {
+	snapshot *Snapshot
+	keys     Keys
+	toAgents *queue
 	counters *replyCounters
-	in       *inbox
-	// probes holds the answers to probes.
-	probes *outbox
-	// touched are the sockets with queued replies.
-	touched []*Socket
-	keys    *Keys
-	own     Keys
-}
-
-func newReplier(c *replyCounters) *replier {
-	return &replier{
-		counters: c,
-		in:       newInbox(0),
-		probes:   newOutbox(),
-		touched:  make([]*Socket, 0, BatchSize),
-	}
 }
 
 // serveReplies carries what agents send until the data socket is closed.
 func (p *Path) serveReplies() {
-	r := newReplier(p.reply)
+	r := &replier{toAgents: p.toAgents, counters: p.reply}
+	buffer := make([]byte, bufferSize)
 	for {
-		n, ok := receive(p.io, r.in)
-		if !ok {
+		end, from, err := receive(p.data, buffer, 0)
+		if err != nil {
 			return
 		}
-		r.process(p.snapshot.Load(), n)
-		for range r.probes.flush(p.io) {
-			p.reply.drop(SendFailed)
-		}
-		r.flush()
+		r.use(p.snapshot.Load())
+		buffer = r.handle(buffer, end, from)
 	}
 }
 
-// process queues the first n datagrams of the inbox where they belong.
-func (r *replier) process(s *Snapshot, n int) {
-	if r.keys != s.Keys {
-		r.keys, r.own = s.Keys, s.Keys.clone()
+// use makes the snapshot the one that handle acts on.
+func (r *replier) use(s *Snapshot) {
+	if r.snapshot == s {
+		return
 	}
-	for i := range n {
-		if reason := r.accept(s, i); reason != None {
-			r.counters.drop(reason)
-		}
+	if r.snapshot == nil || r.snapshot.Keys != s.Keys {
+		r.keys = s.Keys.clone()
 	}
+	r.snapshot = s
 }
 
-func (r *replier) accept(s *Snapshot, i int) Reason {
-	b := r.in.datagram(i)
-	if len(b) > encap.MaxDatagram {
-		return Oversized
+// handle queues the first end bytes of the buffer where they belong, or counts
+// why not. It returns the buffer to use next.
+func (r *replier) handle(buffer []byte, end int, from netip.AddrPort) []byte {
+	if end > encap.MaxDatagram {
+		return r.dropped(buffer, Oversized)
 	}
-	h, payload, err := r.own.Headers.Decode(b)
+	h, _, err := r.keys.Headers.Decode(buffer[:end])
 	if err != nil {
-		return headerReason(err)
+		return r.dropped(buffer, headerReason(err))
 	}
 	switch h.Kind {
 	case encap.KindReply:
-		return r.reply(s, &h, payload)
+		return r.reply(buffer, end, &h)
 	case encap.KindProbe:
-		return r.probe(&h, i)
+		return r.probe(buffer, &h, from)
 	}
-	return WrongKind
+	return r.dropped(buffer, WrongKind)
+}
+
+func (r *replier) dropped(buffer []byte, reason Reason) []byte {
+	r.counters.drops[reason].Inc()
+	return buffer
 }
 
 // reply queues the payload at the socket of the caller's face.
-func (r *replier) reply(s *Snapshot, h *encap.Header, payload []byte) Reason {
-	face := s.Faces[h.Face]
+func (r *replier) reply(buffer []byte, end int, h *encap.Header) []byte {
+	face := r.snapshot.Faces[h.Face]
 	if face == nil {
-		return NoFace
+		return r.dropped(buffer, NoFace)
 	}
 	if face.Service != h.Service {
-		return OtherService
+		return r.dropped(buffer, OtherService)
 	}
 	if !h.Caller.IsValid() {
-		return BadHeader
-	}
-	if face.Socket.replies.n == 0 {
-		r.touched = append(r.touched, face.Socket)
+		return r.dropped(buffer, BadHeader)
 	}
-	face.Socket.replies.add(payload, h.Caller)
 	r.counters.replies.Inc()
-	return None
+	return face.Socket.replies.add(buffer, encap.HeaderSize, end, h.Caller)
 }
 
-// probe turns a probe into its answer in place.
-func (r *replier) probe(h *encap.Header, i int) Reason {
-	from := r.in.source(i)
-	if !from.IsValid() {
-		return BadSource
+// probe turns a probe into its answer.
+func (r *replier) probe(buffer []byte, h *encap.Header, from netip.AddrPort) []byte {
+	if !from.Addr().Is4() {
+		return r.dropped(buffer, BadSource)
 	}
 	h.Kind = encap.KindProbeReply
-	answer := r.in.buffers[i][:encap.HeaderSize]
-	if err := r.own.Headers.Encode(answer, h); err != nil {
-		return BadHeader
+	if r.keys.Headers.Encode(buffer, h) != nil {
+		return r.dropped(buffer, BadHeader)
 	}
-	r.probes.add(answer, from)
 	r.counters.probes.Inc()
-	return None
-}
-
-// flush sends the queued replies.
-func (r *replier) flush() {
-	for _, s := range r.touched {
-		for range s.replies.flush(s.io) {
-			r.counters.drop(SendFailed)
-		}
-	}
-	r.touched = r.touched[:0]
+	return r.toAgents.add(buffer, 0, encap.HeaderSize, from)
 }
--- a/internal/datapath/socket.go
+++ b/internal/datapath/socket.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/ipv4"
 )
 
 // socketBuffer is the size in bytes that is asked of the kernel for the
@@ -16,12 +15,11 @@
 // Socket is the UDP socket of one public face. Datagrams to callers leave
 // through it, so that they come from the address that the caller sent to.
 type Socket struct {
-	face netip.AddrPort
-	conn *net.UDPConn
-	io   *ipv4.PacketConn
-	// replies belongs to the goroutine that carries replies.
-	replies *outbox
-	start   sync.Once
+	face  netip.AddrPort
+	conn  *net.UDPConn
+	start sync.Once
+	// replies go out to callers; set by start.
+	replies *queue
 }
 
 // Open binds the socket of a face at the local address bind.
@@ -30,10 +28,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "face %s", face)
 	}
-	return &Socket{face: face, conn: conn, io: ipv4.NewPacketConn(conn), replies: newOutbox()}, nil
+	return &Socket{face: face, conn: conn}, nil
 }
 
-// Bind opens a UDP socket at addr with buffers for batches.
+// Bind opens a UDP socket at addr with buffers for bursts.
 func Bind(addr netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
@@ -50,7 +48,7 @@
 	return localAddr(s.conn)
 }
 
-// Close closes the socket; its goroutine ends.
+// Close closes the socket; its goroutines end.
 func (s *Socket) Close() error {
 	return s.conn.Close()
 }
@@ -58,3 +56,23 @@
 func localAddr(conn *net.UDPConn) netip.AddrPort {
 	return unmapped(conn.LocalAddr().(*net.UDPAddr).AddrPort())
 }
+
+func unmapped(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// receive reads one datagram behind the first headroom bytes of the buffer and
+// returns where it ends, and the IPv4 sender. It fails only once the socket is
+// closed. Reads are not batched: the socket library allocates each sender's
+// address in a batched read, which costs what the saved system call brings.
+func receive(conn *net.UDPConn, buffer []byte, headroom int) (end int, from netip.AddrPort, err error) {
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer[headroom:])
+		if err == nil {
+			return headroom + n, unmapped(from), nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return 0, from, err
+		}
+	}
+}
