Let open flows go on when a face moves to another service

Cause: a configuration that gives a face to another service cut the open flows of the one that had it: their tokens counted as another service's. Their tokens still lead to their own agents, and replies of theirs pass; new flows belong to the new service. A token is never taken for a service that never had the face.

--- a/internal/balancer/faces.go
+++ b/internal/balancer/faces.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -25,6 +26,9 @@
 type face struct {
 	socket  *datapath.Socket
 	service string
+	// former are the services that had the face before, with the end of each
+	// one's drain.
+	former map[string]time.Time
 	// drainEnds is when the socket closes; zero while the configuration holds
 	// the face.
 	drainEnds time.Time
@@ -60,7 +64,7 @@
 	before := f.failed
 	f.failed = make(map[netip.AddrPort]error)
 	for public, service := range wanted {
-		if err := f.want(public, service); err != nil {
+		if err := f.want(public, service, now); err != nil {
 			f.failed[public] = err
 			if before[public] == nil {
 				f.notify(faceFailed, public, err)
@@ -68,6 +72,7 @@
 		}
 	}
 	for public, open := range f.open {
+		open.forget(now)
 		if _, ok := wanted[public]; ok {
 			continue
 		}
@@ -84,21 +89,46 @@
 	return ended
 }
 
-func (f *faces) want(public netip.AddrPort, service string) error {
+func (f *faces) want(public netip.AddrPort, service string, now time.Time) error {
 	if open := f.open[public]; open != nil {
 		open.drainEnds = time.Time{}
-		open.service = service
+		open.serve(service, now.Add(f.drain))
 		return nil
 	}
 	socket, err := datapath.Open(public, f.bindAddr(public))
 	if err != nil {
 		return err
 	}
-	f.open[public] = &face{socket: socket, service: service}
+	f.open[public] = &face{socket: socket, service: service, former: make(map[string]time.Time)}
 	f.notify(faceOpened, public, nil)
 	return nil
 }
 
+// serve gives the face to a service. The open flows of the one that had it go
+// on until the drain ends.
+func (f *face) serve(service string, drainEnds time.Time) {
+	if service == f.service {
+		return
+	}
+	f.former[f.service] = drainEnds
+	f.service = service
+	delete(f.former, service)
+}
+
+// forget drops the former services whose drain has ended.
+func (f *face) forget(now time.Time) {
+	maps.DeleteFunc(f.former, func(_ string, ends time.Time) bool { return !now.Before(ends) })
+}
+
+// formerTags returns the tags of the former services.
+func (f *face) formerTags() []config.Tag {
+	var tags []config.Tag
+	for name := range f.former {
+		tags = append(tags, config.TagOf(name))
+	}
+	return tags
+}
+
 func (f *faces) bindAddr(public netip.AddrPort) netip.AddrPort {
 	if f.host.IsValid() {
 		return netip.AddrPortFrom(f.host, 0)
--- a/internal/balancer/publisher.go
+++ b/internal/balancer/publisher.go
@@ -111,6 +111,7 @@
 		out.Faces[public] = &datapath.Face{
 			Socket:   open.socket,
 			Service:  config.TagOf(open.service),
+			Former:   open.formerTags(),
 			Agents:   agents,
 			Draining: !open.drainEnds.IsZero(),
 		}
--- a/internal/balancer/publisher_test.go
+++ b/internal/balancer/publisher_test.go
@@ -90,6 +90,23 @@
 	g.Expect(*ready).To(Equal(1))
 }
 
+func TestAFaceThatMovesToAnotherServiceCarriesBoth(t *testing.T) {
+	g := NewWithT(t)
+	var changes []faceChange
+	p, _ := testPublisher(t, &changes)
+	p.publish(withFaces("results", faceA), start)
+	moved := withFaces("standings", faceA)
+	p.publish(moved, start)
+	face := p.snapshot(moved).Faces[faceA]
+	g.Expect(face.Service).To(Equal(config.TagOf("standings")))
+	g.Expect(face.Former).To(ConsistOf(config.TagOf("results")))
+	p.publish(withFaces("results", faceA), start.Add(1))
+	p.publish(moved, start.Add(2))
+	g.Expect(p.snapshot(moved).Faces[faceA].Former).To(ConsistOf(config.TagOf("results")))
+	p.publish(moved, start.Add(2+drain))
+	g.Expect(p.snapshot(moved).Faces[faceA].Former).To(BeEmpty())
+}
+
 func TestAFaceThatCannotBeBoundIsReportedAndTriedAgain(t *testing.T) {
 	g := NewWithT(t)
 	var changes []faceChange
--- a/internal/datapath/classify.go
+++ b/internal/datapath/classify.go
@@ -43,6 +43,8 @@
 // verdict is what the classify filter found out about a datagram.
 type verdict struct {
 	drop Reason
+	// service is the one that the datagram is meant for.
+	service config.Tag
 	// agent ends the datagram's flow; it is invalid for a new flow.
 	agent netip.AddrPort
 	// id is the connection ID that the caller chose for a new flow; it shares
@@ -50,9 +52,9 @@
 	id []byte
 }
 
-// classify decides whether a datagram that came in at a face of the service
-// belongs to an open flow, opens a new one, or is to be dropped.
-func classify(b []byte, service config.Tag, tokens *token.Codec) verdict {
+// classify decides whether a datagram that came in at the face belongs to an
+// open flow, opens a new one, or is to be dropped.
+func classify(b []byte, f *Face, tokens *token.Codec) verdict {
 	if len(b) > encap.MaxPayload {
 		return verdict{drop: Oversized}
 	}
@@ -60,9 +62,9 @@
 	if !ok {
 		return verdict{drop: Truncated}
 	}
-	t, err := tokens.Open(id, service)
+	t, err := openToken(id, f, tokens)
 	if err == nil {
-		return verdict{agent: t.Agent}
+		return verdict{service: t.Service, agent: t.Agent}
 	}
 	if b[0]&longHeader == 0 {
 		return verdict{drop: tokenReason(err)}
@@ -73,7 +75,16 @@
 	if len(b) < minInitial {
 		return verdict{drop: SmallInitial}
 	}
-	return verdict{id: id}
+	return verdict{service: f.Service, id: id}
+}
+
+// openToken opens a token of the face's service or of a former one.
+func openToken(id []byte, f *Face, tokens *token.Codec) (t token.Token, err error) {
+	t, err = tokens.Open(id, f.Service)
+	for i := 0; err == token.ErrService && i < len(f.Former); i++ {
+		t, err = tokens.Open(id, f.Former[i])
+	}
+	return t, err
 }
 
 // connectionID returns the destination connection ID, which shares b's memory.
--- a/internal/datapath/forward.go
+++ b/internal/datapath/forward.go
@@ -64,9 +64,6 @@
 	f.snapshot = s
 	f.face = s.Faces[f.header.Face]
 	f.header.Revision = s.Revision
-	if f.face != nil {
-		f.header.Service = f.face.Service
-	}
 }
 
 // decide runs the datagram behind the buffer's headroom through classify and
@@ -79,7 +76,7 @@
 	if !caller.Addr().Is4() {
 		return netip.AddrPort{}, c.drops[BadSource]
 	}
-	v := classify(buffer[encap.HeaderSize:end], f.face.Service, f.keys.Tokens)
+	v := classify(buffer[encap.HeaderSize:end], f.face, f.keys.Tokens)
 	if v.drop != None {
 		return netip.AddrPort{}, c.drops[v.drop]
 	}
@@ -87,7 +84,7 @@
 	if reason != None {
 		return netip.AddrPort{}, c.drops[reason]
 	}
-	f.header.Caller = caller
+	f.header.Caller, f.header.Service = caller, v.service
 	if f.keys.Headers.Encode(buffer, &f.header) != nil {
 		return netip.AddrPort{}, c.drops[BadHeader]
 	}
--- a/internal/datapath/reply.go
+++ b/internal/datapath/reply.go
@@ -84,7 +84,7 @@
 	if face == nil {
 		return r.dropped(buffer, NoFace)
 	}
-	if face.Service != h.Service {
+	if !face.carries(h.Service) {
 		return r.dropped(buffer, OtherService)
 	}
 	if !h.Caller.IsValid() {
--- a/internal/datapath/snapshot.go
+++ b/internal/datapath/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/encap"
@@ -24,6 +25,9 @@
 type Face struct {
 	Socket  *Socket
 	Service config.Tag
+	// Former are services that had the face before: their open flows go on,
+	// new flows are Service's.
+	Former []config.Tag
 	// Agents may get the face's new flows.
 	Agents *placement.Set
 	// Draining is set once the configuration has dropped the face: open flows
@@ -31,6 +35,11 @@
 	Draining bool
 }
 
+// carries reports whether flows of the service may use the face.
+func (f *Face) carries(service config.Tag) bool {
+	return f.Service == service || slices.Contains(f.Former, service)
+}
+
 // Keys are the codecs of the current secrets. Each goroutine clones them once
 // for each new value.
 type Keys struct {
