Tell operators of a service that has no ready agent

Cause: when no agent of a service is ready, new flows went to starting agents or nowhere, and only the drop counter showed it. Change: the publisher tells by event, log and gauge when a service is served, panics (no agent known to be ready, the others get new flows) or is unserved; once for each change, and not for a service that starts out served.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -110,12 +110,13 @@
 	r.path = datapath.Start(r.data, r.addresses().Data, &datapath.Snapshot{Keys: keys})
 	host, _ := r.settings.faceHost()
 	r.publisher = &publisher{
-		source: r.node,
-		path:   r.path,
-		faces:  newFaces(host, r.settings.FaceDrain, r.faceChanged),
-		keys:   make(chan *datapath.Keys, 1),
-		inUse:  keys,
-		ready:  r.ready,
+		source:   r.node,
+		path:     r.path,
+		faces:    newFaces(host, r.settings.FaceDrain, r.faceChanged),
+		services: newServices(r.serviceChanged),
+		keys:     make(chan *datapath.Keys, 1),
+		inUse:    keys,
+		ready:    r.ready,
 	}
 	r.env.Keys.OnChange(r.setRing)
 	r.ops.AddCheck(r.publisher.check)
@@ -181,6 +182,16 @@
 	r.env.Events.Add(Part, event.Kind(change), detail)
 }
 
+// serviceChanged tells operators of a service that is served again, or no more.
+func (r *role) serviceChanged(service string, state serviceState) {
+	level := slog.LevelWarn
+	if state == serviceServed {
+		level = slog.LevelInfo
+	}
+	r.log.Log(context.Background(), level, "Service changed.", slog.String("service", service), slog.String("change", string(state)))
+	r.env.Events.Add(Part, event.Kind(state), service)
+}
+
 // leave announces the end and forwards on, until the fabric and the agents
 // have had time to turn to other balancers.
 func (r *role) leave() {
--- a/internal/balancer/publisher.go
+++ b/internal/balancer/publisher.go
@@ -12,8 +12,6 @@
 	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/datapath"
 	"github.com/saltbend/saltbend/internal/keyring"
-	"github.com/saltbend/saltbend/internal/member"
-	"github.com/saltbend/saltbend/internal/placement"
 )
 
 // Times of the publisher.
@@ -29,11 +27,12 @@
 // publisher turns control snapshots into data path snapshots. All but view
 // belongs to the goroutine of run.
 type publisher struct {
-	source control.Source
-	path   *datapath.Path
-	faces  *faces
-	keys   chan *datapath.Keys
-	inUse  *datapath.Keys
+	source   control.Source
+	path     *datapath.Path
+	faces    *faces
+	services *services
+	keys     chan *datapath.Keys
+	inUse    *datapath.Keys
 	// ready is called once, with the first configuration in force.
 	ready func()
 	// view is what other goroutines may read.
@@ -85,6 +84,7 @@
 		return
 	}
 	ended := p.faces.update(s.Config, now)
+	p.services.update(s)
 	p.path.Publish(p.snapshot(s))
 	for _, socket := range ended {
 		_ = socket.Close()
@@ -97,42 +97,23 @@
 }
 
 func (p *publisher) snapshot(s *control.Snapshot) *datapath.Snapshot {
-	sets := agentSets(s)
 	out := &datapath.Snapshot{
 		Revision: s.Config.Revision,
 		Keys:     p.inUse,
 		Faces:    make(map[netip.AddrPort]*datapath.Face, len(p.faces.open)),
 	}
 	for public, open := range p.faces.open {
-		agents := sets[open.service]
-		if agents == nil {
-			agents = &placement.Set{}
-		}
 		out.Faces[public] = &datapath.Face{
 			Socket:   open.socket,
 			Service:  config.TagOf(open.service),
 			Former:   open.formerTags(),
-			Agents:   agents,
+			Agents:   p.services.set(open.service),
 			Draining: !open.drainEnds.IsZero(),
 		}
 	}
 	return out
 }
 
-// agentSets returns the set of agents for new flows of each service.
-func agentSets(s *control.Snapshot) map[string]*placement.Set {
-	byService := make(map[string][]member.Member)
-	for i := range s.Agents {
-		name := s.Agents[i].Service
-		byService[name] = append(byService[name], s.Agents[i])
-	}
-	sets := make(map[string]*placement.Set, len(byService))
-	for name, agents := range byService {
-		sets[name] = placement.NewSet(s.Self.DataCentre, s.Balancers, agents)
-	}
-	return sets
-}
-
 // local returns the local address of each open face by its public one.
 func (p *publisher) local() map[netip.AddrPort]netip.AddrPort {
 	v := p.view.Load()
--- a/internal/balancer/publisher_test.go
+++ b/internal/balancer/publisher_test.go
@@ -40,9 +40,10 @@
 		faces: newFaces(loopback, drain, func(c faceChange, _ netip.AddrPort, _ error) {
 			*changes = append(*changes, c)
 		}),
-		keys:  make(chan *datapath.Keys, 1),
-		inUse: keys,
-		ready: func() { *ready++ },
+		services: newServices(func(string, serviceState) {}),
+		keys:     make(chan *datapath.Keys, 1),
+		inUse:    keys,
+		ready:    func() { *ready++ },
 	}
 	t.Cleanup(p.path.Close)
 	return p, ready
@@ -143,6 +144,24 @@
 	g.Expect(face.Agents.Len()).To(Equal(2))
 }
 
+func TestAServiceWithoutReadyAgentsIsReported(t *testing.T) {
+	g := NewWithT(t)
+	var told []serviceState
+	all := newServices(func(_ string, s serviceState) { told = append(told, s) })
+	s := withFaces("results", faceA)
+	s.Agents = []member.Member{{Control: faceA, Data: faceA, Service: "results", State: member.StateReady, Weight: 1}}
+	in := func(state member.State) { s.Agents[0].State = state; all.update(s) }
+	in(member.StateReady)
+	g.Expect(told).To(BeEmpty(), "it was never different")
+	in(member.StateStarting)
+	in(member.StateStarting)
+	in(member.StateGone)
+	in(member.StateReady)
+	g.Expect(told).To(Equal([]serviceState{servicePanics, serviceUnserved, serviceServed}))
+	g.Expect(all.counts[serviceServed].Get()).To(Equal(1.0))
+	g.Expect(all.counts[serviceUnserved].Get()).To(BeZero())
+}
+
 func TestSettingsReportAllFindings(t *testing.T) {
 	g := NewWithT(t)
 	s := Settings{FaceHost: "face.example", FaceDrain: -1, Grace: -1}
--- /dev/null
+++ b/internal/balancer/services.go
@@ -0,0 +1,101 @@
+package balancer
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/placement"
+)
+
+// serviceState tells where a service's new flows go; it names the events, too.
+type serviceState string
+
+// States of a service.
+const (
+	// serviceServed: to ready agents.
+	serviceServed serviceState = "service-served"
+	// servicePanics: no agent is known to be ready; to the others.
+	servicePanics serviceState = "service-panics"
+	// serviceUnserved: nowhere, there is no agent.
+	serviceUnserved serviceState = "service-unserved"
+)
+
+var serviceStates = []serviceState{serviceServed, servicePanics, serviceUnserved}
+
+// services holds the agents of each service. It belongs to the goroutine that
+// turns control snapshots into data path snapshots.
+type services struct {
+	sets   map[string]*placement.Set
+	states map[string]serviceState
+	notify func(service string, state serviceState)
+	counts map[serviceState]*metrics.Gauge
+}
+
+func newServices(notify func(string, serviceState)) *services {
+	s := &services{
+		states: make(map[string]serviceState),
+		notify: notify,
+		counts: make(map[serviceState]*metrics.Gauge),
+	}
+	for _, state := range serviceStates {
+		name := fmt.Sprintf("saltbend_balancer_services{state=%q}", state)
+		s.counts[state] = metrics.GetOrCreateGauge(name, nil)
+	}
+	return s
+}
+
+// update takes the agents from the snapshot, and tells of services whose state
+// has changed. A service that appears is told of only if it is not served.
+func (s *services) update(c *control.Snapshot) {
+	s.sets = agentSets(c)
+	states := make(map[string]serviceState, len(c.Config.Services))
+	counts := make(map[serviceState]int)
+	for i := range c.Config.Services {
+		name := c.Config.Services[i].Name
+		state := stateOf(s.set(name))
+		states[name] = state
+		counts[state]++
+		if before, known := s.states[name]; before != state && (known || state != serviceServed) {
+			s.notify(name, state)
+		}
+	}
+	s.states = states
+	for _, state := range serviceStates {
+		s.counts[state].Set(float64(counts[state]))
+	}
+}
+
+// set returns the agents for new flows of a service, which may be none.
+func (s *services) set(name string) *placement.Set {
+	if set := s.sets[name]; set != nil {
+		return set
+	}
+	return &placement.Set{}
+}
+
+func stateOf(set *placement.Set) serviceState {
+	switch {
+	case set.Len() == 0:
+		return serviceUnserved
+	case set.Panics():
+		return servicePanics
+	}
+	return serviceServed
+}
+
+// agentSets returns the set of agents for new flows of each service.
+func agentSets(s *control.Snapshot) map[string]*placement.Set {
+	byService := make(map[string][]member.Member)
+	for i := range s.Agents {
+		name := s.Agents[i].Service
+		byService[name] = append(byService[name], s.Agents[i])
+	}
+	sets := make(map[string]*placement.Set, len(byService))
+	for name, agents := range byService {
+		sets[name] = placement.NewSet(s.Self.DataCentre, s.Balancers, agents)
+	}
+	return sets
+}
