--- a/cmd/saltbend/main.go
+++ b/cmd/saltbend/main.go
@@ -51,15 +51,21 @@
 	}
 }
 
-// run runs the tool and returns its exit code.
-func run(ctx context.Context, args []string, out std) int {
+// newParser returns the parser of the command line.
+func newParser(all []entry) *flags.Parser {
 	parser := flags.NewNamedParser("saltbend", flags.HelpFlag|flags.PassDoubleDash)
-	all := commands()
 	for _, e := range all {
 		if _, err := parser.AddCommand(e.name, e.short, e.long, e.command); err != nil {
 			panic(err) // a fault in the tags
 		}
 	}
+	return parser
+}
+
+// run runs the tool and returns its exit code.
+func run(ctx context.Context, args []string, out std) int {
+	all := commands()
+	parser := newParser(all)
 	rest, err := parser.ParseArgs(args)
 	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
 		fmt.Fprintln(out.out, help.Message)
--- /dev/null
+++ b/cmd/saltbendd/flags_test.go
@@ -0,0 +1,11 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/saltbend/saltbend/test/flagdoc"
+)
+
+func TestFlagPage(t *testing.T) {
+	flagdoc.Check(t, "../../docs/operations/saltbendd.md", newParser(&globalOptions{}, roles()))
+}
--- a/cmd/saltbendd/run.go
+++ b/cmd/saltbendd/run.go
@@ -60,22 +60,36 @@
 	return serve(chosen, out, signals)
 }
 
-// parse returns the chosen role, or nil and the exit code.
-func parse(args []string, out std) (*role, int) {
-	var global struct {
-		Version bool `long:"version" description:"print the version and exit"`
-	}
+// globalOptions are the flags outside of any role.
+type globalOptions struct {
+	Version bool `long:"version" description:"print the version and exit"`
+}
+
+// newParser returns the parser of the command line.
+func newParser(global *globalOptions, all []role) *flags.Parser {
 	parser := flags.NewNamedParser("saltbendd", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
-	if _, err := parser.AddGroup("Global options", "", &global); err != nil {
+	if _, err := parser.AddGroup("Global options", "", global); err != nil {
 		panic(err) // a fault in the tags
 	}
-	all := roles()
 	for _, r := range all {
-		if _, err := parser.AddCommand(r.name, r.short, r.short, r.settings); err != nil {
+		if _, err := parser.AddCommand(r.name, r.short, exitHelp, r.settings); err != nil {
 			panic(err)
 		}
 	}
+	return parser
+}
+
+// exitHelp tells the exit codes; scripts and supervisors rely on them.
+const exitHelp = `Exit code 0: stopped as asked; 1: failed while starting or running; 2: wrong flags or
+environment, all findings are printed; 130: a second SIGTERM or SIGINT ended the process
+before its work was done. SIGHUP reads --secrets-file again.`
+
+// parse returns the chosen role, or nil and the exit code.
+func parse(args []string, out std) (*role, int) {
+	var global globalOptions
+	all := roles()
+	parser := newParser(&global, all)
 	rest, err := parser.ParseArgs(args)
 	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
 		fmt.Fprintln(out.out, help.Message)
@@ -85,13 +99,7 @@
 		fmt.Fprintln(out.out, version.Version())
 		return nil, exit.OK
 	}
-	if err == nil && len(rest) > 0 {
-		err = errors.Errorf("unexpected argument %q", rest[0])
-	}
-	if err == nil && parser.Active == nil {
-		err = errors.New("name a role: balancer or agent")
-	}
-	if err != nil {
+	if err = complete(parser, rest, err); err != nil {
 		fmt.Fprintln(out.err, err)
 		return nil, exit.Usage
 	}
@@ -103,6 +111,19 @@
 	panic("unreachable: the parser knows only these roles")
 }
 
+// complete returns what is wrong with a parsed command line, if anything.
+func complete(parser *flags.Parser, rest []string, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case len(rest) > 0:
+		return errors.Errorf("unexpected argument %q", rest[0])
+	case parser.Active == nil:
+		return errors.New("name a role: balancer or agent")
+	}
+	return nil
+}
+
 // serve runs the role until it ends or a signal stops it.
 func serve(r *role, out std, signals <-chan os.Signal) int {
 	ring, err := r.common.LoadRing()
