--- a/internal/balancer/publisher.go
+++ b/internal/balancer/publisher.go
@@ -18,7 +18,7 @@
 const (
 	// settle is the least time between two data path snapshots: changes of the
 	// fleet that come close together cost one snapshot.
-	settle = 20 * time.Millisecond
+	settle = 100 * time.Millisecond
 	// recheck is the time between looks at drains that end and at faces that
 	// could not be bound.
 	recheck = time.Second
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -93,9 +93,10 @@
 		name := s.Agents[i].Service
 		byService[name] = append(byService[name], s.Agents[i])
 	}
+	at := placement.NewLocality(s.Self.DataCentre, s.Balancers)
 	sets := make(map[string]*placement.Set, len(byService))
 	for name, agents := range byService {
-		sets[name] = placement.NewSet(s.Self.DataCentre, s.Balancers, agents)
+		sets[name] = placement.NewSet(at, agents)
 	}
 	return sets
 }
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -2,16 +2,30 @@
 
 import "github.com/saltbend/saltbend/internal/member"
 
-// shares returns the part of this balancer's new flows that goes to each data
-// centre. The fabric hands every balancer the same part of all new flows, so a
+// Locality tells where a balancer stands among the others. It is immutable.
+//
+// The fabric hands every balancer the same part of all new flows, so a
 // data centre's balancers bring it as many flows as there are balancers. As
 // long as the capacity there matches, all stay. Where it falls short, only the
 // excess leaves, to the data centres with capacity to spare, in proportion to
 // it. If every balancer does so, each agent gets its weight's part of all
 // flows, and no more flows than needed cross between data centres.
-func shares(own string, balancers []member.Member, w weights) map[string]float64 {
+type Locality struct {
+	own string
+	// arrivals is each data centre's part of all new flows.
+	arrivals map[string]float64
+}
+
+// NewLocality returns the place of a balancer in the data centre own.
+func NewLocality(own string, balancers []member.Member) Locality {
+	return Locality{own: own, arrivals: arrivalsByDataCentre(own, balancers)}
+}
+
+// shares returns the part of this balancer's new flows that goes to each data
+// centre.
+func (l Locality) shares(w weights) map[string]float64 {
+	own, arrivals := l.own, l.arrivals
 	capacity := w.byDataCentre()
-	arrivals := arrivalsByDataCentre(own, balancers)
 	keep := min(1, capacity[own]/arrivals[own])
 	out := make(map[string]float64, len(capacity))
 	if keep > 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,18 +33,17 @@
 	seed uint64
 }
 
-// NewSet returns the set for a balancer in the data centre own. Draining and
-// gone agents get nothing, nor do agents without an IPv4 data address. Ready agents share by Weight; their data centre
-// matters as shares tells. If no ready agent has a weight, all ready and
+// NewSet returns the set for a balancer at the given place. Draining and gone agents get nothing, nor do agents without an IPv4 data address. Ready agents share by Weight; their data centre
+// matters as Locality tells. If no ready agent has a weight, all ready and
 // starting agents share equally: the fleet's view may be wrong, and an agent
 // can still answer that a request was not run. Panics reports that case.
-func NewSet(own string, balancers, agents []member.Member) *Set {
+func NewSet(at Locality, agents []member.Member) *Set {
 	ready := weightOfReady(agents)
 	if len(ready) > 0 {
-		return &Set{groups: groups(agents, ready, shares(own, balancers, ready))}
+		return &Set{groups: groups(agents, ready, at.shares(ready))}
 	}
 	last := weightOfLastResort(agents)
-	return &Set{groups: groups(agents, last, shares(own, balancers, last)), panics: len(last) > 0}
+	return &Set{groups: groups(agents, last, at.shares(last)), panics: len(last) > 0}
 }
 
 // weights holds the weight of agents by their place in the list.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -93,7 +93,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := placement.NewSet("a", tc.balancers, tc.agents)
+			s := placement.NewSet(placement.NewLocality("a", tc.balancers), tc.agents)
 			g.Expect(s.Panics()).To(Equal(tc.panics))
 			g.Expect(s.Len()).To(Equal(len(tc.want)))
 			counts := spread(s, n)
@@ -123,7 +123,7 @@
 		fleet := balancers(homes...)
 		sum := make(map[netip.AddrPort]int)
 		for _, home := range homes {
-			for a, c := range spread(placement.NewSet(home, fleet, agents), each) {
+			for a, c := range spread(placement.NewSet(placement.NewLocality(home, fleet), agents), each) {
 				sum[a] += c
 			}
 		}
@@ -149,8 +149,8 @@
 		victim := rapid.IntRange(0, n-1).Draw(t, "victim")
 		changed := append([]member.Member(nil), agents...)
 		changed[victim].State = member.StateDraining
-		fleet := balancers("a")
-		before, after := placement.NewSet("a", fleet, agents), placement.NewSet("a", fleet, changed)
+		at := placement.NewLocality("a", balancers("a"))
+		before, after := placement.NewSet(at, agents), placement.NewSet(at, changed)
 		for range 200 {
 			key := rapid.Uint64().Draw(t, "key")
 			was, _ := before.Choose(key)
@@ -170,7 +170,7 @@
 	for i := range 7 {
 		agents = append(agents, agent(i+1, "a", member.StateReady, 1000))
 	}
-	s := placement.NewSet("a", balancers("a"), agents)
+	s := placement.NewSet(placement.NewLocality("a", balancers("a")), agents)
 	key := uint64(0)
 	NewWithT(t).Expect(testing.AllocsPerRun(100, func() { key++; s.Choose(key) })).To(BeZero())
 }
