Follow the split of placement.NewSet in the agent's drain

Cause: placement.NewSet now takes the balancer's place among the others as one value, computed once; the agent's hand-on in a drain used the old form and no longer built. Change: the call alone; what it chooses is the same.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -54,6 +54,6 @@
 			others = append(others, m)
 		}
 	}
-	set := placement.NewSet(snapshot.Self.DataCentre, snapshot.Balancers, others)
+	set := placement.NewSet(placement.NewLocality(snapshot.Self.DataCentre, snapshot.Balancers), others)
 	return set.Choose(xxhash.Sum64(dcid))
 }
