--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -1,18 +1,15 @@
 package control
 
 import (
-	"context"
 	"fmt"
 	"net/netip"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
-
 	"github.com/saltbend/saltbend/internal/adopt"
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/gossip"
-	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/member"
 )
 
 // Events of the configuration.
@@ -22,14 +19,12 @@
 	EventRefused event.Kind = "Configuration refused."
 )
 
-// ConfigKey is the store's key of the configuration record.
-const ConfigKey = "saltbend/config"
-
-// record is the adopted configuration as it travels.
-type record struct {
-	revision   uint64
-	compressed []byte
-	config     *config.Config
+// adopted is the adopted configuration with its record as it travels.
+type adopted struct {
+	revision uint64
+	// value is the store's value: a compressed record.
+	value  []byte
+	config *config.Config
 }
 
 // FetchArgs ask for a configuration newer than Have.
@@ -37,23 +32,18 @@
 	Have uint64
 }
 
-// FetchReply carries the whole record, compressed with zstd; nothing when the
+// FetchReply carries the store's value, which is compressed; nothing when the
 // asked process has no newer one.
 type FetchReply struct {
 	Revision uint64
-	Record   []byte
+	Value    []byte
 }
 
-var (
-	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(4*store.MaxValueBytes))
-)
-
 // Fetch answers with the configuration record.
 func (s *Service) Fetch(a FetchArgs, reply *FetchReply) error {
 	return answer(s, reply, func(time.Time) FetchReply {
-		if r := s.node.record; r.revision > a.Have {
-			return FetchReply{Revision: r.revision, Record: r.compressed}
+		if r := s.node.adopted; r.revision > a.Have {
+			return FetchReply{Revision: r.revision, Value: r.value}
 		}
 		return FetchReply{}
 	})
@@ -91,19 +81,18 @@
 		n.fetching = true
 		go n.fetch(d.From)
 	}
-	if d.Serve && n.serving != n.record.config {
-		n.serving, n.dirty = n.record.config, true
-		n.engine.SetRevision(n.record.revision)
-		n.event(EventServing, fmt.Sprintf("revision %d: %s", n.record.revision, d.Reason))
+	if d.Serve && n.serving != n.adopted.config {
+		n.serving, n.dirty = n.adopted.config, true
+		n.engine.SetRevision(n.adopted.revision)
+		n.event(EventServing, fmt.Sprintf("revision %d: %s", n.adopted.revision, d.Reason))
 	}
 }
 
+// otherBalancers returns the number of live balancers besides this process.
 func (n *Node) otherBalancers() int {
-	count := 0
-	for _, b := range n.engine.Table().Balancers() {
-		if b.Control != n.options.Self.Control {
-			count++
-		}
+	count := n.engine.Table().LiveBalancers()
+	if n.options.Self.Role == member.RoleBalancer {
+		count--
 	}
 	return count
 }
@@ -112,17 +101,13 @@
 func (n *Node) fetch(from netip.AddrPort) {
 	var reply FetchReply
 	_, err := n.call(from, "Fetch", FetchArgs{Have: n.revision()}, &reply)
-	var text []byte
-	if err == nil && reply.Revision > 0 {
-		text, err = decoder.DecodeAll(reply.Record, nil)
-	}
 	n.post(func(now time.Time) {
 		n.fetching = false
 		if err != nil || reply.Revision == 0 {
 			n.adopt.Gone(from) // until it answers again
 			return
 		}
-		n.take(text, reply.Revision)
+		n.take(reply.Value, reply.Revision)
 	})
 }
 
@@ -133,11 +118,11 @@
 }
 
 // take parses a record and adopts it if it is newer.
-func (n *Node) take(text []byte, revision uint64) {
+func (n *Node) take(value []byte, revision uint64) {
 	if revision <= n.adopt.Revision() {
 		return
 	}
-	c, err := n.options.Decode(text, revision)
+	c, err := n.options.Decode(value, revision)
 	if err != nil {
 		n.event(EventRefused, fmt.Sprintf("revision %d: %v", revision, err))
 		return
@@ -145,35 +130,6 @@
 	if !n.adopt.Adopt(revision) {
 		return
 	}
-	n.record = record{revision: revision, config: c, compressed: encoder.EncodeAll(text, nil)}
+	n.adopted = adopted{revision: revision, value: value, config: c}
 	n.event(EventAdopted, fmt.Sprintf("revision %d", revision))
 }
-
-// startStore watches the configuration in the store.
-func (n *Node) startStore(ctx context.Context) {
-	if n.options.Store != nil {
-		go n.watch(ctx)
-	}
-}
-
-// watch reads the configuration key until ctx ends.
-func (n *Node) watch(ctx context.Context) {
-	const pause = time.Second
-	var after uint64
-	for ctx.Err() == nil {
-		sent := n.options.Now()
-		entry, err := n.options.Store.Watch(ctx, ConfigKey, after)
-		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
-			continue
-		}
-		after = entry.Revision
-		n.post(func(now time.Time) {
-			n.take(entry.Value, entry.Revision)
-			n.adopt.Read(adopt.Reading{Revision: entry.Revision, Age: now.Sub(sent)}, now)
-		})
-	}
-}
--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,158 @@
+package control_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/gossip"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/test/storefake"
+)
+
+// fastTiming shortens the periods, so that a test waits for conditions only
+// briefly. No test depends on the values.
+func fastTiming() gossip.Timing {
+	t := gossip.DefaultTiming()
+	t.Renew = 300 * time.Millisecond
+	t.Digest = 300 * time.Millisecond
+	t.Avoid = 600 * time.Millisecond
+	return t
+}
+
+// fleet starts nodes on one mesh.
+type fleet struct {
+	mesh   *mesh
+	join   []netip.AddrPort
+	fake   *storefake.Store
+	client store.Store
+}
+
+func newFleet() *fleet {
+	return &fleet{mesh: newMesh(), join: []netip.AddrPort{addrOf(1, 0)}}
+}
+
+// withStore gives the nodes that start from now on a store instead of
+// addresses to join at.
+func (f *fleet) withStore() *fleet {
+	f.join = nil
+	f.fake = storefake.New()
+	server := httptest.NewServer(f.fake.Handler())
+	DeferCleanup(server.Close)
+	client, err := httpstore.New([]string{server.URL}, httpstore.Options{})
+	Expect(err).NotTo(HaveOccurred())
+	f.client = client
+	return f
+}
+
+// apply writes a configuration and returns its revision.
+func (f *fleet) apply(after uint64) uint64 {
+	entry, err := f.client.Swap(context.Background(), record.Key, []byte("any"), after, 0)
+	Expect(err).NotTo(HaveOccurred())
+	return entry.Revision
+}
+
+// node is a running node of a fleet.
+type node struct {
+	*control.Node
+	addr   netip.AddrPort
+	events *event.Ring
+	crash  func()
+}
+
+func (f *fleet) start(self member.Member) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	ring := event.NewRing(event.DefaultRingSize, time.Now)
+	n, err := control.Start(ctx, control.Options{
+		Self:   self,
+		Peer:   f.mesh.open(self.Control),
+		Join:   f.join,
+		Store:  f.client,
+		Timing: fastTiming(),
+		Events: ring,
+		Logger: slog.New(slog.DiscardHandler),
+		Decode: func(_ []byte, revision uint64) (*config.Config, error) {
+			return &config.Config{Revision: revision}, nil
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return &node{Node: n, addr: self.Control, events: ring, crash: func() {
+		f.mesh.crash(self.Control)
+		cancel()
+	}}
+}
+
+// startMany starts count balancers and agents in the state ready.
+func (f *fleet) startMany(balancers, agents int) (bs, as []*node) {
+	for i := range balancers {
+		bs = append(bs, f.start(balancerAt(i)))
+	}
+	for i := range agents {
+		as = append(as, f.start(agentAt(i, "results")))
+	}
+	for _, n := range append(bs, as...) {
+		n.SetState(member.StateReady)
+	}
+	for _, n := range bs {
+		Eventually(n.ready, patience).Should(Equal(balancers + agents))
+	}
+	for _, n := range as {
+		Eventually(n.ready, patience).Should(Equal(balancers + agents))
+	}
+	return bs, as
+}
+
+// ready returns the number of ready members that the node knows.
+func (n *node) ready() int {
+	count := 0
+	s := n.Snapshot()
+	for _, m := range append(s.Balancers, s.Agents...) {
+		if m.State == member.StateReady {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *node) inForce() uint64 {
+	if c := n.Snapshot().Config; c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+// state returns what the node knows of a member.
+func (n *node) state(addr netip.AddrPort) func() member.State {
+	return func() member.State {
+		s := n.Snapshot()
+		for _, m := range append(s.Balancers, s.Agents...) {
+			if m.Control == addr {
+				return m.State
+			}
+		}
+		return member.StateGone
+	}
+}
+
+// count returns the number of events of a kind.
+func (n *node) count(kind event.Kind) int {
+	count := 0
+	for _, e := range n.events.Since(0) {
+		if e.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,13 +89,13 @@
 func (m *mesh) client(from, to netip.AddrPort) (*rpc.Client, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	server := m.servers[to]
-	if server == nil || m.servers[from] == nil {
-		return nil, errors.New("refused")
-	}
 	if m.cut != nil && (m.cut(from, to) || m.cut(to, from)) {
 		return nil, errors.New("cut")
 	}
+	server := m.servers[to]
+	if server == nil || m.servers[from] == nil {
+		return nil, syscall.ECONNREFUSED
+	}
 	key := [2]netip.AddrPort{from, to}
 	if m.clients[key] == nil {
 		near, far := net.Pipe()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +18,8 @@
 )
 
 const (
-	// tickInterval is the grain of periods and retries.
-	tickInterval = 200 * time.Millisecond
+	// ticksPerRenewal sets the grain of periods and retries.
+	ticksPerRenewal = 15
 	// taskQueue bounds the messages that wait for the state's goroutine.
 	taskQueue = 1024
 )
@@ -42,10 +43,15 @@
 	// The fields below belong to the state's goroutine.
 	engine  *gossip.Engine
 	adopt   *adopt.State
-	record  record
+	adopted adopted
 	serving *config.Config
 	// fetching tells that a configuration is being fetched.
 	fetching bool
+	rand     *rand.Rand
+	store    StoreStatus
+	seeding  seeding
+	reader   reader
+	finder   finder
 	// seenSeq and dirty tell whether the snapshot is out of date.
 	seenSeq uint64
 	dirty   bool
@@ -65,21 +71,24 @@
 		ctx:     ctx,
 		engine:  gossip.New(o.Self, o.Timing, newRand(o.Self)),
 		adopt:   adopt.New(o.Rules),
+		rand:    newRand(o.Self),
 	}
+	n.seeding = newSeeding(n)
+	n.reader.backoff = storeBackoff()
+	n.finder.backoff = storeBackoff()
 	n.engine.SetJoin(o.Join)
 	n.publish()
 	if err := o.Peer.Register(serviceName, &Service{node: n}); err != nil {
 		return nil, errors.Wrap(err, "control: register service")
 	}
 	go n.run(ctx)
-	n.startStore(ctx)
 	return n, nil
 }
 
 // run owns the control state.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.stopped)
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(n.options.Timing.Renew / ticksPerRenewal)
 	defer ticker.Stop()
 	for {
 		select {
@@ -96,6 +105,7 @@
 // step does what is due and publishes what has changed.
 func (n *Node) step(now time.Time) {
 	n.decideConfig(now)
+	n.useStore(now)
 	for _, a := range n.engine.Actions(now) {
 		n.perform(now, a)
 	}
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -2,96 +2,76 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/netip"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/control"
-	"github.com/saltbend/saltbend/internal/gossip"
 	"github.com/saltbend/saltbend/internal/member"
 )
 
-// fastTiming shortens the periods, so that a test waits for conditions only
-// briefly. No test depends on the values.
-func fastTiming() gossip.Timing {
-	t := gossip.DefaultTiming()
-	t.Renew = 300 * time.Millisecond
-	t.Digest = 300 * time.Millisecond
-	t.Avoid = 600 * time.Millisecond
-	return t
-}
-
-// fleet starts nodes on one mesh.
-type fleet struct {
-	mesh *mesh
-	join []netip.AddrPort
-}
-
-func (f *fleet) start(self member.Member) (*control.Node, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
-	node, err := control.Start(ctx, control.Options{
-		Self:   self,
-		Peer:   f.mesh.open(self.Control),
-		Join:   f.join,
-		Timing: fastTiming(),
-		Logger: slog.New(slog.DiscardHandler),
-		Decode: func(_ []byte, revision uint64) (*config.Config, error) {
-			return &config.Config{Revision: revision}, nil
-		},
+var _ = Describe("Membership", func() {
+	It("learns of each process that joins, changes and leaves", func() {
+		f := newFleet()
+		bs, as := f.startMany(4, 2)
+		other := f.start(agentAt(2, "intake"))
+		for _, n := range bs {
+			Eventually(n.state(other.addr), patience).Should(Equal(member.StateStarting))
+		}
+		a := as[0]
+		a.SetState(member.StateDraining)
+		for _, n := range append(bs, as[1]) {
+			Eventually(n.state(a.addr), patience).Should(Equal(member.StateDraining))
+		}
+		a.Leave(context.Background())
+		for _, n := range append(bs, as[1]) {
+			Eventually(n.state(a.addr), patience).Should(Equal(member.StateGone))
+		}
+		Expect(as[1].state(other.addr)()).To(Equal(member.StateGone), "another service's agent is no sibling")
 	})
-	Expect(err).NotTo(HaveOccurred())
-	return node, func() {
-		f.mesh.crash(self.Control)
-		cancel()
-	}
-}
-
-func balancers(n *control.Node) func() int { return func() int { return len(n.Snapshot().Balancers) } }
-func agents(n *control.Node) func() int    { return func() int { return len(n.Snapshot().Agents) } }
 
-func stateOf(n *control.Node, addr netip.AddrPort) func() member.State {
-	return func() member.State {
-		for _, m := range n.Snapshot().Agents {
-			if m.Control == addr {
-				return m.State
-			}
+	It("declares a crashed process gone, and takes its successor at the same address", func() {
+		f := newFleet()
+		bs, as := f.startMany(4, 3)
+		as[0].crash()
+		for _, n := range append(bs, as[1:]...) {
+			Eventually(n.state(as[0].addr), patience).Should(Equal(member.StateGone))
 		}
-		return member.StateGone
-	}
-}
-
-var _ = Describe("A fleet", func() {
-	It("learns of each process that joins and of each change it makes", func() {
-		f := &fleet{mesh: newMesh(), join: []netip.AddrPort{addrOf(1, 0)}}
-		var all []*control.Node
-		for i := range 4 {
-			n, _ := f.start(balancerAt(i))
-			all = append(all, n)
+		f.start(agentAt(0, "results")).SetState(member.StateReady)
+		for _, n := range append(bs, as[1:]...) {
+			Eventually(n.state(as[0].addr), patience).Should(Equal(member.StateReady))
 		}
-		a, _ := f.start(agentAt(0, "results"))
-		b, _ := f.start(agentAt(1, "results"))
-		_, _ = f.start(agentAt(2, "intake"))
-		for _, n := range all {
-			Eventually(balancers(n), patience).Should(Equal(4))
-			Eventually(agents(n), patience).Should(Equal(3))
+	})
+
+	It("declares one silent host gone, and takes it back when it is heard again", func() {
+		f := newFleet()
+		bs, as := f.startMany(4, 3)
+		lost := as[0]
+		f.mesh.setCut(func(a, _ netip.AddrPort) bool { return a == lost.addr })
+		for _, n := range append(bs, as[1:]...) {
+			Eventually(n.state(lost.addr), patience).Should(Equal(member.StateGone))
 		}
-		for _, n := range []*control.Node{a, b} {
-			Eventually(agents(n), patience).Should(Equal(2))
-			Eventually(balancers(n), patience).Should(Equal(4))
+		f.mesh.setCut(nil)
+		for _, n := range append(bs, as[1:]...) {
+			Eventually(n.state(lost.addr), patience).Should(Equal(member.StateReady))
 		}
-		a.SetState(member.StateReady)
-		for _, n := range append(all, b) {
-			Eventually(stateOf(n, addrOf(2, 0)), patience).Should(Equal(member.StateReady))
+	})
+
+	It("empties no table when half of the balancers are cut from the other half", func() {
+		f := newFleet()
+		bs, as := f.startMany(4, 4)
+		side := func(a netip.AddrPort) bool { return a.Addr().As4()[3]%2 == 0 }
+		f.mesh.setCut(func(a, b netip.AddrPort) bool { return side(a) != side(b) })
+		for _, n := range bs {
+			Eventually(func() int { return n.count(control.EventKept) }, patience).Should(BeNumerically(">", 0))
 		}
-		a.SetState(member.StateDraining)
-		a.Leave(context.Background())
-		for _, n := range append(all, b) {
-			Eventually(stateOf(n, addrOf(2, 0)), patience).Should(Equal(member.StateGone))
+		f.mesh.setCut(nil)
+		for _, n := range bs {
+			Eventually(func() int { return n.Status().Suspected }, patience).Should(BeZero())
+			Expect(n.count(control.EventDeclared)).To(BeZero(), "%v", n.events.Since(0))
+			Expect(n.ready()).To(Equal(8))
 		}
+		_ = as
 	})
 })
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -14,7 +14,7 @@
 	"github.com/saltbend/saltbend/internal/gossip"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/peer"
-	configrecord "github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/store"
 )
 
@@ -82,7 +82,7 @@
 		o.Rules = adopt.DefaultRules()
 	}
 	if o.Decode == nil {
-		o.Decode = configrecord.Parse
+		o.Decode = record.Parse
 	}
 	return o, nil
 }
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/saltbend/saltbend/internal/gossip"
+	"github.com/saltbend/saltbend/internal/member"
 )
 
 // callTimeout bounds one control call. It stays under the renewal period, so
@@ -30,8 +34,10 @@
 		go n.sendExchange(a)
 	case gossip.Probe:
 		go n.sendProbe(a)
+	case gossip.Notice:
+		n.notice(a)
 	case gossip.FindPeers:
-		n.findPeers()
+		n.findPeers(now)
 	}
 }
 
@@ -48,15 +54,12 @@
 	var reply gossip.AnnounceReply
 	trip, err := n.call(a.To, "Announce", a.Message, &reply)
 	n.post(func(now time.Time) {
-		if a.Message.Moved {
-			return
-		}
 		if err != nil {
 			n.engine.AnnounceFailed(now, a.To)
 			return
 		}
 		n.heard(now, a.To, reply.Claim, trip)
-		n.engine.AnnounceDone(now, a.To, reply)
+		n.engine.AnnounceDone(now, a.To, a.Message, reply)
 	})
 }
 
@@ -89,6 +92,19 @@
 	n.post(func(now time.Time) { n.engine.ExchangeDone(now, reply) })
 }
 
-func (n *Node) sendProbe(gossip.Probe) {}
+func (n *Node) sendProbe(a gossip.Probe) {
+	_, err := n.call(a.To, "Ping", PingArgs{From: n.options.Self.Control, Suspicion: a.Suspicion}, &PingReply{})
+	evidence := evidenceOf(err)
+	n.post(func(now time.Time) { n.engine.ProbeDone(now, a.To, evidence) })
+}
 
-func (n *Node) findPeers() {}
+// evidenceOf tells what a failed probe says of the member.
+func evidenceOf(err error) member.Evidence {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return member.Refused
+	}
+	return member.Unreachable
+}
--- /dev/null
+++ b/internal/control/reader.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/seed"
+)
+
+// joinPatience is the time that peers get to hand a joining process the
+// configuration before it reads the store itself.
+const joinPatience = time.Second
+
+// reader reads the configuration for a process that does not serve yet.
+type reader struct {
+	busy    bool
+	next    time.Time
+	backoff seed.Backoff
+}
+
+// readToJoin reads the store, with back-off, until the process serves.
+func (n *Node) readToJoin(now time.Time) {
+	r := &n.reader
+	if r.next.IsZero() {
+		r.next = now.Add(joinPatience)
+	}
+	if n.serving != nil || r.busy || now.Before(r.next) {
+		return
+	}
+	r.busy = true
+	r.next = now.Add(r.backoff.Next(n.rand))
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+		defer cancel()
+		n.readConfig(ctx)
+		n.post(func(time.Time) { r.busy = false })
+	}()
+}
--- /dev/null
+++ b/internal/control/seeding.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/adopt"
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/seed"
+	"github.com/saltbend/saltbend/internal/store"
+)
+
+// Events of seeds.
+const (
+	EventSeed     event.Kind = "Seed lease taken."
+	EventSeedLost event.Kind = "Seed lease lost."
+)
+
+// storeTimeout bounds one call to the store other than a watch.
+const storeTimeout = 3 * time.Second
+
+// holder is the value of a seed's key.
+type holder struct {
+	Control     netip.AddrPort `json:"control"`
+	Incarnation uint64         `json:"incarnation"`
+}
+
+func parseHolder(value []byte) (holder, error) {
+	var h holder
+	if err := json.Unmarshal(value, &h); err != nil {
+		return h, errors.Wrap(err, "control: seed record")
+	}
+	if !validAddr(h.Control) {
+		return h, errInvalid
+	}
+	return h, nil
+}
+
+// seeding is the shell around the decisions of a seed. It belongs to the
+// state's goroutine.
+type seeding struct {
+	machine *seed.Machine
+	value   []byte
+	held    bool
+	stop    context.CancelFunc // ends the watch
+}
+
+func newSeeding(n *Node) seeding {
+	self := n.options.Self
+	value, _ := json.Marshal(holder{self.Control, self.Incarnation}) // of plain fields: cannot fail
+	return seeding{machine: seed.New(n.rand), value: value}
+}
+
+// useStore does at the store what is due.
+func (n *Node) useStore(now time.Time) {
+	if n.options.Store == nil {
+		return
+	}
+	n.readToJoin(now)
+	if n.options.Self.Role != member.RoleBalancer {
+		return
+	}
+	n.followLease(now)
+	if a := n.seeding.machine.Decide(now, n.seedInput(now)); a.Kind != seed.None {
+		go n.seedCall(a)
+	}
+}
+
+// seedInput tells what the decision about the lease rests on.
+func (n *Node) seedInput(now time.Time) seed.Input {
+	self := n.engine.Self()
+	in := seed.Input{Rank: -1, Age: seed.Stale}
+	if self.State == member.StateReady {
+		in.Rank = member.Rank(self, n.engine.Table().Balancers())
+	}
+	if r := n.adopt.Reading(now); r != nil {
+		in.Age = r.Age
+	}
+	return in
+}
+
+// followLease watches the configuration for as long as the lease is held.
+func (n *Node) followLease(now time.Time) {
+	s := &n.seeding
+	held := s.machine.Holding(now)
+	if held == s.held {
+		return
+	}
+	s.held = held
+	if !held {
+		s.stop()
+		n.event(EventSeedLost, n.options.Self.DataCentre)
+		return
+	}
+	ctx, cancel := context.WithCancel(n.ctx)
+	s.stop = cancel
+	n.event(EventSeed, n.options.Self.DataCentre)
+	go n.watchConfig(ctx)
+}
+
+// seedCall makes one call about the lease.
+func (n *Node) seedCall(a seed.Action) {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	sent := n.options.Now()
+	key := seed.Key(n.options.Self.DataCentre, a.Slot)
+	var entry store.Entry
+	var err error
+	switch a.Kind {
+	case seed.Claim, seed.Extend:
+		entry, err = n.options.Store.Swap(ctx, key, n.seeding.value, a.Revision, seed.Lease)
+	case seed.Inspect:
+		entry, err = n.options.Store.Get(ctx, key)
+	case seed.Release:
+		err = n.options.Store.Delete(ctx, key, a.Revision)
+	}
+	result := n.resultOf(a, entry, err)
+	n.post(func(now time.Time) {
+		n.noteStore(now, err)
+		n.seeding.machine.Done(now, sent, a, result, entry.Revision)
+	})
+	if result == seed.Held {
+		n.readConfig(ctx)
+	}
+}
+
+func (n *Node) resultOf(a seed.Action, entry store.Entry, err error) seed.Result {
+	switch {
+	case err == nil && a.Kind == seed.Inspect:
+		h, parseErr := parseHolder(entry.Value)
+		if parseErr == nil && h.Control == n.options.Self.Control && h.Incarnation == n.options.Self.Incarnation {
+			return seed.Held
+		}
+		return seed.Taken
+	case err == nil && a.Kind == seed.Release, errors.Is(err, store.ErrNotFound):
+		return seed.Free
+	case err == nil:
+		return seed.Held
+	case errors.Is(err, store.ErrConflict):
+		return seed.Taken
+	case errors.Is(err, store.ErrUnavailable):
+		return seed.Unavailable
+	}
+	return seed.Unknown
+}
+
+// noteStore keeps whether and when the store answered.
+func (n *Node) noteStore(now time.Time, err error) {
+	reached := err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict)
+	n.store.Reachable = reached
+	if reached {
+		n.store.LastContact = now
+	}
+}
+
+// readConfig reads the configuration once.
+func (n *Node) readConfig(ctx context.Context) {
+	sent := n.options.Now()
+	entry, err := n.options.Store.Get(ctx, record.Key)
+	n.post(func(now time.Time) { n.tookReading(now, sent, entry, err) })
+}
+
+// tookReading takes in what a read of the configuration showed.
+func (n *Node) tookReading(now, sent time.Time, entry store.Entry, err error) {
+	n.noteStore(now, err)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return
+	}
+	if err == nil {
+		n.take(entry.Value, entry.Revision)
+	}
+	n.adopt.Read(adopt.Reading{Revision: entry.Revision, Age: now.Sub(sent)}, now)
+}
+
+// watchConfig takes each change of the configuration in until ctx ends.
+func (n *Node) watchConfig(ctx context.Context) {
+	backoff := storeBackoff()
+	random := newRand(n.options.Self)
+	after := n.revision()
+	for ctx.Err() == nil {
+		entry, err := n.options.Store.Watch(ctx, record.Key, after)
+		if err != nil {
+			pause(ctx, backoff.Next(random))
+			continue
+		}
+		backoff.Reset()
+		after = entry.Revision
+		// How old the answer is, is not known: it is no reading.
+		n.post(func(now time.Time) {
+			n.noteStore(now, nil)
+			n.take(entry.Value, entry.Revision)
+		})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func storeBackoff() seed.Backoff { return seed.Backoff{Least: time.Second, Most: 30 * time.Second} }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -60,7 +60,7 @@
 
 // Push takes transitions in.
 func (s *Service) Push(p gossip.Push, reply *gossip.PushReply) error {
-	if !p.From.IsValid() || !validMembers(p.Members) {
+	if !validAddr(p.From) || !validMembers(p.Members) {
 		return errInvalid
 	}
 	return answer(s, reply, func(now time.Time) gossip.PushReply {
@@ -73,7 +73,7 @@
 
 // Digest answers whether the caller knows the same members.
 func (s *Service) Digest(d gossip.Digest, reply *gossip.DigestReply) error {
-	if !d.From.IsValid() {
+	if !validAddr(d.From) {
 		return errInvalid
 	}
 	return answer(s, reply, func(now time.Time) gossip.DigestReply {
@@ -86,7 +86,7 @@
 
 // Exchange merges the caller's records and answers with its own.
 func (s *Service) Exchange(x gossip.Exchange, reply *gossip.Exchange) error {
-	if !x.From.IsValid() || !validMembers(x.Members) || !validBuckets(x.Buckets) {
+	if !validAddr(x.From) || !validMembers(x.Members) || !validBuckets(x.Buckets) {
 		return errInvalid
 	}
 	return answer(s, reply, func(now time.Time) gossip.Exchange {
@@ -94,11 +94,26 @@
 	})
 }
 
-// Ping answers that the process lives.
-func (s *Service) Ping(_ Empty, _ *Empty) error { return nil }
+// PingArgs are a balancer's question whether the process lives.
+type PingArgs struct {
+	From netip.AddrPort
+	// Suspicion is what the balancer holds against the process, if anything.
+	Suspicion *member.Suspicion
+}
 
-// Empty is the message that says nothing.
-type Empty struct{}
+// PingReply answers that the process lives.
+type PingReply struct{}
+
+// Ping answers that the process lives.
+func (s *Service) Ping(a PingArgs, reply *PingReply) error {
+	if !validAddr(a.From) {
+		return errInvalid
+	}
+	return answer(s, reply, func(now time.Time) PingReply {
+		s.node.engine.HandleProbe(now, a.From, a.Suspicion)
+		return PingReply{}
+	})
+}
 
 func validMembers(ms []member.Member) bool {
 	if len(ms) > maxRecords {
@@ -130,3 +145,6 @@
 	}
 	return len(buckets) <= member.DigestBuckets
 }
+
+// Empty is the message that says nothing.
+type Empty struct{}
--- /dev/null
+++ b/internal/control/store_test.go
@@ -0,0 +1,69 @@
+package control_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/seed"
+	"github.com/saltbend/saltbend/test/storefake"
+)
+
+var _ = Describe("The store", func() {
+	seeds := func(nodes []*node) func() int {
+		return func() int {
+			count := 0
+			for _, n := range nodes {
+				if n.Status().Seed {
+					count++
+				}
+			}
+			return count
+		}
+	}
+
+	It("brings processes together and its changes to all", func() {
+		f := newFleet().withStore()
+		revision := f.apply(0)
+		bs, as := f.startMany(5, 2)
+		Eventually(seeds(bs), patience).Should(Equal(seed.Slots))
+		for range 3 {
+			revision = f.apply(revision)
+			for _, n := range append(bs, as...) {
+				Eventually(n.inForce, patience).Should(Equal(revision))
+			}
+		}
+	})
+
+	It("may be down while all processes are replaced one by one", func() {
+		f := newFleet().withStore()
+		revision := f.apply(0)
+		bs, as := f.startMany(3, 2)
+		for _, n := range append(bs, as...) {
+			Eventually(n.inForce, patience).Should(Equal(revision))
+		}
+		f.fake.SetFaults(storefake.Faults{Down: true})
+		for i := range 3 {
+			next := balancerAt(10 + i)
+			f.join = nil
+			for _, b := range bs {
+				f.join = append(f.join, b.addr)
+			}
+			n := f.start(next)
+			n.SetState(member.StateReady)
+			Eventually(n.inForce, patience).Should(Equal(revision))
+			Eventually(n.ready, patience).Should(Equal(6))
+			bs[0].crash()
+			bs = append(bs[1:], n)
+			for _, b := range append(bs, as...) {
+				Eventually(b.ready, patience).Should(Equal(5))
+			}
+		}
+		late := f.start(agentAt(9, "results"))
+		late.SetState(member.StateReady)
+		for _, n := range append(bs, as...) {
+			Eventually(n.state(late.addr), patience).Should(Equal(member.StateReady))
+		}
+		Eventually(late.inForce, patience).Should(Equal(revision))
+	})
+})
--- a/internal/gossip/announce.go
+++ b/internal/gossip/announce.go
@@ -20,17 +20,12 @@
 	e.nextAnnounce = now.Add(e.jitter(e.timing.Renew))
 	e.chooseWitnesses(now)
 	for _, w := range e.witnesses {
-		e.sendAnnounce(w, false)
+		c := e.cursors[w]
+		e.do(SendAnnounce{To: w, Message: Announce{Self: e.self, Epoch: c.epoch, Cursor: c.seq}})
 	}
 }
 
-func (e *Engine) sendAnnounce(to netip.AddrPort, moved bool) {
-	c := e.cursors[to]
-	e.do(SendAnnounce{To: to, Message: Announce{Self: e.self, Epoch: c.epoch, Cursor: c.seq, Moved: moved}})
-}
-
-// chooseWitnesses settles where the process renews, and takes its leave from
-// the balancers that it no longer renews at.
+// chooseWitnesses settles where the process renews.
 func (e *Engine) chooseWitnesses(now time.Time) {
 	next := e.candidates(now)
 	if len(next) == 0 {
@@ -38,13 +33,9 @@
 		next = slices.DeleteFunc(slices.Clone(e.join), func(a netip.AddrPort) bool { return a == e.self.Control })
 	}
 	for _, old := range e.witnesses {
-		if slices.Contains(next, old) {
-			continue
-		}
-		if _, avoided := e.avoid[old]; !avoided {
-			e.sendAnnounce(old, true)
+		if !slices.Contains(next, old) {
+			delete(e.cursors, old)
 		}
-		delete(e.cursors, old)
 	}
 	e.witnesses = next
 }
@@ -69,15 +60,15 @@
 	e.do(FindPeers{})
 }
 
-// AnnounceDone takes in a balancer's answer to a renewal.
-func (e *Engine) AnnounceDone(now time.Time, from netip.AddrPort, r AnnounceReply) {
+// AnnounceDone takes in a balancer's answer to the renewal sent.
+func (e *Engine) AnnounceDone(now time.Time, from netip.AddrPort, sent Announce, r AnnounceReply) {
 	delete(e.avoid, from)
-	e.cursors[from] = cursor{r.Epoch, r.Cursor}
+	e.cursors[from] = cursor{r.Epoch, r.Cursor, now}
 	for _, m := range r.Members {
 		e.merge(now, m)
 	}
-	if r.Suspected {
-		e.Update(now, func(m *member.Member) { m.Version++ })
+	if r.Suspected && sent.Self.Version == e.self.Version && e.self.State != member.StateGone {
+		e.outbid(now, e.self)
 	}
 }
 
@@ -93,12 +84,14 @@
 // HandleAnnounce answers a renewal.
 func (e *Engine) HandleAnnounce(now time.Time, a Announce) AnnounceReply {
 	from := a.Self.Control
+	e.heardFrom(now, a.Self)
 	e.merge(now, a.Self)
 	e.table.NoteRevision(from, a.Self.Incarnation, a.Self.Revision)
 	reply := AnnounceReply{Epoch: e.self.Incarnation, Cursor: e.table.Seq()}
 	if known, ok := e.table.Get(from); ok && known.Supersedes(a.Self) {
 		reply.Members = append(reply.Members, known)
 	}
+	reply.Suspected = e.suspects.Suspected(a.Self)
 	reply.Members = append(reply.Members, e.news(a)...)
 	return reply
 }
--- a/internal/gossip/engine.go
+++ b/internal/gossip/engine.go
@@ -22,6 +22,7 @@
 // cursor says up to where a balancer's table is known.
 type cursor struct {
 	epoch, seq uint64
+	at         time.Time
 }
 
 // Engine decides for one process. It belongs to one goroutine.
@@ -41,10 +42,19 @@
 	// avoid holds the balancers that failed to answer, until when.
 	avoid map[netip.AddrPort]time.Time
 	// pending waits for the next push.
-	pending []member.Member
+	pending           []member.Member
+	pendingSuspicions []member.Suspicion
 	// notify asks for a push even if it carries no transition.
 	notify bool
 
+	suspects *member.Suspects
+	// watched are the members that this balancer is a witness of.
+	watched map[netip.AddrPort]*watch
+	// watchedSet identifies the balancers that watched was worked out from.
+	watchedSet uint64
+	kept       int
+	lastWatch  time.Time
+
 	nextAnnounce time.Time
 	nextDigest   time.Time
 	nextExpire   time.Time
@@ -62,7 +72,9 @@
 		budget:  rate.NewLimiter(rate.Limit(timing.BytesPerSecond), timing.BurstBytes),
 		cursors: make(map[netip.AddrPort]cursor),
 		avoid:   make(map[netip.AddrPort]time.Time),
+		watched: make(map[netip.AddrPort]*watch),
 	}
+	e.suspects = member.NewSuspects(e.table)
 	e.table.Merge(self, time.Time{})
 	return e
 }
@@ -107,6 +119,7 @@
 // message and every few hundred milliseconds.
 func (e *Engine) Actions(now time.Time) []Action {
 	e.announce(now)
+	e.watch(now)
 	e.push(now)
 	e.reconcile(now)
 	e.expire(now)
@@ -119,29 +132,68 @@
 
 func (e *Engine) isBalancer() bool { return e.self.Role == member.RoleBalancer }
 
-// merge takes a record in and passes it on where it is news.
-func (e *Engine) merge(now time.Time, m member.Member) {
+// merge takes a record in, passes it on where it is news, and reports whether
+// it was.
+func (e *Engine) merge(now time.Time, m member.Member) bool {
 	if m.Control == e.self.Control {
 		e.refute(now, m)
-		return
+		return false
+	}
+	if e.knowsBetter(now, m) {
+		return false
+	}
+	before, known := e.table.Get(m.Control)
+	if !e.table.Merge(m, now) {
+		return false
+	}
+	e.note(before, known, m)
+	e.spread(m)
+	e.watchRecord(now, m, before)
+	return true
+}
+
+// knowsBetter reports whether the record declares a member gone that this
+// process is in touch with. The member settles it with its next renewal.
+func (e *Engine) knowsBetter(now time.Time, m member.Member) bool {
+	known, ok := e.table.Get(m.Control)
+	if !ok || !m.Declared || known.State == member.StateGone || !m.Supersedes(known) || !e.inTouch(now, m.Control) {
+		return false
 	}
-	if e.table.Merge(m, now) {
-		e.spread(m)
+	e.suspects.Add(suspicionOf(known, e.self.Control, member.Unreachable), now)
+	return true
+}
+
+// note tells the time line what a merged record changed.
+func (e *Engine) note(before member.Member, known bool, m member.Member) {
+	switch {
+	case !known || before.Incarnation != m.Incarnation:
+		e.do(Notice{Kind: NoticeJoined, Member: m})
+	case m.Declared:
+		e.do(Notice{Kind: NoticeDeclared, Member: m})
+	case before.Declared:
+		e.do(Notice{Kind: NoticeReturned, Member: m})
+	case before.State != m.State:
+		e.do(Notice{Kind: NoticeState, Member: m})
 	}
 }
 
-// refute answers a record of the process itself that supersedes its own: the
-// process lives, so it outbids the record.
+// refute answers a record of the process itself that supersedes its own. The
+// process lives, so it outbids the record, unless it has said that it leaves.
 func (e *Engine) refute(now time.Time, m member.Member) {
-	if !m.Supersedes(e.self) {
-		return
+	if m.Supersedes(e.self) && e.self.State != member.StateGone {
+		e.outbid(now, m)
 	}
+}
+
+// outbid raises the process's own record above m.
+func (e *Engine) outbid(now time.Time, m member.Member) {
 	next := e.self
 	if m.Incarnation > next.Incarnation {
 		next.Incarnation = m.Incarnation + 1
 	}
-	next.Version = m.Version + 1
+	next.Version = max(next.Version, m.Version) + 1
 	e.publishSelf(now, next)
+	e.do(Notice{Kind: NoticeRefuted, Member: next})
 }
 
 func (e *Engine) expire(now time.Time) {
--- a/internal/gossip/messages.go
+++ b/internal/gossip/messages.go
@@ -28,9 +28,7 @@
 	// Epoch and Cursor say up to where the sender knows the balancer's table:
 	// the balancer's incarnation and the change number of its last reply.
 	Epoch, Cursor uint64
-	// Moved says that the sender stops renewing at this balancer.
-	Moved bool
-	Claim Claim
+	Claim         Claim
 }
 
 // AnnounceReply carries what changed since the sender's cursor.
@@ -77,6 +75,9 @@
 	From    netip.AddrPort
 	Buckets []int
 	Members []member.Member
+	// Suspicions concern members that the receiver holds for live and the
+	// sender for dead: the member itself is to settle it.
+	Suspicions []member.Suspicion
 }
 
 // Action is what the caller of the engine has to do next.
@@ -109,6 +110,39 @@
 // Probe asks a member whether it lives; the outcome goes to Engine.ProbeDone.
 type Probe struct {
 	To netip.AddrPort
+	// Suspicion tells the member that it is suspected; nil if it is not.
+	Suspicion *member.Suspicion
+}
+
+// NoticeKind tells what an engine decided or noticed.
+type NoticeKind uint8
+
+// Kinds of notices.
+const (
+	// NoticeJoined: a member, or a new incarnation of one, became known.
+	NoticeJoined NoticeKind = iota + 1
+	// NoticeState: a member changed its state.
+	NoticeState
+	// NoticeSuspected: this process suspects a member.
+	NoticeSuspected
+	// NoticeDeclared: a member was declared gone.
+	NoticeDeclared
+	// NoticeReturned: a member that had been declared gone lives.
+	NoticeReturned
+	// NoticeRefuted: this process was taken for dead and answered.
+	NoticeRefuted
+	// NoticeKept: the panic threshold keeps unreachable members.
+	NoticeKept
+	// NoticeKeptEnd: it keeps none any more.
+	NoticeKeptEnd
+)
+
+// Notice is for the time line: nothing has to be done.
+type Notice struct {
+	Kind   NoticeKind
+	Member member.Member
+	// Count is the number of members that are kept.
+	Count int
 }
 
 // FindPeers looks for addresses to join at: no known balancer answers.
@@ -120,3 +154,4 @@
 func (SendExchange) action() {}
 func (Probe) action()        {}
 func (FindPeers) action()    {}
+func (Notice) action()       {}
--- a/internal/gossip/reconcile.go
+++ b/internal/gossip/reconcile.go
@@ -82,37 +82,62 @@
 }
 
 // HandleExchange merges the sender's records and returns its own of the same
-// buckets, and the newer ones of those that the sender holds.
+// buckets that the sender lacks.
 func (e *Engine) HandleExchange(now time.Time, x Exchange) Exchange {
-	reply := Exchange{From: e.self.Control, Buckets: x.Buckets}
-	same := make(map[netip.AddrPort]member.Member, len(x.Members))
+	sent := make(map[netip.AddrPort]member.Member, len(x.Members))
 	for _, m := range x.Members {
-		same[m.Control] = m
-		if known, ok := e.table.Get(m.Control); ok && known.State == member.StateGone && known.Supersedes(m) {
-			reply.Members = append(reply.Members, known)
-		}
+		sent[m.Control] = m
 	}
+	reply := e.objections(x.Members)
 	for _, m := range e.table.InBuckets(x.Buckets) {
-		if sent, ok := same[m.Control]; !ok || m.Supersedes(sent) {
+		if theirs, ok := sent[m.Control]; !ok || m.Supersedes(theirs) {
 			reply.Members = append(reply.Members, m)
 		}
 	}
-	e.learn(now, x.Members)
+	e.learn(now, x)
 	e.budget.AllowN(now, messageBytes+recordBytes*len(reply.Members))
 	return reply
 }
 
-// ExchangeDone merges the other side's records.
-func (e *Engine) ExchangeDone(now time.Time, x Exchange) { e.learn(now, x.Members) }
+// ExchangeDone merges the other side's records and tells it which of them are
+// out of date.
+func (e *Engine) ExchangeDone(now time.Time, x Exchange) {
+	o := e.objections(x.Members)
+	e.learn(now, x)
+	if len(o.Members)+len(o.Suspicions) > 0 {
+		e.do(SendPush{To: x.From, Message: Push{From: e.self.Control, Members: o.Members, Suspicions: o.Suspicions}})
+	}
+}
 
-// learn merges records of an exchange. A few are passed on at once; many are
-// left to the exchanges of the others, which are likely to know them.
-func (e *Engine) learn(now time.Time, records []member.Member) {
-	queued := len(e.pending)
+// objections returns what the other side has to know of members that it holds
+// for live and this process for gone. Who announced its end is gone; who was
+// declared gone here lives perhaps, and gets the chance to refute.
+func (e *Engine) objections(records []member.Member) Exchange {
+	out := Exchange{From: e.self.Control}
 	for _, m := range records {
+		known, ok := e.table.Get(m.Control)
+		switch {
+		case !ok || known.State != member.StateGone || !known.Supersedes(m):
+		case known.Declared:
+			out.Suspicions = append(out.Suspicions, suspicionOf(m, e.self.Control, member.Unreachable))
+		default:
+			out.Members = append(out.Members, known)
+		}
+	}
+	return out
+}
+
+// learn merges the records of an exchange. A few are passed on at once; many
+// are left to the exchanges of the others, which are likely to know them.
+func (e *Engine) learn(now time.Time, x Exchange) {
+	queued := len(e.pending)
+	for _, m := range x.Members {
 		e.merge(now, m)
 	}
 	if len(e.pending)-queued > passOnLimit {
 		e.pending = e.pending[:queued]
 	}
+	for _, s := range x.Suspicions {
+		e.takeSuspicion(now, s)
+	}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -50,6 +50,9 @@
 	// record.
 	Version uint64
 	State   State
+	// Declared tells that witnesses declared the member gone; otherwise it
+	// announced so itself.
+	Declared bool
 	// Slots is the number of requests the upstream serves at once.
 	Slots int
 	// Weight scales the share of new flows, in thousandths of a warm
--- /dev/null
+++ b/internal/member/panic.go
@@ -0,0 +1,86 @@
+package member
+
+import "time"
+
+const (
+	// panicShare is the share of a group whose loss at once looks more like a
+	// cut than like deaths.
+	panicShare = 0.5
+	// keepService is how long the unreachable agents of a service are kept when
+	// most of them vanished together. Kept longer, new flows would go on
+	// failing at hosts that are truly lost.
+	keepService = 30 * time.Second
+	// keepFleet is the same for half of the fleet or of the balancers: cuts
+	// between regions last minutes.
+	keepFleet = 5 * time.Minute
+)
+
+// group is a set of members that back each other up: the agents of a service,
+// or the balancers.
+type group struct {
+	role    Role
+	service string
+}
+
+func groupOf(m Member) group { return group{m.Role, m.Service} }
+
+// loss counts the unreachable of a group.
+type loss struct {
+	lost, size int
+}
+
+func (l loss) most() bool {
+	return l.lost > 1 && float64(l.lost) >= panicShare*float64(l.size)
+}
+
+// Panic tells which unreachable members must be kept, since too many vanished
+// together: a cut hides them, or hides us.
+type Panic struct {
+	fleet  loss
+	groups map[group]loss
+}
+
+// NewPanic weighs the verdicts against the table. Only members that are
+// unreachable count: one whose host refuses the connection is dead for certain.
+func NewPanic(t *Table, verdicts []Verdict) Panic {
+	p := Panic{fleet: loss{size: t.Live()}, groups: make(map[group]loss)}
+	for _, v := range verdicts {
+		if v.Evidence != Unreachable {
+			continue
+		}
+		p.fleet.lost++
+		l := p.groups[groupOf(v.Member)]
+		l.lost++
+		p.groups[groupOf(v.Member)] = l
+	}
+	for g, l := range p.groups {
+		l.size = t.groupSize(g)
+		p.groups[g] = l
+	}
+	return p
+}
+
+// Keeps reports whether the verdict must not be carried out yet. The last
+// members of a service are kept for as long as they are merely unreachable:
+// without them nothing could be tried.
+func (p Panic) Keeps(v Verdict, now time.Time) bool {
+	if v.Evidence != Unreachable {
+		return false
+	}
+	l := p.groups[groupOf(v.Member)]
+	age := now.Sub(v.Since)
+	switch {
+	case v.Member.Role == RoleAgent && l.lost == l.size:
+		return true
+	case p.fleet.most(), v.Member.Role == RoleBalancer && l.most():
+		return age < keepFleet
+	}
+	return l.most() && age < keepService
+}
+
+func (t *Table) groupSize(g group) int {
+	if g.role == RoleBalancer {
+		return t.liveBalancers
+	}
+	return len(collect(t.services[g.service], isLive))
+}
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // oddFactor makes the weight of (a, b) differ from that of (b, a); symmetric
@@ -17,17 +19,46 @@
 // same candidates chooses the same, and a candidate that comes or goes moves
 // only its own share.
 func Rendezvous(key netip.AddrPort, candidates []Member, k int) []Member {
+	return choose(key, candidates, k)
+}
+
+// Rank returns the place of self among the balancers of its data centre that
+// are ready, from 0, in an order that differs between data centres; -1 when it
+// is none of them.
+func Rank(self Member, balancers []Member) int {
+	rank := 0
+	found := false
+	key := xxhash.Sum64String(self.DataCentre) * oddFactor
+	own := mix(key ^ hashAddr(self.Control))
+	for _, b := range balancers {
+		if b.DataCentre != self.DataCentre || b.State != StateReady {
+			continue
+		}
+		if b.Control == self.Control {
+			found = true
+		} else if mix(key^hashAddr(b.Control)) > own {
+			rank++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return rank
+}
+
+// choose returns the k candidates other than key with the highest weights.
+func choose(key netip.AddrPort, candidates []Member, k int) []Member {
 	type scored struct {
 		score uint64
 		at    int
 	}
 	best := make([]scored, 0, k+1)
-	from := hashAddr(key)
+	from := hashAddr(key) * oddFactor
 	for i := range candidates {
 		if candidates[i].Control == key {
 			continue
 		}
-		s := scored{mix(from*oddFactor ^ hashAddr(candidates[i].Control)), i}
+		s := scored{mix(from ^ hashAddr(candidates[i].Control)), i}
 		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
 			if a.score > b.score {
 				return -1
--- a/internal/member/suspicion.go
+++ b/internal/member/suspicion.go
@@ -1,6 +1,10 @@
 package member
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
 
 // Evidence tells what a witness saw of a member that it takes for dead.
 type Evidence uint8
@@ -22,3 +26,91 @@
 	Witness     netip.AddrPort
 	Evidence    Evidence
 }
+
+// suspect is what the witnesses say of one version of a member.
+type suspect struct {
+	incarnation uint64
+	version     uint64
+	since       time.Time
+	witnesses   []netip.AddrPort
+	// evidence is the weakest that any witness gave.
+	evidence Evidence
+}
+
+// Suspects collects the suspicions about the members of a table. It is pure
+// and belongs to one goroutine.
+type Suspects struct {
+	table *Table
+	of    map[netip.AddrPort]*suspect
+}
+
+// NewSuspects returns an empty collection about the members of table.
+func NewSuspects(table *Table) *Suspects {
+	return &Suspects{table: table, of: make(map[netip.AddrPort]*suspect)}
+}
+
+// Add takes a suspicion in and reports whether it is news. One that does not
+// concern the known version of a live member, or does not come from a live
+// balancer, is ignored.
+func (s *Suspects) Add(x Suspicion, now time.Time) bool {
+	m, known := s.table.Get(x.Control)
+	if !known || m.State == StateGone || m.Incarnation != x.Incarnation || m.Version != x.Version {
+		return false
+	}
+	if w, ok := s.table.Get(x.Witness); !ok || w.Role != RoleBalancer || w.State == StateGone {
+		return false
+	}
+	e := s.current(m)
+	if e == nil {
+		e = &suspect{incarnation: m.Incarnation, version: m.Version, since: now, evidence: x.Evidence}
+		s.of[x.Control] = e
+	}
+	if slices.Contains(e.witnesses, x.Witness) {
+		return false
+	}
+	e.witnesses = append(e.witnesses, x.Witness)
+	e.evidence = min(e.evidence, x.Evidence)
+	return true
+}
+
+// current returns what is said of the member's version, and drops what was
+// said of an older one.
+func (s *Suspects) current(m Member) *suspect {
+	e := s.of[m.Control]
+	if e == nil {
+		return nil
+	}
+	if m.State == StateGone || e.incarnation != m.Incarnation || e.version != m.Version {
+		delete(s.of, m.Control)
+		return nil
+	}
+	return e
+}
+
+// Suspected reports whether any witness suspects the member's version.
+func (s *Suspects) Suspected(m Member) bool { return s.current(m) != nil }
+
+// Verdict sums up what the witnesses say of one member.
+type Verdict struct {
+	Member    Member
+	Witnesses []netip.AddrPort
+	Evidence  Evidence
+	// Since is when the first suspicion was taken in.
+	Since time.Time
+}
+
+// Verdicts returns what is said of each suspected member, in order of address.
+func (s *Suspects) Verdicts() []Verdict {
+	var out []Verdict
+	for addr := range s.of {
+		m, _ := s.table.Get(addr)
+		e := s.current(m)
+		if e == nil {
+			delete(s.of, addr)
+			continue
+		}
+		out = append(out, Verdict{Member: m, Witnesses: e.witnesses, Evidence: e.evidence, Since: e.since})
+	}
+	slices.SortFunc(out, func(a, b Verdict) int { return compareAddr(a.Member.Control, b.Member.Control) })
+	return out
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -30,6 +30,9 @@
 	ttl       time.Duration
 	// balancerSeq is the change number of the last change to any balancer.
 	balancerSeq uint64
+	// liveBalancers counts the live balancers, balancerSet sums the their addresses.
+	liveBalancers int
+	balancerSet   uint64
 }
 
 // NewTable returns an empty table that keeps tombstones for ttl.
@@ -88,8 +91,7 @@
 func (t *Table) index(e *entry) {
 	m := e.member
 	if m.State != StateGone {
-		t.digest.toggle(m)
-		t.live++
+		t.toggle(m, 1)
 	}
 	if m.Role == RoleBalancer {
 		t.balancers[m.Control] = e
@@ -104,11 +106,21 @@
 	group[m.Control] = e
 }
 
+// toggle adds a live member to the sums over the table (by 1), or takes it out
+// (by -1).
+func (t *Table) toggle(m Member, by int) {
+	t.digest.toggle(m)
+	t.live += by
+	if m.Role == RoleBalancer {
+		t.liveBalancers += by
+		t.balancerSet ^= mix(hashAddr(m.Control))
+	}
+}
+
 func (t *Table) unindex(e *entry) {
 	m := e.member
 	if m.State != StateGone {
-		t.digest.toggle(m)
-		t.live--
+		t.toggle(m, -1)
 	}
 	if m.Role == RoleBalancer {
 		delete(t.balancers, m.Control)
@@ -142,5 +154,12 @@
 // BalancerSeq returns the number of the last change to any balancer.
 func (t *Table) BalancerSeq() uint64 { return t.balancerSeq }
 
+// LiveBalancers returns the number of balancers that are not gone.
+func (t *Table) LiveBalancers() int { return t.liveBalancers }
+
+// BalancerSet identifies the set of live balancers: it changes when one comes
+// or goes, and not when a record changes otherwise.
+func (t *Table) BalancerSet() uint64 { return t.balancerSet }
+
 // Digest returns the digest of the members that are not gone.
 func (t *Table) Digest() *Digest { return &t.digest }
