Show the fleet with saltbend status

Cause: nobody could see which configuration is in force where, who is late and who reaches the store. Ruled out: asking each agent, which costs a call per process (6,100 at the target); the balancers know their revisions from renewals. Taking the last record alone for a revision: revisions come without a new version of the record, so the highest one of an incarnation counts. Change: internal/survey asks for members and balancers' statuses and summarises them (pure); saltbend status as table and JSON; exit codes 0, 1, 2, 5, 6; tests of status and timeline against two running control nodes, with one closed, a stranger's secret and nobody there.

--- a/cmd/saltbend/main.go
+++ b/cmd/saltbend/main.go
@@ -46,6 +46,7 @@
 		{"validate", "check a configuration file", validateHelp, &validateCommand{}},
 		{"apply", "submit a configuration file", applyHelp, &applyCommand{}},
 		{"get", "print the configuration in the store", getHelp, &getCommand{}},
+		{"status", "show the members and the configuration in force at each", statusHelp, &statusCommand{}},
 		{"timeline", "print the events of all processes in one order", timelineHelp, &timelineCommand{}},
 		{"version", "print the version", "Prints the version of this tool.", &versionCommand{}},
 	}
--- a/internal/survey/members.go
+++ b/internal/survey/members.go
@@ -52,11 +52,7 @@
 			*cause = errors.Wrap(ErrNoAnswer, err.Error())
 			continue
 		}
-		for _, m := range members {
-			if old, ok := known[m.Control]; !ok || m.Supersedes(old) {
-				known[m.Control] = m
-			}
-		}
+		learn(known, members)
 		if len(members) > 0 && members[0].Role == member.RoleBalancer {
 			return true
 		}
