Show that racing operators are told the truth

A writer that is told "refused" of a change that was accepted, or the reverse, applies it again or leaves it out. Two tests: a property test drives three pure attempts through lost, delayed and refused writes, and through more changes than a record remembers; five operators race 50 changes over the real adapter, behind a TCP proxy that cuts answers, cuts requests or delivers requests after the writer's timeout.

The race first kept connections alive; then one case lost no answer at all, so each test now also demands that faults showed.

--- /dev/null
+++ b/internal/apply/attempt_test.go
@@ -0,0 +1,190 @@
+package apply_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/apply"
+	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/store"
+)
+
+// write is a compare-and-swap on its way to the store.
+type write struct {
+	record   record.Record
+	expected uint64
+}
+
+// storeModel is the store as one key with all that it ever held.
+type storeModel struct {
+	held     *apply.Held
+	accepted map[record.ChangeID]uint64
+	// inFlight are writes that may still arrive.
+	inFlight []write
+}
+
+func (s *storeModel) swap(w write) (uint64, error) {
+	if s.revision() != w.expected {
+		return 0, store.ErrConflict
+	}
+	if _, twice := s.accepted[w.record.ID]; twice {
+		panic("a change was accepted twice")
+	}
+	s.held = &apply.Held{Revision: s.revision() + 2, Record: w.record}
+	s.accepted[w.record.ID] = s.held.Revision
+	return s.held.Revision, nil
+}
+
+func (s *storeModel) revision() uint64 {
+	if s.held == nil {
+		return store.Create
+	}
+	return s.held.Revision
+}
+
+func (s *storeModel) next(id record.ChangeID) write {
+	d := record.Draft{ID: id, Time: time.Unix(0, 0)}
+	if s.held == nil {
+		return write{record: record.First(d)}
+	}
+	return write{record: s.held.Record.Next(s.held.Revision, d), expected: s.held.Revision}
+}
+
+// operator follows one change at a time.
+type operator struct {
+	id      record.ChangeID
+	write   write
+	attempt *apply.Attempt
+	action  apply.Action
+}
+
+// fleet is the machine that the property test drives.
+type fleet struct {
+	store     storeModel
+	operators [3]operator
+	finished  []operator
+	drawn     int
+}
+
+func (f *fleet) newID() record.ChangeID {
+	f.drawn++
+	return record.ChangeID(fmt.Sprint("change-", f.drawn))
+}
+
+func (f *fleet) begin(o *operator) {
+	o.id = f.newID()
+	o.write = f.store.next(o.id)
+	o.attempt = apply.NewAttempt(o.id, o.write.expected)
+	o.action = apply.Write
+}
+
+// step performs the next action of an operator with a drawn fault.
+func (f *fleet) step(t *rapid.T, o *operator) {
+	switch {
+	case o.attempt == nil:
+		f.begin(o)
+	case o.action == apply.Write:
+		o.action = o.attempt.Wrote(f.swap(t, o.write))
+	case rapid.Bool().Draw(t, "read fails"):
+		o.action = o.attempt.ReadBack(nil, store.ErrUnavailable)
+	default:
+		o.action = o.attempt.ReadBack(f.store.held, nil)
+	}
+	f.retire(o)
+}
+
+func (f *fleet) swap(t *rapid.T, w write) (uint64, error) {
+	switch rapid.SampledFrom([]string{"answered", "answer lost", "request lost", "delayed", "refused"}).Draw(t, "write") {
+	case "answered":
+		return f.store.swap(w)
+	case "answer lost":
+		f.store.swap(w)
+	case "delayed":
+		f.store.inFlight = append(f.store.inFlight, w)
+	case "refused":
+		return 0, store.ErrUnavailable
+	}
+	return 0, store.ErrOutcomeUnknown
+}
+
+func (f *fleet) retire(o *operator) {
+	if o.action == apply.Done {
+		f.finished = append(f.finished, *o)
+		*o = operator{}
+	}
+}
+
+func (f *fleet) giveUp(o *operator) {
+	if o.attempt == nil {
+		return
+	}
+	o.attempt.GiveUp()
+	o.action = apply.Done
+	f.retire(o)
+}
+
+func (f *fleet) arrive(t *rapid.T) {
+	if len(f.store.inFlight) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(f.store.inFlight)-1).Draw(t, "arrives")
+	f.store.swap(f.store.inFlight[i])
+	f.store.inFlight = append(f.store.inFlight[:i], f.store.inFlight[i+1:]...)
+}
+
+// burst accepts more changes than a record remembers.
+func (f *fleet) burst() {
+	for range record.MaxRecent + 1 {
+		f.store.swap(f.store.next(f.newID()))
+	}
+}
+
+// check compares a verdict with what really became of the change.
+func (f *fleet) check(t *rapid.T, o operator) {
+	revision, accepted := f.store.accepted[o.id]
+	switch o.attempt.Verdict {
+	case apply.Accepted:
+		if !accepted || revision != o.attempt.Revision {
+			t.Fatalf("%s was told accepted as %d; was %v as %d", o.id, o.attempt.Revision, accepted, revision)
+		}
+	case apply.Replaced:
+		if !accepted || revision != o.attempt.Revision || o.attempt.Winner.Revision <= revision {
+			t.Fatalf("%s was told replaced as %d; was %v as %d", o.id, o.attempt.Revision, accepted, revision)
+		}
+	case apply.Conflict, apply.Unavailable:
+		if accepted {
+			t.Fatalf("%s was told %s, but became revision %d", o.id, o.attempt.Verdict, revision)
+		}
+	case apply.Unknown:
+	default:
+		t.Fatalf("%s ended with verdict %q", o.id, o.attempt.Verdict)
+	}
+}
+
+// TestVerdictsAreTrue drives operators that race through lost, late and
+// refused writes, and checks each verdict once nothing is under way any more.
+func TestVerdictsAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{store: storeModel{accepted: map[record.ChangeID]uint64{}}}
+		pick := func(t *rapid.T) *operator {
+			return &f.operators[rapid.IntRange(0, len(f.operators)-1).Draw(t, "operator")]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step":    func(t *rapid.T) { f.step(t, pick(t)) },
+			"step2":   func(t *rapid.T) { f.step(t, pick(t)) },
+			"step3":   func(t *rapid.T) { f.step(t, pick(t)) },
+			"arrive":  f.arrive,
+			"give up": func(t *rapid.T) { f.giveUp(pick(t)) },
+			"burst":   func(t *rapid.T) { f.burst() },
+		})
+		for len(f.store.inFlight) > 0 {
+			f.arrive(t)
+		}
+		for _, o := range f.finished {
+			f.check(t, o)
+		}
+	})
+}
--- /dev/null
+++ b/internal/apply/race_test.go
@@ -0,0 +1,223 @@
+package apply_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/apply"
+	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/test/storefake"
+)
+
+const (
+	racers          = 5
+	changesPerRacer = 10
+	callTimeout     = 200 * time.Millisecond
+)
+
+// text returns a valid file that no other change has.
+func text(racer, n int) []byte {
+	return fmt.Appendf(nil, "version: 1\nservices: # change %d of %d\n"+
+		"  - {name: a, faces: ['192.0.2.1:1'], classes: [{name: c, path: /c}]}\n", n, racer)
+}
+
+// proxied returns the address of a TCP proxy in front of the store that does
+// what the toxics say.
+func proxied(t *testing.T, base string, toxics ...string) string {
+	t.Helper()
+	u, err := url.Parse(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy := toxiproxy.NewProxy()
+	proxy.Name, proxy.Listen, proxy.Upstream = t.Name(), "127.0.0.1:0", u.Host
+	if err := proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Stop)
+	for _, toxic := range toxics {
+		if _, err := proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return "http://" + proxy.Listen
+}
+
+func open(t *testing.T, base string) *httpstore.Client {
+	t.Helper()
+	c, err := httpstore.New([]string{base}, httpstore.Options{Timeout: callTimeout})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// told is what one operator was told of one change.
+type told struct {
+	id     record.ChangeID
+	result apply.Result
+}
+
+// race lets the racers apply their changes until each was accepted.
+func race(t *testing.T, base string) []told {
+	var mu sync.Mutex
+	var all []told
+	var racing sync.WaitGroup
+	for racer := range racers {
+		racing.Go(func() {
+			for n := 0; n < changesPerRacer && t.Context().Err() == nil; {
+				one := submit(t, base, racer, n)
+				mu.Lock()
+				all = append(all, one)
+				mu.Unlock()
+				switch one.result.Verdict {
+				case apply.Accepted, apply.Replaced:
+					n++
+				case apply.Conflict, apply.Unavailable:
+				default:
+					return // checkTold reports it
+				}
+			}
+		})
+	}
+	racing.Wait()
+	return all
+}
+
+// submit applies one change over connections of its own, as each run of the
+// tool does.
+func submit(t *testing.T, base string, racer, n int) told {
+	var one told
+	s := open(t, base)
+	env := apply.Env{
+		Store: s, Now: time.Now, Pause: apply.Backoff(time.Millisecond, 20*time.Millisecond), Progress: func(string) {},
+		NewID: func() record.ChangeID {
+			one.id = record.ChangeID(fmt.Sprintf("%d-%d-%d", racer, n, time.Now().UnixNano()))
+			return one.id
+		},
+	}
+	res, err := apply.Run(t.Context(), apply.Request{File: "f", Text: text(racer, n), Operator: fmt.Sprint(racer)}, env)
+	if err != nil {
+		t.Error(err)
+	}
+	one.result = res
+	return one
+}
+
+// TestRacingOperatorsAreToldTheTruth races operators over connections that
+// break after the store took the write, or before it did.
+func TestRacingOperatorsAreToldTheTruth(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults storefake.Faults
+		toxics []string
+	}{
+		{name: "store loses answers", faults: storefake.Faults{LoseAnswer: 0.5}},
+		{name: "connections lose answers", toxics: []string{
+			`{"type":"limit_data","stream":"downstream","toxicity":0.4,"attributes":{"bytes":20}}`}},
+		{name: "connections lose requests", toxics: []string{
+			`{"type":"limit_data","stream":"upstream","toxicity":0.3,"attributes":{"bytes":200}}`,
+			`{"type":"limit_data","stream":"downstream","toxicity":0.3,"attributes":{"bytes":20}}`}},
+		{name: "requests arrive after their time", toxics: []string{
+			`{"type":"latency","stream":"upstream","toxicity":0.3,"attributes":{"latency":300}}`}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			fake := storefake.New()
+			server := httptest.NewServer(fake.Handler())
+			defer server.Close()
+			// One request a connection: the toxics act on each.
+			server.Config.SetKeepAlivesEnabled(false)
+			fake.SetFaults(tt.faults)
+			all := race(t, proxied(t, server.URL, tt.toxics...))
+
+			fake.SetFaults(storefake.Faults{})
+			held, err := apply.Current(t.Context(), open(t, server.URL))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(held.Record.Covers(0)).To(gomega.BeTrue())
+			g.Expect(held.Record.Sequence).To(gomega.BeEquivalentTo(racers * changesPerRacer))
+			lost := 0
+			for _, one := range all {
+				checkTold(g, held, one)
+				if errors.Is(one.result.Err, store.ErrOutcomeUnknown) {
+					lost++
+				}
+			}
+			t.Logf("%d submissions, %d with a lost answer", len(all), lost)
+			g.Expect(lost).To(gomega.BeNumerically(">", 0), "the faults did not show")
+		})
+	}
+}
+
+func checkTold(g *gomega.WithT, held *apply.Held, one told) {
+	revision, accepted := held.Record.Find(one.id, held.Revision)
+	switch one.result.Verdict {
+	case apply.Accepted, apply.Replaced:
+		g.Expect(accepted).To(gomega.BeTrue(), "%s was told %s", one.id, one.result.Verdict)
+		g.Expect(one.result.Revision).To(gomega.Equal(revision))
+	case apply.Conflict:
+		g.Expect(accepted).To(gomega.BeFalse(), "%s was told it lost", one.id)
+		g.Expect(one.result.Winner).NotTo(gomega.BeNil())
+	case apply.Unavailable:
+		g.Expect(accepted).To(gomega.BeFalse(), "%s was told that nothing was written", one.id)
+	default:
+		g.Expect(one.result.Verdict).To(gomega.BeEmpty(), "%s", one.id)
+	}
+}
+
+func TestStoreThatIsDownChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fake := storefake.New()
+	server := httptest.NewServer(fake.Handler())
+	defer server.Close()
+	s := open(t, server.URL)
+	g.Expect(submit(t, server.URL, 0, 0).result.Verdict).To(gomega.Equal(apply.Accepted))
+	fake.SetFaults(storefake.Faults{Down: true})
+	g.Expect(submit(t, server.URL, 0, 1).result.Verdict).To(gomega.Equal(apply.Unavailable))
+	fake.SetFaults(storefake.Faults{})
+	held, err := apply.Current(t.Context(), s)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(held.Record.Text).To(gomega.Equal(string(text(0, 0))))
+}
+
+func TestWhatComesBeforeTheWrite(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fake := storefake.New()
+	server := httptest.NewServer(fake.Handler())
+	defer server.Close()
+	s := open(t, server.URL)
+	first := submit(t, server.URL, 0, 0).result
+	stale := first.Revision - 1
+	run := func(req apply.Request) apply.Result {
+		res, err := apply.Run(t.Context(), req, apply.Env{
+			Store: s, Now: time.Now, NewID: func() record.ChangeID { return "later" },
+			Pause: apply.Backoff(time.Millisecond, time.Millisecond), Progress: func(string) {},
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return res
+	}
+	moved := []byte(strings.Replace(string(text(0, 0)), "name: a", "name: b", 1))
+
+	g.Expect(run(apply.Request{Text: text(0, 0)}).Verdict).To(gomega.Equal(apply.Unchanged))
+	g.Expect(run(apply.Request{Text: text(0, 1), DryRun: true}).Verdict).To(gomega.BeEmpty())
+	conflict := run(apply.Request{Text: text(0, 1), Base: &stale})
+	g.Expect(conflict.Verdict).To(gomega.Equal(apply.Conflict))
+	g.Expect(conflict.Winner.Revision).To(gomega.Equal(first.Revision))
+	refused := run(apply.Request{File: "b.yaml", Text: moved})
+	g.Expect(refused.Verdict).To(gomega.Equal(apply.Refused))
+	g.Expect(refused.Findings.Error()).To(gomega.ContainSubstring("b.yaml:3:23 services[0].faces[0]"))
+	g.Expect(fake.Calls().Put).To(gomega.BeEquivalentTo(1))
+}
