Take a leaving balancer out of readiness and show its whole life

Cause: a balancer that was told to stop stayed ready for its grace period, so that a fabric that asks would go on sending to it. Change: /readyz names the leaving as a finding from the signal on. Test: the role against the store stand-in: faces by GET /faces, readiness, an open flow passes before and during the grace, and the role ends by itself.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,7 @@
 	node      *control.Node
 	path      *datapath.Path
 	publisher *publisher
+	leaving   atomic.Bool
 }
 
 // Run serves until ctx ends. It then announces that it leaves, forwards on for
@@ -120,6 +122,7 @@
 	}
 	r.env.Keys.OnChange(r.setRing)
 	r.ops.AddCheck(r.publisher.check)
+	r.ops.AddCheck(r.checkLeaving)
 	r.ops.HandleJSON("GET /faces", func() any { return r.publisher.local() })
 	go r.publisher.run(ctx)
 	return nil
@@ -197,6 +200,7 @@
 func (r *role) leave() {
 	r.log.Info("Leaving.", slog.Duration("grace", r.settings.Grace))
 	r.env.Events.Add(Part, "leaving", r.settings.Grace.String())
+	r.leaving.Store(true)
 	r.node.SetState(member.StateDraining)
 	time.Sleep(r.settings.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), goodbye)
@@ -204,6 +208,14 @@
 	r.node.Leave(ctx)
 }
 
+// checkLeaving makes a balancer that ends not ready, for fabrics that ask.
+func (r *role) checkLeaving() []string {
+	if r.leaving.Load() {
+		return []string{"the balancer is leaving"}
+	}
+	return nil
+}
+
 // close closes what was opened.
 func (r *role) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), goodbye)
--- /dev/null
+++ b/internal/balancer/role_test.go
@@ -0,0 +1,163 @@
+package balancer
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/internal/token"
+	"github.com/saltbend/saltbend/test/storefake"
+)
+
+const (
+	patience    = 20 * time.Second
+	testSecrets = "1:000102030405060708090a0b0c0d0e0f"
+	testConfig  = `version: 1
+services:
+  - name: results
+    faces: ["192.0.2.10:443"]
+    limits: {slots: 5, queue: 64, connections: 2000}
+    classes:
+      - {name: lookup, methods: [GET], path: "/*", idempotent: true, deadline: 5s}
+`
+)
+
+// startStore returns the URL of a store that holds the test configuration.
+func startStore(t *testing.T) string {
+	t.Helper()
+	g := NewWithT(t)
+	server := httptest.NewServer(storefake.New().Handler())
+	t.Cleanup(server.Close)
+	parsed, findings := config.Parse([]byte(testConfig), 1)
+	g.Expect(findings).To(BeEmpty())
+	value, err := record.First(record.Draft{ID: "1", Text: []byte(testConfig), Config: parsed}).Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	client, err := httpstore.New([]string{server.URL}, httpstore.Options{})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = client.Swap(context.Background(), record.Key, value, store.Create, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	return server.URL
+}
+
+// process is a balancer that runs in the test.
+type process struct {
+	addresses settings.Addresses
+	stop      context.CancelFunc
+	ended     chan struct{}
+	err       error
+}
+
+func startBalancer(t *testing.T, s Settings) *process {
+	t.Helper()
+	g := NewWithT(t)
+	s.Control, s.Data, s.Ops = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.DataCentre, s.Secrets, s.FaceHost = "a", testSecrets, "127.0.0.1"
+	s.LogFormat, s.LogLevel = settings.FormatJSON, "info"
+	g.Expect(s.Check()).To(BeEmpty())
+	ring, err := keyring.Parse(testSecrets)
+	g.Expect(err).NotTo(HaveOccurred())
+	ready := make(chan settings.Addresses, 1)
+	env := settings.Env{
+		Logger: slog.New(slog.DiscardHandler),
+		Events: event.NewRing(event.DefaultRingSize, time.Now),
+		Keys:   settings.NewKeys(ring),
+		Ready:  func(a settings.Addresses) { ready <- a },
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{stop: stop, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.err = Run(ctx, s, env)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-p.ended
+	})
+	g.Eventually(ready, patience).Should(Receive(&p.addresses))
+	return p
+}
+
+// get returns the status and the body of an ops endpoint.
+func (p *process) get(path string) (int, string) {
+	answer, err := http.Get("http://" + p.addresses.Ops.String() + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	var raw json.RawMessage
+	_ = json.NewDecoder(answer.Body).Decode(&raw)
+	return answer.StatusCode, string(raw)
+}
+
+func TestABalancerServesUntilItsGraceEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := Settings{FaceDrain: time.Hour, Grace: 3 * time.Second}
+	s.Store = []string{startStore(t)}
+	p := startBalancer(t, s)
+	local := p.addresses.Faces[faceA]
+	g.Expect(local.Addr()).To(Equal(loopback))
+	_, faces := p.get("/faces")
+	g.Expect(faces).To(MatchJSON(`{"` + faceA.String() + `":"` + local.String() + `"}`))
+	status, _ := p.get("/readyz")
+	g.Expect(status).To(Equal(http.StatusOK))
+
+	caller, agent := open(t), open(t)
+	g.Expect(passes(t, caller, agent, local)).To(BeTrue())
+	p.stop()
+	g.Eventually(func() int { status, _ := p.get("/readyz"); return status }, patience).Should(Equal(http.StatusServiceUnavailable))
+	g.Expect(passes(t, caller, agent, local)).To(BeTrue(), "open flows go on during the grace")
+	g.Eventually(p.ended, patience).Should(BeClosed())
+	g.Expect(p.err).NotTo(HaveOccurred())
+	g.Expect(passes(t, caller, agent, local)).To(BeFalse())
+}
+
+func open(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// passes reports whether a packet of an open flow reaches its agent.
+func passes(t *testing.T, caller, agent *net.UDPConn, face netip.AddrPort) bool {
+	t.Helper()
+	ring, err := keyring.Parse(testSecrets)
+	if err != nil {
+		t.Fatal(err)
+	}
+	packet := make([]byte, 100)
+	packet[0] = 0x40
+	token.NewCodec(ring).Seal(packet[1:], token.Token{
+		Agent: agent.LocalAddr().(*net.UDPAddr).AddrPort(), Service: config.TagOf("results"),
+	})
+	if _, err := caller.WriteToUDPAddrPort(packet, face); err != nil {
+		return false
+	}
+	_ = agent.SetReadDeadline(time.Now().Add(time.Second))
+	buffer := make([]byte, encap.MaxDatagram)
+	n, _, err := agent.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		return false
+	}
+	_, payload, err := encap.NewCodec(ring).Decode(buffer[:n])
+	return err == nil && string(payload) == string(packet)
+}
