Count control calls by outcome and test writes that block

Cause: operators could not see failing control calls, and nothing showed that a process which doesn't read holds up no caller. Ruled out: a histogram of call times per method; it would add a series per bucket and method for a figure that the time line and the callers' own deadlines already bound. Seen failing: with the write moved into the caller's goroutine on a scratch copy, the new spec fails and the 20 others pass. Conclusion: a call ends with its context also while writes block.

--- /dev/null
+++ b/internal/keyring/keyring_test.go
@@ -0,0 +1,60 @@
+package keyring_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/keyring"
+)
+
+var (
+	hexA = strings.Repeat("0a", keyring.MinSecretBytes)
+	hexB = strings.Repeat("0b", keyring.MinSecretBytes)
+)
+
+func TestParseRefusesWithoutRepeatingTheSecret(t *testing.T) {
+	cases := map[string]string{
+		"nothing":      "",
+		"no id":        hexA,
+		"id too large": "256:" + hexA,
+		"negative id":  "-1:" + hexA,
+		"not hex":      "1:" + hexA + "zz",
+		"too short":    "1:" + hexA[2:],
+		"three":        "1:" + hexA + ",2:" + hexB + ",3:" + hexA,
+		"id twice":     "1:" + hexA + ",1:" + hexB,
+		"empty second": "1:" + hexA + ",",
+		"line between": "1:" + hexA + "\n2:" + hexB,
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := keyring.Parse(text)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(err.Error()).NotTo(ContainSubstring(hexA[2:]))
+		})
+	}
+}
+
+func TestDerivedKeysDifferBySecretAndPurpose(t *testing.T) {
+	g := NewWithT(t)
+	ring, err := keyring.Parse(fmt.Sprintf(" 1:%s , 2:%s\n", hexA, hexB))
+	g.Expect(err).NotTo(HaveOccurred())
+	seen := make(map[string]bool)
+	purposes := []keyring.Purpose{keyring.PurposeToken, keyring.PurposeEncap, keyring.PurposeTicket, keyring.PurposeReset, keyring.PurposePeer}
+	for _, purpose := range purposes {
+		keys := ring.Derive(purpose, 32)
+		g.Expect([]uint8{keys[0].ID, keys[1].ID}).To(Equal([]uint8{1, 2}))
+		for _, key := range keys {
+			g.Expect(seen).NotTo(HaveKey(string(key.Bytes)))
+			seen[string(key.Bytes)] = true
+		}
+	}
+	other, err := keyring.Parse("7:" + hexB)
+	g.Expect(err).NotTo(HaveOccurred())
+	same := bytes.Equal(other.Derive(keyring.PurposeToken, 32)[0].Bytes, ring.Derive(keyring.PurposeToken, 32)[1].Bytes)
+	g.Expect(same).To(BeTrue(), "the id must not change the key")
+}
--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"net/rpc"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -224,6 +226,9 @@
 		Expect(sent.Out).To(BeNumerically(">", 0))
 		Expect(sent.In).To(BeNumerically(">", 0))
 		Eventually(a.TrafficByPeer, patience).Should(BeEmpty())
+		var text bytes.Buffer
+		metrics.WritePrometheus(&text, false)
+		Expect(text.String()).To(ContainSubstring(`saltbend_peer_calls_total{method="Test.Echo",outcome="ok"} `))
 		Expect(a.Traffic().Out).To(BeNumerically(">=", sent.Out))
 		Expect(echo(a, b.Addr())).To(Succeed())
 	})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -105,6 +105,7 @@
 	for {
 		again, err := p.callOnce(ctx, addr, method, args, reply)
 		if !again {
+			p.traffic.called(method, err)
 			return err
 		}
 	}
--- a/internal/peer/cut_test.go
+++ b/internal/peer/cut_test.go
@@ -94,6 +94,33 @@
 		Expect(err).To(MatchError(peer.ErrInterrupted))
 	})
 
+	It("so slow that writes block holds no call past its context", func() {
+		// Together the calls are larger than what sockets buffer on the way.
+		const calls, size, firstBytes = 16, 1 << 20, 32 << 10
+		a, _ := serve(ring(secretA))
+		b, _ := serve(ring(secretA))
+		proxy, addr := proxy(b)
+		Expect(echo(a, addr)).To(Succeed())
+		toxic(proxy, "bandwidth", "upstream", `{"rate":1}`)
+		ctx, cancel := context.WithCancel(context.Background())
+		returned := make(chan error, calls)
+		for range calls {
+			go func() {
+				var out string
+				returned <- a.Call(ctx, addr, "Test.Echo", strings.Repeat("x", size), &out)
+			}()
+		}
+		before := a.Traffic().Out
+		Eventually(func() uint64 { return a.Traffic().Out - before }, patience).Should(BeNumerically(">", firstBytes))
+		cancel()
+		for range calls {
+			var err error
+			Eventually(returned, peer.DefaultWrite/2).Should(Receive(&err))
+			Expect(err).To(MatchError(context.Canceled))
+		}
+		Expect(echo(a, b.Addr())).To(Succeed())
+	})
+
 	It("at any byte never makes an outcome untrue", func() {
 		// The handshake takes some 1500 bytes each way, a call less than 200.
 		const steps, stepBytes, perStep = 40, 61, 20
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Peer{
+	p := &Peer{
 		options:  o,
 		identity: id,
 		rpc:      rpc.NewServer(),
@@ -105,7 +105,9 @@
 		served:   make(map[*serverConn]struct{}),
 		pool:     make(map[netip.AddrPort]*clientConn),
 		done:     make(chan struct{}),
-	}, nil
+	}
+	p.traffic.gauges(p)
+	return p, nil
 }
 
 // Addr returns the address that is served, or the zero value of a peer that
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 )
 
 // Bytes are bytes on the wire above TCP, handshakes among them.
@@ -63,6 +64,42 @@
 	return fmt.Sprintf("saltbend_peer_bytes_total{peer=%q,direction=%q}", peer, direction)
 }
 
+// Outcomes of calls in metrics.
+const (
+	outcomeOK          = "ok"
+	outcomeRemote      = "remote-error"
+	outcomeUnreachable = "unreachable"
+	outcomeInterrupted = "interrupted"
+)
+
+// called counts a call by its outcome. There are as many methods as the
+// program's code names.
+func (t *traffic) called(method string, err error) {
+	outcome := outcomeRemote
+	switch {
+	case err == nil:
+		outcome = outcomeOK
+	case errors.Is(err, ErrUnreachable):
+		outcome = outcomeUnreachable
+	case errors.Is(err, ErrInterrupted):
+		outcome = outcomeInterrupted
+	}
+	t.set.GetOrCreateCounter(fmt.Sprintf("saltbend_peer_calls_total{method=%q,outcome=%q}", method, outcome)).Inc()
+}
+
+// gauges shows the numbers of open connections.
+func (t *traffic) gauges(p *Peer) {
+	show := func(side string, count func() int) {
+		t.set.NewGauge(fmt.Sprintf("saltbend_peer_connections{side=%q}", side), func() float64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return float64(count())
+		})
+	}
+	show("calling", func() int { return len(p.pool) })
+	show("serving", func() int { return len(p.served) })
+}
+
 // count wraps conn so that its bytes are counted under the name.
 func (t *traffic) count(conn net.Conn, name string) net.Conn {
 	t.mu.Lock()
