--- /dev/null
+++ b/internal/ticket/window_test.go
@@ -0,0 +1,233 @@
+package ticket
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// history is what really happened under one nonce, and what was told.
+type history struct {
+	runs    int
+	body    Digest // of the run
+	answer  string
+	finish  bool
+	unknown bool // the run ended without an answer
+	denied  map[Digest]bool
+}
+
+// schedule drives a window with random steps and checks after each what must
+// hold, whatever the bounds force it to forget.
+type schedule struct {
+	w      *Window
+	bounds Bounds
+	now    time.Time
+	past   []*history
+	late   map[uint64]time.Time
+}
+
+func (s *schedule) nonce(t *rapid.T) uint64 {
+	return uint64(rapid.IntRange(0, len(s.past)).Draw(t, "nonce")) // one beyond: never issued
+}
+
+func (s *schedule) of(n uint64) *history {
+	if n < uint64(len(s.past)) {
+		return s.past[n]
+	}
+	return &history{denied: map[Digest]bool{}}
+}
+
+func (s *schedule) issue(t *rapid.T) {
+	n := s.w.Issue()
+	if n != uint64(len(s.past)) {
+		t.Fatalf("nonce %d was issued, want %d", n, len(s.past))
+	}
+	s.past = append(s.past, &history{denied: map[Digest]bool{}})
+}
+
+func (s *schedule) admit(t *rapid.T) {
+	n := s.nonce(t)
+	body := Digest{rapid.Byte().Draw(t, "body") % 2}
+	deadline := s.now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "left")) * time.Second)
+	verdict, result := s.w.Admit(n, body, deadline)
+	h := s.of(n)
+	switch {
+	case verdict == Admitted && n >= uint64(len(s.past)):
+		t.Fatalf("a ticket was admitted that was never issued")
+	case verdict == Admitted:
+		s.late[n] = deadline
+		h.body = body
+	case verdict == Mismatch && h.body == body:
+		t.Fatalf("%d: the ticket's own request was refused", n)
+	case verdict == Joined && h.body != body:
+		t.Fatalf("%d: another request joined", n)
+	case verdict == Mismatch || verdict == Settled && result.Outcome == NotRun:
+		s.deny(t, n, body)
+	case verdict == Settled && result.Outcome == Complete:
+		if !h.finish || h.body != body || string(result.Answer.Body) != h.answer {
+			t.Fatalf("%d: replayed %q, recorded was %q", n, result.Answer.Body, h.answer)
+		}
+	}
+}
+
+func (s *schedule) deny(t *rapid.T, n uint64, body Digest) {
+	h := s.of(n)
+	if h.runs > 0 && h.body == body {
+		t.Fatalf("%d: told not run, but it ran", n)
+	}
+	h.denied[body] = true
+}
+
+func (s *schedule) start(t *rapid.T) {
+	n := s.nonce(t)
+	if !s.w.Start(n, s.now) {
+		return
+	}
+	h := s.of(n)
+	h.runs++
+	switch {
+	case h.runs > 1:
+		t.Fatalf("%d: ran twice", n)
+	case h.denied[h.body]:
+		t.Fatalf("%d: ran after a not run", n)
+	case !s.now.Before(s.late[n]):
+		t.Fatalf("%d: started after its deadline", n)
+	}
+}
+
+func (s *schedule) void(t *rapid.T) {
+	n := s.nonce(t)
+	if s.w.Void(n) {
+		s.deny(t, n, Digest{0})
+		s.deny(t, n, Digest{1})
+	}
+}
+
+func (s *schedule) finish(t *rapid.T) {
+	n := s.nonce(t)
+	h := s.of(n)
+	if h.runs == 0 || h.finish || h.unknown {
+		return
+	}
+	if rapid.Bool().Draw(t, "lost") {
+		s.w.Finish(n, Result{Outcome: Unknown})
+		h.unknown = true
+		return
+	}
+	h.finish = true
+	h.answer = fmt.Sprintf("%d%0*d", n, rapid.IntRange(0, 12).Draw(t, "size"), 0)
+	s.w.Finish(n, Result{Outcome: Complete, Answer: Answer{Status: 200, Body: []byte(h.answer)}})
+}
+
+func (s *schedule) check(t *rapid.T) {
+	u := s.w.Usage()
+	if u.Entries > s.bounds.Entries || u.Bytes > s.bounds.Bytes {
+		t.Fatalf("holds %+v beyond %+v", u, s.bounds)
+	}
+}
+
+func TestWindowUnderRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bounds := Bounds{
+			Entries: rapid.IntRange(1, 4).Draw(t, "entries"),
+			Bytes:   rapid.IntRange(0, 30).Draw(t, "bytes"),
+			Span:    rapid.IntRange(1, 12).Draw(t, "span"),
+		}
+		w, err := New(bounds)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &schedule{w: w, bounds: bounds, now: epoch, late: map[uint64]time.Time{}}
+		s.issue(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":       s.check,
+			"issue":  s.issue,
+			"admit":  s.admit,
+			"start":  s.start,
+			"void":   s.void,
+			"finish": s.finish,
+			"wait":   func(*rapid.T) { s.now = s.now.Add(time.Second) },
+		})
+	})
+}
+
+func newWindow(t *testing.T, b Bounds) *Window {
+	t.Helper()
+	w, err := New(b)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return w
+}
+
+// run takes a fresh ticket to a recorded answer.
+func run(g *WithT, w *Window, answer string) uint64 {
+	n := w.Issue()
+	verdict, _ := w.Admit(n, Digest{}, epoch.Add(time.Second))
+	g.Expect(verdict).To(Equal(Admitted))
+	g.Expect(w.Start(n, epoch)).To(BeTrue())
+	w.Finish(n, Result{Outcome: Complete, Answer: Answer{Body: []byte(answer)}})
+	return n
+}
+
+func TestWindowRepeatsTheAnswerUntilItsBounds(t *testing.T) {
+	for name, bounds := range map[string]Bounds{
+		"entries": {Entries: 2, Bytes: 100, Span: 16},
+		"bytes":   {Entries: 9, Bytes: 5, Span: 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWindow(t, bounds)
+			first, second := run(g, w, "aa"), run(g, w, "bb")
+			_, result := w.Admit(first, Digest{}, epoch)
+			g.Expect(string(result.Answer.Body)).To(Equal("aa"))
+			run(g, w, "cc")
+			verdict, result := w.Admit(first, Digest{}, epoch.Add(time.Hour))
+			g.Expect(verdict).To(Equal(Settled))
+			g.Expect(result.Outcome).To(Equal(Unknown))
+			_, result = w.Admit(second, Digest{}, epoch)
+			g.Expect(string(result.Answer.Body)).To(Equal("bb"))
+		})
+	}
+}
+
+func TestWindowNeverRunsBelowItsLowWaterMark(t *testing.T) {
+	g := NewWithT(t)
+	w := newWindow(t, Bounds{Entries: 4, Bytes: 100, Span: 4})
+	old := w.Issue()
+	for range 4 {
+		w.Issue()
+	}
+	verdict, result := w.Admit(old, Digest{}, epoch.Add(time.Hour))
+	g.Expect(verdict).To(Equal(Settled))
+	g.Expect(result.Outcome).To(Equal(Unknown))
+	g.Expect(w.Void(old)).To(BeFalse())
+}
+
+func TestWindowKeepsUnusedAndVoidedTicketsApartWithinTheSpan(t *testing.T) {
+	g := NewWithT(t)
+	w := newWindow(t, Bounds{Entries: 1, Bytes: 100, Span: 64})
+	unused, voided := w.Issue(), w.Issue()
+	g.Expect(w.Void(voided)).To(BeTrue())
+	for range 20 {
+		run(g, w, "x")
+	}
+	_, result := w.Admit(voided, Digest{}, epoch.Add(time.Hour))
+	g.Expect(result.Outcome).To(Equal(NotRun))
+	verdict, _ := w.Admit(unused, Digest{}, epoch.Add(time.Hour))
+	g.Expect(verdict).To(Equal(Admitted))
+}
+
+func TestWindowRefusesWhenAllEntriesAreAtWork(t *testing.T) {
+	g := NewWithT(t)
+	w := newWindow(t, Bounds{Entries: 1, Bytes: 100, Span: 64})
+	first, second := w.Issue(), w.Issue()
+	w.Admit(first, Digest{}, epoch.Add(time.Hour))
+	_, result := w.Admit(second, Digest{}, epoch.Add(time.Hour))
+	g.Expect(result.Outcome).To(Equal(NotRun))
+	g.Expect(w.Start(second, epoch)).To(BeFalse())
+	g.Expect(w.Start(first, epoch)).To(BeTrue())
+}
