Count only balancers as vouching, out of all that peers know

Three ways in which a newcomer without memory could begin on an old revision while the store is away: agents were counted towards the quorum, though they learn a revision after the balancers; a newcomer that knows nobody yet took one answer for a majority of none; and a late answer of a peer hid that it had risen since. Ruled out: a pause before the first decision, which only makes the faults rare. A claim now says "serving" only at a balancer and carries the number of balancers that its sender knows; the quorum is a majority of the largest number heard, and a peer's revision never falls.

--- a/internal/adopt/adopt.go
+++ b/internal/adopt/adopt.go
@@ -10,8 +10,9 @@
 //     a reading of the store that is younger than Rules.Fresh shows no higher
 //     one, or enough distinct peers that serve themselves answered. It never
 //     begins while a peer that is not gone claims a higher revision.
-//  4. Peers that do not serve yet vouch for nothing: else a few newcomers that
-//     asked one lagging peer would vouch for each other.
+//  4. Only balancers that serve vouch. Newcomers that asked one lagging peer
+//     would else vouch for each other, and agents learn a revision after the
+//     balancers.
 //
 // Limits: rule 3 cannot know a revision that nobody whom the process can reach
 // knows. During a cut a newcomer therefore begins on what its own side has in
@@ -57,8 +58,11 @@
 	Peer netip.AddrPort
 	// Revision is the one that the peer has adopted.
 	Revision uint64
-	// Serving tells that the peer serves on it.
+	// Serving tells that the peer is a balancer and serves on it.
 	Serving bool
+	// Balancers is the number of live balancers that the peer knows, without
+	// the process that asks.
+	Balancers int
 	// Reading is the newest reading of the store that the peer knows, nil
 	// where it knows none.
 	Reading *Reading
@@ -140,11 +144,13 @@
 	return &Reading{Revision: s.read.revision, Age: now.Sub(s.read.sent)}
 }
 
-// Heard notes a peer's answer; the peer's newest answer counts.
+// Heard notes a peer's answer. Its revision does not fall below an earlier
+// answer's: the two may have overtaken each other on their way.
 func (s *State) Heard(a Answer, now time.Time) {
 	if a.Reading != nil {
 		s.Read(*a.Reading, now)
 	}
+	a.Revision = max(a.Revision, s.answers[a.Peer].Revision)
 	s.answers[a.Peer] = heard{Answer: a, at: now}
 }
 
@@ -235,7 +241,12 @@
 }
 
 // quorum is a majority of the known balancers, at least one, at most the cap.
+// A process that has just joined knows fewer of them than its peers do.
 func (s *State) quorum() int {
-	majority := s.balancers/2 + 1
-	return max(1, min(majority, s.rules.Quorum))
+	known := s.balancers
+	for _, h := range s.answers {
+		known = max(known, h.Balancers)
+	}
+	majority := known/2 + 1
+	return min(majority, s.rules.Quorum)
 }
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -49,18 +49,30 @@
 	})
 }
 
-// claim is what the process says of its configuration.
-func (n *Node) claim(now time.Time) gossip.Claim {
+// claim is what the process says of its configuration to another one.
+func (n *Node) claim(now time.Time, to netip.AddrPort) gossip.Claim {
 	return gossip.Claim{
-		Revision: n.adopt.Revision(),
-		Serving:  n.serving != nil,
-		Reading:  n.adopt.Reading(now),
+		Revision:  n.adopt.Revision(),
+		Serving:   n.serving != nil && n.options.Self.Role == member.RoleBalancer,
+		Reading:   n.adopt.Reading(now),
+		Balancers: n.balancersBesides(to),
 	}
 }
 
+// balancersBesides returns the number of live balancers but for the process at
+// the address.
+func (n *Node) balancersBesides(addr netip.AddrPort) int {
+	count := n.engine.Table().LiveBalancers()
+	m, known := n.engine.Table().Get(addr)
+	if known && m.Role == member.RoleBalancer && m.State != member.StateGone {
+		count--
+	}
+	return count
+}
+
 // heard notes the claim in an answer to a call of our own.
 func (n *Node) heard(now time.Time, from netip.AddrPort, c gossip.Claim, trip time.Duration) {
-	a := adopt.Answer{Peer: from, Revision: c.Revision, Serving: c.Serving}
+	a := answerOf(from, c)
 	if c.Reading != nil {
 		a.Reading = &adopt.Reading{Revision: c.Reading.Revision, Age: c.Reading.Age + trip}
 	}
@@ -70,12 +82,16 @@
 // heardFrom notes the claim in a call of another process. Its reading of the
 // store is left out: how long the call was under way is not known.
 func (n *Node) heardFrom(now time.Time, from netip.AddrPort, c gossip.Claim) {
-	n.adopt.Heard(adopt.Answer{Peer: from, Revision: c.Revision, Serving: c.Serving}, now)
+	n.adopt.Heard(answerOf(from, c), now)
+}
+
+func answerOf(from netip.AddrPort, c gossip.Claim) adopt.Answer {
+	return adopt.Answer{Peer: from, Revision: c.Revision, Serving: c.Serving, Balancers: c.Balancers}
 }
 
 // decideConfig fetches and serves what the adoption rule says.
 func (n *Node) decideConfig(now time.Time) {
-	n.adopt.Expect(n.otherBalancers())
+	n.adopt.Expect(n.balancersBesides(n.options.Self.Control))
 	d := n.adopt.Decide(now)
 	if d.Fetch > 0 && !n.fetching {
 		n.fetching = true
@@ -88,15 +104,6 @@
 	}
 }
 
-// otherBalancers returns the number of live balancers besides this process.
-func (n *Node) otherBalancers() int {
-	count := n.engine.Table().LiveBalancers()
-	if n.options.Self.Role == member.RoleBalancer {
-		count--
-	}
-	return count
-}
-
 // fetch gets the configuration from a peer.
 func (n *Node) fetch(from netip.AddrPort) {
 	var reply FetchReply
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -19,16 +19,15 @@
 // perform carries an action of the engine out. Calls run on goroutines of
 // their own and post their outcome back.
 func (n *Node) perform(now time.Time, a gossip.Action) {
-	claim := n.claim(now)
 	switch a := a.(type) {
 	case gossip.SendAnnounce:
-		a.Message.Claim = claim
+		a.Message.Claim = n.claim(now, a.To)
 		go n.sendAnnounce(a)
 	case gossip.SendPush:
-		a.Message.Claim = claim
+		a.Message.Claim = n.claim(now, a.To)
 		go n.sendPush(a)
 	case gossip.SendDigest:
-		a.Message.Claim = claim
+		a.Message.Claim = n.claim(now, a.To)
 		go n.sendDigest(a)
 	case gossip.SendExchange:
 		go n.sendExchange(a)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -53,7 +53,7 @@
 	return answer(s, reply, func(now time.Time) gossip.AnnounceReply {
 		s.node.heardFrom(now, a.Self.Control, a.Claim)
 		r := s.node.engine.HandleAnnounce(now, a)
-		r.Claim = s.node.claim(now)
+		r.Claim = s.node.claim(now, a.Self.Control)
 		return r
 	})
 }
@@ -66,7 +66,7 @@
 	return answer(s, reply, func(now time.Time) gossip.PushReply {
 		s.node.heardFrom(now, p.From, p.Claim)
 		r := s.node.engine.HandlePush(now, p)
-		r.Claim = s.node.claim(now)
+		r.Claim = s.node.claim(now, p.From)
 		return r
 	})
 }
@@ -79,7 +79,7 @@
 	return answer(s, reply, func(now time.Time) gossip.DigestReply {
 		s.node.heardFrom(now, d.From, d.Claim)
 		r := s.node.engine.HandleDigest(now, d)
-		r.Claim = s.node.claim(now)
+		r.Claim = s.node.claim(now, d.From)
 		return r
 	})
 }
--- a/internal/gossip/messages.go
+++ b/internal/gossip/messages.go
@@ -16,10 +16,14 @@
 type Claim struct {
 	// Revision is the adopted revision, 0 for none.
 	Revision uint64
-	// Serving tells that the process serves on it.
+	// Serving tells that the process is a balancer and serves on it. An agent
+	// vouches for nothing: it learns a revision after the balancers.
 	Serving bool
 	// Reading is the newest reading of the store that the process knows of.
 	Reading *adopt.Reading
+	// Balancers is the number of live balancers that the process knows, without
+	// the one it speaks to.
+	Balancers int
 }
 
 // Announce tells a balancer that its sender lives, and asks for news.
