--- a/internal/balancer/publisher_test.go
+++ b/internal/balancer/publisher_test.go
@@ -162,6 +162,32 @@
 	g.Expect(all.counts[serviceUnserved].Get()).To(BeZero())
 }
 
+func TestOnlyWhatPlacementLooksAtRebuildsAService(t *testing.T) {
+	g := NewWithT(t)
+	all := newServices(func(string, serviceState) {})
+	s := withFaces("results", faceA)
+	s.Agents = []member.Member{{Control: faceA, Data: faceA, Service: "results", State: member.StateReady, Weight: 1}}
+	all.update(s)
+	set := all.set("results")
+	same := func() bool { all.update(s); before := set; set = all.set("results"); return set == before }
+	s.Agents[0].Version, s.Agents[0].Revision = 2, 9
+	g.Expect(same()).To(BeTrue())
+	for name, change := range map[string]func(){
+		"weight":      func() { s.Agents[0].Weight = 2 },
+		"state":       func() { s.Agents[0].State = member.StateDraining },
+		"data":        func() { s.Agents[0].Data = faceB },
+		"data centre": func() { s.Agents[0].DataCentre = "b" },
+		"locality":    func() { s.Self.DataCentre = "c" },
+		"another":     func() { s.Agents = append(s.Agents, s.Agents[0]) },
+	} {
+		change()
+		g.Expect(same()).To(BeFalse(), name)
+	}
+	s.Agents = nil
+	all.update(s)
+	g.Expect(all.set("results").Len()).To(BeZero())
+}
+
 func TestSettingsReportAllFindings(t *testing.T) {
 	g := NewWithT(t)
 	s := Settings{FaceHost: "face.example", FaceDrain: -1, Grace: -1}
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -6,7 +6,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/saltbend/saltbend/internal/control"
-	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/placement"
 )
 
@@ -28,7 +27,8 @@
 // services holds the agents of each service. It belongs to the goroutine that
 // turns control snapshots into data path snapshots.
 type services struct {
-	sets   map[string]*placement.Set
+	groups map[string]*group
+	at     placement.Locality
 	states map[string]serviceState
 	notify func(service string, state serviceState)
 	counts map[serviceState]*metrics.Gauge
@@ -36,6 +36,7 @@
 
 func newServices(notify func(string, serviceState)) *services {
 	s := &services{
+		groups: make(map[string]*group),
 		states: make(map[string]serviceState),
 		notify: notify,
 		counts: make(map[serviceState]*metrics.Gauge),
@@ -50,7 +51,7 @@
 // update takes the agents from the snapshot, and tells of services whose state
 // has changed. A service that appears is told of only if it is not served.
 func (s *services) update(c *control.Snapshot) {
-	s.sets = agentSets(c)
+	s.place(c)
 	states := make(map[string]serviceState, len(c.Config.Services))
 	counts := make(map[serviceState]int)
 	for i := range c.Config.Services {
@@ -70,8 +71,8 @@
 
 // set returns the agents for new flows of a service, which may be none.
 func (s *services) set(name string) *placement.Set {
-	if set := s.sets[name]; set != nil {
-		return set
+	if g := s.groups[name]; g != nil {
+		return g.set
 	}
 	return &placement.Set{}
 }
@@ -85,18 +86,3 @@
 	}
 	return serviceServed
 }
-
-// agentSets returns the set of agents for new flows of each service.
-func agentSets(s *control.Snapshot) map[string]*placement.Set {
-	byService := make(map[string][]member.Member)
-	for i := range s.Agents {
-		name := s.Agents[i].Service
-		byService[name] = append(byService[name], s.Agents[i])
-	}
-	at := placement.NewLocality(s.Self.DataCentre, s.Balancers)
-	sets := make(map[string]*placement.Set, len(byService))
-	for name, agents := range byService {
-		sets[name] = placement.NewSet(at, agents)
-	}
-	return sets
-}
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/saltbend/saltbend/internal/member"
+import (
+	"maps"
+
+	"github.com/saltbend/saltbend/internal/member"
+)
 
 // Locality tells where a balancer stands among the others. It is immutable.
 //
@@ -21,6 +25,11 @@
 	return Locality{own: own, arrivals: arrivalsByDataCentre(own, balancers)}
 }
 
+// Equal reports whether both give the same shares for the same agents.
+func (l Locality) Equal(o Locality) bool {
+	return l.own == o.own && maps.Equal(l.arrivals, o.arrivals)
+}
+
 // shares returns the part of this balancer's new flows that goes to each data
 // centre.
 func (l Locality) shares(w weights) map[string]float64 {
