Measure replies beside forwarding; report small receive buffers

Cause: only one direction of the path was measured; and what overflows a small kernel buffer in a burst is lost before any counter sees it. Change: the relay benchmarks have a hop for replies. The balancer reads back the receive buffer that the kernel granted, as a gauge, and warns when it is smaller than the 4 MiB asked for.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/control"
@@ -81,6 +82,7 @@
 	if err != nil {
 		return errors.Wrap(err, "data socket")
 	}
+	r.checkBuffer()
 	r.ops, err = ops.Listen(r.settings.Ops.AddrPort())
 	if err != nil {
 		return err
@@ -91,6 +93,20 @@
 	return nil
 }
 
+// checkBuffer tells operators of a receive buffer that is smaller than asked
+// for: what does not fit into it in a burst is lost before it can be counted.
+func (r *role) checkBuffer() {
+	granted, err := datapath.ReceiveBuffer(r.data)
+	if err != nil {
+		return
+	}
+	metrics.GetOrCreateGauge("saltbend_balancer_receive_buffer_bytes", nil).Set(float64(granted))
+	if granted < datapath.SocketBuffer {
+		r.log.Warn("Receive buffers are small; raise net.core.rmem_max.",
+			slog.Int("granted", granted), slog.Int("wanted", datapath.SocketBuffer))
+	}
+}
+
 // start joins the fleet and begins to publish what it learns.
 func (r *role) start(ctx context.Context) error {
 	platform, err := r.store()
--- a/internal/datapath/bench_test.go
+++ b/internal/datapath/bench_test.go
@@ -70,39 +70,52 @@
 	}
 }
 
+// payloadSize is the size in bytes of the callers' datagrams in relay
+// benchmarks.
+const payloadSize = 400
+
 // hop is a relay between a sender and a sink.
 type hop struct {
 	sender, sink *net.UDPConn
 	in           netip.AddrPort
+	packet       []byte
 }
 
 func bareHop(b *testing.B) hop {
 	in, out, sink := listen(b), listen(b), listen(b)
 	go bareRelay(in, out, localAddr(sink))
-	return hop{sender: listen(b), sink: sink, in: localAddr(in)}
+	return hop{sender: listen(b), sink: sink, in: localAddr(in), packet: make([]byte, payloadSize)}
+}
+
+// forwardHop carries a caller's datagrams to an agent.
+func forwardHop(b *testing.B) hop {
+	r := newRig(b)
+	packet := short(r.keys, results, localAddr(r.agent), payloadSize)
+	return hop{sender: r.caller, sink: r.agent, in: r.face.Socket.Addr(), packet: packet}
 }
 
-func pathHop(b *testing.B) hop {
+// replyHop carries an agent's datagrams to a caller.
+func replyHop(b *testing.B) hop {
 	r := newRig(b)
-	return hop{sender: r.caller, sink: r.agent, in: r.face.Socket.Addr()}
+	h := encap.Header{Kind: encap.KindReply, Caller: localAddr(r.caller), Face: publicFace, Service: results}
+	packet := make([]byte, encap.HeaderSize+payloadSize)
+	if err := r.keys.Headers.Clone().Encode(packet, &h); err != nil {
+		b.Fatal(err)
+	}
+	return hop{sender: r.agent, sink: r.caller, in: r.data, packet: packet}
 }
 
 var hops = []struct {
 	name string
 	make func(*testing.B) hop
-}{{"bare", bareHop}, {"path", pathHop}}
-
-// packet returns a datagram of an open flow that ends at the sink.
-func (h hop) packet(b *testing.B, size int) []byte {
-	return short(testKeys(b, testSecrets), results, localAddr(h.sink), size)
-}
+}{{"bare", bareHop}, {"forward", forwardHop}, {"reply", replyHop}}
 
 // flood sends full batches to the relay until stop is set.
-func (h hop) flood(packet []byte, stop *atomic.Bool, done chan<- struct{}) {
+func (h hop) flood(stop *atomic.Bool, done chan<- struct{}) {
 	io, load := ipv4.NewPacketConn(h.sender), newBatch(dataBatch)
 	for !stop.Load() {
 		for !load.full() {
-			load.add(packet, 0, len(packet), h.in)
+			load.add(h.packet, 0, len(h.packet), h.in)
 		}
 		_ = load.send(io, func() {})
 	}
@@ -118,8 +131,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkRelayRate floods a bare batched relay and the forwarding path, on the
-// same kinds of sockets, with more than they can carry, and reports how many
+// BenchmarkRelayRate floods a bare batched relay and both directions of the
+// path, on the same kinds of sockets, with more than they can carry, and reports how many
 // packets a second pass each.
 func BenchmarkRelayRate(b *testing.B) {
 	for _, kind := range hops {
@@ -127,7 +140,7 @@
 			h := kind.make(b)
 			var stop atomic.Bool
 			done := make(chan struct{})
-			go h.flood(h.packet(b, 400), &stop, done)
+			go h.flood(&stop, done)
 			buffer := make([]byte, bufferSize)
 			began, used := time.Now(), processorTime(b)
 			b.ReportAllocs()
@@ -150,11 +163,10 @@
 	for _, kind := range hops {
 		b.Run(kind.name, func(b *testing.B) {
 			h := kind.make(b)
-			packet := h.packet(b, 400)
 			buffer := make([]byte, bufferSize)
 			b.ReportAllocs()
 			for b.Loop() {
-				send(b, h.sender, h.in, packet)
+				send(b, h.sender, h.in, h.packet)
 				if _, _, err := receive(h.sink, buffer, 0); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/datapath/socket.go
+++ b/internal/datapath/socket.go
@@ -6,11 +6,12 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
-// socketBuffer is the size in bytes that is asked of the kernel for the
+// SocketBuffer is the size in bytes that is asked of the kernel for the
 // receive and the send buffer; it may grant less.
-const socketBuffer = 4 << 20
+const SocketBuffer = 4 << 20
 
 // Socket is the UDP socket of one public face. Datagrams to callers leave
 // through it, so that they come from the address that the caller sent to.
@@ -38,11 +39,29 @@
 		return nil, errors.WithStack(err)
 	}
 	// Smaller buffers only cost throughput.
-	_ = conn.SetReadBuffer(socketBuffer)
-	_ = conn.SetWriteBuffer(socketBuffer)
+	_ = conn.SetReadBuffer(SocketBuffer)
+	_ = conn.SetWriteBuffer(SocketBuffer)
 	return conn, nil
 }
 
+// ReceiveBuffer returns the size in bytes of the receive buffer that the kernel
+// granted, without its own overhead.
+func ReceiveBuffer(conn *net.UDPConn) (int, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	var size int
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		size, optErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+	})
+	if err == nil {
+		err = optErr
+	}
+	return size / 2, errors.WithStack(err) // the kernel doubles what it is asked for
+}
+
 // Addr returns the local address.
 func (s *Socket) Addr() netip.AddrPort {
 	return localAddr(s.conn)
