Wait with apply until a revision is in force everywhere

An operator has to know when a change acts on every balancer. Ruled out: the member list's revisions alone, which come with renewals and lag, and asking for witnessed members each round, which grows with the fleet.

The tests drive the tool from file to store through every exit code but 1 after a damaged record.

--- a/cmd/saltbend/apply.go
+++ b/cmd/saltbend/apply.go
@@ -8,13 +8,15 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/apply"
-	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/exit"
 	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/survey"
 )
 
 const applyHelp = `Checks a configuration file, shows the difference to the one in the store and
-writes it if no other change came first.
+writes it if no other change came first. With --wait it goes on until the change
+is in force on every live balancer, which needs --peer and the fleet's secrets.
 Exit code 0: accepted, or the store holds this file already; 1: failed; 2: refused
 for its findings; 3: another change won; 4: the outcome is unknown, look with get;
 5: store not reached; 6: accepted, but not in force everywhere in time.
@@ -27,6 +29,9 @@
 	DryRun   bool          `long:"dry-run" env:"SALTBEND_DRY_RUN" description:"check and show the difference, write nothing"`
 	Operator string        `long:"operator" env:"SALTBEND_OPERATOR" default:"unnamed" description:"name to record with the change"`
 	Timeout  time.Duration `long:"timeout" env:"SALTBEND_TIMEOUT" default:"30s" description:"time to find out whether the change was accepted"`
+	Wait     bool          `long:"wait" env:"SALTBEND_WAIT" description:"wait until the change is in force on every balancer"`
+	WaitTime time.Duration `long:"wait-timeout" env:"SALTBEND_WAIT_TIMEOUT" default:"60s" value-name:"DURATION" description:"time to wait for that"`
+	peerFlags
 	fileArgument
 }
 
@@ -35,30 +40,65 @@
 	firstPause = 50 * time.Millisecond
 	maxPause   = 2 * time.Second
 	idBytes    = 12
+	// waitInterval is the time between two rounds of asking who is late.
+	waitInterval = 250 * time.Millisecond
 )
 
 func (c *applyCommand) run(ctx context.Context, out std) int {
-	s, err := c.open()
+	s, err := c.storeFlags.open()
 	if err != nil {
 		return fail(out, err, exit.Usage)
 	}
 	defer s.Close()
+	var fleet *fleetAccess
+	if c.Wait { // wrong flags are told before anything is written
+		fleet, err = c.peerFlags.open()
+		if err != nil {
+			return fail(out, err, exit.Usage)
+		}
+		defer fleet.caller.Close()
+	}
 	text, err := c.read()
 	if err != nil {
 		return fail(out, err, exit.Usage)
 	}
-	writing, cancel := context.WithTimeout(ctx, c.Timeout)
+	res, err := c.submit(ctx, out, s, text)
+	if err != nil {
+		return fail(out, err, exit.Failure)
+	}
+	if !c.json() {
+		c.print(out, res)
+	}
+	var spread *survey.InForce
+	if c.Wait && res.Revision > 0 {
+		spread = c.await(ctx, out, fleet, res.Revision)
+	}
+	if c.json() {
+		printJSON(out, viewResult(res, spread))
+	}
+	return exitCode(res.Verdict, spread)
+}
+
+// submit validates and writes the file within the time for it.
+func (c *applyCommand) submit(ctx context.Context, out std, s store.Store, text []byte) (apply.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	req := apply.Request{File: c.Args.File, Text: text, Operator: c.Operator, Base: c.Base, DryRun: c.DryRun}
-	res, err := apply.Run(writing, req, apply.Env{
+	return apply.Run(ctx, req, apply.Env{
 		Store: s, Now: time.Now, NewID: newID, Pause: apply.Backoff(firstPause, maxPause),
 		Progress: func(note string) { fmt.Fprintln(out.err, note) },
 	})
-	if err != nil {
-		return fail(out, err, exit.Failure)
-	}
-	c.print(out, res)
-	return exitCode(res.Verdict)
+}
+
+// await waits until the revision is in force everywhere and tells who is late.
+func (c *applyCommand) await(ctx context.Context, out std, fleet *fleetAccess, revision uint64) *survey.InForce {
+	ctx, cancel := context.WithTimeout(ctx, c.WaitTime)
+	defer cancel()
+	start := time.Now()
+	spread := fleet.asker.Await(ctx, fleet.first, revision, waitInterval, func(f survey.InForce) {
+		fmt.Fprintf(out.err, "%v: revision %d is in force on %s.\n", time.Since(start).Round(time.Millisecond), revision, describe(f))
+	})
+	return &spread
 }
 
 func newID() record.ChangeID {
@@ -67,7 +107,8 @@
 	return record.ChangeID(hex.EncodeToString(b))
 }
 
-func exitCode(v apply.Verdict) int {
+// exitCode returns the tool's exit code; spread is nil where it did not wait.
+func exitCode(v apply.Verdict, spread *survey.InForce) int {
 	switch v {
 	case apply.Refused:
 		return exit.Usage
@@ -78,56 +119,8 @@
 	case apply.Unavailable:
 		return exit.Unavailable
 	}
-	return exit.OK
-}
-
-// resultView is the JSON form of an apply.
-type resultView struct {
-	Verdict  apply.Verdict       `json:"verdict"`
-	Base     uint64              `json:"base"`
-	Revision uint64              `json:"revision,omitempty"`
-	Winner   *heldView           `json:"winner,omitempty"`
-	Findings config.Findings     `json:"findings,omitempty"`
-	Diff     []config.Difference `json:"diff,omitempty"`
-	Error    string              `json:"error,omitempty"`
-}
-
-func (c *applyCommand) print(out std, res apply.Result) {
-	if c.json() {
-		v := resultView{Verdict: res.Verdict, Base: res.Base, Revision: res.Revision,
-			Winner: viewOf(res.Winner), Findings: res.Findings, Diff: res.Diff}
-		if res.Err != nil {
-			v.Error = res.Err.Error()
-		}
-		printJSON(out, v)
-		return
+	if spread != nil && !spread.Everywhere() {
+		return exit.Late
 	}
-	printDiff(out, res.Diff)
-	switch res.Verdict {
-	case apply.Refused:
-		refuse(out, res.Findings, false)
-	case apply.Accepted:
-		fmt.Fprintf(out.out, "Accepted as revision %d.\n", res.Revision)
-	case apply.Unchanged:
-		fmt.Fprintf(out.out, "The store holds this file already, as revision %d.\n", res.Revision)
-	case apply.Replaced:
-		fmt.Fprintf(out.out, "Accepted as revision %d; since replaced by %s.\n", res.Revision, viewOf(res.Winner))
-	case apply.Conflict:
-		printConflict(out, res)
-	case apply.Unknown:
-		fmt.Fprintln(out.err, "It is not known whether the change was accepted. Look with: saltbend get")
-	case apply.Unavailable:
-		fmt.Fprintf(out.err, "The store was not reached; nothing was written: %v.\n", res.Err)
-	default:
-		fmt.Fprintf(out.out, "Dry run over revision %d; nothing was written.\n", res.Base)
-	}
-}
-
-func printConflict(out std, res apply.Result) {
-	winner := "another change"
-	if res.Winner != nil {
-		winner = viewOf(res.Winner).String()
-	}
-	fmt.Fprintf(out.err, "Not accepted: based on revision %d, but the store holds %s. Nothing was written.\n", res.Base, winner)
-	fmt.Fprintln(out.err, "Look at it with saltbend get, merge, and apply again.")
+	return exit.OK
 }
--- a/cmd/saltbend/fleet_test.go
+++ b/cmd/saltbend/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/saltbend/saltbend/internal/keyring"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/timeline"
 )
 
@@ -29,6 +30,13 @@
 
 // startBalancer runs the control side of a balancer.
 func startBalancer(t *testing.T, join ...netip.AddrPort) *peer.Peer {
+	t.Helper()
+	return startBalancerWithStore(t, nil, join...)
+}
+
+// startBalancerWithStore runs the control side of a balancer that may be a
+// seed.
+func startBalancerWithStore(t *testing.T, s store.Store, join ...netip.AddrPort) *peer.Peer {
 	t.Helper()
 	g := NewWithT(t)
 	ring, err := keyring.Parse(fleetSecret)
@@ -45,7 +53,7 @@
 		Incarnation: uint64(time.Now().UnixNano()), State: member.StateReady,
 	}
 	_, err = control.Start(ctx, control.Options{
-		Self: self, Join: join, Peer: p, Events: events, Logger: slog.New(slog.DiscardHandler),
+		Self: self, Store: s, Join: join, Peer: p, Events: events, Logger: slog.New(slog.DiscardHandler),
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	events.Add("test", "Balancer started.", p.Addr().String())
