Pass tickets to their homes and decide there

internal/home is the shell around the outcome window: it implements the tickets of the request handler, passes a request that arrived elsewhere to its home, and serves such requests of others.

The handler's interface changes where the model asks for it: - Begin takes a digest, so that another request under a used ticket is refused. The agent at which a request arrives computes it once. - Start moves a ticket from queued to running, or voids it in the same step when its deadline is past. A check of the context before the run was not enough: a paused process wakes before its timers have fired. - Leave tells of callers that no longer wait; what is queued for nobody is voided, what runs goes on and is recorded.

Wrong 'not run' answers that were ruled out: a request of no class, or one whose body broke off, that brings a ticket (it may have run before a change of the configuration or under an earlier attempt); a passed call at a process that took over the home's address; a ticket under a key that is out of use.

--- /dev/null
+++ b/internal/home/home.go
@@ -0,0 +1,230 @@
+// Package home keeps non-idempotent requests to one run. A process is the home
+// of the tickets that it issued: it decides about those in its outcome window
+// (internal/ticket), and passes requests under other tickets to their homes.
+// Nobody but the home says that a request was not run.
+package home
+
+import (
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/internal/ticket"
+)
+
+// Part is the fixed prefix of this package's logs.
+const Part = "home"
+
+// Options are what a Home works with.
+type Options struct {
+	// Self is this process; its control address, incarnation and service are
+	// used.
+	Self   member.Member
+	Source control.Source
+	// Caller reaches other homes.
+	Caller peer.Caller
+	Ring   *keyring.Ring
+	// Bounds limit the outcome window; the zero value means
+	// ticket.DefaultBounds.
+	Bounds ticket.Bounds
+	Logger *slog.Logger
+}
+
+// Home implements request.Tickets. It is safe for concurrent use.
+type Home struct {
+	o       Options
+	tag     config.Tag
+	log     *slog.Logger
+	codec   atomic.Pointer[ticket.Codec]
+	metrics *counters
+	// attempts numbers the passes of this process.
+	attempts atomic.Uint64
+
+	mu     sync.Mutex
+	window *ticket.Window
+	runs   map[uint64]*run // queued and running, by nonce
+}
+
+var _ request.Tickets = (*Home)(nil)
+
+// run is a ticket that is queued or running, with those that want its outcome.
+type run struct {
+	callers   int
+	abandoned chan struct{}
+	waits     []chan *request.Answer
+}
+
+// New returns the home of the tickets that this process is to issue.
+func New(o Options) (*Home, error) {
+	if o.Bounds == (ticket.Bounds{}) {
+		o.Bounds = ticket.DefaultBounds
+	}
+	window, err := ticket.New(o.Bounds)
+	if err != nil {
+		return nil, errors.Wrap(err, "home")
+	}
+	h := &Home{
+		o:      o,
+		tag:    config.TagOf(o.Self.Service),
+		log:    logging.Part(o.Logger, Part),
+		window: window,
+		runs:   map[uint64]*run{},
+	}
+	h.metrics = newCounters(h)
+	h.SetRing(o.Ring)
+	return h, nil
+}
+
+// SetRing puts the ring's keys in force.
+func (h *Home) SetRing(ring *keyring.Ring) {
+	h.codec.Store(ticket.NewCodec(ring))
+}
+
+// Issue implements request.Tickets.
+func (h *Home) Issue() string {
+	h.mu.Lock()
+	nonce := h.window.Issue()
+	h.mu.Unlock()
+	return h.codec.Load().Seal(ticket.Ticket{
+		Home:        h.o.Self.Control,
+		Incarnation: h.o.Self.Incarnation,
+		Service:     h.tag,
+		Nonce:       nonce,
+	})
+}
+
+// Begin implements request.Tickets.
+func (h *Home) Begin(text string, digest ticket.Digest, deadline time.Time) request.Decision {
+	t, err := h.codec.Load().Open(text, h.tag)
+	switch {
+	case errors.Is(err, ticket.ErrText), errors.Is(err, ticket.ErrService):
+		// No agent of this service has ever run anything under this text.
+		return refuse(err)
+	case err != nil:
+		// Sealed with a key that is out of use, perhaps: it may have run.
+		return request.Decision{Verdict: request.VerdictUnknown}
+	case t.Home != h.o.Self.Control:
+		return h.elsewhere(t)
+	case t.Incarnation != h.o.Self.Incarnation:
+		return request.Decision{Verdict: request.VerdictUnknown}
+	}
+	return h.admit(t.Nonce, digest, deadline)
+}
+
+func (h *Home) elsewhere(t ticket.Ticket) request.Decision {
+	if standing(h.o.Source.Snapshot(), t) == replaced {
+		return request.Decision{Verdict: request.VerdictUnknown}
+	}
+	return request.Decision{Verdict: request.VerdictPass, Home: t.Home}
+}
+
+func (h *Home) admit(nonce uint64, digest ticket.Digest, deadline time.Time) request.Decision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	verdict, result := h.window.Admit(nonce, digest, deadline)
+	switch verdict {
+	case ticket.Admitted:
+		r := &run{callers: 1, abandoned: make(chan struct{})}
+		h.runs[nonce] = r
+		return request.Decision{Verdict: request.VerdictRun, ID: idOf(nonce), Abandoned: r.abandoned}
+	case ticket.Joined:
+		return request.Decision{Verdict: request.VerdictWait, ID: idOf(nonce), Wait: h.runs[nonce].join()}
+	case ticket.Mismatch:
+		return refuse(errMismatch)
+	}
+	return settled(result)
+}
+
+// join adds a caller that waits for the outcome.
+func (r *run) join() <-chan *request.Answer {
+	wait := make(chan *request.Answer, 1)
+	r.callers++
+	r.waits = append(r.waits, wait)
+	return wait
+}
+
+// Start implements request.Tickets.
+func (h *Home) Start(id request.TicketID, now time.Time) bool {
+	nonce := nonceOf(id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.window.Start(nonce, now) {
+		return true
+	}
+	h.settle(nonce, notRun(reasonExpired))
+	return false
+}
+
+// Finish implements request.Tickets.
+func (h *Home) Finish(id request.TicketID, answer *request.Answer) {
+	nonce := nonceOf(id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.window.Finish(nonce, resultOf(answer))
+	h.settle(nonce, answer)
+}
+
+// Void implements request.Tickets.
+func (h *Home) Void(id request.TicketID) bool {
+	nonce := nonceOf(id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.window.Void(nonce) {
+		return false
+	}
+	h.settle(nonce, notRun(reasonVoided))
+	return true
+}
+
+// Leave implements request.Tickets.
+func (h *Home) Leave(id request.TicketID) {
+	nonce := nonceOf(id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.runs[nonce]
+	if r == nil {
+		return
+	}
+	r.callers--
+	if r.callers == 0 && h.window.Void(nonce) {
+		close(r.abandoned)
+		h.settle(nonce, notRun(reasonVoided))
+	}
+}
+
+// settle gives all that wait the one outcome.
+func (h *Home) settle(nonce uint64, answer *request.Answer) {
+	r := h.runs[nonce]
+	if r == nil {
+		return
+	}
+	delete(h.runs, nonce)
+	for _, wait := range r.waits {
+		wait <- answer // has room for the one answer that it gets
+	}
+}
+
+func idOf(nonce uint64) request.TicketID {
+	return request.TicketID(strconv.FormatUint(nonce, 10))
+}
+
+// nonceOf returns the nonce of an ID that this process gave out; any other
+// yields a nonce that was never issued.
+func nonceOf(id request.TicketID) uint64 {
+	nonce, err := strconv.ParseUint(string(id), 10, 64)
+	if err != nil {
+		return ^uint64(0)
+	}
+	return nonce
+}
--- /dev/null
+++ b/internal/home/metrics.go
@@ -0,0 +1,32 @@
+package home
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/saltbend/saltbend/internal/ticket"
+)
+
+// counters are the home's metrics.
+type counters struct{}
+
+// newCounters shows what the window holds.
+func newCounters(h *Home) *counters {
+	gauge := func(name string, value func(ticket.Usage) float64) {
+		metrics.GetOrCreateGauge(name, func() float64 {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return value(h.window.Usage())
+		})
+	}
+	gauge("saltbend_ticket_window_entries", func(u ticket.Usage) float64 { return float64(u.Entries) })
+	gauge("saltbend_ticket_window_bytes", func(u ticket.Usage) float64 { return float64(u.Bytes) })
+	gauge("saltbend_ticket_forgotten_total", func(u ticket.Usage) float64 { return float64(u.Forgotten) })
+	return &counters{}
+}
+
+// passed counts a request that was passed to its home.
+func (*counters) passed(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("saltbend_ticket_passes_total{result=%q}", result)).Inc()
+}
--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/saltbend/saltbend/internal/ticket"
 )
 
 // Outcome is the one end of a request, as the caller is told.
@@ -48,6 +50,9 @@
 	// BodyOmitted tells that the body was too long to pass: the home may
 	// replay or void the ticket, but can't run it.
 	BodyOmitted bool
+	// Digest identifies the content of a request under a ticket, as the agent
+	// saw it at which the request arrived.
+	Digest ticket.Digest
 	// Waited is the time since the arrival and Left the time until the
 	// deadline; durations, since clocks of hosts don't agree.
 	Waited time.Duration
@@ -86,7 +91,10 @@
 	ID      TicketID
 	Answer  *Answer        // VerdictReplay
 	Wait    <-chan *Answer // VerdictWait
-	Home    netip.AddrPort // VerdictPass: control address of the home
-	Status  int            // VerdictRefuse
-	Reason  string         // VerdictRefuse
+	// Abandoned is closed when the request was voided because all its callers
+	// left; VerdictRun.
+	Abandoned <-chan struct{}
+	Home      netip.AddrPort // VerdictPass: control address of the home
+	Status    int            // VerdictRefuse
+	Reason    string         // VerdictRefuse
 }
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -22,6 +22,7 @@
 	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/internal/ticket"
 	"github.com/saltbend/saltbend/internal/upstream"
 )
 
@@ -144,19 +145,23 @@
 
 func (t *tickets) Issue() string { return "fresh" }
 
-func (t *tickets) Begin(string, time.Time, time.Time) request.Decision {
+func (t *tickets) Begin(string, ticket.Digest, time.Time) request.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.decision
 }
 
-func (t *tickets) Finish(_ request.TicketID, _ time.Time, a *request.Answer) {
+func (t *tickets) Start(request.TicketID, time.Time) bool { return true }
+
+func (t *tickets) Leave(request.TicketID) {}
+
+func (t *tickets) Finish(_ request.TicketID, a *request.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.finished = append(t.finished, a)
 }
 
-func (t *tickets) Void(request.TicketID, time.Time) bool {
+func (t *tickets) Void(request.TicketID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.voided++
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -90,17 +90,17 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	class, ok := h.classify(r)
-	if !ok {
-		h.write(w, "", NotRun(http.StatusNotFound, "no-class", 0))
-		return
-	}
 	if class.Kind == config.KindFeed {
 		h.serveFeed(w, r, class)
 		return
 	}
 	j, err := h.newJob(w, r, class, arrived)
 	if err != nil {
-		h.write(w, class.Name, NotRun(http.StatusBadRequest, "body", 0))
+		h.write(w, class.Name, badBody(r))
+		return
+	}
+	if !ok {
+		h.write(w, "", h.serveClassless(r.Context(), r.Header.Get(HeaderTicket), j))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
@@ -109,6 +109,15 @@
 	h.finish(w, class.Name, e)
 }
 
+// badBody answers a request whose body broke off. Under a ticket an earlier
+// attempt may have run.
+func badBody(r *http.Request) *Answer {
+	if r.Header.Get(HeaderTicket) != "" {
+		return Unknown("body")
+	}
+	return NotRun(http.StatusBadRequest, "body", 0)
+}
+
 func (h *Handler) serveJob(ctx context.Context, r *http.Request, j *job) end {
 	if j.class.Idempotent {
 		return h.runIdempotent(ctx, j)
--- a/internal/request/ticketed.go
+++ b/internal/request/ticketed.go
@@ -6,19 +6,23 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/ticket"
 )
 
 // runTicketed runs a non-idempotent job under its ticket, at most once.
-func (h *Handler) runTicketed(ctx context.Context, ticket string, j *job) end {
-	if h.o.Tickets == nil {
+func (h *Handler) runTicketed(ctx context.Context, text string, j *job) end {
+	switch {
+	case text == "" && h.o.Tickets == nil:
 		return end{answer: NotRun(http.StatusServiceUnavailable, "no-tickets", time.Second)}
-	}
-	if ticket == "" {
+	case text == "":
 		return end{answer: NotRun(http.StatusPreconditionRequired, "no-ticket", 0)}
+	case h.o.Tickets == nil:
+		return end{answer: Unknown("no-tickets")} // it may have run elsewhere
 	}
-	d := h.o.Tickets.Begin(ticket, time.Now(), j.deadline)
+	j.call.Digest = ticket.DigestOf(j.call.Method, j.call.URI, j.call.Body)
+	d := h.o.Tickets.Begin(text, j.call.Digest, j.deadline)
 	if d.Verdict == VerdictPass {
-		return end{answer: h.passHome(ctx, d, ticket, j)}
+		return end{answer: h.passHome(ctx, d, text, j)}
 	}
 	return h.decided(ctx, d, j)
 }
@@ -27,11 +31,11 @@
 func (h *Handler) decided(ctx context.Context, d Decision, j *job) end {
 	switch d.Verdict {
 	case VerdictRun:
-		return h.runOwned(ctx, d.ID, j)
+		return h.runOwned(ctx, d, j)
 	case VerdictReplay:
 		return end{answer: d.Answer}
 	case VerdictWait:
-		return end{answer: awaitAnswer(ctx, d.Wait)}
+		return end{answer: h.awaitAnswer(ctx, d)}
 	case VerdictRefuse:
 		return end{answer: NotRun(d.Status, d.Reason, 0)}
 	default:
@@ -40,14 +44,14 @@
 }
 
 // passHome has the ticket's home answer. Nothing runs here.
-func (h *Handler) passHome(ctx context.Context, d Decision, ticket string, j *job) *Answer {
+func (h *Handler) passHome(ctx context.Context, d Decision, text string, j *job) *Answer {
 	call := *j.call
 	call.Waited = time.Since(j.arrived)
 	call.Left = time.Until(j.deadline)
 	if j.body != nil {
 		h.boundBody(&call, j)
 	}
-	answer, err := h.o.Tickets.Pass(ctx, d.Home, ticket, &call)
+	answer, err := h.o.Tickets.Pass(ctx, d.Home, text, &call)
 	if err != nil {
 		h.log.Info("Home of a ticket gave no answer.", "home", d.Home.String(), "error", err)
 		return Unknown("home-unreachable")
@@ -66,42 +70,71 @@
 	call.Body = append(call.Body, rest...)
 }
 
-func awaitAnswer(ctx context.Context, wait <-chan *Answer) *Answer {
+func (h *Handler) awaitAnswer(ctx context.Context, d Decision) *Answer {
 	select {
-	case answer := <-wait:
+	case answer := <-d.Wait:
 		if answer != nil {
 			return answer
 		}
 		return Unknown("no-answer")
 	case <-ctx.Done():
+		h.o.Tickets.Leave(d.ID)
 		return Unknown("deadline")
 	}
 }
 
-// runOwned runs a job whose ticket this call alone may run. The run isn't
+// runOwned runs a job whose ticket this call alone may run. A started run isn't
 // bound to the caller's connection: a caller that lost it asks again and gets
-// the recorded answer.
-func (h *Handler) runOwned(ctx context.Context, id TicketID, j *job) end {
+// the recorded answer. A queued one ends when nobody waits for it any more.
+func (h *Handler) runOwned(ctx context.Context, d Decision, j *job) end {
+	if j.call.BodyOmitted {
+		return h.void(d.ID, dispatch.Refuse{ID: j.id, Reason: reasonBodyOmitted})
+	}
+	defer context.AfterFunc(ctx, func() { h.o.Tickets.Leave(d.ID) })()
 	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
 	defer cancel()
 	if !h.engine.post(arrival{job: j, request: j.scheduled()}) {
-		return h.void(id, dispatch.Refuse{ID: j.id, Reason: reasonStopped})
+		return h.void(d.ID, dispatch.Refuse{ID: j.id, Reason: reasonStopped})
 	}
-	switch a := h.await(own, j).(type) {
+	switch a := h.awaitTurn(own, d, j).(type) {
 	case dispatch.Start:
-		return h.runOnceOnly(own, id, j)
+		return h.startOwned(own, d.ID, j)
 	case dispatch.Refuse:
-		return h.void(id, a)
+		return h.void(d.ID, a)
 	default:
 		// Only movable jobs are pushed; this one never left the agent.
-		return h.void(id, dispatch.Refuse{ID: j.id, Reason: reasonStopped})
+		return h.void(d.ID, dispatch.Refuse{ID: j.id, Reason: reasonStopped})
+	}
+}
+
+// awaitTurn waits in the queue until the scheduler speaks or the ticket is
+// abandoned.
+func (h *Handler) awaitTurn(ctx context.Context, d Decision, j *job) dispatch.Action {
+	queued, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-d.Abandoned:
+			cancel()
+		case <-queued.Done():
+		}
+	}()
+	return h.await(queued, j)
+}
+
+// startOwned runs the job, unless its ticket was voided while its turn came.
+func (h *Handler) startOwned(ctx context.Context, id TicketID, j *job) end {
+	if !h.o.Tickets.Start(id, time.Now()) {
+		h.engine.post(ended{id: j.id})
+		return end{answer: refused(dispatch.Refuse{ID: j.id, Reason: dispatch.ReasonExpired})}
 	}
+	return h.runOnceOnly(ctx, id, j)
 }
 
 // void ends a ticketed job that the scheduler gave up. The job is out of the
 // queue and only this call could have started it.
 func (h *Handler) void(id TicketID, r dispatch.Refuse) end {
-	if !h.o.Tickets.Void(id, time.Now()) {
+	if !h.o.Tickets.Void(id) {
 		return end{answer: Unknown(string(r.Reason))}
 	}
 	return end{answer: refused(r)}
@@ -113,7 +146,7 @@
 	recorded := false
 	record := func(a *Answer) {
 		recorded = true
-		h.o.Tickets.Finish(id, time.Now(), a)
+		h.o.Tickets.Finish(id, a)
 	}
 	defer func() {
 		if !recorded {
@@ -133,20 +166,44 @@
 	return e
 }
 
-// RunPassed answers a call that another agent passed to this home.
-func (h *Handler) RunPassed(ctx context.Context, ticket string, call *Call) *Answer {
+// RunPassed answers a call that another agent passed to this home. A call of no
+// class can't run here, but its ticket may have run before a change of the
+// configuration: the ticket decides.
+func (h *Handler) RunPassed(ctx context.Context, text string, call *Call) *Answer {
 	j, err := h.passedJob(call)
 	if err != nil {
-		return NotRun(http.StatusNotFound, "no-class", 0)
+		j = h.classless(call)
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	d := h.o.Tickets.Begin(ticket, time.Now(), j.deadline)
-	switch {
-	case d.Verdict == VerdictPass:
+	d := h.o.Tickets.Begin(text, call.Digest, j.deadline)
+	if d.Verdict == VerdictPass {
 		return Unknown("home-moved")
-	case d.Verdict == VerdictRun && call.BodyOmitted:
-		return h.void(d.ID, dispatch.Refuse{Reason: reasonBodyOmitted}).answer
 	}
 	return h.decided(ctx, d, j).answer
 }
+
+// classless is a job that can't run: its ticket is voided or its outcome told.
+func (h *Handler) classless(call *Call) *job {
+	omitted := *call
+	omitted.BodyOmitted = true
+	now := time.Now()
+	return &job{
+		id:       h.engine.nextID(),
+		call:     &omitted,
+		arrived:  now.Add(-call.Waited),
+		deadline: now.Add(call.Left),
+	}
+}
+
+// serveClassless answers a request of no class. One that brings a ticket may
+// have run while the configuration had a class for it.
+func (h *Handler) serveClassless(ctx context.Context, text string, j *job) *Answer {
+	if text == "" {
+		return NotRun(http.StatusNotFound, "no-class", 0)
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	j.call.BodyOmitted = true
+	return h.runTicketed(ctx, text, j).answer
+}
--- a/internal/ticket/window.go
+++ b/internal/ticket/window.go
@@ -214,15 +214,19 @@
 	return w.ledger.get(nonce) == markVoided
 }
 
-// Finish records how a running request ended. An outcome other than Complete
-// is taken as Unknown: what was started may have run.
+// Finish records how a running request ended. NotRun is for a request that the
+// upstream surely never saw.
 func (w *Window) Finish(nonce uint64, r Result) {
 	e := w.entries[nonce]
 	if e == nil || e.state != running {
 		return
 	}
 	size := r.Answer.size()
-	if r.Outcome != Complete || size > w.bounds.Bytes {
+	switch {
+	case r.Outcome == NotRun:
+		w.drop(e, markVoided)
+		return
+	case r.Outcome != Complete || size > w.bounds.Bytes:
 		w.drop(e, markSpent)
 		return
 	}
