--- /dev/null
+++ b/internal/flow/paths_test.go
@@ -0,0 +1,225 @@
+package flow
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	caller = Key{Caller: addr(9, 5000), Face: addr(8, 443)}
+)
+
+func addr(host byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), port)
+}
+
+// world drives Paths: balancers that answer probes or do not, in steps of one
+// millisecond.
+type world struct {
+	paths     *Paths
+	now       time.Time
+	balancers []netip.AddrPort
+	// bad balancers neither answer probes nor carry replies.
+	bad    map[netip.AddrPort]bool
+	probes int
+}
+
+func newWorld(balancers int) *world {
+	w := &world{paths: NewPaths(0), now: start, bad: map[netip.AddrPort]bool{}}
+	for i := range balancers {
+		w.balancers = append(w.balancers, addr(byte(i+1), 7000))
+	}
+	w.paths.SetLive(w.now, w.balancers)
+	return w
+}
+
+// run lets d pass and calls each millisecond.
+func (w *world) run(d time.Duration, each func(elapsed time.Duration)) {
+	for elapsed := time.Duration(0); elapsed < d; elapsed += time.Millisecond {
+		w.now = w.now.Add(time.Millisecond)
+		if elapsed%TickEvery == 0 {
+			w.tick()
+		}
+		each(elapsed)
+	}
+}
+
+func (w *world) tick() {
+	for _, p := range w.paths.Tick(w.now) {
+		w.probes++
+		if !w.bad[p.Balancer] {
+			w.paths.Answered(w.now, p.Balancer, p.Nonce)
+		}
+	}
+}
+
+func TestReplyFollowsTheBalancerThatLastCarriedTheFlow(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	for _, b := range []int{0, 2, 1, 1, 0} {
+		f := w.paths.Arrived(w.now, caller, w.balancers[b], true)
+		g.Expect(w.paths.Choose(w.now, f)).To(Equal(w.balancers[b]))
+		w.now = w.now.Add(silentAfter)
+		g.Expect(w.paths.Choose(w.now, f)).To(Equal(w.balancers[b]), "still fresh")
+	}
+}
+
+func TestBalancerThatTheFleetDoesNotNameYetIsUsedWhileItCarries(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	stranger := addr(77, 7000)
+	f := w.paths.Arrived(w.now, caller, stranger, true)
+	g.Expect(w.paths.Choose(w.now, f)).To(Equal(stranger))
+	w.run(balancerFor+2*TickEvery, func(time.Duration) {})
+	for range 50 {
+		g.Expect(w.paths.Choose(w.now, f)).To(Equal(w.balancers[0]))
+		w.now = w.now.Add(time.Millisecond)
+	}
+}
+
+func TestWithoutAnyUsableBalancerTheLastOneIsTried(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	w.bad[w.balancers[0]] = true
+	f := w.paths.Arrived(w.now, caller, w.balancers[0], true)
+	w.run(time.Second, func(time.Duration) {
+		g.Expect(w.paths.Choose(w.now, f)).To(Equal(w.balancers[0]))
+	})
+	g.Expect(w.paths.Suspects()).To(Equal(1))
+}
+
+// A balancer that carries callers' datagrams here, but nothing back, looks
+// alive to whoever only listens.
+func TestOneWayCutIsLeftThoughTheBalancerStillCarries(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	cut := w.balancers[1]
+	w.bad[cut] = true
+	lost := 0
+	w.run(2*time.Second, func(elapsed time.Duration) {
+		via := w.balancers[int(elapsed/time.Millisecond)%3]
+		f := w.paths.Arrived(w.now, caller, via, true)
+		if w.paths.Choose(w.now, f) == cut {
+			lost++
+			g.Expect(elapsed).To(BeNumerically("<", time.Second))
+		}
+	})
+	g.Expect(lost).To(BeNumerically(">", 0))
+	g.Expect(w.paths.Suspects()).To(Equal(1))
+	delete(w.bad, cut)
+	w.run(time.Second, func(time.Duration) { w.paths.Arrived(w.now, caller, cut, true) })
+	g.Expect(w.paths.Suspects()).To(BeZero(), "an answered probe lifts the suspicion")
+}
+
+// A feed sends an event now and then to a caller that says nothing, and
+// repeats it at QUIC's growing probe timeouts. Whatever balancers fail, one of
+// the first repetitions must take a good one, and soon all datagrams do.
+func TestSilentFlowLeavesFailedBalancers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		n := rapid.IntRange(2, 5).Draw(t, "balancers")
+		w := newWorld(n)
+		f := w.paths.Arrived(w.now, caller, w.balancers[0], true)
+		w.run(time.Duration(rapid.IntRange(300, 3000).Draw(t, "quiet"))*time.Millisecond, func(time.Duration) {})
+		good := rapid.IntRange(0, n-1).Draw(t, "good")
+		for i, b := range w.balancers {
+			w.bad[b] = i != good && rapid.Bool().Draw(t, fmt.Sprintf("bad%d", i))
+		}
+		var firstGood time.Duration = -1
+		late := 0
+		w.run(4*time.Second, func(elapsed time.Duration) {
+			if elapsed%(25*time.Millisecond) != 0 {
+				return
+			}
+			bad := w.bad[w.paths.Choose(w.now, f)]
+			if !bad && firstGood < 0 {
+				firstGood = elapsed
+			}
+			if bad && elapsed > 2*time.Second {
+				late++
+			}
+		})
+		g.Expect(firstGood).To(BeNumerically(">=", 0))
+		g.Expect(firstGood).To(BeNumerically("<=", time.Duration(n)*rotateEvery*2))
+		g.Expect(late).To(BeZero())
+	})
+}
+
+func TestProbesStayInsideTheirBudgetAndStopWithoutUse(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(200)
+	for i, b := range w.balancers {
+		w.bad[b] = i%2 == 0
+	}
+	const span = 10 * time.Second
+	w.run(span, func(elapsed time.Duration) {
+		via := w.balancers[int(elapsed/time.Millisecond)%len(w.balancers)]
+		w.paths.Choose(w.now, w.paths.Arrived(w.now, caller, via, true))
+	})
+	g.Expect(w.probes).To(BeNumerically("<=", probeBurst+probesPerSecond*int(span/time.Second)))
+	g.Expect(w.probes).To(BeNumerically(">=", probesPerSecond*int(span/time.Second)/2))
+
+	quiet := newWorld(3)
+	quiet.run(span, func(time.Duration) {})
+	g.Expect(quiet.probes).To(BeZero())
+}
+
+func TestAnswersOfOtherProbesProveNothing(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(2)
+	w.bad[w.balancers[0]], w.bad[w.balancers[1]] = true, true
+	f := w.paths.Arrived(w.now, caller, w.balancers[0], true)
+	w.run(time.Second, func(time.Duration) { w.paths.Choose(w.now, f) })
+	g.Expect(w.paths.Suspects()).To(Equal(2))
+	w.paths.Answered(w.now, w.balancers[0], 0)
+	w.paths.Answered(w.now, w.balancers[0], 1_000_000)
+	w.paths.Answered(w.now, addr(99, 1), 1)
+	g.Expect(w.paths.Suspects()).To(Equal(2))
+}
+
+func TestFlowsAreBoundedAndExpire(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	open := w.paths.Arrived(w.now, caller, w.balancers[0], true)
+	for i := range maxFlows {
+		key := Key{Caller: addr(byte(200+i>>16), uint16(i)), Face: caller.Face}
+		w.paths.Arrived(w.now, key, w.balancers[0], false)
+	}
+	g.Expect(w.paths.Flows()).To(Equal(maxFlows))
+	g.Expect(w.paths.Arrived(w.now, caller, w.balancers[0], true)).To(BeIdenticalTo(open))
+
+	w.now = w.now.Add(handshakeFor + time.Second)
+	w.paths.Expire(w.now)
+	g.Expect(w.paths.Flows()).To(Equal(1), "only the established flow is left")
+	w.now = w.now.Add(MaxIdleTimeout)
+	w.paths.Expire(w.now)
+	g.Expect(w.paths.Flows()).To(Equal(1), "it outlives QUIC's idle timeout")
+	w.now = w.now.Add(establishedFor)
+	w.paths.Expire(w.now)
+	g.Expect(w.paths.Flows()).To(BeZero())
+}
+
+func TestPlacementIsRememberedForSomeSecondsAndBounded(t *testing.T) {
+	g := NewWithT(t)
+	h := newHands()
+	key := makeDCIDKey([]byte("abcdefgh"))
+	to := addr(5, 5)
+	h.put(start, key, to)
+	for i := range 10 * time.Second / time.Second {
+		got, ok := h.get(start.Add(i*time.Second), key)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(got).To(Equal(to))
+	}
+	_, ok := h.get(start.Add(time.Minute), makeDCIDKey([]byte("abcdefgh\x00")))
+	g.Expect(ok).To(BeFalse(), "the length is part of the ID")
+	for i := range 3 * maxHands {
+		h.put(start.Add(time.Minute), makeDCIDKey(fmt.Append(nil, i)), to)
+	}
+	g.Expect(len(h.young) + len(h.old)).To(BeNumerically("<=", 2*maxHands))
+}
