Let test fleets rotate their secrets

Cause: no test with real processes rotates the fleet secret, and the harness gave it in the environment, where no process can read it again.

--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -72,9 +72,12 @@
 		Faces: make(map[string]netip.AddrPort),
 		dir:   dir,
 		bin:   bin,
-		env:   []string{"SALTBEND_SECRETS=" + Secrets, "SALTBEND_DC=" + dataCentre},
 		live:  make(map[string]*Process),
 	}
+	f.env = []string{f.secretsEnv(), "SALTBEND_DC=" + dataCentre}
+	if err := f.writeSecrets(Secrets); err != nil {
+		return nil, err
+	}
 	if err := f.startPlatform(ctx, services); err != nil {
 		f.Close()
 		return nil, err
