Show one run and true outcomes with killed and frozen homes

Real processes (the test binary run again) on loopback: a home behind a fault-injecting proxy, two other agents, one slot, an upstream with its own log. At each of five steps of a passed request (on its way, queued, running, answered, recorded) the home is killed and restarted at its address, frozen past the deadline, cut off, or cut off in silence; the caller tries again elsewhere and once more when the fault is over. 20 cases, with the upstream crashing mid-run, callers that share a ticket, a member list that ends the wait, and a caller that leaves.

'At once' is shown without timing: where no deadline may be needed for the answer, it is ten minutes off, and the test's patience 40 s.

Moving the proxy to another process raced inside the proxy library; the restarted home takes the old address instead.

--- /dev/null
+++ b/internal/home/faults_test.go
@@ -0,0 +1,221 @@
+package home_test
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/request"
+)
+
+const (
+	// brief is the deadline where a test waits for it to pass.
+	brief = 1500 * time.Millisecond
+	// long is the deadline where an outcome must come without it.
+	long = 10 * time.Minute
+	// fleetsAtOnce is how many fleets of four processes run side by side.
+	fleetsAtOnce = 3
+)
+
+var turn = make(chan struct{}, fleetsAtOnce)
+
+// takeTurn bounds the processes that tests start side by side.
+func takeTurn(t *testing.T) {
+	t.Parallel()
+	turn <- struct{}{}
+	t.Cleanup(func() { <-turn })
+}
+
+// step is a moment in the life of a request that is passed to its home.
+type step struct {
+	name string
+	body string
+	// reach sends the request through the first agent and returns when it has
+	// come so far; before is called where the fault has to precede it.
+	reach func(f *fleet, body string, before func()) <-chan told
+}
+
+var steps = []step{
+	{"on its way", "victim", func(f *fleet, body string, before func()) <-chan told {
+		before()
+		return f.others[0].send(f.ticket, body)
+	}},
+	{"queued", "victim", func(f *fleet, body string, before func()) <-chan told {
+		blocker := f.result(f.home.send("", "nothing")).Ticket
+		f.home.send(blocker, hold+"blocker")
+		f.running(hold + "blocker")
+		attempt := f.others[0].send(f.ticket, body)
+		f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_entries") }, patience).Should(Equal("3"))
+		before()
+		return attempt
+	}},
+	{"running", hold + "victim", func(f *fleet, body string, before func()) <-chan told {
+		attempt := f.others[0].send(f.ticket, body)
+		f.running(body)
+		before()
+		return attempt
+	}},
+	{"answered", hold + "victim", func(f *fleet, body string, before func()) <-chan told {
+		attempt := f.others[0].send(f.ticket, body)
+		f.running(body)
+		f.toxic("downstream")
+		recorded := f.home.metric("saltbend_ticket_window_bytes")
+		f.upstream.release(body)
+		f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_bytes") }, patience).ShouldNot(Equal(recorded))
+		before()
+		return attempt
+	}},
+	{"recorded", "victim", func(f *fleet, body string, before func()) <-chan told {
+		attempt := f.others[0].send(f.ticket, body)
+		f.Expect(f.outcome(attempt)).To(Equal(request.OutcomeComplete))
+		before()
+		return nil
+	}},
+}
+
+// fault is what befalls the home, and how the fleet goes on.
+type fault struct {
+	name     string
+	deadline time.Duration
+	strike   func(f *fleet)
+	// recover ends the fault and returns the agent at which the caller tries
+	// for the last time.
+	recover func(f *fleet) *node
+}
+
+var faults = []fault{
+	{"killed and restarted", long, func(f *fleet) { f.home.kill() }, func(f *fleet) *node {
+		f.home = startNode(f.t, f.home.Peer) // a new incarnation at the old address
+		f.start(f.home, f.control)
+		return f.others[1]
+	}},
+	{"frozen past the deadline", brief, func(f *fleet) { f.home.signal(syscall.SIGSTOP) }, func(f *fleet) *node {
+		f.home.signal(syscall.SIGCONT)
+		return f.home
+	}},
+	{"cut off", long, func(f *fleet) { f.proxy.Stop() }, func(f *fleet) *node { return f.home }},
+	{"cut off in silence", brief, func(f *fleet) {
+		f.toxic("upstream")
+		if f.proxy.Toxics.GetToxic("downstream") == nil {
+			f.toxic("downstream")
+		}
+	}, func(f *fleet) *node { return f.home }},
+}
+
+// The caller of a request whose home fails at any step tries again elsewhere,
+// and once more when the fault is over.
+func TestHomeFailsAtEveryStep(t *testing.T) {
+	for _, fault := range faults {
+		for _, step := range steps {
+			t.Run(fault.name+"/"+step.name, func(t *testing.T) {
+				takeTurn(t)
+				f := startFleet(t, fault.deadline)
+				attempt := step.reach(f, step.body, func() { fault.strike(f) })
+				if attempt != nil {
+					f.Expect(f.outcome(attempt)).To(Equal(request.OutcomeUnknown))
+				}
+				f.Expect(f.outcome(f.others[1].send(f.ticket, step.body))).To(Equal(request.OutcomeUnknown))
+				agent := fault.recover(f)
+				last := agent.send(f.ticket, step.body)
+				f.upstream.release(hold + "blocker")
+				f.upstream.release(step.body)
+				f.Expect(f.outcome(last)).To(BeElementOf(lastOutcomes(fault.name, step.name)), "%+v", f.told)
+				f.fence(f.home)
+				f.check(step.body)
+			})
+		}
+	}
+}
+
+// lastOutcomes are those that the caller may be told when the fault is over.
+func lastOutcomes(fault, step string) []request.Outcome {
+	switch {
+	case fault == "killed and restarted":
+		return []request.Outcome{request.OutcomeUnknown} // nobody remembers
+	case step == "answered" || step == "recorded" || fault == "cut off":
+		return []request.Outcome{request.OutcomeComplete}
+	case step == "queued":
+		return []request.Outcome{request.OutcomeNotRun} // the deadline passed before a slot was free
+	default:
+		return []request.Outcome{request.OutcomeComplete, request.OutcomeNotRun, request.OutcomeUnknown}
+	}
+}
+
+func TestUpstreamCrashesMidRun(t *testing.T) {
+	takeTurn(t)
+	f := startFleet(t, long)
+	body := crash + "victim"
+	passed := f.others[0].send(f.ticket, body)
+	f.running(body)
+	joined := f.home.send(f.ticket, body)
+	f.upstream.release(body)
+	f.Expect(f.outcome(passed)).To(Equal(request.OutcomeUnknown))
+	f.Expect(f.outcome(joined)).To(Equal(request.OutcomeUnknown))
+	f.Expect(f.outcome(f.others[1].send(f.ticket, body))).To(Equal(request.OutcomeUnknown))
+	f.fence(f.home)
+	f.Expect(f.upstream.ran(body)).To(Equal(1))
+}
+
+func TestCallersOfOneTicketGetOneAnswer(t *testing.T) {
+	takeTurn(t)
+	f := startFleet(t, long)
+	body := hold + "victim"
+	first := f.others[0].send(f.ticket, body)
+	f.running(body)
+	second, third := f.others[1].send(f.ticket, body), f.home.send(f.ticket, body)
+	other := f.result(f.others[1].send(f.ticket, "other"))
+	f.Expect(other.Outcome).To(Equal(request.OutcomeNotRun))
+	f.Expect(other.Status).To(Equal(http.StatusUnprocessableEntity))
+	f.upstream.release(body)
+	for _, attempt := range []<-chan told{first, second, third, f.others[1].send(f.ticket, body)} {
+		f.Expect(f.outcome(attempt)).To(Equal(request.OutcomeComplete))
+	}
+	f.check(body)
+	f.Expect(f.upstream.ran("other")).To(BeZero())
+}
+
+// A home that doesn't answer is given up as soon as the member list says that
+// it is gone.
+func TestMemberListEndsTheWaitForAHome(t *testing.T) {
+	for name, after := range map[string][]member.Member{
+		"vanished": nil,
+		"replaced": {{Incarnation: ^uint64(0)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			takeTurn(t)
+			f := startFleet(t, long)
+			f.tellMembers(member.Member{Control: f.control, Incarnation: f.incarnation()})
+			body := hold + "victim"
+			attempt := f.others[0].send(f.ticket, body)
+			f.running(body)
+			f.home.signal(syscall.SIGSTOP)
+			for i := range after {
+				after[i].Control = f.control
+			}
+			f.tellMembers(after...)
+			f.Expect(f.outcome(attempt)).To(Equal(request.OutcomeUnknown))
+		})
+	}
+}
+
+// A caller that leaves takes its queued request with it, unless another
+// attempt waits for it.
+func TestQueuedRequestEndsWithItsLastCaller(t *testing.T) {
+	takeTurn(t)
+	f := startFleet(t, long)
+	blocker := f.result(f.home.send("", "nothing")).Ticket
+	f.home.send(blocker, hold+"blocker")
+	f.running(hold + "blocker")
+	leave := f.others[0].sendAndLeave(f.ticket, "victim")
+	f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_entries") }, patience).Should(Equal("3"))
+	leave()
+	f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_entries") }, patience).Should(Equal("2"))
+	f.Expect(f.outcome(f.others[1].send(f.ticket, "victim"))).To(Equal(request.OutcomeNotRun))
+	f.upstream.release(hold + "blocker")
+	f.fence(f.home)
+	f.Expect(f.upstream.ran("victim")).To(BeZero())
+}
--- /dev/null
+++ b/internal/home/fleet_test.go
@@ -0,0 +1,220 @@
+package home_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/internal/ticket"
+)
+
+// patience bounds each wait; no test depends on how long one takes.
+const patience = 40 * time.Second
+
+// Bodies that start with hold stay at the upstream until the test releases
+// them, those that start with crash break their connection then.
+const (
+	hold  = "hold "
+	crash = "crash "
+)
+
+// upstreamServer is an HTTP upstream that logs what it ran.
+type upstreamServer struct {
+	*httptest.Server
+	mu    sync.Mutex
+	runs  map[string]int
+	gates map[string]chan struct{}
+}
+
+func startUpstream(t *testing.T) *upstreamServer {
+	u := &upstreamServer{runs: map[string]int{}, gates: map[string]chan struct{}{}}
+	u.Server = httptest.NewServer(u)
+	t.Cleanup(func() {
+		u.releaseAll()
+		u.CloseClientConnections()
+		u.Close()
+	})
+	return u
+}
+
+func (u *upstreamServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	raw, _ := io.ReadAll(r.Body)
+	body := string(raw)
+	u.mu.Lock()
+	u.runs[body]++
+	answer := fmt.Sprintf("run %d of %s", u.runs[body], body)
+	u.mu.Unlock()
+	if strings.HasPrefix(body, hold) || strings.HasPrefix(body, crash) {
+		<-u.gate(body)
+	}
+	if strings.HasPrefix(body, crash) {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+func (u *upstreamServer) gate(body string) chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.gates[body] == nil {
+		u.gates[body] = make(chan struct{})
+	}
+	return u.gates[body]
+}
+
+// release lets all runs of a body go on, those to come as well.
+func (u *upstreamServer) release(body string) {
+	gate := u.gate(body)
+	select {
+	case <-gate:
+	default:
+		close(gate)
+	}
+}
+
+func (u *upstreamServer) releaseAll() {
+	u.mu.Lock()
+	bodies := make([]string, 0, len(u.gates))
+	for body := range u.gates {
+		bodies = append(bodies, body)
+	}
+	u.mu.Unlock()
+	for _, body := range bodies {
+		u.release(body)
+	}
+}
+
+func (u *upstreamServer) ran(body string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[body]
+}
+
+// fleet is a home behind a fault-injecting proxy and two other agents.
+type fleet struct {
+	*WithT
+	t        *testing.T
+	upstream *upstreamServer
+	deadline time.Duration
+	proxy    *toxiproxy.Proxy
+	control  netip.AddrPort // the proxy's address: the home's to all others
+	home     *node
+	others   [2]*node
+	ticket   string // unused, of the home
+	told     []told // under the ticket
+}
+
+var quiet sync.Once
+
+func startFleet(t *testing.T, deadline time.Duration) *fleet {
+	t.Helper()
+	quiet.Do(func() { logrus.SetOutput(io.Discard) })
+	f := &fleet{WithT: NewWithT(t), t: t, upstream: startUpstream(t), deadline: deadline, home: startNode(t, anyPort)}
+	f.proxy = toxiproxy.NewProxy()
+	f.proxy.Name, f.proxy.Listen, f.proxy.Upstream = "home", "127.0.0.1:0", f.home.Peer
+	f.Expect(f.proxy.Start()).To(Succeed())
+	t.Cleanup(f.proxy.Stop)
+	f.control = netip.MustParseAddrPort(f.proxy.Listen)
+	f.start(f.home, f.control)
+	for i := range f.others {
+		f.others[i] = startNode(t, anyPort)
+		f.start(f.others[i], netip.MustParseAddrPort(f.others[i].Peer))
+	}
+	first := f.result(f.home.send("", "nothing"))
+	f.Expect(first.Status).To(Equal(http.StatusPreconditionRequired))
+	f.Expect(first.Outcome).To(Equal(request.OutcomeNotRun))
+	warm := f.result(f.others[0].send(first.Ticket, "warm"))
+	f.Expect(warm.Outcome).To(Equal(request.OutcomeComplete))
+	f.ticket = f.result(f.home.send("", "nothing")).Ticket
+	return f
+}
+
+func (f *fleet) start(n *node, control netip.AddrPort) {
+	f.t.Helper()
+	n.tell(startPath, start{Control: control, Upstream: f.upstream.URL, Deadline: f.deadline})
+}
+
+// result waits for what an attempt was told.
+func (f *fleet) result(attempt <-chan told) told {
+	f.t.Helper()
+	var r told
+	f.Eventually(attempt, patience).Should(Receive(&r))
+	return r
+}
+
+// outcome is result for an attempt under the fleet's ticket.
+func (f *fleet) outcome(attempt <-chan told) request.Outcome {
+	f.t.Helper()
+	r := f.result(attempt)
+	f.told = append(f.told, r)
+	return r.Outcome
+}
+
+func (f *fleet) running(body string) {
+	f.t.Helper()
+	f.Eventually(func() int { return f.upstream.ran(body) }, patience).Should(Equal(1))
+}
+
+// fence returns when all that was queued at n before has ended: there is one
+// slot, and the queue's order is that of arrival.
+func (f *fleet) fence(n *node) {
+	f.t.Helper()
+	f.Eventually(func() request.Outcome {
+		ticket := f.result(n.send("", "nothing")).Ticket
+		return f.result(n.send(ticket, "fence")).Outcome
+	}, patience).Should(Equal(request.OutcomeComplete))
+}
+
+// check compares what callers were told with what the upstream ran.
+func (f *fleet) check(body string) {
+	f.t.Helper()
+	runs := f.upstream.ran(body)
+	f.Expect(runs).To(BeNumerically("<=", 1), "%s ran twice; told: %+v", body, f.told)
+	for _, r := range f.told {
+		switch r.Outcome {
+		case request.OutcomeNotRun:
+			f.Expect(runs).To(BeZero(), "told not run, but it ran: %+v", f.told)
+		case request.OutcomeComplete:
+			f.Expect(r.Body).To(Equal("run 1 of " + body))
+		}
+	}
+}
+
+func (f *fleet) toxic(stream string) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"name":%q,"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, stream, stream)
+	_, err := f.proxy.Toxics.AddToxicJson(strings.NewReader(body))
+	f.Expect(err).NotTo(HaveOccurred())
+}
+
+// tellMembers puts a member list in force at the other agents.
+func (f *fleet) tellMembers(members ...member.Member) {
+	f.t.Helper()
+	for _, n := range f.others {
+		n.tell(membersPath, members)
+	}
+}
+
+// incarnation returns the one that issued the fleet's ticket.
+func (f *fleet) incarnation() uint64 {
+	f.t.Helper()
+	ring, err := keyring.Parse(testSecret)
+	f.Expect(err).NotTo(HaveOccurred())
+	t, err := ticket.NewCodec(ring).Open(f.ticket, config.TagOf(testService))
+	f.Expect(err).NotTo(HaveOccurred())
+	return t.Incarnation
+}
--- /dev/null
+++ b/internal/home/node_test.go
@@ -0,0 +1,265 @@
+package home_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/home"
+	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/internal/upstream"
+)
+
+// nodeEnv makes the test binary an agent process with its control listener at
+// the value, so that tests can kill and freeze real processes.
+const nodeEnv = "SALTBEND_TEST_HOME_NODE"
+
+// anyPort has the kernel choose.
+const anyPort = "127.0.0.1:0"
+
+const (
+	testSecret  = "1:000102030405060708090a0b0c0d0e0f"
+	testService = "exams"
+	startPath   = "/-/start"
+	membersPath = "/-/members"
+	metricsPath = "/-/metrics"
+)
+
+func TestMain(m *testing.M) {
+	if control := os.Getenv(nodeEnv); control != "" {
+		runNode(control)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// addresses is what a node prints when it listens.
+type addresses struct{ HTTP, Peer string }
+
+// start tells a node to serve.
+type start struct {
+	// Control is the address that the node tells others, a proxy's perhaps.
+	Control  netip.AddrPort
+	Upstream string
+	Deadline time.Duration
+	Members  []member.Member
+}
+
+// source is a control.Source that tests set.
+type source struct {
+	mu       sync.Mutex
+	snapshot *control.Snapshot
+	changed  chan struct{}
+}
+
+func (s *source) Snapshot() *control.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *source) setAgents(agents []member.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.snapshot
+	next.Agents = agents
+	s.snapshot = &next
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// runNode is an agent process: peer, home and request handler, with HTTP/1.1
+// towards callers. It ends when its standard input does.
+func runNode(control string) {
+	p := must(peer.Listen(netip.MustParseAddrPort(control), must(keyring.Parse(testSecret))))
+	l := must(net.Listen("tcp", anyPort))
+	mux := http.NewServeMux()
+	mux.HandleFunc(startPath, func(_ http.ResponseWriter, r *http.Request) {
+		var s start
+		if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+			panic(err)
+		}
+		s.serve(mux, p)
+	})
+	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, false) })
+	go func() { _ = http.Serve(l, mux) }()
+	_ = json.NewEncoder(os.Stdout).Encode(addresses{HTTP: l.Addr().String(), Peer: p.Addr().String()})
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+func (s start) serve(mux *http.ServeMux, p *peer.Peer) {
+	class := config.Class{Name: "answer", Path: "/*", Kind: config.KindRequest, Deadline: s.Deadline}
+	service := config.Service{
+		Name:    testService,
+		Limits:  config.Limits{Slots: 1, Queue: 8, Connections: 8},
+		Classes: []config.Class{class},
+	}
+	view := &source{changed: make(chan struct{}), snapshot: &control.Snapshot{
+		Config: &config.Config{Services: []config.Service{service}},
+		Agents: s.Members,
+	}}
+	self := member.Member{Control: s.Control, Service: testService, Incarnation: uint64(time.Now().UnixNano())}
+	logger := slog.New(slog.DiscardHandler)
+	tickets := must(home.New(home.Options{
+		Self: self, Source: view, Caller: p, Ring: must(keyring.Parse(testSecret)), Logger: logger,
+	}))
+	handler := must(request.NewHandler(context.Background(), request.Options{
+		Service: testService, Self: self.Control, Source: view, Caller: p, Registry: p, Tickets: tickets,
+		Upstream: upstream.New(must(url.Parse(s.Upstream))), Logger: logger,
+	}))
+	if err := tickets.Serve(p, handler); err != nil {
+		panic(err)
+	}
+	mux.HandleFunc(membersPath, func(_ http.ResponseWriter, r *http.Request) {
+		var members []member.Member
+		if err := json.NewDecoder(r.Body).Decode(&members); err != nil {
+			panic(err)
+		}
+		view.setAgents(members)
+	})
+	mux.Handle("/", handler)
+}
+
+// node is the test's hold on an agent process.
+type node struct {
+	t       *testing.T
+	process *exec.Cmd
+	addresses
+}
+
+func startNode(t *testing.T, control string) *node {
+	t.Helper()
+	g := NewWithT(t)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), nodeEnv+"="+control)
+	cmd.Stderr = os.Stderr
+	stdin, err := cmd.StdinPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	stdout, err := cmd.StdoutPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cmd.Start()).To(Succeed())
+	n := &node{t: t, process: cmd}
+	t.Cleanup(func() {
+		stdin.Close()
+		n.kill()
+	})
+	line, err := bufio.NewReader(stdout).ReadBytes('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(json.Unmarshal(line, &n.addresses)).To(Succeed())
+	return n
+}
+
+func (n *node) signal(s syscall.Signal) { _ = n.process.Process.Signal(s) }
+
+// kill ends the process at once, also a frozen one, and waits for its end.
+func (n *node) kill() {
+	n.signal(syscall.SIGKILL)
+	_ = n.process.Wait()
+}
+
+func (n *node) tell(path string, v any) {
+	n.t.Helper()
+	g := NewWithT(n.t)
+	body, err := json.Marshal(v)
+	g.Expect(err).NotTo(HaveOccurred())
+	r, err := http.Post("http://"+n.HTTP+path, "application/json", bytes.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Body.Close()
+	g.Expect(r.StatusCode).To(Equal(http.StatusOK))
+}
+
+// metric returns the text of one of the node's metrics.
+func (n *node) metric(name string) string {
+	r, err := http.Get("http://" + n.HTTP + metricsPath)
+	if err != nil {
+		return ""
+	}
+	defer r.Body.Close()
+	for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+		if value, found := strings.CutPrefix(lines.Text(), name+" "); found {
+			return value
+		}
+	}
+	return ""
+}
+
+// told is what a caller learnt from one attempt.
+type told struct {
+	Outcome request.Outcome
+	Status  int
+	Body    string
+	Ticket  string
+}
+
+// send submits a request and returns what the caller learns; the zero value
+// stands for a connection that broke.
+func (n *node) send(ticket, body string) <-chan told {
+	return n.sendWith(context.Background(), ticket, body)
+}
+
+// sendAndLeave submits a request; the caller leaves when the returned function
+// is called.
+func (n *node) sendAndLeave(ticket, body string) (leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.sendWith(ctx, ticket, body)
+	return cancel
+}
+
+func (n *node) sendWith(ctx context.Context, ticket, body string) <-chan told {
+	out := make(chan told, 1)
+	go func() {
+		r := must(http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.HTTP+"/answers", strings.NewReader(body)))
+		if ticket != "" {
+			r.Header.Set(request.HeaderTicket, ticket)
+		}
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			out <- told{}
+			return
+		}
+		defer response.Body.Close()
+		text, _ := io.ReadAll(response.Body)
+		out <- told{
+			Outcome: request.Outcome(response.Header.Get(request.HeaderOutcome)),
+			Status:  response.StatusCode,
+			Body:    string(text),
+			Ticket:  response.Header.Get(request.HeaderTicket),
+		}
+	}()
+	return out
+}
