Show that a balancer takes changed secrets while it runs

Cause: the way from a changed key ring to the data path was tested in parts only. Test: a running balancer gets a ring with a new current secret; tokens of the new and of the previous secret pass, and the agent reads the header.

--- a/internal/balancer/role_test.go
+++ b/internal/balancer/role_test.go
@@ -27,7 +27,9 @@
 
 const (
 	patience    = 20 * time.Second
+	arrival     = time.Second
 	testSecrets = "1:000102030405060708090a0b0c0d0e0f"
+	newSecret   = "2:f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff"
 	testConfig  = `version: 1
 services:
   - name: results
@@ -58,6 +60,7 @@
 // process is a balancer that runs in the test.
 type process struct {
 	addresses settings.Addresses
+	keys      *settings.Keys
 	stop      context.CancelFunc
 	ended     chan struct{}
 	err       error
@@ -70,17 +73,15 @@
 	s.DataCentre, s.Secrets, s.FaceHost = "a", testSecrets, "127.0.0.1"
 	s.LogFormat, s.LogLevel = settings.FormatJSON, "info"
 	g.Expect(s.Check()).To(BeEmpty())
-	ring, err := keyring.Parse(testSecrets)
-	g.Expect(err).NotTo(HaveOccurred())
 	ready := make(chan settings.Addresses, 1)
 	env := settings.Env{
 		Logger: slog.New(slog.DiscardHandler),
 		Events: event.NewRing(event.DefaultRingSize, time.Now),
-		Keys:   settings.NewKeys(ring),
+		Keys:   settings.NewKeys(ring(t, testSecrets)),
 		Ready:  func(a settings.Addresses) { ready <- a },
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{stop: stop, ended: make(chan struct{})}
+	p := &process{keys: env.Keys, stop: stop, ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
 		p.err = Run(ctx, s, env)
@@ -118,13 +119,16 @@
 	g.Expect(status).To(Equal(http.StatusOK))
 
 	caller, agent := open(t), open(t)
-	g.Expect(passes(t, caller, agent, local)).To(BeTrue())
+	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeTrue())
+	p.keys.Set(ring(t, newSecret+","+testSecrets))
+	g.Eventually(func() bool { return passes(t, newSecret, caller, agent, local) }, patience).Should(BeTrue())
+	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeTrue(), "the previous secret counts")
 	p.stop()
 	g.Eventually(func() int { status, _ := p.get("/readyz"); return status }, patience).Should(Equal(http.StatusServiceUnavailable))
-	g.Expect(passes(t, caller, agent, local)).To(BeTrue(), "open flows go on during the grace")
+	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeTrue(), "open flows go on during the grace")
 	g.Eventually(p.ended, patience).Should(BeClosed())
 	g.Expect(p.err).NotTo(HaveOccurred())
-	g.Expect(passes(t, caller, agent, local)).To(BeFalse())
+	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeFalse())
 }
 
 func open(t *testing.T) *net.UDPConn {
@@ -137,27 +141,33 @@
 	return conn
 }
 
-// passes reports whether a packet of an open flow reaches its agent.
-func passes(t *testing.T, caller, agent *net.UDPConn, face netip.AddrPort) bool {
+func ring(t *testing.T, secrets string) *keyring.Ring {
 	t.Helper()
-	ring, err := keyring.Parse(testSecrets)
+	r, err := keyring.Parse(secrets)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return r
+}
+
+// passes reports whether a packet of an open flow, whose token is signed with
+// the current one of the secrets, reaches its agent.
+func passes(t *testing.T, secrets string, caller, agent *net.UDPConn, face netip.AddrPort) bool {
+	t.Helper()
 	packet := make([]byte, 100)
 	packet[0] = 0x40
-	token.NewCodec(ring).Seal(packet[1:], token.Token{
+	token.NewCodec(ring(t, secrets)).Seal(packet[1:], token.Token{
 		Agent: agent.LocalAddr().(*net.UDPAddr).AddrPort(), Service: config.TagOf("results"),
 	})
 	if _, err := caller.WriteToUDPAddrPort(packet, face); err != nil {
 		return false
 	}
-	_ = agent.SetReadDeadline(time.Now().Add(time.Second))
+	_ = agent.SetReadDeadline(time.Now().Add(arrival))
 	buffer := make([]byte, encap.MaxDatagram)
 	n, _, err := agent.ReadFromUDPAddrPort(buffer)
 	if err != nil {
 		return false
 	}
-	_, payload, err := encap.NewCodec(ring).Decode(buffer[:n])
+	_, payload, err := encap.NewCodec(ring(t, newSecret+","+testSecrets)).Decode(buffer[:n])
 	return err == nil && string(payload) == string(packet)
 }
