Let tables converge whatever crashes, restarts or is cut

- A crash behind a cut was held for a member that a cut hides, for ever: one witness's weaker evidence won.
Now the strongest counts, and evidence may grow.
- When all but one of three balancers died together, two witnesses were never found.
Dead ones no longer count among those who could speak, and a member's witnesses are chosen among balancers that nobody suspects.
- Two parts that had declared each other gone never met again.
Digests now and then go to balancers that were declared gone.
- A balancer that alone held a dead member for live was told so by nobody.
It now probes for itself when another objects.
- Agents took a balancer for gone that they renewed at, since its record came from the other side of a cut, and dropped all witnesses that answered when they tried former ones again.

--- a/internal/gossip/announce.go
+++ b/internal/gossip/announce.go
@@ -32,18 +32,45 @@
 		e.findPeers(now)
 		next = slices.DeleteFunc(slices.Clone(e.join), func(a netip.AddrPort) bool { return a == e.self.Control })
 	}
-	for _, old := range e.witnesses {
-		if !slices.Contains(next, old) {
-			delete(e.cursors, old)
-		}
+	e.witnesses = e.keepInTouch(now, next)
+}
+
+// keepInTouch adds one of the former witnesses when none of the chosen has
+// answered yet: they may all be behind a cut.
+func (e *Engine) keepInTouch(now time.Time, next []netip.AddrPort) []netip.AddrPort {
+	touched := func(a netip.AddrPort) bool { return now.Sub(e.cursors[a].at) < e.silence() }
+	if slices.ContainsFunc(next, touched) {
+		return next
 	}
-	e.witnesses = next
+	if i := slices.IndexFunc(e.witnesses, touched); i >= 0 {
+		next = append(next, e.witnesses[i])
+	}
+	return next
+}
+
+// shunned says until when a balancer that did not answer is passed over.
+type shunned struct {
+	until time.Time
+	times int
+}
+
+// maxShuns bounds how often the time doubles for which a balancer is passed
+// over.
+const maxShuns = 3
+
+// shun passes over a balancer that did not answer, ever longer. A probe from
+// it, or news of it, ends that at once.
+func (e *Engine) shun(now time.Time, addr netip.AddrPort) {
+	s := e.avoid[addr]
+	s.until = now.Add(e.timing.Avoid << s.times)
+	s.times = min(s.times+1, maxShuns)
+	e.avoid[addr] = s
 }
 
 // candidates returns the chosen witnesses among the balancers that answer.
 func (e *Engine) candidates(now time.Time) []netip.AddrPort {
 	usable := slices.DeleteFunc(e.table.Balancers(), func(b member.Member) bool {
-		return now.Before(e.avoid[b.Control])
+		return now.Before(e.avoid[b.Control].until)
 	})
 	var out []netip.AddrPort
 	for _, m := range member.Rendezvous(e.self.Control, usable, member.Witnesses) {
@@ -75,7 +102,7 @@
 // AnnounceFailed notes that a balancer did not answer. Another one takes its
 // place at once.
 func (e *Engine) AnnounceFailed(now time.Time, to netip.AddrPort) {
-	e.avoid[to] = now.Add(e.timing.Avoid)
+	e.shun(now, to)
 	if slices.Contains(e.witnesses, to) && len(e.candidates(now)) > 0 {
 		e.nextAnnounce = now
 	}
--- a/internal/gossip/engine.go
+++ b/internal/gossip/engine.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -39,8 +40,8 @@
 	cursors map[netip.AddrPort]cursor
 	// witnesses are the balancers at which the process renews.
 	witnesses []netip.AddrPort
-	// avoid holds the balancers that failed to answer, until when.
-	avoid map[netip.AddrPort]time.Time
+	// avoid holds the balancers that failed to answer.
+	avoid map[netip.AddrPort]shunned
 	// pending waits for the next push.
 	pending           []member.Member
 	pendingSuspicions []member.Suspicion
@@ -71,7 +72,7 @@
 		rand:    random,
 		budget:  rate.NewLimiter(rate.Limit(timing.BytesPerSecond), timing.BurstBytes),
 		cursors: make(map[netip.AddrPort]cursor),
-		avoid:   make(map[netip.AddrPort]time.Time),
+		avoid:   make(map[netip.AddrPort]shunned),
 		watched: make(map[netip.AddrPort]*watch),
 	}
 	e.suspects = member.NewSuspects(e.table)
@@ -146,6 +147,9 @@
 	if !e.table.Merge(m, now) {
 		return false
 	}
+	if m.State != member.StateGone {
+		delete(e.avoid, m.Control)
+	}
 	e.note(before, known, m)
 	e.spread(m)
 	e.watchRecord(now, m, before)
@@ -202,11 +206,16 @@
 	}
 	e.nextExpire = now.Add(time.Minute)
 	e.table.Expire(now)
-	for addr, until := range e.avoid {
-		if now.After(until) {
+	for addr, s := range e.avoid {
+		if now.Sub(s.until) > time.Minute {
 			delete(e.avoid, addr)
 		}
 	}
+	for addr, c := range e.cursors {
+		if !slices.Contains(e.witnesses, addr) && now.Sub(c.at) > time.Minute {
+			delete(e.cursors, addr)
+		}
+	}
 }
 
 // jitter spreads a period evenly over its neighbourhood.
--- a/internal/gossip/reconcile.go
+++ b/internal/gossip/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/member"
@@ -17,7 +18,7 @@
 		return
 	}
 	e.nextDigest = now.Add(e.jitter(e.timing.Digest))
-	to, found := e.randomPeer()
+	to, found := e.randomPeer(now)
 	if !found {
 		// Alone: try again soon, so that a joining process learns quickly.
 		e.nextDigest = now.Add(e.jitter(findInterval))
@@ -26,27 +27,48 @@
 	e.do(SendDigest{To: to, Message: Digest{From: e.self.Control, Root: e.table.Digest().Root()}})
 }
 
-// randomPeer mostly returns a neighbour, with which a connection is open, and
-// now and then any balancer, which heals what a sparse graph cannot.
-func (e *Engine) randomPeer() (netip.AddrPort, bool) {
-	const anyShare = 4
-	from := member.Neighbours(e.self.Control, e.table.Balancers(), fanOut)
-	if e.rand.IntN(anyShare) == 0 {
-		from = e.table.Balancers()
-	}
-	peers := make([]netip.AddrPort, 0, len(from))
-	for _, m := range from {
-		if m.Control != e.self.Control {
-			peers = append(peers, m.Control)
-		}
+const (
+	// recentDeath is the time for which a balancer that was declared gone is
+	// tried often; later it is tried rarely.
+	recentDeath = 15 * time.Minute
+	// anyShare, recentShare and rareShare: one in so many digests goes to any
+	// balancer, to one lately declared gone, to one declared gone at all.
+	anyShare    = 4
+	recentShare = 2
+	rareShare   = 8
+)
+
+// randomPeer mostly returns a neighbour, with which a connection is open; now
+// and then any balancer, which heals what a sparse graph cannot; and now and
+// then one that was declared gone, without which two halves that declared each
+// other gone would never meet again.
+func (e *Engine) randomPeer(now time.Time) (netip.AddrPort, bool) {
+	if gone, ok := e.pick(e.table.DeclaredBalancers(now.Add(-recentDeath))); ok && e.rand.IntN(recentShare) == 0 {
+		return gone, true
+	}
+	if gone, ok := e.pick(e.table.DeclaredBalancers(time.Time{})); ok && e.rand.IntN(rareShare) == 0 {
+		return gone, true
+	}
+	balancers := e.table.Balancers()
+	if e.rand.IntN(anyShare) != 0 {
+		balancers = member.Neighbours(e.self.Control, balancers, fanOut)
 	}
-	if len(peers) == 0 {
-		peers = e.join
+	if peer, ok := e.pick(balancers); ok {
+		return peer, true
 	}
-	if len(peers) == 0 {
+	if len(e.join) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return e.join[e.rand.IntN(len(e.join))], true
+}
+
+// pick returns one of the members at random, but not the process itself.
+func (e *Engine) pick(members []member.Member) (netip.AddrPort, bool) {
+	members = slices.DeleteFunc(members, func(m member.Member) bool { return m.Control == e.self.Control })
+	if len(members) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return peers[e.rand.IntN(len(peers))], true
+	return members[e.rand.IntN(len(members))].Control, true
 }
 
 // HandleDigest answers whether both sides know the same live members.
@@ -105,7 +127,7 @@
 	o := e.objections(x.Members)
 	e.learn(now, x)
 	if len(o.Members)+len(o.Suspicions) > 0 {
-		e.do(SendPush{To: x.From, Message: Push{From: e.self.Control, Members: o.Members, Suspicions: o.Suspicions}})
+		e.do(SendExchange{To: x.From, Message: o})
 	}
 }
 
@@ -139,5 +161,6 @@
 	}
 	for _, s := range x.Suspicions {
 		e.takeSuspicion(now, s)
+		e.checkLater(now, s)
 	}
 }
--- a/internal/gossip/watch.go
+++ b/internal/gossip/watch.go
@@ -1,7 +1,7 @@
 package gossip
 
 import (
-	"math/bits"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -19,8 +19,6 @@
 	// and the declaration. A member needs one to hear of it and refute; a cut
 	// needs that long until all that it hides are suspected.
 	graceShare = 2
-	// quorum is the number of witnesses that declare a member gone.
-	quorum = 2
 	// flapMemory is the time after which a member's returns are forgotten, and
 	// maxFlaps bounds how often they double the grace.
 	flapMemory = 10 * time.Minute
@@ -38,6 +36,9 @@
 	suspecting bool
 	flaps      int
 	returned   time.Time
+	// once marks the watch of a member that this balancer is no witness of: it
+	// ends with the first answer or news.
+	once bool
 	// kept is when the panic threshold last kept the member.
 	kept time.Time
 }
@@ -50,7 +51,8 @@
 	}
 	e.forgiveOwnPause(now)
 	e.chooseWatched(now)
-	for addr, w := range e.watched {
+	for _, addr := range sortedAddrs(e.watched) {
+		w := e.watched[addr]
 		if !w.probing && !now.Before(w.probeAt) {
 			w.probing = true
 			e.probe(addr)
@@ -59,6 +61,11 @@
 	e.declare(now)
 }
 
+// sortedAddrs returns the keys in order, so that a replay does the same.
+func sortedAddrs[V any](m map[netip.AddrPort]V) []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(m), netip.AddrPort.Compare)
+}
+
 // probe asks a member whether it lives, and tells it that it is suspected: it
 // refutes that at once when the probe gets through.
 func (e *Engine) probe(addr netip.AddrPort) {
@@ -85,19 +92,25 @@
 }
 
 // chooseWatched works out again of whom this balancer is a witness, when the
-// set of balancers has changed.
+// set of balancers that can witness has changed. Suspected ones cannot: the
+// witnesses of a member may have died with it.
 func (e *Engine) chooseWatched(now time.Time) {
-	set := e.table.BalancerSet()
+	set := e.table.BalancerSet() ^ e.suspects.BalancerSet()
 	if set == e.watchedSet {
 		return
 	}
 	e.watchedSet = set
-	balancers := e.table.Balancers()
-	for _, m := range append(e.table.Agents(), balancers...) {
-		e.assign(now, m, balancers)
+	able := e.ableBalancers()
+	for _, m := range append(e.table.Agents(), e.table.Balancers()...) {
+		e.assign(now, m, able)
 	}
 }
 
+// ableBalancers returns the live balancers that nobody suspects.
+func (e *Engine) ableBalancers() []member.Member {
+	return slices.DeleteFunc(e.table.Balancers(), e.suspects.Suspected)
+}
+
 // watchRecord takes a changed record into account.
 func (e *Engine) watchRecord(now time.Time, m, before member.Member) {
 	if !e.isBalancer() {
@@ -111,12 +124,16 @@
 	}
 	w := e.watched[m.Control]
 	if w == nil {
-		e.assign(now, m, e.table.Balancers())
+		e.assign(now, m, e.ableBalancers())
 		w = e.watched[m.Control]
 	}
 	if w == nil {
 		return
 	}
+	if w.once {
+		delete(e.watched, m.Control)
+		return
+	}
 	w.suspecting, w.failed = false, 0
 	if before.Declared && before.Incarnation == m.Incarnation {
 		w.probeAt = now.Add(e.silence())
@@ -134,7 +151,7 @@
 		if w.Control != e.self.Control {
 			continue
 		}
-		if e.watched[m.Control] == nil {
+		if known := e.watched[m.Control]; known == nil || known.once {
 			e.watched[m.Control] = &watch{probeAt: now.Add(e.silence())}
 		}
 		return
@@ -142,6 +159,16 @@
 	delete(e.watched, m.Control)
 }
 
+// checkLater probes a member that others have declared gone and that this
+// balancer holds for live, unless the member refutes that soon. Its witnesses
+// no longer watch it, so nobody else would.
+func (e *Engine) checkLater(now time.Time, x member.Suspicion) {
+	m, known := e.table.Get(x.Control)
+	if known && m.State != member.StateGone && e.watched[x.Control] == nil && e.suspects.Suspected(m) {
+		e.watched[x.Control] = &watch{once: true, probeAt: now.Add(e.jitter(2 * e.timing.Renew * graceShare))}
+	}
+}
+
 // heardFrom notes a renewal.
 func (e *Engine) heardFrom(now time.Time, m member.Member) {
 	if w := e.watched[m.Control]; w != nil {
@@ -160,149 +187,6 @@
 	return now.Sub(last) < e.silence()
 }
 
-// ProbeDone takes in the outcome of a probe; evidence is zero when the member
-// answered.
-func (e *Engine) ProbeDone(now time.Time, addr netip.AddrPort, evidence member.Evidence) {
-	w := e.watched[addr]
-	if w == nil {
-		return
-	}
-	w.probing = false
-	m, known := e.table.Get(addr)
-	if !known || m.State == member.StateGone {
-		delete(e.watched, addr)
-		return
-	}
-	if evidence == 0 {
-		w.failed, w.suspecting = 0, false
-		w.probeAt = now.Add(e.silence())
-		return
-	}
-	if now.Before(w.probeAt) {
-		return // it renewed meanwhile
-	}
-	w.failed++
-	w.failedAt = now
-	w.probeAt = now.Add(e.timing.Renew / 2)
-	if evidence == member.Refused || w.failed >= probesToSuspect {
-		e.suspect(now, m, evidence)
-	}
-}
-
-// suspect spreads that this witness takes the member for dead.
-func (e *Engine) suspect(now time.Time, m member.Member, evidence member.Evidence) {
-	x := suspicionOf(m, e.self.Control, evidence)
-	w := e.watched[m.Control]
-	w.suspecting = true
-	news := e.suspects.Add(x, now)
-	if news {
-		e.do(Notice{Kind: NoticeSuspected, Member: m})
-	}
-	// Repeated ever more rarely, for those who have missed it.
-	if news || bits.OnesCount(uint(w.failed)) == 1 {
-		e.pendingSuspicions = append(e.pendingSuspicions, x)
-	}
-}
-
-func suspicionOf(m member.Member, witness netip.AddrPort, evidence member.Evidence) member.Suspicion {
-	return member.Suspicion{
-		Control:     m.Control,
-		Incarnation: m.Incarnation,
-		Version:     m.Version,
-		Witness:     witness,
-		Evidence:    evidence,
-	}
-}
-
-// takeSuspicion merges another witness's suspicion and passes news on. A
-// suspicion of this process itself is refuted.
-func (e *Engine) takeSuspicion(now time.Time, x member.Suspicion) {
-	if x.Control == e.self.Control {
-		e.HandleProbe(now, x.Witness, &x)
-		return
-	}
-	if e.suspects.Add(x, now) && e.isBalancer() {
-		e.pendingSuspicions = append(e.pendingSuspicions, x)
-	}
-}
-
-// HandleProbe takes a balancer's probe in: the way to it is open again, and a
-// suspicion that it brings is refuted.
-func (e *Engine) HandleProbe(now time.Time, from netip.AddrPort, x *member.Suspicion) {
-	delete(e.avoid, from)
-	if x == nil || e.self.State == member.StateGone {
-		return
-	}
-	if x.Control == e.self.Control && x.Incarnation == e.self.Incarnation && x.Version == e.self.Version {
-		e.outbid(now, e.self)
-	}
-}
-
-// declare declares members gone that enough witnesses suspect. Only a witness
-// that itself suspects the member does so, and none that the panic threshold
-// keeps is declared.
-func (e *Engine) declare(now time.Time) {
-	verdicts := e.suspects.Verdicts()
-	if len(verdicts) == 0 {
-		e.noteKept(0)
-		return
-	}
-	need := min(quorum, e.table.LiveBalancers()-1)
-	panicked := member.NewPanic(e.table, verdicts)
-	kept := 0
-	for _, v := range verdicts {
-		w := e.watched[v.Member.Control]
-		if w == nil || !w.suspecting {
-			continue
-		}
-		keep := panicked.Keeps(v, now)
-		if keep {
-			w.kept = now
-		}
-		switch {
-		case len(v.Witnesses) < max(1, need):
-		case keep:
-			kept++
-		case now.Sub(later(v.Since, w.kept)) >= e.grace(now, w, v.Evidence):
-			gone := v.Member
-			gone.State, gone.Declared = member.StateGone, true
-			e.merge(now, gone)
-		}
-	}
-	e.noteKept(kept)
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// grace is the time from the first suspicion to the declaration. It starts
-// anew when the panic threshold keeps a member no longer: while a cut heals,
-// some of the hidden are back before the others. It doubles with each return of a member that had been declared gone.
-func (e *Engine) grace(now time.Time, w *watch, evidence member.Evidence) time.Duration {
-	if now.Sub(w.returned) > flapMemory {
-		w.flaps = 0
-	}
-	grace := e.timing.Renew * graceShare
-	if evidence == member.Refused {
-		grace = e.timing.Renew / graceShare
-	}
-	return grace << w.flaps
-}
-
-func (e *Engine) noteKept(kept int) {
-	switch {
-	case kept > 0 && e.kept == 0:
-		e.do(Notice{Kind: NoticeKept, Count: kept})
-	case kept == 0 && e.kept > 0:
-		e.do(Notice{Kind: NoticeKeptEnd})
-	}
-	e.kept = kept
-}
-
 // Suspected returns the number of members that a witness takes for dead.
 func (e *Engine) Suspected() int { return len(e.suspects.Verdicts()) }
 
@@ -310,11 +194,10 @@
 // order of address.
 func (e *Engine) Witnessed() []member.Member {
 	out := make([]member.Member, 0, len(e.watched))
-	for addr := range e.watched {
+	for _, addr := range sortedAddrs(e.watched) {
 		if m, ok := e.table.Get(addr); ok && m.State != member.StateGone {
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b member.Member) int { return a.Control.Compare(b.Control) })
 	return out
 }
--- /dev/null
+++ b/internal/member/choice_test.go
@@ -0,0 +1,165 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/member"
+)
+
+func balancersOf(n int) []member.Member {
+	out := make([]member.Member, n)
+	for i := range out {
+		out[i] = member.Member{Control: addr(i), Incarnation: 1, State: member.StateReady, Role: member.RoleBalancer, DataCentre: "a"}
+	}
+	return out
+}
+
+// A transition that each balancer passes to its neighbours reaches all, in few
+// hops.
+func TestNeighboursReachAllBalancers(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 7, 60, 780} {
+		all := balancersOf(n)
+		hops := map[int]int{0: 0}
+		queue := []int{0}
+		deepest := 0
+		for len(queue) > 0 {
+			at := queue[0]
+			queue = queue[1:]
+			for _, next := range member.Neighbours(addr(at), all, 4) {
+				i := int(next.Control.Addr().As4()[2])<<8 | int(next.Control.Addr().As4()[3])
+				if _, seen := hops[i]; seen {
+					continue
+				}
+				hops[i] = hops[at] + 1
+				deepest = max(deepest, hops[i])
+				queue = append(queue, i)
+			}
+		}
+		if len(hops) != n || deepest > 10 {
+			t.Errorf("%d balancers: %d reached in %d hops", n, len(hops), deepest)
+		}
+	}
+}
+
+func TestRendezvousMovesOnlyTheShareOfWhoLeaves(t *testing.T) {
+	all := balancersOf(50)
+	load := make(map[string]int)
+	const keys = 3000
+	for i := range keys {
+		key := addr(1000 + i)
+		before := member.Rendezvous(key, all, member.Witnesses)
+		after := member.Rendezvous(key, all[1:], member.Witnesses)
+		for _, w := range before {
+			load[w.Control.String()]++
+			if w.Control != all[0].Control && !contains(after, w) {
+				t.Fatalf("key %v lost witness %v, which is still there", key, w.Control)
+			}
+		}
+	}
+	mean := keys * member.Witnesses / len(all)
+	for w, n := range load {
+		if n < mean/2 || n > 2*mean {
+			t.Errorf("witness %s has %d members, the mean is %d", w, n, mean)
+		}
+	}
+}
+
+func contains(ms []member.Member, m member.Member) bool {
+	for _, x := range ms {
+		if x.Control == m.Control {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRanksOfADataCentreAreDistinct(t *testing.T) {
+	all := balancersOf(9)
+	all[3].DataCentre = "b"
+	all[4].State = member.StateDraining
+	seen := make(map[int]bool)
+	for _, b := range all {
+		rank := member.Rank(b, all)
+		if b.State != member.StateReady {
+			if rank != -1 {
+				t.Errorf("a draining balancer has rank %d", rank)
+			}
+			continue
+		}
+		if b.DataCentre == "a" && seen[rank] {
+			t.Errorf("rank %d is taken twice", rank)
+		}
+		seen[rank] = seen[rank] || b.DataCentre == "a"
+	}
+	if len(seen) != 7 {
+		t.Errorf("%d ranks, want 7", len(seen))
+	}
+}
+
+func TestPanicKeepsWhatACutHides(t *testing.T) {
+	for name, c := range map[string]struct {
+		agents, lost int
+		evidence     member.Evidence
+		age          time.Duration
+		kept         bool
+	}{
+		"one of seven unreachable":    {7, 1, member.Unreachable, time.Minute, false},
+		"one of two unreachable":      {2, 1, member.Unreachable, time.Second, false},
+		"most unreachable, just now":  {7, 4, member.Unreachable, time.Second, true},
+		"most unreachable, for long":  {7, 4, member.Unreachable, time.Minute, false},
+		"all unreachable, for long":   {7, 7, member.Unreachable, 24 * time.Hour, true},
+		"all refused":                 {7, 7, member.Refused, time.Second, false},
+		"the last one is unreachable": {1, 1, member.Unreachable, time.Hour, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := member.NewTable(time.Hour)
+			for _, b := range balancersOf(20) {
+				table.Merge(b, start)
+			}
+			suspects := member.NewSuspects(table)
+			for i := range c.agents {
+				m := member.Member{Control: addr(100 + i), Incarnation: 1, State: member.StateReady, Role: member.RoleAgent, Service: "results"}
+				table.Merge(m, start)
+				if i < c.lost {
+					suspects.Add(member.Suspicion{Control: m.Control, Incarnation: 1, Witness: addr(0), Evidence: c.evidence}, start)
+				}
+			}
+			verdicts := suspects.Verdicts()
+			if got := member.NewPanic(table, verdicts).Keeps(verdicts[0], start.Add(c.age)); got != c.kept {
+				t.Errorf("kept: %v, want %v", got, c.kept)
+			}
+		})
+	}
+}
+
+func TestNeededWitnesses(t *testing.T) {
+	for name, c := range map[string]struct {
+		balancers, silent int
+		evidence          member.Evidence
+		age               time.Duration
+		want              int
+	}{
+		"a fleet":                           {5, 0, 0, 0, 2},
+		"one other balancer":                {2, 0, 0, 0, 1},
+		"two others, one is dead":           {3, 1, member.Refused, 0, 1},
+		"two others, one just out of reach": {3, 1, member.Unreachable, 0, 2},
+		"two others, one long out of reach": {3, 1, member.Unreachable, time.Hour, 1},
+		"all others are dead":               {4, 3, member.Refused, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := member.NewTable(time.Hour)
+			all := balancersOf(c.balancers)
+			var verdicts []member.Verdict
+			for i, b := range all {
+				table.Merge(b, start)
+				if i > 0 && i <= c.silent {
+					verdicts = append(verdicts, member.Verdict{Member: b, Evidence: c.evidence, Since: start})
+				}
+			}
+			if got := member.Needed(table, verdicts, all[len(all)-1], start.Add(c.age)); got != c.want {
+				t.Errorf("%d needed, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/member/panic.go
+++ b/internal/member/panic.go
@@ -6,12 +6,12 @@
 	// panicShare is the share of a group whose loss at once looks more like a
 	// cut than like deaths.
 	panicShare = 0.5
-	// keepService is how long the unreachable agents of a service are kept when
+	// keepShort is how long the unreachable agents of a service are kept when
 	// most of them vanished together. Kept longer, new flows would go on
 	// failing at hosts that are truly lost.
-	keepService = 30 * time.Second
-	// keepFleet is the same for half of the fleet or of the balancers: cuts
-	// between regions last minutes.
+	keepShort = 30 * time.Second
+	// keepFleet is the same for half of the fleet or of the balancers that are
+	// unreachable: cuts between regions last minutes.
 	keepFleet = 5 * time.Minute
 )
 
@@ -40,18 +40,18 @@
 	groups map[group]loss
 }
 
-// NewPanic weighs the verdicts against the table. Only members that are
-// unreachable count: one whose host refuses the connection is dead for certain.
+// NewPanic weighs the verdicts against the table. Of a service only members
+// that are unreachable count: one whose host refuses the connection is dead,
+// unless so much of the fleet refuses that a filter between hosts must do so.
 func NewPanic(t *Table, verdicts []Verdict) Panic {
 	p := Panic{fleet: loss{size: t.Live()}, groups: make(map[group]loss)}
 	for _, v := range verdicts {
-		if v.Evidence != Unreachable {
-			continue
-		}
 		p.fleet.lost++
-		l := p.groups[groupOf(v.Member)]
-		l.lost++
-		p.groups[groupOf(v.Member)] = l
+		if v.Evidence == Unreachable || v.Member.Role == RoleBalancer {
+			l := p.groups[groupOf(v.Member)]
+			l.lost++
+			p.groups[groupOf(v.Member)] = l
+		}
 	}
 	for g, l := range p.groups {
 		l.size = t.groupSize(g)
@@ -64,18 +64,16 @@
 // members of a service are kept for as long as they are merely unreachable:
 // without them nothing could be tried.
 func (p Panic) Keeps(v Verdict, now time.Time) bool {
-	if v.Evidence != Unreachable {
-		return false
-	}
 	l := p.groups[groupOf(v.Member)]
 	age := now.Sub(v.Since)
+	unreachable := v.Evidence == Unreachable
 	switch {
-	case v.Member.Role == RoleAgent && l.lost == l.size:
+	case v.Member.Role == RoleAgent && unreachable && l.lost == l.size:
 		return true
 	case p.fleet.most(), v.Member.Role == RoleBalancer && l.most():
-		return age < keepFleet
+		return unreachable && age < keepFleet || age < keepShort
 	}
-	return l.most() && age < keepService
+	return unreachable && l.most() && age < keepShort
 }
 
 func (t *Table) groupSize(g group) int {
@@ -84,3 +82,24 @@
 	}
 	return len(collect(t.services[g.service], isLive))
 }
+
+// quorum is the number of witnesses that it takes to declare a member gone.
+const quorum = 2
+
+// Needed returns the number of witnesses that must suspect the member: two, or
+// all that can still speak where they are fewer. A balancer whose host refuses
+// connections cannot, nor one that has been unreachable for as long as a cut
+// is waited for.
+func Needed(t *Table, verdicts []Verdict, of Member, now time.Time) int {
+	able := t.liveBalancers
+	if of.Role == RoleBalancer {
+		able--
+	}
+	for _, v := range verdicts {
+		silent := v.Evidence == Refused || now.Sub(v.Since) >= keepFleet
+		if silent && v.Member.Role == RoleBalancer && v.Member.Control != of.Control {
+			able--
+		}
+	}
+	return max(1, min(quorum, able))
+}
--- a/internal/member/query.go
+++ b/internal/member/query.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // Balancers returns the balancers that are not gone, in order of address.
@@ -56,6 +57,12 @@
 	return collect(t.balancers, func(e *entry) bool { return e.seq > seq })
 }
 
+// DeclaredBalancers returns the balancers that were declared gone after since:
+// they may live behind a cut.
+func (t *Table) DeclaredBalancers(since time.Time) []Member {
+	return collect(t.balancers, func(e *entry) bool { return e.member.Declared && e.goneAt.After(since) })
+}
+
 // InBuckets returns the members that are not gone in the given buckets of the
 // digest.
 func (t *Table) InBuckets(buckets []int) []Member {
--- a/internal/member/suspicion.go
+++ b/internal/member/suspicion.go
@@ -32,9 +32,16 @@
 	incarnation uint64
 	version     uint64
 	since       time.Time
-	witnesses   []netip.AddrPort
-	// evidence is the weakest that any witness gave.
-	evidence Evidence
+	witnesses   map[netip.AddrPort]Evidence
+}
+
+// strongest returns the strongest evidence that any witness gives.
+func (s *suspect) strongest() Evidence {
+	var out Evidence
+	for _, x := range s.witnesses {
+		out = max(out, x)
+	}
+	return out
 }
 
 // Suspects collects the suspicions about the members of a table. It is pure
@@ -49,7 +56,8 @@
 	return &Suspects{table: table, of: make(map[netip.AddrPort]*suspect)}
 }
 
-// Add takes a suspicion in and reports whether it is news. One that does not
+// Add takes a suspicion in and reports whether it is news: of another witness,
+// or with stronger evidence. One that does not
 // concern the known version of a live member, or does not come from a live
 // balancer, is ignored.
 func (s *Suspects) Add(x Suspicion, now time.Time) bool {
@@ -62,14 +70,13 @@
 	}
 	e := s.current(m)
 	if e == nil {
-		e = &suspect{incarnation: m.Incarnation, version: m.Version, since: now, evidence: x.Evidence}
+		e = &suspect{incarnation: m.Incarnation, version: m.Version, since: now, witnesses: make(map[netip.AddrPort]Evidence)}
 		s.of[x.Control] = e
 	}
-	if slices.Contains(e.witnesses, x.Witness) {
+	if e.witnesses[x.Witness] >= x.Evidence {
 		return false
 	}
-	e.witnesses = append(e.witnesses, x.Witness)
-	e.evidence = min(e.evidence, x.Evidence)
+	e.witnesses[x.Witness] = x.Evidence
 	return true
 }
 
@@ -90,10 +97,24 @@
 // Suspected reports whether any witness suspects the member's version.
 func (s *Suspects) Suspected(m Member) bool { return s.current(m) != nil }
 
+// BalancerSet identifies the set of suspected balancers.
+func (s *Suspects) BalancerSet() uint64 {
+	var out uint64
+	for addr := range s.of {
+		m, ok := s.table.Get(addr)
+		if ok && m.Role == RoleBalancer && s.Suspected(m) {
+			out ^= mix(hashAddr(addr))
+		}
+	}
+	return out
+}
+
 // Verdict sums up what the witnesses say of one member.
 type Verdict struct {
-	Member    Member
-	Witnesses []netip.AddrPort
+	Member Member
+	// Witnesses is the number of witnesses, Evidence the strongest they
+	// give.
+	Witnesses int
 	Evidence  Evidence
 	// Since is when the first suspicion was taken in.
 	Since time.Time
@@ -109,7 +130,7 @@
 			delete(s.of, addr)
 			continue
 		}
-		out = append(out, Verdict{Member: m, Witnesses: e.witnesses, Evidence: e.evidence, Since: e.since})
+		out = append(out, Verdict{Member: m, Witnesses: len(e.witnesses), Evidence: e.strongest(), Since: e.since})
 	}
 	slices.SortFunc(out, func(a, b Verdict) int { return compareAddr(a.Member.Control, b.Member.Control) })
 	return out
--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,111 @@
+package member_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/member"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 4100)
+}
+
+func drawRecord(t *rapid.T) member.Member {
+	m := member.Member{
+		Control:     addr(rapid.IntRange(0, 4).Draw(t, "addr")),
+		Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+		Version:     rapid.Uint64Range(0, 3).Draw(t, "version"),
+		State:       member.State(rapid.IntRange(1, 4).Draw(t, "state")),
+		Role:        member.RoleBalancer,
+	}
+	// Role and service of an address may change between incarnations.
+	if m.Incarnation%2 == 0 {
+		m.Role, m.Service = member.RoleAgent, []string{"results", "intake"}[m.Incarnation/2%2]
+	}
+	return m
+}
+
+// Records in any order, lost or doubled on the way, give the same table, and
+// no record ever gives way to one that it supersedes.
+func TestTableDependsOnNoOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOf(rapid.Custom(drawRecord)).Draw(t, "records")
+		doubled := append(append([]member.Member{}, records...), records...)
+		shuffled := rapid.Permutation(doubled).Draw(t, "order")
+		a, b := member.NewTable(time.Hour), member.NewTable(time.Hour)
+		for _, m := range records {
+			a.Merge(m, start)
+		}
+		for _, m := range shuffled {
+			before, known := b.Get(m.Control)
+			b.Merge(m, start)
+			after, _ := b.Get(m.Control)
+			if known && before.Supersedes(after) {
+				t.Fatalf("%v gave way to %v", before, after)
+			}
+		}
+		if a.Digest().Root() != b.Digest().Root() || a.Live() != b.Live() || a.BalancerSet() != b.BalancerSet() {
+			t.Fatalf("tables differ after the same records")
+		}
+		checkIndices(t, b)
+	})
+}
+
+// checkIndices compares the indices with the records.
+func checkIndices(t *rapid.T, table *member.Table) {
+	live := len(table.Balancers()) + len(table.Agents())
+	if live != table.Live() || len(table.Balancers()) != table.LiveBalancers() {
+		t.Fatalf("%d indexed, %d live", live, table.Live())
+	}
+	for _, name := range table.Services() {
+		for _, m := range table.Service(name) {
+			if known, _ := table.Get(m.Control); known != m || m.Service != name {
+				t.Fatalf("%v indexed under %s, known as %v", m, name, known)
+			}
+		}
+	}
+}
+
+func TestTombstonesKeepTheDeadOutUntilTheyExpire(t *testing.T) {
+	table := member.NewTable(time.Hour)
+	alive := member.Member{Control: addr(1), Incarnation: 7, Version: 3, State: member.StateReady, Role: member.RoleBalancer}
+	gone := alive
+	gone.State = member.StateGone
+	table.Merge(gone, start)
+	table.Expire(start.Add(time.Hour))
+	if table.Merge(alive, start.Add(time.Hour)) {
+		t.Fatal("a late record brought the dead back")
+	}
+	table.Expire(start.Add(time.Hour + time.Second))
+	if table.Len() != 0 {
+		t.Fatal("the tombstone did not expire")
+	}
+}
+
+func TestDigestTellsWhichBucketsDiffer(t *testing.T) {
+	a, b := member.NewTable(time.Hour), member.NewTable(time.Hour)
+	for i := range 1000 {
+		m := member.Member{Control: addr(i), Incarnation: 1, State: member.StateReady, Role: member.RoleBalancer}
+		a.Merge(m, start)
+		if i != 500 {
+			b.Merge(m, start)
+		}
+	}
+	differ := a.Digest().Differ(b.Digest().Buckets())
+	if len(differ) != 1 {
+		t.Fatalf("buckets %v differ, want one", differ)
+	}
+	found := false
+	for _, m := range a.InBuckets(differ) {
+		found = found || m.Control == addr(500)
+	}
+	if !found {
+		t.Fatal("the missing record is not in the bucket that differs")
+	}
+}
