--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -259,8 +260,11 @@
 // the stem.
 func AttemptID(stem string, attempt int) string { return fmt.Sprintf("%s.%d", stem, attempt) }
 
+// ids number the requests of all callers in the process.
+var ids atomic.Uint64
+
 func (c *Caller) newID() string {
-	return fmt.Sprintf("%s-%d", c.o.Name, c.o.Tally.nextID())
+	return fmt.Sprintf("%s-%d", c.o.Name, ids.Add(1))
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/test/caller/feed.go
+++ b/test/caller/feed.go
@@ -38,7 +38,7 @@
 		}
 		if resp.StatusCode == http.StatusOK {
 			defer resp.Body.Close()
-			return c.readFeed(bufio.NewScanner(resp.Body), opened)
+			return c.readFeed(bufio.NewScanner(resp.Body), id, opened)
 		}
 		resp.Body.Close()
 		if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
@@ -63,7 +63,7 @@
 	return resp, errors.Wrap(err, "open feed")
 }
 
-func (c *Caller) readFeed(lines *bufio.Scanner, opened func()) error {
+func (c *Caller) readFeed(lines *bufio.Scanner, feed string, opened func()) error {
 	last := uint64(0)
 	at := time.Now()
 	for lines.Scan() {
@@ -82,7 +82,7 @@
 			}
 		}
 		now := time.Now()
-		c.o.Tally.event(now.Sub(at))
+		c.o.Tally.event(feed, event, now.Sub(at))
 		last, at = event, now
 	}
 	if lines.Err() != nil {
--- a/test/caller/tally.go
+++ b/test/caller/tally.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -32,7 +33,6 @@
 // Tally collects the outcomes of many callers. It is safe for concurrent use.
 type Tally struct {
 	mu          sync.Mutex
-	ids         int
 	counts      map[Kind]*Counts
 	latency     map[Kind]*hdrhistogram.Histogram
 	errors      []string
@@ -41,6 +41,7 @@
 	feedsBroken int
 	events      int
 	longestGap  time.Duration
+	lastEvents  map[string]uint64 // by feed
 }
 
 // NewTally returns an empty tally.
@@ -49,14 +50,9 @@
 		counts:  make(map[Kind]*Counts),
 		latency: make(map[Kind]*hdrhistogram.Histogram),
 		refused: make(map[string]bool),
-	}
-}
 
-func (t *Tally) nextID() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ids++
-	return t.ids
+		lastEvents: make(map[string]uint64),
+	}
 }
 
 // of returns the counts of a kind; mu must be held.
@@ -106,10 +102,11 @@
 	t.feedsOpened++
 }
 
-func (t *Tally) event(gap time.Duration) {
+func (t *Tally) event(feed string, id uint64, gap time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.events++
+	t.lastEvents[feed] = id
 	t.longestGap = max(t.longestGap, gap)
 }
 
@@ -149,6 +146,13 @@
 	return t.events
 }
 
+// LastEvents returns the id of the last event of each feed.
+func (t *Tally) LastEvents() map[string]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.lastEvents)
+}
+
 // Report is a copy of a tally.
 type Report struct {
 	Counts map[Kind]Counts
