Serve requests by class, with tickets and siblings

Cause: the agent passed each request straight to its upstream. It now serves through the request handler and is the home of its tickets, takes slots from the configuration, and says that it is ready only once a configuration names its service: before that it can't tell which requests may repeat. Found on the way, each seen failing in a test first: - a feed's header reached the caller only with the first event, because it was not flushed; Stream now flushes the header, and the handler uses it in place of its own copy loop (16 KB for each open feed, now 1 KB for events); - a body of unknown length was dropped when its request came from http.NewRequest, which says 0 where a server says -1. Ruled out: keeping the straight path beside it for agents without a configuration.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -24,8 +24,12 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/test/storefake"
 )
 
 // patience bounds each wait; nothing is meant to take as long.
@@ -50,6 +54,37 @@
 	return cert, key
 }
 
+// configuration is what the test's agents serve by.
+const configuration = `version: 1
+services:
+  - name: results
+    faces: ["192.0.2.1:443"]
+    limits: {slots: 5, queue: 64, connections: 4000}
+    drain: {timeout: 20s}
+    classes:
+      - {name: lookup, methods: [GET], path: "/runner/*", idempotent: true, deadline: 20s}
+      - {name: feed, methods: [GET], path: "/feed", kind: feed, idempotent: true}
+      - {name: photo, methods: [PUT], path: "/photo", kind: upload, idempotent: true, deadline: 20s}
+      - {name: batch, methods: [POST], path: "/batch", deadline: 20s}
+`
+
+// newStore returns the URL of a platform store that holds the configuration.
+func newStore(t testing.TB) string {
+	g := NewWithT(t)
+	s := httptest.NewServer(storefake.New().Handler())
+	t.Cleanup(s.Close)
+	t.Cleanup(s.CloseClientConnections)
+	c, findings := config.Parse([]byte(configuration), 0)
+	g.Expect(findings).To(BeEmpty())
+	value, err := record.First(record.Draft{ID: "1", Time: time.Now(), Text: []byte(configuration), Config: c}).Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	platform, err := httpstore.New([]string{s.URL}, httpstore.Options{})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = platform.Swap(t.Context(), record.Key, value, 0, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	return s.URL
+}
+
 // process is an agent role that runs inside the test.
 type process struct {
 	addresses settings.Addresses
@@ -73,6 +108,9 @@
 	if change != nil {
 		change(&s)
 	}
+	if s.Store == nil {
+		s.Store = []string{newStore(t)}
+	}
 	g.Expect(s.Check()).To(BeEmpty())
 	ready := make(chan settings.Addresses, 1)
 	env := settings.Env{
@@ -92,9 +130,17 @@
 		<-p.ended
 	})
 	g.Eventually(ready).WithTimeout(patience).Should(Receive(&p.addresses))
+	g.Eventually(func() int { return p.readyz(t) }).WithTimeout(patience).Should(Equal(http.StatusOK))
 	return p
 }
 
+func (p *process) readyz(t testing.TB) int {
+	resp, err := http.Get("http://" + p.addresses.Ops.String() + "/readyz")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
 // newCaller returns an HTTP/3 client that reaches every name at the face.
 func newCaller(t testing.TB, face netip.AddrPort) *http.Client {
 	transport := &http3.Transport{
@@ -115,7 +161,7 @@
 	mux.HandleFunc("GET /runner/{id}", func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprint(w, "runner "+r.PathValue("id"))
 	})
-	mux.HandleFunc("POST /photo", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("PUT /photo", func(w http.ResponseWriter, r *http.Request) {
 		n, err := io.Copy(io.Discard, r.Body)
 		fmt.Fprint(w, n, err)
 	})
@@ -184,7 +230,9 @@
 		g.Eventually(feed).WithTimeout(patience).Should(Receive(Equal(fmt.Sprint(i))))
 	}
 	const size = 3 << 20
-	resp, err := caller.Post("https://results/photo", "image/jpeg", io.LimitReader(zeros{}, size))
+	put, err := http.NewRequest("PUT", "https://results/photo", io.LimitReader(zeros{}, size))
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := caller.Do(put)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -23,6 +23,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), a.drainTimeout())
 	defer cancel()
 	wait(ctx, announceGrace)
+	a.requests.Drain()
 	a.server.shutdown(ctx)
 	left := a.server.running.number()
 	a.env.Events.Add(part, eventDrained, "")
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -14,11 +13,13 @@
 	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/flow"
+	"github.com/saltbend/saltbend/internal/home"
 	"github.com/saltbend/saltbend/internal/keyring"
 	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/ops"
 	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/settings"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/store/httpstore"
@@ -57,8 +58,10 @@
 	ops      *ops.Server
 	flow     *flow.Conn
 	upstream *upstream.Client
+	requests *request.Handler
 	server   *server
-	cancel   context.CancelFunc // ends the node
+	cancel   context.CancelFunc // ends the node and the requests' scheduler
+	fleet    fleet
 }
 
 // Run serves until ctx ends, then lets running work end and returns.
@@ -68,8 +71,6 @@
 	if err := a.start(); err != nil {
 		return err
 	}
-	a.node.SetState(member.StateReady)
-	env.Events.Add(part, eventReady, s.Service)
 	env.Ready(settings.Addresses{Control: a.peer.Addr(), Data: a.flow.Addr(), Ops: a.ops.Addr()})
 	select {
 	case <-ctx.Done():
@@ -107,11 +108,18 @@
 	if err := a.listenFlow(ring); err != nil {
 		return err
 	}
-	incarnation := uint64(time.Now().UnixNano())
-	if err := a.join(incarnation); err != nil {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	self := a.self()
+	if err := a.join(ctx, self); err != nil {
 		return err
 	}
-	return a.serve(ring, cert, incarnation)
+	if err := a.serve(ctx, ring, cert, self); err != nil {
+		return err
+	}
+	a.ops.AddCheck(a.unready)
+	go a.follow(ctx)
+	return nil
 }
 
 func (a *agent) listenFlow(ring *keyring.Ring) error {
@@ -126,37 +134,36 @@
 }
 
 // join makes the agent a member of the fleet.
-func (a *agent) join(incarnation uint64) error {
+func (a *agent) join(ctx context.Context, self member.Member) error {
 	platform, err := a.store()
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
-	node, err := control.Start(ctx, control.Options{
-		Self: member.Member{
-			Control:     a.peer.Addr(),
-			Data:        a.flow.Addr(),
-			Ops:         a.ops.Addr(),
-			Role:        member.RoleAgent,
-			DataCentre:  a.settings.DataCentre,
-			Service:     a.settings.Service,
-			Incarnation: incarnation,
-			Slots:       a.settings.Slots,
-			Weight:      fullWeight,
-		},
+	a.node, err = control.Start(ctx, control.Options{
+		Self:   self,
 		Peer:   a.peer,
 		Store:  platform,
 		Join:   addresses(a.settings.Join),
 		Events: a.env.Events,
 		Logger: a.env.Logger,
 	})
-	if err != nil {
-		return err
+	return err
+}
+
+// self returns the agent's record at its start.
+func (a *agent) self() member.Member {
+	return member.Member{
+		Control:     a.peer.Addr(),
+		Data:        a.flow.Addr(),
+		Ops:         a.ops.Addr(),
+		Role:        member.RoleAgent,
+		DataCentre:  a.settings.DataCentre,
+		Service:     a.settings.Service,
+		Incarnation: uint64(time.Now().UnixNano()),
+		State:       member.StateStarting,
+		Slots:       a.settings.Slots,
+		Weight:      fullWeight,
 	}
-	a.node = node
-	go a.follow(ctx)
-	return nil
 }
 
 // store returns the platform's key-value service, or nil when none is given.
@@ -175,33 +182,13 @@
 	return out
 }
 
-// follow gives the data path what the fleet knows, until ctx ends.
-func (a *agent) follow(ctx context.Context) {
-	for {
-		changed := a.node.Changed()
-		a.apply(a.node.Snapshot())
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-func (a *agent) apply(snapshot *control.Snapshot) {
-	live := make([]netip.AddrPort, 0, len(snapshot.Balancers))
-	for _, b := range snapshot.Balancers {
-		live = append(live, b.Data)
-	}
-	a.flow.SetLive(live)
-	if snapshot.Config != nil {
-		a.flow.SetRevision(snapshot.Config.Revision)
-	}
-}
-
 // serve ends the callers' connections.
-func (a *agent) serve(ring *keyring.Ring, cert tls.Certificate, incarnation uint64) error {
-	ids, err := flow.NewIDs(ring, a.flow.Addr(), config.TagOf(a.settings.Service), incarnation)
+func (a *agent) serve(ctx context.Context, ring *keyring.Ring, cert tls.Certificate, self member.Member) error {
+	ids, err := flow.NewIDs(ring, self.Data, config.TagOf(self.Service), self.Incarnation)
+	if err != nil {
+		return err
+	}
+	tickets, err := a.serveRequests(ctx, ring, self)
 	if err != nil {
 		return err
 	}
@@ -209,39 +196,40 @@
 		ids.SetKeys(ring)
 		a.flow.SetKeys(ring)
 		a.peer.SetRing(ring)
+		tickets.SetRing(ring)
 	})
-	transport := newTransport(a.flow, ids, ring, a.flow.Addr())
-	a.server, err = newServer(transport, cert, a.handler(), a.log)
+	transport := newTransport(a.flow, ids, ring, self.Data)
+	a.server, err = newServer(transport, cert, a.requests, a.log)
 	return err
 }
 
-// handler returns what serves the callers' requests.
-func (a *agent) handler() http.Handler {
-	return passthrough(a.upstream, a.class)
-}
-
-// class returns the class of a request by the configuration in force.
-func (a *agent) class(method, path string) config.Class {
-	service := a.service()
-	if service == nil {
-		return config.Class{Name: "unconfigured", Kind: config.KindRequest}
-	}
-	class, _ := service.Class(method, path)
-	return class
-}
-
-// service returns the agent's service in the configuration in force, or nil.
-func (a *agent) service() *config.Service {
-	snapshot := a.node.Snapshot()
-	if snapshot.Config == nil {
-		return nil
+// serveRequests brings up what answers the callers' requests.
+func (a *agent) serveRequests(ctx context.Context, ring *keyring.Ring, self member.Member) (*home.Home, error) {
+	tickets, err := home.New(home.Options{
+		Self:   self,
+		Source: a.node,
+		Caller: a.peer,
+		Ring:   ring,
+		Logger: a.env.Logger,
+	})
+	if err != nil {
+		return nil, err
 	}
-	for i := range snapshot.Config.Services {
-		if snapshot.Config.Services[i].Name == a.settings.Service {
-			return &snapshot.Config.Services[i]
-		}
+	a.requests, err = request.NewHandler(ctx, request.Options{
+		Service:  self.Service,
+		Self:     self.Control,
+		Source:   a.node,
+		Upstream: a.upstream,
+		Caller:   a.peer,
+		Registry: a.peer,
+		Tickets:  tickets,
+		Events:   a.env.Events,
+		Logger:   a.env.Logger,
+	})
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	return tickets, tickets.Serve(a.peer, a.requests)
 }
 
 // close takes down all parts that stand.
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -227,5 +227,5 @@
 	if _, err := w.Write(head.Body); err != nil {
 		return errors.Wrap(err, "request: write")
 	}
-	return copyFlushing(w, rest)
+	return upstream.Stream(w, head.Header, rest)
 }
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,9 +12,6 @@
 	"github.com/saltbend/saltbend/internal/upstream"
 )
 
-// copyBufferSize is the size of a piece of a streamed answer.
-const copyBufferSize = 16 << 10
-
 // errLongAnswer tells that an answer doesn't fit memory and can't be streamed.
 var errLongAnswer = errors.New("request: answer too long to pass on")
 
@@ -221,27 +217,3 @@
 		Left:       time.Until(j.deadline),
 	})
 }
-
-// copyFlushing copies and flushes each piece, so that nothing waits in a
-// buffer for more.
-func copyFlushing(w http.ResponseWriter, r io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferSize)
-	for {
-		n, err := r.Read(buffer)
-		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil {
-				return errors.Wrap(werr, "request: write")
-			}
-			if ferr := controller.Flush(); ferr != nil {
-				return errors.Wrap(ferr, "request: flush")
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "request: read")
-		}
-	}
-}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -135,9 +135,12 @@
 	if out.Header == nil {
 		out.Header = http.Header{}
 	}
-	if !hasBody(r) {
+	switch {
+	case !hasBody(r):
 		out.Body = http.NoBody
 		out.ContentLength = 0
+	case r.ContentLength == 0:
+		out.ContentLength = -1
 	}
 	removeHopByHop(out.Header)
 	out.Header.Del("Expect") // the body follows anyway, with back pressure
@@ -148,11 +151,12 @@
 	return out
 }
 
-// hasBody tells whether a body has to be sent. HTTP/3 need not announce one; a
-// GET or HEAD that announces none has none that means anything.
+// hasBody tells whether a body has to be sent. Its length may be unknown: -1 in
+// a caller's request, 0 with a body in one that http.NewRequest built. A GET or
+// HEAD that announces no body has none that means anything.
 func hasBody(r *http.Request) bool {
 	switch {
-	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
+	case r.Body == nil || r.Body == http.NoBody:
 		return false
 	case r.ContentLength > 0:
 		return true
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -227,7 +227,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			defer resp.Body.Close()
 			w := httptest.NewRecorder()
-			g.Expect(errors.Is(Stream(w, resp), io.ErrUnexpectedEOF)).To(BeTrue())
+			g.Expect(errors.Is(Stream(w, resp.Header, resp.Body), io.ErrUnexpectedEOF)).To(BeTrue())
 			g.Expect(w.Body.String()).To(Equal("half"))
 		})
 	}
@@ -250,7 +250,7 @@
 	r, w := io.Pipe()
 	done := make(chan error, 1)
 	go func() {
-		done <- Stream(pipeWriter{httptest.NewRecorder(), w}, resp)
+		done <- Stream(pipeWriter{httptest.NewRecorder(), w}, resp.Header, resp.Body)
 		_ = w.Close()
 	}()
 	lines := bufio.NewReader(r)
@@ -311,3 +311,19 @@
 	close(end)
 	g.Eventually(failed).WithTimeout(patience).Should(Receive(MatchError(ErrMayHaveRun)))
 }
+
+func TestBodyOfUnknownLengthArrives(t *testing.T) {
+	g := NewWithT(t)
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	for _, length := range []int64{0, -1, 5} {
+		r, err := http.NewRequest("PUT", "/photo", io.MultiReader(strings.NewReader("pho"), strings.NewReader("to")))
+		g.Expect(err).NotTo(HaveOccurred())
+		r.ContentLength = length
+		resp, err := c.Run(t.Context(), r, config.Class{Kind: config.KindUpload})
+		g.Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(body)).To(Equal("photo"), "length %d", length)
+		g.Expect(resp.Body.Close()).To(Succeed())
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -18,18 +18,21 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
 
-// Stream copies the body of a response to the caller. What the upstream sends
-// in pieces, such as server-sent events, is flushed piece by piece. An error
-// means that the caller has not got the whole body and must not be made to
-// believe so; Stream does not close the body.
-func Stream(w http.ResponseWriter, resp *http.Response) error {
-	if IsEvents(resp.Header) {
-		return streamEvents(w, resp.Body)
+// Stream copies the body of a response with the given header to the caller. The
+// caller's header goes out at once, and each piece as it comes, so that nothing
+// waits in a buffer for more. An error means that the caller has not got the
+// whole body and must not be made to believe so; Stream closes nothing.
+func Stream(w http.ResponseWriter, header http.Header, body io.Reader) error {
+	control := http.NewResponseController(w)
+	if err := control.Flush(); err != nil {
+		return errors.Wrap(err, "flush the header to the caller")
+	}
+	if IsEvents(header) {
+		return copyPieces(w, body, make([]byte, eventBuffer), control.Flush)
 	}
 	buf := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buf)
-	_, err := copyPieces(w, resp.Body, buf[:], nil)
-	return err
+	return copyPieces(w, body, buf[:], control.Flush)
 }
 
 // IsEvents reports whether the response is a stream of server-sent events.
@@ -38,37 +41,28 @@
 	return err == nil && kind == "text/event-stream"
 }
 
-func streamEvents(w http.ResponseWriter, body io.Reader) error {
-	control := http.NewResponseController(w)
-	if err := control.Flush(); err != nil {
-		return errors.Wrap(err, "flush headers to the caller")
-	}
-	buf := make([]byte, eventBuffer)
-	_, err := copyPieces(w, body, buf, control.Flush)
-	return err
-}
-
 // copyPieces copies until the body ends and calls flush after each piece.
-func copyPieces(w io.Writer, body io.Reader, buf []byte, flush func() error) (int64, error) {
-	var total int64
+func copyPieces(w io.Writer, body io.Reader, buf []byte, flush func() error) error {
 	for {
 		n, readErr := body.Read(buf)
-		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
-				return total, errors.Wrap(err, "write to the caller")
-			}
-			total += int64(n)
-			if flush != nil {
-				if err := flush(); err != nil {
-					return total, errors.Wrap(err, "flush to the caller")
-				}
-			}
+		if err := writePiece(w, buf[:n], flush); err != nil {
+			return err
 		}
 		if readErr == io.EOF {
-			return total, nil
+			return nil
 		}
 		if readErr != nil {
-			return total, errors.Wrap(readErr, "read from the upstream")
+			return errors.Wrap(readErr, "read from the upstream")
 		}
 	}
 }
+
+func writePiece(w io.Writer, piece []byte, flush func() error) error {
+	if len(piece) == 0 {
+		return nil
+	}
+	if _, err := w.Write(piece); err != nil {
+		return errors.Wrap(err, "write to the caller")
+	}
+	return errors.Wrap(flush(), "flush to the caller")
+}
