Show that flows stay whole though balancers disagree

Cause: the central promise was tested packet by packet, not with QUIC. Test: two paths that place every new flow differently, 30 callers with 20 requests each; every Initial goes to both balancers and so to both agents, the other packets alternate. Each flow is whole and at one agent. The Initial that reaches two agents is harmless: the caller keeps the first answer's connection ID and drops the other agent's packets.

--- /dev/null
+++ b/internal/datapath/spray_test.go
@@ -0,0 +1,177 @@
+package datapath
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"math/big"
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/saltbend/saltbend/internal/flow"
+	"github.com/saltbend/saltbend/internal/keyring"
+)
+
+const protocol = "echo"
+
+// startAgent ends QUIC at a data socket of its own. It answers each stream with
+// its name and what came.
+func startAgent(t *testing.T, name string, serverTLS *tls.Config) netip.AddrPort {
+	t.Helper()
+	g := NewWithT(t)
+	ring, err := keyring.Parse(testSecrets)
+	g.Expect(err).NotTo(HaveOccurred())
+	conn, err := flow.Listen(flow.Options{Data: anyPort, Service: results, Ring: ring})
+	g.Expect(err).NotTo(HaveOccurred())
+	ids, err := flow.NewIDs(ring, conn.Addr(), results, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	transport := &quic.Transport{Conn: conn, ConnectionIDGenerator: ids}
+	listener, err := transport.Listen(serverTLS, &quic.Config{InitialPacketSize: flow.PacketSize, DisablePathMTUDiscovery: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close(); _ = transport.Close(); _ = conn.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept(context.Background())
+			if err != nil {
+				return
+			}
+			go answer(c, name)
+		}
+	}()
+	return conn.Addr()
+}
+
+func answer(c *quic.Conn, name string) {
+	for {
+		stream, err := c.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		said, _ := io.ReadAll(stream)
+		_, _ = io.WriteString(stream, name+" "+string(said))
+		_ = stream.Close()
+	}
+}
+
+// sprayed is a caller's socket behind a fabric: each datagram goes to a balancer
+// in turn, a flow's first ones to all, and every answer comes from the face.
+type sprayed struct {
+	net.PacketConn
+	conn      *net.UDPConn
+	balancers []netip.AddrPort
+	next      int
+	doubled   *atomic.Int64
+}
+
+func (s *sprayed) WriteTo(b []byte, _ net.Addr) (int, error) {
+	if b[0]&(longHeader|longType) == longHeader { // an Initial
+		s.doubled.Add(1)
+		for _, to := range s.balancers {
+			_, _ = s.conn.WriteToUDPAddrPort(b, to)
+		}
+		return len(b), nil
+	}
+	s.next++
+	return s.conn.WriteToUDPAddrPort(b, s.balancers[s.next%len(s.balancers)])
+}
+
+func (s *sprayed) ReadFrom(b []byte) (int, net.Addr, error) {
+	n, _, err := s.conn.ReadFromUDPAddrPort(b)
+	return n, net.UDPAddrFromAddrPort(publicFace), err
+}
+
+// Two balancers that place every new flow differently share each flow's
+// packets, and each first packet reaches both agents. Every flow stays whole
+// and at one agent all the same.
+func TestFlowsAreWholeThoughBalancersDisagree(t *testing.T) {
+	g := NewWithT(t)
+	serverTLS, clientTLS := testTLS(t)
+	var faces []netip.AddrPort
+	for _, name := range []string{"one", "two"} {
+		agent := startAgent(t, name, serverTLS)
+		socket, err := Open(publicFace, anyPort)
+		g.Expect(err).NotTo(HaveOccurred())
+		data, err := Bind(anyPort)
+		g.Expect(err).NotTo(HaveOccurred())
+		face := &Face{Socket: socket, Service: results, Agents: agentsAt(agent)}
+		path := Start(data, localAddr(data), &Snapshot{
+			Keys: testKeys(t, testSecrets), Faces: map[netip.AddrPort]*Face{publicFace: face},
+		})
+		t.Cleanup(path.Close)
+		faces = append(faces, socket.Addr())
+	}
+	var doubled atomic.Int64
+	var callers errgroup.Group
+	callers.SetLimit(10)
+	for range 30 {
+		conn := listen(t)
+		callers.Go(func() error {
+			return talk(&sprayed{PacketConn: conn, conn: conn, balancers: faces, doubled: &doubled}, clientTLS)
+		})
+	}
+	g.Expect(callers.Wait()).To(Succeed())
+	g.Expect(doubled.Load()).To(BeNumerically(">=", 30))
+}
+
+// talk opens a flow and sends 20 requests; all answers must come from one agent.
+func talk(socket net.PacketConn, clientTLS *tls.Config) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	transport := &quic.Transport{Conn: socket}
+	defer transport.Close()
+	c, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(publicFace), clientTLS, nil)
+	if err != nil {
+		return err
+	}
+	names := make(map[string]bool)
+	for range 20 {
+		stream, err := c.OpenStreamSync(ctx)
+		if err != nil {
+			return err
+		}
+		_, _ = io.WriteString(stream, strings.Repeat("x", 3000))
+		_ = stream.Close()
+		answer, err := io.ReadAll(stream)
+		if err != nil {
+			return err
+		}
+		name, said, _ := strings.Cut(string(answer), " ")
+		names[name] = true
+		if len(said) != 3000 || len(names) != 1 {
+			return errors.Errorf("%d bytes from %v", len(said), names)
+		}
+	}
+	return c.CloseWithError(0, "")
+}
+
+func testTLS(t *testing.T) (server, client *tls.Config) {
+	t.Helper()
+	g := NewWithT(t)
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	g.Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{"results"}, NotAfter: time.Now().Add(time.Hour),
+	}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	g.Expect(err).NotTo(HaveOccurred())
+	parsed, err := x509.ParseCertificate(cert)
+	g.Expect(err).NotTo(HaveOccurred())
+	roots := x509.NewCertPool()
+	roots.AddCert(parsed)
+	server = &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{cert}, PrivateKey: private}}, NextProtos: []string{protocol},
+	}
+	return server, &tls.Config{RootCAs: roots, ServerName: "results", NextProtos: []string{protocol}}
+}
