Give up the buffer of a large control message

Cause: a connection kept the buffer of the largest message it had ever sent. After one configuration of a megabyte on each of 30 connections a balancer would hold 30 MB, about all that control may use. Ruled out: leaving it to the collector; the encoder refers to the buffer for as long as the connection lives. Change: buffers above 16 KiB go out as the message itself instead of being copied, and the next message starts with a new one.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,6 +13,10 @@
 // readBuffer is the size of the read-ahead buffer of a connection.
 const readBuffer = 1 << 10
 
+// keptBytes is the size up to which a connection keeps its buffer for the next
+// message; a configuration that was sent once must not stay for its lifetime.
+const keptBytes = 16 << 10
+
 // limitReader fails when one message takes more than its bound. The bound is
 // renewed at the start of each message; read-ahead counts against the message
 // that is being read, so the bound has that much room to spare.
@@ -75,7 +79,7 @@
 // message encodes a header and a body. After an error the stream of types is
 // broken and the connection must end.
 func (w *gobWriter) message(header, body any) ([]byte, error) {
-	w.buf.Reset()
+	defer w.renew()
 	if err := w.enc.Encode(header); err != nil {
 		return nil, err
 	}
@@ -85,9 +89,21 @@
 	if int64(w.buf.Len()) > w.bound {
 		return nil, ErrTooLarge
 	}
+	if w.buf.Cap() > keptBytes {
+		return w.buf.Bytes(), nil // renew leaves these bytes to the caller
+	}
 	return bytes.Clone(w.buf.Bytes()), nil
 }
 
+// renew empties the buffer, and gives up a large one.
+func (w *gobWriter) renew() {
+	if w.buf.Cap() > keptBytes {
+		w.buf = bytes.Buffer{}
+		return
+	}
+	w.buf.Reset()
+}
+
 // outgoing wraps a call's arguments on their way through net/rpc, to learn
 // whether they left.
 type outgoing struct {
