Count packets that reach the wrong agent in the disagreement test

Change: each agent's socket checks the token of every short-header packet that comes in; none may belong to another agent.

--- a/internal/datapath/spray_test.go
+++ b/internal/datapath/spray_test.go
@@ -22,13 +22,35 @@
 
 	"github.com/saltbend/saltbend/internal/flow"
 	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/token"
 )
 
 const protocol = "echo"
 
+// checked is an agent's data socket that counts the packets of open flows that
+// came in, and those among them that belong to another agent.
+type checked struct {
+	net.PacketConn
+	self         netip.AddrPort
+	tokens       *token.Codec
+	came, astray *atomic.Int64
+}
+
+func (c *checked) ReadFrom(b []byte) (int, net.Addr, error) {
+	n, from, err := c.PacketConn.ReadFrom(b)
+	if err != nil || n <= token.Size || b[0]&longHeader != 0 {
+		return n, from, err
+	}
+	c.came.Add(1)
+	if t, err := c.tokens.Open(b[shortIDAt:shortIDAt+token.Size], results); err != nil || t.Agent != c.self {
+		c.astray.Add(1)
+	}
+	return n, from, nil
+}
+
 // startAgent ends QUIC at a data socket of its own. It answers each stream with
 // its name and what came.
-func startAgent(t *testing.T, name string, serverTLS *tls.Config) netip.AddrPort {
+func startAgent(t *testing.T, name string, serverTLS *tls.Config, came, astray *atomic.Int64) netip.AddrPort {
 	t.Helper()
 	g := NewWithT(t)
 	ring, err := keyring.Parse(testSecrets)
@@ -37,7 +59,8 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	ids, err := flow.NewIDs(ring, conn.Addr(), results, 1)
 	g.Expect(err).NotTo(HaveOccurred())
-	transport := &quic.Transport{Conn: conn, ConnectionIDGenerator: ids}
+	socket := &checked{PacketConn: conn, self: conn.Addr(), tokens: token.NewCodec(ring), came: came, astray: astray}
+	transport := &quic.Transport{Conn: socket, ConnectionIDGenerator: ids}
 	listener, err := transport.Listen(serverTLS, &quic.Config{InitialPacketSize: flow.PacketSize, DisablePathMTUDiscovery: true})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = listener.Close(); _ = transport.Close(); _ = conn.Close() })
@@ -99,8 +122,9 @@
 	g := NewWithT(t)
 	serverTLS, clientTLS := testTLS(t)
 	var faces []netip.AddrPort
+	var doubled, came, astray atomic.Int64
 	for _, name := range []string{"one", "two"} {
-		agent := startAgent(t, name, serverTLS)
+		agent := startAgent(t, name, serverTLS, &came, &astray)
 		socket, err := Open(publicFace, anyPort)
 		g.Expect(err).NotTo(HaveOccurred())
 		data, err := Bind(anyPort)
@@ -112,7 +136,6 @@
 		t.Cleanup(path.Close)
 		faces = append(faces, socket.Addr())
 	}
-	var doubled atomic.Int64
 	var callers errgroup.Group
 	callers.SetLimit(10)
 	for range 30 {
@@ -123,6 +146,8 @@
 	}
 	g.Expect(callers.Wait()).To(Succeed())
 	g.Expect(doubled.Load()).To(BeNumerically(">=", 30))
+	g.Expect(came.Load()).To(BeNumerically(">=", 30*20))
+	g.Expect(astray.Load()).To(BeZero())
 }
 
 // talk opens a flow and sends 20 requests; all answers must come from one agent.
