--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -145,7 +145,7 @@
 func newCaller(t testing.TB, face netip.AddrPort) *http.Client {
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{InsecureSkipVerify: true, ServerName: testService},
-		QUICConfig:      &quic.Config{MaxIdleTimeout: time.Minute, KeepAlivePeriod: 15 * time.Second},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: time.Minute}, // says nothing by itself
 		Dial: func(ctx context.Context, _ string, t *tls.Config, c *quic.Config) (*quic.Conn, error) {
 			return quic.DialAddrEarly(ctx, face.String(), t, c)
 		},
--- a/internal/agent/balancer_test.go
+++ b/internal/agent/balancer_test.go
@@ -37,9 +37,9 @@
 	face      *net.UDPConn
 	ring      *keyring.Ring
 	balancers []*balancer
-	// newFlow is the agent that takes new flows.
+	// newFlow are the agents that get the Initials of new flows.
 	mu      sync.Mutex
-	newFlow netip.AddrPort
+	newFlow []netip.AddrPort
 }
 
 func newFabric(t testing.TB, balancers int) *fabric {
@@ -66,10 +66,10 @@
 	return c.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-func (f *fabric) setNewFlow(agent netip.AddrPort) {
+func (f *fabric) setNewFlow(agents ...netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.newFlow = agent
+	f.newFlow = agents
 }
 
 // spray carries callers' datagrams to agents.
@@ -94,21 +94,23 @@
 			Service:  config.TagOf(testService),
 			Balancer: addrOf(b.data),
 		}
-		to := f.route(tokens, packet)
-		if codec.Encode(buf, &h) == nil && to.IsValid() {
+		if codec.Encode(buf, &h) != nil {
+			continue
+		}
+		for _, to := range f.route(tokens, packet) {
 			_, _ = b.data.WriteToUDPAddrPort(buf[:encap.HeaderSize+n], to)
 		}
 	}
 }
 
-func (f *fabric) route(tokens *token.Codec, packet []byte) netip.AddrPort {
+func (f *fabric) route(tokens *token.Codec, packet []byte) []netip.AddrPort {
 	id := packet[1:]
 	if packet[0]&0x80 != 0 {
 		id = packet[6 : 6+packet[5]]
 	}
 	if len(id) >= token.Size {
 		if t, err := tokens.Open(id[:token.Size], config.TagOf(testService)); err == nil {
-			return t.Agent
+			return []netip.AddrPort{t.Agent}
 		}
 	}
 	f.mu.Lock()
--- /dev/null
+++ b/internal/agent/path_test.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/flow"
+)
+
+// endpoint is the QUIC and HTTP/3 part of an agent alone.
+type endpoint struct {
+	conn   *flow.Conn
+	server *server
+}
+
+func startEndpoint(t testing.TB, data netip.AddrPort, handler http.Handler, hand flow.HandFunc) *endpoint {
+	g := NewWithT(t)
+	ring := testRing(t)
+	tag := config.TagOf(testService)
+	conn, err := flow.Listen(flow.Options{Data: data, Service: tag, Ring: ring, Hand: hand})
+	g.Expect(err).NotTo(HaveOccurred())
+	ids, err := flow.NewIDs(ring, conn.Addr(), tag, uint64(time.Now().UnixNano()))
+	g.Expect(err).NotTo(HaveOccurred())
+	certPEM, keyPEM := certificatePEM(t)
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	g.Expect(err).NotTo(HaveOccurred())
+	s, err := newServer(newTransport(conn, ids, ring, conn.Addr()), cert, handler, slog.New(slog.DiscardHandler))
+	g.Expect(err).NotTo(HaveOccurred())
+	e := &endpoint{conn: conn, server: s}
+	t.Cleanup(e.kill)
+	return e
+}
+
+// kill ends the endpoint without a word to its callers.
+func (e *endpoint) kill() {
+	_ = e.conn.Close()
+	_ = e.server.transport.Close()
+}
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// named answers with its name.
+func named(name string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, name) })
+}
+
+func TestFeedOfSilentCallerOutlivesFrozenAndCutBalancers(t *testing.T) {
+	g := NewWithT(t)
+	events := make(chan string)
+	up := httptest.NewServer(feedHandler(events))
+	t.Cleanup(up.Close)
+	f := newFabric(t, 3)
+	f.setNewFlow(startAgent(t, up.URL, nil).addresses.Data)
+	feed := openFeed(g, newCaller(t, addrOf(f.face)))
+	worst := time.Duration(0)
+	for round := range 6 {
+		failed := f.balancers[round%3]
+		fault := &failed.frozen
+		if round >= 3 {
+			fault = &failed.deaf
+		}
+		fault.Store(true)
+		for i := range 20 {
+			event := fmt.Sprint(round, i)
+			sent := time.Now()
+			events <- event
+			g.Eventually(feed).WithTimeout(patience).Should(Receive(Equal(event)))
+			worst = max(worst, time.Since(sent))
+		}
+		fault.Store(false)
+	}
+	t.Logf("slowest event with one of three balancers frozen or cut: %v", worst)
+}
+
+func TestCallerOfDeadIncarnationIsTold(t *testing.T) {
+	g := NewWithT(t)
+	quiet := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	f := newFabric(t, 2)
+	first := startEndpoint(t, anyPort, quiet, nil)
+	data := first.conn.Addr()
+	f.setNewFlow(data)
+	caller := newCaller(t, addrOf(f.face))
+	resp, err := caller.Get("https://results/feed")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+
+	first.kill()
+	startEndpoint(t, data, named("second"), nil)
+	told := make(chan error, 1)
+	go func() {
+		_, err := io.ReadAll(resp.Body)
+		told <- err
+	}()
+	// Any packet of the caller brings the news; here it is a new request.
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", "https://results/x", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	if resp, err := caller.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+	g.Eventually(told).WithTimeout(patience).Should(Receive(&err))
+	var reset *quic.StatelessResetError
+	g.Expect(errors.As(err, &reset)).To(BeTrue(), "%v", err)
+}
+
+func TestResetKeysDifferByAgentAndOutliveIt(t *testing.T) {
+	g := NewWithT(t)
+	a, b := netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")
+	g.Expect(resetKey(testRing(t), a)).To(Equal(resetKey(testRing(t), a)))
+	g.Expect(resetKey(testRing(t), a)).NotTo(Equal(resetKey(testRing(t), b)))
+}
+
+func TestNewFlowIsHandedOnWhole(t *testing.T) {
+	g := NewWithT(t)
+	sibling := startEndpoint(t, anyPort, named("sibling"), nil)
+	asked := make(chan struct{}, 100)
+	hand := func(encap.Header, []byte) (netip.AddrPort, bool) {
+		asked <- struct{}{}
+		return sibling.conn.Addr(), true
+	}
+	busy := startEndpoint(t, anyPort, named("busy"), hand)
+	f := newFabric(t, 3)
+	f.setNewFlow(busy.conn.Addr())
+	for range 5 {
+		caller := newCaller(t, addrOf(f.face))
+		g.Expect(get(g, caller, "https://results/")).To(Equal("sibling"))
+	}
+	g.Expect(asked).To(HaveLen(5), "the hook is asked once for each connection attempt")
+}
+
+func TestInitialsThatReachTwoAgentsAreHarmless(t *testing.T) {
+	g := NewWithT(t)
+	a := startEndpoint(t, anyPort, named("a"), nil)
+	b := startEndpoint(t, anyPort, named("b"), nil)
+	f := newFabric(t, 3)
+	f.setNewFlow(a.conn.Addr(), b.conn.Addr())
+	for range 10 {
+		caller := newCaller(t, addrOf(f.face))
+		owner := get(g, caller, "https://results/")
+		for range 10 {
+			g.Expect(get(g, caller, "https://results/")).To(Equal(owner))
+		}
+	}
+}
+
+func TestNoRequestTravelsInAFirstFlight(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(quicConfig().Allow0RTT).To(BeFalse())
+	e := startEndpoint(t, anyPort, named("a"), nil)
+	f := newFabric(t, 2)
+	f.setNewFlow(e.conn.Addr())
+	session := &tls.Config{
+		InsecureSkipVerify: true, ServerName: testService, NextProtos: []string{"h3"},
+		ClientSessionCache: tls.NewLRUClientSessionCache(10),
+	}
+	for range 2 {
+		conn, err := quic.DialAddrEarly(t.Context(), addrOf(f.face).String(), session, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		<-conn.HandshakeComplete()
+		g.Expect(conn.ConnectionState().Used0RTT).To(BeFalse())
+		g.Expect(conn.ConnectionState().TLS.DidResume).To(BeFalse())
+		_, err = conn.AcceptUniStream(t.Context()) // by now a ticket would have come
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(conn.CloseWithError(0, "")).To(Succeed())
+	}
+}
+
+func TestDrainEndsWorkAndKeepsFeeds(t *testing.T) {
+	g := NewWithT(t)
+	events := make(chan string)
+	begun, finish := make(chan struct{}), make(chan struct{})
+	mux := http.NewServeMux()
+	mux.Handle("/feed", feedHandler(events))
+	mux.HandleFunc("/runner/slow", func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-finish
+		fmt.Fprint(w, "whole")
+	})
+	up := httptest.NewServer(mux)
+	t.Cleanup(up.Close)
+	f := newFabric(t, 2)
+	p := startAgent(t, up.URL, nil)
+	f.setNewFlow(p.addresses.Data)
+	caller := newCaller(t, addrOf(f.face))
+	feed := openFeed(g, caller)
+	answer := make(chan string, 1)
+	go func() { answer <- get(g, caller, "https://results/runner/slow") }()
+	g.Eventually(begun).WithTimeout(patience).Should(BeClosed())
+
+	p.stop()
+	g.Eventually(func() int { return p.readyz(t) }).WithTimeout(patience).Should(Equal(http.StatusServiceUnavailable))
+	close(finish)
+	g.Eventually(answer).WithTimeout(patience).Should(Receive(Equal("whole")))
+	for i := range 3 {
+		events <- fmt.Sprint(i)
+		g.Eventually(feed).WithTimeout(patience).Should(Receive(Equal(fmt.Sprint(i))))
+	}
+	g.Expect(p.ended).NotTo(BeClosed())
+	close(events)
+	g.Eventually(feed).WithTimeout(patience).Should(BeClosed())
+	g.Eventually(p.ended).WithTimeout(patience).Should(BeClosed())
+	g.Expect(p.err).NotTo(HaveOccurred())
+}
