Apply the service's panic threshold to new flows

Cause: the configuration has health.panic-threshold, the share of upstreams that must look healthy before health counts, and nothing used it. Change: placement takes it. Of the ready agents, those with weight 0 look unhealthy; below the threshold all ready agents share. Only without any ready agent do the starting ones: before, they also shared with ready agents of weight 0, although a ready agent can at least answer. The test's row for that case is replaced by four: only weights of 0, too few healthy, just enough healthy, none ready. Ruled out: counting starting agents as unhealthy; a service that doubles its agents would panic. Also in the agent's drain: the call's new argument, with no threshold as before. Agents do not set their weight by health yet.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -55,6 +55,6 @@
 			others = append(others, m)
 		}
 	}
-	set := placement.NewSet(placement.NewLocality(snapshot.Self.DataCentre, snapshot.Balancers), others)
+	set := placement.NewSet(placement.NewLocality(snapshot.Self.DataCentre, snapshot.Balancers), others, 0)
 	return set.Choose(xxhash.Sum64(dcid))
 }
--- a/internal/balancer/publisher_test.go
+++ b/internal/balancer/publisher_test.go
@@ -177,6 +177,7 @@
 		"state":       func() { s.Agents[0].State = member.StateDraining },
 		"data":        func() { s.Agents[0].Data = faceB },
 		"data centre": func() { s.Agents[0].DataCentre = "b" },
+		"threshold":   func() { s.Config.Services[0].Health.PanicThreshold = 0.5 },
 		"locality":    func() { s.Self.DataCentre = "c" },
 		"another":     func() { s.Agents = append(s.Agents, s.Agents[0]) },
 	} {
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -16,7 +16,7 @@
 const (
 	// serviceServed: to ready agents.
 	serviceServed serviceState = "service-served"
-	// servicePanics: no agent is known to be ready; to the others.
+	// servicePanics: also to agents that do not look well, for want of others.
 	servicePanics serviceState = "service-panics"
 	// serviceUnserved: nowhere, there is no agent.
 	serviceUnserved serviceState = "service-unserved"
--- a/internal/datapath/path_test.go
+++ b/internal/datapath/path_test.go
@@ -46,7 +46,7 @@
 	for _, a := range addr {
 		agents = append(agents, member.Member{Control: a, Data: a, DataCentre: "a", State: member.StateReady, Weight: 1000})
 	}
-	return placement.NewSet(placement.NewLocality("a", nil), agents)
+	return placement.NewSet(placement.NewLocality("a", nil), agents, 0)
 }
 
 func newRig(t testing.TB) *rig {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,17 +33,19 @@
 	seed uint64
 }
 
-// NewSet returns the set for a balancer at the given place. Draining and gone agents get nothing, nor do agents without an IPv4 data address. Ready agents share by Weight; their data centre
-// matters as Locality tells. If no ready agent has a weight, all ready and
-// starting agents share equally: the fleet's view may be wrong, and an agent
-// can still answer that a request was not run. Panics reports that case.
-func NewSet(at Locality, agents []member.Member) *Set {
-	ready := weightOfReady(agents)
-	if len(ready) > 0 {
-		return &Set{groups: groups(agents, ready, at.shares(ready))}
-	}
-	last := weightOfLastResort(agents)
-	return &Set{groups: groups(agents, last, at.shares(last)), panics: len(last) > 0}
+// NewSet returns the set for a balancer at the given place. Ready agents share
+// by Weight; their data centre matters as Locality tells. Draining and gone
+// agents get nothing, nor do agents without an IPv4 data address.
+//
+// An agent gives itself weight 0 while its upstream looks unhealthy. If less
+// than threshold (0 to 1) of the ready agents have a weight, health is ignored,
+// as it is more likely to mislead than so many upstreams are to fail at once.
+// If no agent is ready, the starting ones share: the fleet's view may be late,
+// and an agent can still answer that a request was not run. Panics reports
+// either case.
+func NewSet(at Locality, agents []member.Member, threshold float64) *Set {
+	w, panics := candidates(agents, threshold)
+	return &Set{groups: groups(agents, w, at.shares(w)), panics: panics}
 }
 
 // weights holds the weight of agents by their place in the list.
@@ -55,24 +57,40 @@
 	weight     float64
 }
 
-func weightOfReady(agents []member.Member) weights {
+// fullWeight is that of an agent with a warm upstream.
+const fullWeight = 1000
+
+// candidates returns the agents that share, and whether that is for want of
+// better ones.
+func candidates(agents []member.Member, threshold float64) (w weights, panics bool) {
+	ready := inState(agents, member.StateReady)
+	healthy := slices.DeleteFunc(slices.Clone(ready), func(x weighted) bool { return x.weight == 0 })
+	if len(healthy) > 0 && float64(len(healthy)) >= threshold*float64(len(ready)) {
+		return healthy, false
+	}
+	if len(ready) > 0 {
+		return ready.orFull(), true
+	}
+	starting := inState(agents, member.StateStarting)
+	return starting.orFull(), len(starting) > 0
+}
+
+func inState(agents []member.Member, state member.State) weights {
 	var w weights
 	for i := range agents {
 		a := &agents[i]
-		if a.State == member.StateReady && a.Weight > 0 && a.Data.Addr().Is4() {
-			w = append(w, weighted{place: i, dataCentre: a.DataCentre, weight: float64(a.Weight)})
+		if a.State == state && a.Data.Addr().Is4() {
+			w = append(w, weighted{place: i, dataCentre: a.DataCentre, weight: float64(max(a.Weight, 0))})
 		}
 	}
 	return w
 }
 
-func weightOfLastResort(agents []member.Member) weights {
-	var w weights
-	for i := range agents {
-		a := &agents[i]
-		known := a.State == member.StateReady || a.State == member.StateStarting
-		if known && a.Data.Addr().Is4() {
-			w = append(w, weighted{place: i, dataCentre: a.DataCentre, weight: 1})
+// orFull gives the full weight to agents that have none.
+func (w weights) orFull() weights {
+	for i := range w {
+		if w[i].weight == 0 {
+			w[i].weight = fullWeight
 		}
 	}
 	return w
@@ -133,8 +151,8 @@
 	return n
 }
 
-// Panics reports that no agent is known to be ready and that the set holds the
-// others for want of better.
+// Panics reports that the set holds agents that do not look well, for want of
+// better ones.
 func (s *Set) Panics() bool {
 	return s.panics
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -60,40 +60,53 @@
 		name      string
 		balancers []member.Member
 		agents    []member.Member
+		threshold float64
 		want      want
 		panics    bool
 	}{
-		{"nobody", balancers("a"), nil, want{}, false},
+		{"nobody", balancers("a"), nil, 0, want{}, false},
 		{"weights", balancers("a"), []member.Member{
 			agent(1, "a", member.StateReady, 1000), agent(2, "a", member.StateReady, 250),
-		}, want{1: 0.8, 2: 0.2}, false},
+		}, 0, want{1: 0.8, 2: 0.2}, false},
 		{"draining and gone never", balancers("a"), []member.Member{
 			agent(1, "a", member.StateReady, 1000), agent(2, "a", member.StateDraining, 1000),
 			agent(3, "a", member.StateGone, 1000), agent(4, "a", member.StateStarting, 1000),
-		}, want{1: 1}, false},
+		}, 0, want{1: 1}, false},
 		{"own data centre suffices", balancers("a", "b"), []member.Member{
 			agent(1, "a", member.StateReady, 1000), agent(2, "b", member.StateReady, 1000),
-		}, want{1: 1}, false},
+		}, 0, want{1: 1}, false},
 		{"own data centre has none ready", balancers("a", "b"), []member.Member{
 			agent(1, "a", member.StateDraining, 1000), agent(2, "b", member.StateReady, 1000),
 			agent(3, "c", member.StateReady, 1000),
-		}, want{3: 1}, false},
+		}, 0, want{3: 1}, false},
 		{"own data centre has too little", balancers("a", "b"), []member.Member{
 			agent(1, "a", member.StateReady, 1000), agent(2, "b", member.StateReady, 1000),
 			agent(3, "b", member.StateReady, 1000), agent(4, "b", member.StateReady, 1000),
-		}, want{1: 0.5, 2: 0.5 / 3, 3: 0.5 / 3, 4: 0.5 / 3}, false},
+		}, 0, want{1: 0.5, 2: 0.5 / 3, 3: 0.5 / 3, 4: 0.5 / 3}, false},
 		{"balancer not in its own list", nil, []member.Member{
 			agent(1, "a", member.StateReady, 1000), agent(2, "b", member.StateReady, 1000),
-		}, want{1: 0.5, 2: 0.5}, false},
+		}, 0, want{1: 0.5, 2: 0.5}, false},
+		{"only weights of 0", balancers("a"), []member.Member{
+			agent(1, "a", member.StateStarting, 1000), agent(2, "a", member.StateReady, 0),
+			agent(3, "a", member.StateReady, 0),
+		}, 0, want{2: 0.5, 3: 0.5}, true},
+		{"too few look healthy", balancers("a"), []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "a", member.StateReady, 0),
+			agent(3, "a", member.StateReady, 0), agent(4, "a", member.StateStarting, 1000),
+		}, 0.5, want{1: 1. / 3, 2: 1. / 3, 3: 1. / 3}, true},
+		{"just enough look healthy", balancers("a"), []member.Member{
+			agent(1, "a", member.StateReady, 1000), agent(2, "a", member.StateReady, 0),
+			agent(3, "a", member.StateStarting, 1000),
+		}, 0.5, want{1: 1}, false},
 		{"none ready", balancers("a"), []member.Member{
-			agent(1, "a", member.StateStarting, 0), agent(2, "a", member.StateReady, 0),
+			agent(1, "a", member.StateStarting, 0), agent(2, "a", member.StateStarting, 1000),
 			agent(3, "a", member.StateDraining, 1000),
-		}, want{1: 0.5, 2: 0.5}, true},
-		{"only draining", balancers("a"), []member.Member{agent(1, "a", member.StateDraining, 1000)}, want{}, false},
+		}, 0.5, want{1: 0.5, 2: 0.5}, true},
+		{"only draining", balancers("a"), []member.Member{agent(1, "a", member.StateDraining, 1000)}, 0.5, want{}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := placement.NewSet(placement.NewLocality("a", tc.balancers), tc.agents)
+			s := placement.NewSet(placement.NewLocality("a", tc.balancers), tc.agents, tc.threshold)
 			g.Expect(s.Panics()).To(Equal(tc.panics))
 			g.Expect(s.Len()).To(Equal(len(tc.want)))
 			counts := spread(s, n)
@@ -123,7 +136,7 @@
 		fleet := balancers(homes...)
 		sum := make(map[netip.AddrPort]int)
 		for _, home := range homes {
-			for a, c := range spread(placement.NewSet(placement.NewLocality(home, fleet), agents), each) {
+			for a, c := range spread(placement.NewSet(placement.NewLocality(home, fleet), agents, 0), each) {
 				sum[a] += c
 			}
 		}
@@ -150,7 +163,7 @@
 		changed := append([]member.Member(nil), agents...)
 		changed[victim].State = member.StateDraining
 		at := placement.NewLocality("a", balancers("a"))
-		before, after := placement.NewSet(at, agents), placement.NewSet(at, changed)
+		before, after := placement.NewSet(at, agents, 0), placement.NewSet(at, changed, 0)
 		for range 200 {
 			key := rapid.Uint64().Draw(t, "key")
 			was, _ := before.Choose(key)
@@ -170,7 +183,7 @@
 	for i := range 7 {
 		agents = append(agents, agent(i+1, "a", member.StateReady, 1000))
 	}
-	s := placement.NewSet(placement.NewLocality("a", balancers("a")), agents)
+	s := placement.NewSet(placement.NewLocality("a", balancers("a")), agents, 0)
 	key := uint64(0)
 	NewWithT(t).Expect(testing.AllocsPerRun(100, func() { key++; s.Choose(key) })).To(BeZero())
 }
