Queue requests in a list that grows with them

Cause: each calling connection held a channel with room for all calls that may be pending, 6 KB that are nearly always empty, and each request went out in a write of its own. Ruled out: a channel of fewer places: a call would then wait for the writer past its context. Change: an outbox that the writer empties in one write; a benchmark of many callers on one connection.

--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -116,6 +116,32 @@
 	b.ReportMetric(float64(total)/float64(b.N), "wire-B/op")
 }
 
+// BenchmarkManyCalls has many calls under way on one connection.
+func BenchmarkManyCalls(b *testing.B) {
+	const callersPerThread = 16
+	server := benchServer(b)
+	client, err := peer.NewCaller(benchRing(b))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	payload := strings.Repeat("x", smallPayload)
+	start := cpuTime(b)
+	b.SetParallelism(callersPerThread)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			var out string
+			if err := client.Call(context.Background(), server.Addr(), "Test.Echo", payload, &out); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	reportCPU(b, start)
+	total := client.Traffic()
+	b.ReportMetric(float64(total.In+total.Out)/float64(b.N), "wire-B/op")
+}
+
 func benchPlainCall(b *testing.B, payload string) {
 	listener, err := net.Listen("tcp", loopback.String())
 	if err != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -24,7 +24,7 @@
 	proved  string
 	dialErr error
 
-	queue   chan []byte
+	outbox  *outbox
 	pending chan struct{}
 	lastUse atomic.Int64 // nanoseconds since the Unix epoch
 	// retired is set when no more calls can be sent; those that are pending
@@ -38,7 +38,7 @@
 	c := &clientConn{
 		addr:    addr,
 		ready:   make(chan struct{}),
-		queue:   make(chan []byte, pending),
+		outbox:  newOutbox(),
 		pending: make(chan struct{}, pending),
 		ended:   make(chan struct{}),
 	}
@@ -90,9 +90,9 @@
 		select {
 		case <-c.ended:
 			return
-		case message := <-c.queue:
+		case <-c.outbox.filled:
 			_ = c.tls.SetWriteDeadline(time.Now().Add(bound))
-			if _, err := c.tls.Write(message); err != nil {
+			if _, err := c.tls.Write(c.outbox.take()); err != nil {
 				c.close()
 				return
 			}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -136,8 +136,7 @@
 		return err
 	}
 	out.left.Store(true)
-	// Never blocks: the queue has room for all calls that may be pending.
-	c.conn.queue <- message
+	c.conn.outbox.put(message)
 	return nil
 }
 
