Give a silent home up after one connection attempt

A home whose host doesn't even refuse connections was dialled three times, 3 s each, before its caller was told 'unknown'. One failed attempt of more than a second now ends the pass, as does an error of the home's process; refused and interrupted passes are repeated as before, because a restarted listener or a second connection may get through.

The new table test was seen failing with the bound taken out (3 passes to a silent host, want 1). go test -race ./internal/home passes.

--- a/internal/home/pass.go
+++ b/internal/home/pass.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/ticket"
 )
@@ -21,6 +22,9 @@
 	passPause = 50 * time.Millisecond
 	// probeTimeout bounds the search for a home that no member list names.
 	probeTimeout = time.Second
+	// silentDial is the time of a failed connection attempt from which the
+	// home's host counts as silent.
+	silentDial = time.Second
 	// leaveTimeout bounds the message that a caller has left.
 	leaveTimeout = 2 * time.Second
 	// returnTime is kept back from the home's share of the deadline, so that
@@ -68,12 +72,12 @@
 	for pass := 1; ; pass++ {
 		args.Call.Left = left(ctx, args.Call.Left)
 		reply := &RunReply{}
+		began := time.Now()
 		err := h.o.Caller.Call(ctx, home, methodRun, args, reply)
 		if err == nil {
 			return &reply.Answer, nil
 		}
-		var remote rpc.ServerError
-		if pass == passes || ctx.Err() != nil || errors.As(err, &remote) {
+		if pass == passes || ctx.Err() != nil || hopeless(err, time.Since(began)) {
 			return nil, errors.Wrap(err, "home: pass")
 		}
 		select {
@@ -85,6 +89,17 @@
 	}
 }
 
+// hopeless reports whether another pass would end as the one did that took so
+// long: the home's process answered with an error, or its host doesn't even
+// refuse connections.
+func hopeless(err error, took time.Duration) bool {
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return true
+	}
+	return errors.Is(err, peer.ErrUnreachable) && took > silentDial
+}
+
 // left is the home's share of the time until the deadline of ctx.
 func left(ctx context.Context, otherwise time.Duration) time.Duration {
 	deadline, ok := ctx.Deadline()
