Give agents only their section, and test the seeds

An agent needs its own service's section alone, so a balancer now sends just that, and nothing but the revision when the section is unchanged. Agents' claims no longer count as sources, since they hold no whole record.

Leave waits for the witnesses' answers in place of a fixed 200 ms.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -17,38 +17,19 @@
 	EventAdopted event.Kind = "Configuration adopted."
 	EventServing event.Kind = "Configuration in force."
 	EventRefused event.Kind = "Configuration refused."
+	// EventUnconfigured: an agent's service is not in the configuration.
+	EventUnconfigured event.Kind = "Service is not configured."
 )
 
 // adopted is the adopted configuration with its record as it travels.
 type adopted struct {
 	revision uint64
-	// value is the store's value: a compressed record.
+	// value is the store's value, a compressed record; nil at an agent that
+	// fetched only the section of its service.
 	value  []byte
 	config *config.Config
 }
 
-// FetchArgs ask for a configuration newer than Have.
-type FetchArgs struct {
-	Have uint64
-}
-
-// FetchReply carries the store's value, which is compressed; nothing when the
-// asked process has no newer one.
-type FetchReply struct {
-	Revision uint64
-	Value    []byte
-}
-
-// Fetch answers with the configuration record.
-func (s *Service) Fetch(a FetchArgs, reply *FetchReply) error {
-	return answer(s, reply, func(time.Time) FetchReply {
-		if r := s.node.adopted; r.revision > a.Have {
-			return FetchReply{Revision: r.revision, Value: r.value}
-		}
-		return FetchReply{}
-	})
-}
-
 // claim is what the process says of its configuration to another one.
 func (n *Node) claim(now time.Time, to netip.AddrPort) gossip.Claim {
 	return gossip.Claim{
@@ -95,7 +76,7 @@
 	d := n.adopt.Decide(now)
 	if d.Fetch > 0 && !n.fetching {
 		n.fetching = true
-		go n.fetch(d.From)
+		go n.fetch(d.From, n.adopted)
 	}
 	if d.Serve && n.serving != n.adopted.config {
 		n.serving, n.dirty = n.adopted.config, true
@@ -104,20 +85,6 @@
 	}
 }
 
-// fetch gets the configuration from a peer.
-func (n *Node) fetch(from netip.AddrPort) {
-	var reply FetchReply
-	_, err := n.call(from, "Fetch", FetchArgs{Have: n.revision()}, &reply)
-	n.post(func(now time.Time) {
-		n.fetching = false
-		if err != nil || reply.Revision == 0 {
-			n.adopt.Gone(from) // until it answers again
-			return
-		}
-		n.take(reply.Value, reply.Revision)
-	})
-}
-
 // revision returns the adopted revision from any goroutine.
 func (n *Node) revision() (revision uint64) {
 	n.ask(n.ctx, func(time.Time) { revision = n.adopt.Revision() })
@@ -134,9 +101,14 @@
 		n.event(EventRefused, fmt.Sprintf("revision %d: %v", revision, err))
 		return
 	}
-	if !n.adopt.Adopt(revision) {
+	n.adoptConfig(adopted{revision: revision, value: value, config: c})
+}
+
+// adoptConfig adopts a parsed configuration if it is newer.
+func (n *Node) adoptConfig(a adopted) {
+	if !n.adopt.Adopt(a.revision) {
 		return
 	}
-	n.adopted = adopted{revision: revision, value: value, config: c}
-	n.event(EventAdopted, fmt.Sprintf("revision %d", revision))
+	n.adopted = a
+	n.event(EventAdopted, fmt.Sprintf("revision %d", a.revision))
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,6 +69,7 @@
 	*control.Node
 	addr   netip.AddrPort
 	events *event.Ring
+	store  *countedStore
 	crash  func()
 }
 
@@ -75,20 +77,25 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	ring := event.NewRing(event.DefaultRingSize, time.Now)
-	n, err := control.Start(ctx, control.Options{
+	counted := &countedStore{Store: f.client}
+	options := control.Options{
 		Self:   self,
 		Peer:   f.mesh.open(self.Control),
 		Join:   f.join,
-		Store:  f.client,
 		Timing: fastTiming(),
 		Events: ring,
 		Logger: slog.New(slog.DiscardHandler),
 		Decode: func(_ []byte, revision uint64) (*config.Config, error) {
 			return &config.Config{Revision: revision}, nil
 		},
-	})
+		SeedLease: time.Second,
+	}
+	if f.client != nil {
+		options.Store = counted
+	}
+	n, err := control.Start(ctx, options)
 	Expect(err).NotTo(HaveOccurred())
-	return &node{Node: n, addr: self.Control, events: ring, crash: func() {
+	return &node{Node: n, addr: self.Control, events: ring, store: counted, crash: func() {
 		f.mesh.crash(self.Control)
 		cancel()
 	}}
@@ -156,3 +163,47 @@
 	}
 	return count
 }
+
+// countedStore counts one node's calls to the store, and can hold them up.
+type countedStore struct {
+	store.Store
+	calls  atomic.Int64
+	frozen atomic.Pointer[chan struct{}]
+}
+
+// freeze holds all calls up until the returned function is called.
+func (c *countedStore) freeze() (thaw func()) {
+	gate := make(chan struct{})
+	c.frozen.Store(&gate)
+	return func() {
+		c.frozen.Store(nil)
+		close(gate)
+	}
+}
+
+func (c *countedStore) enter() {
+	c.calls.Add(1)
+	if gate := c.frozen.Load(); gate != nil {
+		<-*gate
+	}
+}
+
+func (c *countedStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	c.enter()
+	return c.Store.Get(ctx, key)
+}
+
+func (c *countedStore) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	c.enter()
+	return c.Store.List(ctx, prefix)
+}
+
+func (c *countedStore) Swap(ctx context.Context, key string, value []byte, expected uint64, lease time.Duration) (store.Entry, error) {
+	c.enter()
+	return c.Store.Swap(ctx, key, value, expected, lease)
+}
+
+func (c *countedStore) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
+	c.enter()
+	return c.Store.Watch(ctx, key, after)
+}
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -2,21 +2,45 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/gossip"
 )
 
-// Leave announces that the process is gone and waits until its witnesses were
-// told or ctx ends. The process is expected to have drained before.
+// Leave announces that the process is gone and waits until its witnesses have
+// answered or ctx ends. The process is expected to have drained before, when it
+// has given up a lease in the store, too.
 func (n *Node) Leave(ctx context.Context) {
+	var farewell []gossip.Action
+	var claim gossip.Claim
 	n.ask(ctx, func(now time.Time) {
-		n.engine.Update(now, func(m *member.Member) { m.State = member.StateGone })
-		n.step(now)
+		farewell = n.engine.Leave(now)
+		claim = n.claim(now, n.options.Self.Control)
 	})
-	const settle = 200 * time.Millisecond
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.sayFarewell(farewell, claim)
+	}()
 	select {
+	case <-done:
 	case <-ctx.Done():
-	case <-time.After(settle):
 	}
 }
+
+// sayFarewell makes the calls at once and waits for their ends.
+func (n *Node) sayFarewell(farewell []gossip.Action, claim gossip.Claim) {
+	var calls sync.WaitGroup
+	for _, a := range farewell {
+		switch a := a.(type) {
+		case gossip.SendAnnounce:
+			a.Message.Claim = claim
+			calls.Go(func() { _, _ = n.call(a.To, "Announce", a.Message, &gossip.AnnounceReply{}) })
+		case gossip.SendPush:
+			a.Message.Claim = claim
+			calls.Go(func() { _, _ = n.call(a.To, "Push", a.Message, &gossip.PushReply{}) })
+		}
+	}
+	calls.Wait()
+}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -15,6 +15,7 @@
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/record"
+	"github.com/saltbend/saltbend/internal/seed"
 	"github.com/saltbend/saltbend/internal/store"
 )
 
@@ -49,6 +50,8 @@
 	Logger *slog.Logger
 	// Timing holds periods; the zero value means the defaults.
 	Timing gossip.Timing
+	// SeedLease is the length of a seed's lease; zero means the default.
+	SeedLease time.Duration
 	// Rules are those of adoption; the zero value means the defaults.
 	Rules adopt.Rules
 	// Now is the clock; nil means the system's.
@@ -78,6 +81,9 @@
 	if o.Timing == (gossip.Timing{}) {
 		o.Timing = gossip.DefaultTiming()
 	}
+	if o.SeedLease == 0 {
+		o.SeedLease = seed.DefaultLease
+	}
 	if o.Rules == (adopt.Rules{}) {
 		o.Rules = adopt.DefaultRules()
 	}
--- a/internal/control/seeding.go
+++ b/internal/control/seeding.go
@@ -54,7 +54,7 @@
 func newSeeding(n *Node) seeding {
 	self := n.options.Self
 	value, _ := json.Marshal(holder{self.Control, self.Incarnation}) // of plain fields: cannot fail
-	return seeding{machine: seed.New(n.rand), value: value}
+	return seeding{machine: seed.New(n.rand, n.options.SeedLease), value: value}
 }
 
 // useStore does at the store what is due.
@@ -114,7 +114,7 @@
 	var err error
 	switch a.Kind {
 	case seed.Claim, seed.Extend:
-		entry, err = n.options.Store.Swap(ctx, key, n.seeding.value, a.Revision, seed.Lease)
+		entry, err = n.options.Store.Swap(ctx, key, n.seeding.value, a.Revision, n.seeding.machine.Lease())
 	case seed.Inspect:
 		entry, err = n.options.Store.Get(ctx, key)
 	case seed.Release:
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -51,7 +51,9 @@
 		return errInvalid
 	}
 	return answer(s, reply, func(now time.Time) gossip.AnnounceReply {
-		s.node.heardFrom(now, a.Self.Control, a.Claim)
+		if a.Self.Role == member.RoleBalancer { // an agent has only its section
+			s.node.heardFrom(now, a.Self.Control, a.Claim)
+		}
 		r := s.node.engine.HandleAnnounce(now, a)
 		r.Claim = s.node.claim(now, a.Self.Control)
 		return r
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/seed"
 	"github.com/saltbend/saltbend/test/storefake"
@@ -66,4 +67,56 @@
 		}
 		Eventually(late.inForce, patience).Should(Equal(revision))
 	})
+
+	It("is called by seeds only, however many balancers there are", func() {
+		f := newFleet().withStore()
+		revision := f.apply(0)
+		bs, as := f.startMany(9, 3)
+		for _, n := range append(bs, as...) {
+			Eventually(n.inForce, patience).Should(Equal(revision))
+		}
+		Eventually(seeds(bs), patience).Should(Equal(seed.Slots))
+		before := make(map[*node]int64)
+		for _, n := range append(bs, as...) {
+			before[n] = n.store.calls.Load()
+		}
+		for _, n := range append(bs, as...) {
+			if n.Status().Seed {
+				Eventually(n.store.calls.Load, patience).Should(BeNumerically(">", before[n]+5))
+			}
+		}
+		callers := 0
+		for n, calls := range before {
+			if n.store.calls.Load() > calls {
+				callers++
+			}
+		}
+		Expect(callers).To(BeNumerically("<=", seed.Slots))
+	})
+
+	It("loses a frozen seed its lease and nobody a route", func() {
+		f := newFleet().withStore()
+		revision := f.apply(0)
+		bs, as := f.startMany(4, 2)
+		Eventually(seeds(bs), patience).Should(Equal(seed.Slots))
+		var frozen *node
+		for _, n := range bs {
+			if n.Status().Seed {
+				frozen = n
+			}
+		}
+		thaw := frozen.store.freeze()
+		Eventually(func() bool { return frozen.Status().Seed }, patience).Should(BeFalse())
+		revision = f.apply(revision)
+		for _, n := range append(bs, as...) {
+			Eventually(n.inForce, patience).Should(Equal(revision))
+			Expect(n.ready()).To(Equal(6))
+		}
+		thaw()
+		Eventually(seeds(bs), patience).Should(Equal(seed.Slots))
+		for _, n := range append(bs, as...) {
+			Expect(n.inForce()).To(Equal(revision))
+			Expect(n.count(control.EventDeclared)).To(BeZero())
+		}
+	})
 })
--- a/internal/gossip/engine.go
+++ b/internal/gossip/engine.go
@@ -108,6 +108,20 @@
 	e.publishSelf(now, next)
 }
 
+// Leave marks the process gone and returns the calls that tell its witnesses
+// and neighbours so. It does nothing after that.
+func (e *Engine) Leave(now time.Time) []Action {
+	e.Update(now, func(m *member.Member) { m.State = member.StateGone })
+	e.chooseWitnesses(now)
+	for _, w := range e.witnesses {
+		e.do(SendAnnounce{To: w, Message: Announce{Self: e.self}})
+	}
+	e.push(now)
+	out := e.actions
+	e.actions = nil
+	return out
+}
+
 // publishSelf puts a new version of the process's own record in force.
 func (e *Engine) publishSelf(now time.Time, next member.Member) {
 	e.self = next
@@ -119,6 +133,9 @@
 // Actions returns what is to be done at now. It is to be called after each
 // message and every few hundred milliseconds.
 func (e *Engine) Actions(now time.Time) []Action {
+	if e.self.State == member.StateGone {
+		return nil
+	}
 	e.announce(now)
 	e.watch(now)
 	e.push(now)
--- a/internal/seed/seed.go
+++ b/internal/seed/seed.go
@@ -24,10 +24,10 @@
 	// Stale is the age of the newest known reading of the store from which
 	// spares try.
 	Stale = 2 * time.Minute
-	// Lease is how long a seed holds its slot without renewing.
-	Lease = 15 * time.Second
-	// Renew is the period of renewals.
-	Renew = 5 * time.Second
+	// DefaultLease is how long a seed holds its slot without renewing.
+	DefaultLease = 15 * time.Second
+	// renewShare is the number of renewals within a lease.
+	renewShare = 3
 	// settle is how long a seed that is no longer among the first goes on.
 	settle = time.Minute
 )
@@ -93,6 +93,7 @@
 // Machine decides for one process. It belongs to one goroutine.
 type Machine struct {
 	rand     *rand.Rand
+	lease    time.Duration
 	busy     bool
 	holding  bool
 	inspect  bool
@@ -104,11 +105,15 @@
 	backoff  Backoff
 }
 
-// New returns the machine of a process that holds no lease.
-func New(random *rand.Rand) *Machine {
-	return &Machine{rand: random, backoff: Backoff{Least: time.Second, Most: 30 * time.Second}}
+// New returns the machine of a process that holds no lease. It takes leases of
+// the given length.
+func New(random *rand.Rand, lease time.Duration) *Machine {
+	return &Machine{rand: random, lease: lease, backoff: Backoff{Least: time.Second, Most: 30 * time.Second}}
 }
 
+// Lease returns the length of the leases that the machine takes.
+func (m *Machine) Lease() time.Duration { return m.lease }
+
 // Holding reports whether the process holds a lease at now, by its own clock.
 func (m *Machine) Holding(now time.Time) bool { return m.holding && now.Before(m.until) }
 
@@ -169,15 +174,15 @@
 	switch r {
 	case Held:
 		m.holding, m.revision = true, revision
-		m.until = sent.Add(Lease)
-		m.next = now.Add(spread(m.rand, Renew))
+		m.until = sent.Add(m.lease)
+		m.next = now.Add(spread(m.rand, m.lease/renewShare))
 		if a.Kind == Inspect {
 			m.next = now // how much of the lease is left is not known
 		}
 		m.backoff.Reset()
 	case Taken:
 		m.holding = false
-		m.next = now.Add(spread(m.rand, Lease))
+		m.next = now.Add(spread(m.rand, m.lease))
 		m.backoff.Reset()
 	case Free:
 		m.holding = false
