Publish by the clock only while a drain or a failed face waits

And a socket that keeps failing without being closed would have kept its goroutine spinning, since the pause after an error was lost with the batch reads. Change: the tick counts only while a face drains, has a former service or could not be bound; the pause of 10 ms is back.

--- a/internal/balancer/faces.go
+++ b/internal/balancer/faces.go
@@ -136,6 +136,17 @@
 	return public
 }
 
+// waiting reports whether time alone may change something: a drain that ends,
+// or a face that can be bound after all.
+func (f *faces) waiting() bool {
+	for _, open := range f.open {
+		if !open.drainEnds.IsZero() || len(open.former) > 0 {
+			return true
+		}
+	}
+	return len(f.failed) > 0
+}
+
 // local returns the local address of each open face by its public one.
 func (f *faces) local() map[netip.AddrPort]netip.AddrPort {
 	out := make(map[netip.AddrPort]netip.AddrPort, len(f.open))
--- a/internal/balancer/publisher.go
+++ b/internal/balancer/publisher.go
@@ -62,12 +62,8 @@
 	for {
 		changed := p.source.Changed()
 		p.publish(p.source.Snapshot(), time.Now())
-		select {
-		case <-ctx.Done():
+		if !p.wait(ctx, changed, tick.C) {
 			return
-		case <-changed:
-		case p.inUse = <-p.keys:
-		case <-tick.C:
 		}
 		select {
 		case <-ctx.Done():
@@ -77,6 +73,24 @@
 	}
 }
 
+// wait returns when there may be something to publish, or false when ctx ends.
+func (p *publisher) wait(ctx context.Context, changed <-chan struct{}, tick <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+			return true
+		case p.inUse = <-p.keys:
+			return true
+		case <-tick:
+			if p.faces.waiting() {
+				return true
+			}
+		}
+	}
+}
+
 // publish puts a control snapshot in force. Without a configuration that the
 // process can vouch for, what it serves stays as it is.
 func (p *publisher) publish(s *control.Snapshot, now time.Time) {
--- a/internal/balancer/publisher_test.go
+++ b/internal/balancer/publisher_test.go
@@ -72,6 +72,7 @@
 	// A dropped face keeps its socket while its open flows may last.
 	p.publish(withFaces("results", faceA), start)
 	g.Expect(p.local()).To(HaveKeyWithValue(faceB, local))
+	g.Expect(p.faces.waiting()).To(BeTrue())
 	s := p.snapshot(withFaces("results", faceA))
 	g.Expect(s.Faces[faceB].Draining).To(BeTrue())
 	g.Expect(s.Faces[faceA].Draining).To(BeFalse())
@@ -106,6 +107,7 @@
 	g.Expect(p.snapshot(moved).Faces[faceA].Former).To(ConsistOf(config.TagOf("results")))
 	p.publish(moved, start.Add(2+drain))
 	g.Expect(p.snapshot(moved).Faces[faceA].Former).To(BeEmpty())
+	g.Expect(p.faces.waiting()).To(BeFalse())
 }
 
 func TestAFaceThatCannotBeBoundIsReportedAndTriedAgain(t *testing.T) {
@@ -120,6 +122,7 @@
 	p.publish(s, start)
 	p.publish(s, start)
 	g.Expect(p.check()).To(ConsistOf(ContainSubstring(face)))
+	g.Expect(p.faces.waiting()).To(BeTrue())
 	g.Expect(taken.Close()).To(Succeed())
 	p.publish(s, start)
 	g.Expect(p.check()).To(BeEmpty())
--- a/internal/datapath/socket.go
+++ b/internal/datapath/socket.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -80,6 +81,9 @@
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 }
 
+// receiveRetry is the pause after an error of a socket that is not closed.
+const receiveRetry = 10 * time.Millisecond
+
 // receive reads one datagram behind the first headroom bytes of the buffer and
 // returns where it ends, and the IPv4 sender. It fails only once the socket is
 // closed. Reads are not batched: the socket library allocates each sender's
@@ -93,5 +97,6 @@
 		if errors.Is(err, net.ErrClosed) {
 			return 0, from, err
 		}
+		time.Sleep(receiveRetry)
 	}
 }
