dispatch: take an older request of a sibling ahead of a free slot

Cause: a slot that asks a sibling for work stands idle for a round trip, and an own queue starts younger requests while a sibling's older ones wait. Change: an agent offers its next slot while all are taken, to the sibling whose first waiting request is older than its own; one such request at most.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,6 +39,9 @@
 	// Elsewhere requests failed on the own upstream and rather run on a
 	// sibling.
 	Elsewhere bool
+
+	// moved requests belong to a sibling.
+	moved bool
 }
 
 // Limits bound what the upstream takes on.
@@ -125,8 +128,9 @@
 	Idle int
 	// Queued is the number of waiting requests that may move.
 	Queued int
-	// Priority is that of the first of them.
+	// Priority is that of the first of them, Waited the time since it arrived.
 	Priority int
+	Waited   time.Duration
 	// Draws tells whether the agent may be handed work.
 	Draws bool
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -169,7 +169,7 @@
 	s.fill(now)
 	s.moveOut(now)
 	s.moveIn(now)
-	s.announce()
+	s.announce(now)
 	return s.out
 }
 
--- a/internal/dispatch/sibling.go
+++ b/internal/dispatch/sibling.go
@@ -8,6 +8,9 @@
 const (
 	// claimLife bounds how long a sibling's word about idle slots is acted on.
 	claimLife = 250 * time.Millisecond
+	// maxAhead is the number of siblings' requests that wait here for the next
+	// slot, so that a slot is in use while messages travel.
+	maxAhead = 1
 	// maxStrangers bounds what is kept of agents that aren't known yet.
 	maxStrangers = 64
 	// reservationLife is how long a slot is held for a sibling's request: some
@@ -38,6 +41,8 @@
 	addr    Sibling
 	heard   Standing
 	expires time.Time
+	// oldest is when the first of its waiting requests arrived.
+	oldest time.Time
 }
 
 // group is the known siblings, in the order of their addresses so that equal
@@ -110,13 +115,14 @@
 	}
 	v.heard = standing
 	v.expires = now.Add(claimLife)
+	v.oldest = now.Add(-standing.Waited)
 }
 
 // ArriveMoved takes a request that a sibling owns. It starts, or waits where
 // it came under a reservation or with admit, or is refused as busy.
 func (s *Scheduler) ArriveMoved(now time.Time, r Request, under Reservation, admit bool) []Action {
 	s.begin()
-	r.Movable = false
+	r.Movable, r.moved = false, true
 	_, invited := s.reserved[under]
 	delete(s.reserved, under)
 	switch {
@@ -140,9 +146,9 @@
 	s.begin()
 	s.expire(now)
 	if i := s.queue.firstMovable(); i >= 0 {
-		s.push(s.queue.removeAt(i), Push{To: from, Reservation: held})
+		s.push(now, s.queue.removeAt(i), Push{To: from, Reservation: held})
 	} else {
-		s.emit(Decline{To: from, Reservation: held, Standing: s.standing()})
+		s.emit(Decline{To: from, Reservation: held, Standing: s.standing(now)})
 	}
 	return s.finish(now)
 }
@@ -192,7 +198,7 @@
 		return false
 	}
 	v.heard.Idle--
-	s.push(r, Push{To: v.addr})
+	s.push(now, r, Push{To: v.addr})
 	return true
 }
 
@@ -213,13 +219,13 @@
 		return false
 	}
 	best.heard.Queued++
-	s.push(r, Push{To: best.addr, Admit: true})
+	s.push(now, r, Push{To: best.addr, Admit: true})
 	return true
 }
 
-func (s *Scheduler) push(r Request, p Push) {
+func (s *Scheduler) push(now time.Time, r Request, p Push) {
 	p.ID = r.ID
-	p.Standing = s.standing()
+	p.Standing = s.standing(now)
 	s.pushed[r.ID] = pushed{request: r, to: p.To, admit: p.Admit}
 	s.emit(p)
 }
@@ -263,7 +269,7 @@
 			return
 		}
 		v.heard.Idle--
-		s.push(s.queue.removeAt(i), Push{To: v.addr})
+		s.push(now, s.queue.removeAt(i), Push{To: v.addr})
 	}
 }
 
@@ -278,11 +284,53 @@
 		if v == nil {
 			return
 		}
-		v.heard.Queued--
-		s.lastID++
-		s.reserved[s.lastID] = reservation{from: v.addr, until: now.Add(reservationLife)}
-		s.emit(Pull{From: v.addr, Reservation: s.lastID, Standing: s.standing()})
+		s.pull(now, v, false)
 	}
+	if s.ahead() >= maxAhead {
+		return
+	}
+	if v := s.longest(); v != nil && s.behind(v) {
+		s.pull(now, v, true)
+	}
+}
+
+// pull offers a slot to the sibling: one that is held for it, or the next to
+// fall free.
+func (s *Scheduler) pull(now time.Time, v *view, ahead bool) {
+	v.heard.Queued--
+	s.lastID++
+	s.reserved[s.lastID] = reservation{from: v.addr, until: now.Add(reservationLife), displaced: ahead}
+	s.emit(Pull{From: v.addr, Reservation: s.lastID, Standing: s.standing(now)})
+}
+
+// ahead counts the requests of siblings that wait here or are to come without
+// a slot that is held for them.
+func (s *Scheduler) ahead() int {
+	n := 0
+	for _, r := range s.reserved {
+		if r.displaced {
+			n++
+		}
+	}
+	for i := range s.queue.waiting {
+		if s.queue.waiting[i].moved {
+			n++
+		}
+	}
+	return n
+}
+
+// behind reports whether the sibling's first waiting request should start
+// before all that wait here.
+func (s *Scheduler) behind(v *view) bool {
+	if s.queue.len() == 0 {
+		return true
+	}
+	first := &s.queue.waiting[0]
+	if v.heard.Priority != first.Priority {
+		return v.heard.Priority < first.Priority
+	}
+	return v.oldest.Before(first.Arrived)
 }
 
 func (s *Scheduler) longest() *view {
@@ -300,7 +348,7 @@
 	if v.heard.Priority != o.heard.Priority {
 		return v.heard.Priority < o.heard.Priority
 	}
-	return v.heard.Queued > o.heard.Queued
+	return v.oldest.Before(o.oldest)
 }
 
 // held is the number of slots that wait for a sibling's request.
@@ -331,13 +379,13 @@
 // announce tells the siblings when an agent that had no idle slot has one, or
 // the other way round, and likewise for movable requests that wait. Numbers in
 // between aren't worth a message of their own.
-func (s *Scheduler) announce() {
+func (s *Scheduler) announce(now time.Time) {
 	idle, queued := s.idle(), s.queue.movable
 	changed := edge(idle, s.told.Idle) || edge(queued, s.told.Queued) || s.willing() != s.told.Draws
 	if !changed {
 		return
 	}
-	s.told = s.standing()
+	s.told = s.standing(now)
 	if len(s.group.views) > 0 && !s.options.Alone {
 		s.emit(Announce{Standing: s.told})
 	}
@@ -357,11 +405,12 @@
 }
 
 // standing returns how the agent stands now, under a number of its own.
-func (s *Scheduler) standing() Standing {
+func (s *Scheduler) standing(now time.Time) Standing {
 	s.seq++
 	st := Standing{Seq: s.seq, Idle: s.idle(), Queued: s.queue.movable, Draws: s.willing()}
 	if i := s.queue.firstMovable(); i >= 0 {
 		st.Priority = s.queue.waiting[i].Priority
+		st.Waited = now.Sub(s.queue.waiting[i].Arrived)
 	}
 	return st
 }
