Let random schedules meet the window's bounds

Most steps now fall on the last two tickets, two steps take a ticket through its whole life, and an admission that is repeated is an error by itself. A table test pins that a started ticket can't be voided.

--- a/internal/ticket/window_test.go
+++ b/internal/ticket/window_test.go
@@ -13,14 +13,18 @@
 
 // history is what really happened under one nonce, and what was told.
 type history struct {
-	runs    int
-	body    Digest // of the run
-	answer  string
-	finish  bool
-	unknown bool // the run ended without an answer
-	denied  map[Digest]bool
+	runs     int
+	admitted bool
+	body     Digest // of the run
+	answer   string
+	finish   bool
+	unknown  bool // the run ended without an answer
+	denied   map[Digest]bool
 }
 
+// recent is the number of tickets on which most steps of a schedule fall.
+const recent = 2
+
 // schedule drives a window with random steps and checks after each what must
 // hold, whatever the bounds force it to forget.
 type schedule struct {
@@ -31,8 +35,14 @@
 	late   map[uint64]time.Time
 }
 
+// nonce draws one of the last tickets most times, so that steps meet, or any,
+// or one that was never issued.
 func (s *schedule) nonce(t *rapid.T) uint64 {
-	return uint64(rapid.IntRange(0, len(s.past)).Draw(t, "nonce")) // one beyond: never issued
+	first := 0
+	if rapid.IntRange(0, 3).Draw(t, "any") > 0 {
+		first = max(0, len(s.past)-recent)
+	}
+	return uint64(rapid.IntRange(first, len(s.past)).Draw(t, "nonce"))
 }
 
 func (s *schedule) of(n uint64) *history {
@@ -50,8 +60,9 @@
 	s.past = append(s.past, &history{denied: map[Digest]bool{}})
 }
 
-func (s *schedule) admit(t *rapid.T) {
-	n := s.nonce(t)
+func (s *schedule) admit(t *rapid.T) { s.admitAt(t, s.nonce(t)) }
+
+func (s *schedule) admitAt(t *rapid.T, n uint64) {
 	body := Digest{rapid.Byte().Draw(t, "body") % 2}
 	deadline := s.now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "left")) * time.Second)
 	verdict, result := s.w.Admit(n, body, deadline)
@@ -59,7 +70,10 @@
 	switch {
 	case verdict == Admitted && n >= uint64(len(s.past)):
 		t.Fatalf("a ticket was admitted that was never issued")
+	case verdict == Admitted && h.admitted:
+		t.Fatalf("%d: admitted twice", n)
 	case verdict == Admitted:
+		h.admitted = true
 		s.late[n] = deadline
 		h.body = body
 	case verdict == Mismatch && h.body == body:
@@ -83,8 +97,9 @@
 	h.denied[body] = true
 }
 
-func (s *schedule) start(t *rapid.T) {
-	n := s.nonce(t)
+func (s *schedule) start(t *rapid.T) { s.startAt(t, s.nonce(t)) }
+
+func (s *schedule) startAt(t *rapid.T, n uint64) {
 	if !s.w.Start(n, s.now) {
 		return
 	}
@@ -108,8 +123,9 @@
 	}
 }
 
-func (s *schedule) finish(t *rapid.T) {
-	n := s.nonce(t)
+func (s *schedule) finish(t *rapid.T) { s.finishAt(t, s.nonce(t)) }
+
+func (s *schedule) finishAt(t *rapid.T, n uint64) {
 	h := s.of(n)
 	if h.runs == 0 || h.finish || h.unknown {
 		return
@@ -124,6 +140,24 @@
 	s.w.Finish(n, Result{Outcome: Complete, Answer: Answer{Status: 200, Body: []byte(h.answer)}})
 }
 
+// use takes a ticket from its admission to its end, so that bounds are met
+// often.
+func (s *schedule) use(t *rapid.T) {
+	n := s.nonce(t)
+	s.admitAt(t, n)
+	s.startAt(t, n)
+	s.finishAt(t, n)
+}
+
+// useFresh does so with a ticket that was never used.
+func (s *schedule) useFresh(t *rapid.T) {
+	s.issue(t)
+	n := uint64(len(s.past) - 1)
+	s.admitAt(t, n)
+	s.startAt(t, n)
+	s.finishAt(t, n)
+}
+
 func (s *schedule) check(t *rapid.T) {
 	u := s.w.Usage()
 	if u.Entries > s.bounds.Entries || u.Bytes > s.bounds.Bytes {
@@ -151,6 +185,8 @@
 			"start":  s.start,
 			"void":   s.void,
 			"finish": s.finish,
+			"use":    s.use,
+			"fresh":  s.useFresh,
 			"wait":   func(*rapid.T) { s.now = s.now.Add(time.Second) },
 		})
 	})
@@ -221,6 +257,17 @@
 	g.Expect(verdict).To(Equal(Admitted))
 }
 
+func TestWindowVoidsOnlyWhatDidNotStart(t *testing.T) {
+	g := NewWithT(t)
+	w := newWindow(t, Bounds{Entries: 4, Bytes: 100, Span: 64})
+	n := w.Issue()
+	w.Admit(n, Digest{}, epoch.Add(time.Hour))
+	g.Expect(w.Start(n, epoch)).To(BeTrue())
+	g.Expect(w.Void(n)).To(BeFalse())
+	w.Finish(n, Result{Outcome: Complete})
+	g.Expect(w.Void(n)).To(BeFalse())
+}
+
 func TestWindowRefusesWhenAllEntriesAreAtWork(t *testing.T) {
 	g := NewWithT(t)
 	w := newWindow(t, Bounds{Entries: 1, Bytes: 100, Span: 64})
