Carry feeds without the HTTP transport's goroutines

Change: a feed's request goes over a connection of its own, written and parsed by net/http's codec but without its transport, whose two goroutines, buffers and bookkeeping served no purpose here. Benchmarks with callers and upstream in a second process, so that their memory doesn't count.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -143,15 +143,19 @@
 
 // newCaller returns an HTTP/3 client that reaches every name at the face.
 func newCaller(t testing.TB, face netip.AddrPort) *http.Client {
-	transport := &http3.Transport{
+	c := dialer(face)
+	t.Cleanup(func() { _ = c.Transport.(*http3.Transport).Close() })
+	return c
+}
+
+func dialer(face netip.AddrPort) *http.Client {
+	return &http.Client{Transport: &http3.Transport{
 		TLSClientConfig: &tls.Config{InsecureSkipVerify: true, ServerName: testService},
 		QUICConfig:      &quic.Config{MaxIdleTimeout: time.Minute}, // says nothing by itself
 		Dial: func(ctx context.Context, _ string, t *tls.Config, c *quic.Config) (*quic.Conn, error) {
 			return quic.DialAddrEarly(ctx, face.String(), t, c)
 		},
-	}
-	t.Cleanup(func() { _ = transport.Close() })
-	return &http.Client{Transport: transport}
+	}}
 }
 
 // feedHandler is an upstream: lookups, uploads that are counted, and a feed
--- /dev/null
+++ b/internal/agent/bench_test.go
@@ -0,0 +1,191 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+)
+
+// The memory of callers and upstreams must not count as the agent's, so that
+// the benchmark runs them in a second process: this binary with this variable.
+const callersEnv = "SALTBEND_TEST_CALLERS"
+
+const (
+	feedPath     = "/feed"
+	benchCallers = 1000
+	// eventEvery is how often each feed brings an event.
+	eventEvery = time.Second
+	// settle lets all feeds bring some events before memory is measured.
+	settle = 3 * time.Second
+	// dialers is how many callers connect at once.
+	dialers = 8
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(callersEnv) != "" {
+		if err := callers(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// callers is the second process. It prints the address of an upstream, reads
+// the face, the path to ask for and the number of callers, prints a line when
+// all are connected, and ends with its input.
+func callers(in io.Reader, out io.Writer) error {
+	up := httptest.NewServer(http.HandlerFunc(tick))
+	fmt.Fprintln(out, up.URL)
+	var face, path string
+	var n int
+	if _, err := fmt.Fscanln(in, &face, &path, &n); err != nil {
+		return err
+	}
+	g, ctx := errgroup.WithContext(context.Background())
+	g.SetLimit(dialers)
+	for range n {
+		g.Go(func() error { return hold(ctx, netip.MustParseAddrPort(face), path) })
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, "open")
+	_, err := io.Copy(io.Discard, in)
+	return err
+}
+
+// tick is a feed with one event at a time, or a lookup.
+func tick(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != feedPath {
+		fmt.Fprintln(w, "found")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for r.Context().Err() == nil {
+		fmt.Fprintf(w, "data: %s\n\n", strings.Repeat("x", 200))
+		_ = http.NewResponseController(w).Flush()
+		wait(r.Context(), eventEvery)
+	}
+}
+
+// hold asks on a connection of its own, takes one line and reads on in the
+// background.
+func hold(ctx context.Context, face netip.AddrPort, path string) error {
+	resp, err := dialer(face).Get("https://" + testService + path)
+	if err != nil {
+		return err
+	}
+	r := bufio.NewReader(resp.Body)
+	if _, err := r.ReadString('\n'); err != nil {
+		return err
+	}
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	return ctx.Err()
+}
+
+// BenchmarkFeed measures what one open feed costs the agent: heap in use after
+// a collection, stacks, and goroutines.
+func BenchmarkFeed(b *testing.B) {
+	for b.Loop() {
+		measure(b, feedPath)
+	}
+	b.ReportMetric(0, "ns/op") // the time says nothing
+}
+
+// BenchmarkConnection measures a connection that is idle after one lookup: the
+// part of a feed that the libraries take.
+func BenchmarkConnection(b *testing.B) {
+	for b.Loop() {
+		measure(b, "/runner/1")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+func measure(b *testing.B, path string) {
+	g := NewWithT(b)
+	second := exec.Command(os.Args[0])
+	second.Env = append(os.Environ(), callersEnv+"=1")
+	second.Stderr = os.Stderr
+	in, err := second.StdinPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	out, err := second.StdoutPipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.Start()).To(Succeed())
+	defer func() {
+		_ = in.Close()
+		_ = second.Wait()
+	}()
+	lines := bufio.NewScanner(out)
+	g.Expect(lines.Scan()).To(BeTrue())
+	f := newFabric(b, 3)
+	p := startAgent(b, lines.Text(), nil)
+	defer p.stop()
+	f.setNewFlow(p.addresses.Data)
+	before := memory()
+	fmt.Fprintln(in, addrOf(f.face), path, benchCallers)
+	g.Expect(lines.Scan()).To(BeTrue(), "all are connected")
+	time.Sleep(settle) // lets events flow; a longer wait measures the same
+	after := memory()
+	heap, stack := after.heap-before.heap, after.stack-before.stack
+	b.ReportMetric(heap/benchCallers, "heap-B/caller")
+	b.ReportMetric(stack/benchCallers, "stack-B/caller")
+	b.ReportMetric((heap+stack)/benchCallers, "total-B/caller")
+	b.ReportMetric((after.goroutines-before.goroutines)/benchCallers, "goroutines/caller")
+}
+
+type usage struct{ heap, stack, goroutines float64 }
+
+func memory() usage {
+	runtime.GC()
+	runtime.GC() // the first one empties the pools' first generation
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return usage{
+		heap:       float64(m.HeapAlloc),
+		stack:      float64(m.StackInuse),
+		goroutines: float64(runtime.NumGoroutine()),
+	}
+}
+
+// BenchmarkHandshake opens and closes connections through one balancer; caller,
+// balancer and agent share the machine.
+func BenchmarkHandshake(b *testing.B) {
+	g := NewWithT(b)
+	e := startEndpoint(b, anyPort, named("a"), nil)
+	f := newFabric(b, 1)
+	f.setNewFlow(e.conn.Addr())
+	tlsConfig := &tls.Config{InsecureSkipVerify: true, ServerName: testService, NextProtos: []string{"h3"}}
+	socket := listenUDP(b)
+	transport := &quic.Transport{Conn: socket}
+	b.Cleanup(func() { _ = transport.Close() })
+	var group errgroup.Group
+	group.SetLimit(dialers)
+	for b.Loop() {
+		group.Go(func() error {
+			conn, err := transport.Dial(context.Background(), f.face.LocalAddr(), tlsConfig, nil)
+			if err != nil {
+				return err
+			}
+			return conn.CloseWithError(0, "")
+		})
+	}
+	g.Expect(group.Wait()).To(Succeed())
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "handshakes/s")
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -21,9 +21,6 @@
 	idleTimeout = 30 * time.Second
 	// maxIdle is the number of pooled connections; an upstream has few slots.
 	maxIdle = 64
-	// feedBuffer is the size of the read and the write buffer of a feed's
-	// connection in bytes: a feed is open for hours and carries small events.
-	feedBuffer = 1 << 10
 	// maxHeader bounds the headers of a response in bytes.
 	maxHeader = 64 << 10
 )
@@ -33,16 +30,16 @@
 
 // Client is the Runner of one upstream.
 //
-// It has three transports. Idempotent requests share pooled connections. The
-// others get a connection of their own: on a pooled one that the upstream has
-// just closed, nobody could tell whether the request ran, and net/http sends
-// some requests again on a second connection by itself; it never does so when
-// the first was fresh. Feeds have small buffers.
+// Idempotent requests share pooled connections. The others get a connection of
+// their own: on a pooled one that the upstream has just closed, nobody could
+// tell whether the request ran, and net/http sends some requests again on a
+// second connection by itself; it never does so when the first was fresh. Feeds
+// have connections of their own that cost little memory.
 type Client struct {
 	base   *url.URL
+	dialer *net.Dialer
 	pooled *http.Transport
 	single *http.Transport
-	feeds  *http.Transport
 }
 
 var _ Runner = (*Client)(nil)
@@ -50,21 +47,17 @@
 // New returns a client of the upstream at base, an http URL whose path is put
 // before each request's path.
 func New(base *url.URL) *Client {
-	pooled := newTransport()
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	pooled := newTransport(dialer)
 	pooled.MaxIdleConnsPerHost = maxIdle
 	pooled.MaxIdleConns = maxIdle
 	pooled.IdleConnTimeout = idleTimeout
-	single := newTransport()
+	single := newTransport(dialer)
 	single.DisableKeepAlives = true
-	feeds := newTransport()
-	feeds.DisableKeepAlives = true
-	feeds.ReadBufferSize = feedBuffer
-	feeds.WriteBufferSize = feedBuffer
-	return &Client{base: base, pooled: pooled, single: single, feeds: feeds}
+	return &Client{base: base, dialer: dialer, pooled: pooled, single: single}
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
@@ -89,30 +82,40 @@
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
 	c.single.CloseIdleConnections()
-	c.feeds.CloseIdleConnections()
 }
 
 // Run implements Runner.
 func (c *Client) Run(ctx context.Context, r *http.Request, class config.Class) (*http.Response, error) {
-	var s sending
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn})
-	out := c.outgoing(ctx, r)
-	resp, err := c.transport(class).RoundTrip(out)
+	run := c.runRequest
+	if class.Kind == config.KindFeed {
+		run = c.runFeed
+	} else if class.Idempotent {
+		run = c.runPooled
+	}
+	resp, err := run(ctx, c.outgoing(ctx, r))
 	if err != nil {
-		return nil, &Error{Outcome: s.seal(), Cause: errors.Wrap(err, "upstream")}
+		return nil, err
 	}
 	removeHopByHop(resp.Header)
 	return resp, nil
 }
 
-func (c *Client) transport(class config.Class) *http.Transport {
-	switch {
-	case class.Kind == config.KindFeed:
-		return c.feeds
-	case class.Idempotent:
-		return c.pooled
+func (c *Client) runPooled(ctx context.Context, out *http.Request) (*http.Response, error) {
+	return roundTrip(ctx, c.pooled, out)
+}
+
+func (c *Client) runRequest(ctx context.Context, out *http.Request) (*http.Response, error) {
+	return roundTrip(ctx, c.single, out)
+}
+
+func roundTrip(ctx context.Context, transport *http.Transport, out *http.Request) (*http.Response, error) {
+	var s sending
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn})
+	resp, err := transport.RoundTrip(out.WithContext(traced))
+	if err != nil {
+		return nil, &Error{Outcome: s.seal(), Cause: errors.Wrap(err, "upstream")}
 	}
-	return c.single
+	return resp, nil
 }
 
 // outgoing builds the upstream's request from the caller's.
@@ -121,7 +124,7 @@
 	u.Path = joinPath(c.base.Path, r.URL.Path)
 	u.RawPath = joinPath(c.base.EscapedPath(), r.URL.EscapedPath())
 	u.RawQuery = r.URL.RawQuery
-	out := (&http.Request{
+	out := &http.Request{
 		Method:        r.Method,
 		URL:           &u,
 		Host:          r.Host,
@@ -131,7 +134,7 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-	}).WithContext(ctx)
+	}
 	if out.Header == nil {
 		out.Header = http.Header{}
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -223,12 +223,14 @@
 				fmt.Fprint(hijacked, head)
 				_ = hijacked.Close()
 			})
-			resp, err := c.Run(t.Context(), request("GET", "/", nil), lookup)
-			g.Expect(err).NotTo(HaveOccurred())
-			defer resp.Body.Close()
-			w := httptest.NewRecorder()
-			g.Expect(errors.Is(Stream(w, resp.Header, resp.Body), io.ErrUnexpectedEOF)).To(BeTrue())
-			g.Expect(w.Body.String()).To(Equal("half"))
+			for _, class := range []config.Class{lookup, submit, feed} {
+				resp, err := c.Run(t.Context(), request("GET", "/", nil), class)
+				g.Expect(err).NotTo(HaveOccurred())
+				w := httptest.NewRecorder()
+				g.Expect(errors.Is(Stream(w, resp.Header, resp.Body), io.ErrUnexpectedEOF)).To(BeTrue())
+				g.Expect(w.Body.String()).To(Equal("half"))
+				g.Expect(resp.Body.Close()).To(Succeed())
+			}
 		})
 	}
 }
@@ -281,6 +283,26 @@
 	return len(p), nil
 }
 
+func TestFeedEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	gone := make(chan struct{})
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := c.Run(ctx, request("GET", "/feed", nil), feed)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	cancel()
+	_, err = resp.Body.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(context.Canceled))
+	g.Expect(resp.Body.Close()).To(Succeed())
+	g.Eventually(gone).WithTimeout(patience).Should(BeClosed())
+}
+
 func TestUploadIsReadNoFasterThanTheUpstreamTakesIt(t *testing.T) {
 	g := NewWithT(t)
 	const size = 256 << 20
