Tell a part that starts during a rotation of the new secrets

Cause: roles read the key ring when they start to listen and ask for changes later; a SIGHUP in between was missed until the next one. Ruled out: calling every user at once with the ring in force; parts that were just built with it would do the work twice at each start. Change: OnChange calls its user at once where the ring has changed since the process started. Seen failing: the new assertion failed without the change.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -42,13 +42,14 @@
 // safe for concurrent use.
 type Keys struct {
 	mu    sync.Mutex
+	first *keyring.Ring
 	ring  *keyring.Ring
 	users []func(*keyring.Ring)
 }
 
 // NewKeys returns a holder of ring.
 func NewKeys(ring *keyring.Ring) *Keys {
-	return &Keys{ring: ring}
+	return &Keys{first: ring, ring: ring}
 }
 
 // Ring returns the key ring in force.
@@ -58,12 +59,17 @@
 	return k.ring
 }
 
-// OnChange calls use at each later change, one change at a time. use must not
-// block and must not call Keys.
+// OnChange calls use at each later change, one change at a time. Where the ring
+// has changed since NewKeys, it calls use at once: a part that was started with
+// the first ring must not miss a change while it started. use must not block
+// and must not call Keys.
 func (k *Keys) OnChange(use func(*keyring.Ring)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.users = append(k.users, use)
+	if k.ring != k.first {
+		use(k.ring)
+	}
 }
 
 // Set puts ring in force and tells all users.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -103,4 +103,8 @@
 	keys.Set(ring)
 	g.Expect(told).To(BeIdenticalTo(ring))
 	g.Expect(keys.Ring()).To(BeIdenticalTo(ring))
+
+	var late *keyring.Ring
+	keys.OnChange(func(r *keyring.Ring) { late = r })
+	g.Expect(late).To(BeIdenticalTo(ring), "a part that starts during a rotation must not miss it")
 }
