Pass datagrams to the writer by pointer

Cause: each flow has a goroutine of the QUIC library that sends; the header and address copied through its frames (776 bytes of two frames) kept its stack one size larger. Change: the pooled datagram is filled in place.

--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -135,18 +135,17 @@
 	if !ok {
 		return 0, errors.Errorf("flow: %v is not the address of a caller", addr)
 	}
+	d := c.writer.take()
 	c.mu.Lock()
-	via := c.paths.Choose(time.Now(), f)
+	d.to = c.paths.Choose(time.Now(), f)
 	c.mu.Unlock()
-	h := encap.Header{
-		Kind:     encap.KindReply,
-		Caller:   f.Caller,
-		Face:     f.Face,
-		Service:  c.service,
-		Revision: c.revision.Load(),
-		Balancer: via,
-	}
-	c.writer.send(h, p, via)
+	h := &d.header
+	h.Kind = encap.KindReply
+	h.Caller, h.Face = f.Caller, f.Face
+	h.Service = c.service
+	h.Revision = c.revision.Load()
+	h.Balancer = d.to
+	c.writer.send(d, p)
 	sent.Inc()
 	return len(p), nil
 }
@@ -207,13 +206,15 @@
 	due := c.paths.Tick(now)
 	c.mu.Unlock()
 	for _, p := range due {
-		h := encap.Header{
+		d := c.writer.take()
+		d.to = p.Balancer
+		d.header = encap.Header{
 			Kind:     encap.KindProbe,
 			Service:  c.service,
 			Revision: p.Nonce,
 			Balancer: p.Balancer,
 		}
-		c.writer.send(h, nil, p.Balancer)
+		c.writer.send(d, nil)
 		probesSent.Inc()
 	}
 }
--- a/internal/flow/read.go
+++ b/internal/flow/read.go
@@ -76,8 +76,7 @@
 		return nil, nil
 	}
 	if to := c.place(now, h, payload); to.IsValid() {
-		h.Kind = encap.KindHandOn
-		c.writer.send(h, payload, to)
+		c.handOn(h, payload, to)
 		return nil, nil
 	}
 	key := Key{Caller: h.Caller, Face: h.Face}
@@ -91,6 +90,15 @@
 	return payload, f
 }
 
+// handOn passes a datagram on to a sibling as it came.
+func (c *Conn) handOn(h encap.Header, payload []byte, to netip.AddrPort) {
+	d := c.writer.take()
+	d.to = to
+	d.header = h
+	d.header.Kind = encap.KindHandOn
+	c.writer.send(d, payload)
+}
+
 // place returns the sibling that takes a new flow, or the zero AddrPort when
 // the datagram is for here. What was handed on to here stays here.
 func (c *Conn) place(now time.Time, h encap.Header, payload []byte) netip.AddrPort {
--- a/internal/flow/writer.go
+++ b/internal/flow/writer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/ipv4"
 
 	"github.com/saltbend/saltbend/internal/encap"
@@ -20,12 +21,13 @@
 )
 
 // datagram is one datagram to send. buf has room for the header, then the
-// payload.
+// payload. It is passed by pointer: each flow has a goroutine that sends, whose
+// stack should stay small.
 type datagram struct {
 	header encap.Header
 	to     netip.AddrPort
-	buf    *[encap.MaxDatagram]byte
 	n      int
+	buf    [encap.MaxDatagram]byte
 }
 
 // writer sends encapsulated datagrams in batches. Its one goroutine owns the
@@ -33,7 +35,7 @@
 type writer struct {
 	socket *ipv4.PacketConn
 	codec  atomic.Pointer[encap.Codec]
-	queue  chan datagram
+	queue  chan *datagram
 	// done ends run, which sends what is queued and then closes ended.
 	done  chan struct{}
 	ended chan struct{}
@@ -43,36 +45,45 @@
 func newWriter(socket *ipv4.PacketConn, codec *encap.Codec) *writer {
 	w := &writer{
 		socket: socket,
-		queue:  make(chan datagram, sendQueue),
+		queue:  make(chan *datagram, sendQueue),
 		done:   make(chan struct{}),
 		ended:  make(chan struct{}),
-		pool:   sync.Pool{New: func() any { return new([encap.MaxDatagram]byte) }},
+		pool:   sync.Pool{New: func() any { return new(datagram) }},
 	}
 	w.codec.Store(codec)
 	return w
 }
 
-// send queues a datagram; it copies the payload and does not block.
-func (w *writer) send(h encap.Header, payload []byte, to netip.AddrPort) {
+// take returns a datagram to fill in for send.
+func (w *writer) take() *datagram {
+	return w.pool.Get().(*datagram)
+}
+
+// send queues a datagram with a copy of the payload; it does not block, and the
+// datagram is the writer's from now on.
+func (w *writer) send(d *datagram, payload []byte) {
 	if len(payload) > encap.MaxPayload {
-		droppedTooLong.Inc()
+		w.drop(d, droppedTooLong)
 		return
 	}
-	d := datagram{header: h, to: to, buf: w.pool.Get().(*[encap.MaxDatagram]byte)}
 	d.n = encap.HeaderSize + copy(d.buf[encap.HeaderSize:], payload)
 	select {
 	case w.queue <- d:
 	default:
-		w.pool.Put(d.buf)
-		droppedQueue.Inc()
+		w.drop(d, droppedQueue)
 	}
 }
 
+func (w *writer) drop(d *datagram, reason *metrics.Counter) {
+	reason.Inc()
+	w.pool.Put(d)
+}
+
 // run sends until done is closed, and then what is queued by then.
 func (w *writer) run() {
 	defer close(w.ended)
 	messages := newMessages()
-	batch := make([]datagram, 0, batchSize)
+	batch := make([]*datagram, 0, batchSize)
 	for {
 		batch = batch[:0]
 		select {
@@ -86,13 +97,13 @@
 		}
 		w.flush(batch, messages)
 		for _, d := range batch {
-			w.pool.Put(d.buf)
+			w.pool.Put(d)
 		}
 	}
 }
 
 // fill adds what is queued already.
-func (w *writer) fill(batch []datagram) []datagram {
+func (w *writer) fill(batch []*datagram) []*datagram {
 	for len(batch) < batchSize {
 		select {
 		case d := <-w.queue:
@@ -104,11 +115,10 @@
 	return batch
 }
 
-func (w *writer) flush(batch []datagram, messages []ipv4.Message) {
+func (w *writer) flush(batch []*datagram, messages []ipv4.Message) {
 	codec := w.codec.Load()
 	n := 0
-	for i := range batch {
-		d := &batch[i]
+	for _, d := range batch {
 		if err := codec.Encode(d.buf[:], &d.header); err != nil {
 			droppedEncode.Inc()
 			continue
