Refuse a rotation that leaves out a step

Cause: an operator who replaces the secret file by the new secret at once cuts each process that reads it off from all that were not told yet, and breaks every open flow on it. Ruled out: a warning only; the damage is done by the time it is read. Refusing at start as well: a process without memory can't know what was in force, and a leaked secret must be replaceable by restarts. Change: SIGHUP takes a ring only if its current secret was accepted before (keyring.MayFollow); otherwise it logs the reason and the old ring stays. Table of allowed and refused steps; the daemon's test offers two illegal files after a legal one. Conclusion: a wrong order is found at the first host.

--- a/cmd/saltbendd/run_test.go
+++ b/cmd/saltbendd/run_test.go
@@ -21,6 +21,7 @@
 const (
 	patience = 20 * time.Second
 	secret1  = "1:000102030405060708090a0b0c0d0e0f"
+	secret3  = "3:aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbb"
 	secret2  = "2:f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff"
 )
 
@@ -115,16 +116,21 @@
 	var env settings.Env
 	g.Eventually(envs, patience).Should(Receive(&env))
 
-	write(secret2 + "," + secret1)
+	write(secret1 + "," + secret2)
 	signals <- syscall.SIGHUP
 	var ring *keyring.Ring
 	g.Eventually(rings, patience).Should(Receive(&ring))
 	g.Expect(ring.Derive(keyring.PurposePeer, 1)).To(HaveLen(2))
 
-	write("nonsense")
-	signals <- syscall.SIGHUP
+	for _, refused := range []string{"nonsense", secret3, secret3 + "," + secret1} {
+		write(refused)
+		signals <- syscall.SIGHUP
+		// The signal is taken once the next one finds an empty channel.
+		g.Eventually(signals, patience).Should(BeEmpty())
+	}
 	signals <- syscall.SIGTERM
 	g.Eventually(code, patience).Should(Receive(Equal(exit.OK)))
 	g.Expect(env.Keys.Ring()).To(BeIdenticalTo(ring))
-	g.Expect(log.String()).To(ContainSubstring("Secrets not read again."))
+	g.Expect(strings.Count(log.String(), "Secrets not read again.")).To(Equal(3))
+	g.Expect(log.String()).To(ContainSubstring(keyring.ErrOrder.Error()))
 }
--- a/cmd/saltbendd/signals.go
+++ b/cmd/saltbendd/signals.go
@@ -57,10 +57,13 @@
 	return exit.OK
 }
 
-// reload puts the secrets of the file in force. When they are wrong, the old
-// ones stay.
+// reload puts the secrets of the file in force. When they are wrong, or would
+// cut this process off from those that weren't told yet, the old ones stay.
 func reload(c *settings.Common, env settings.Env, log *slog.Logger) {
 	ring, err := c.LoadRing()
+	if err == nil {
+		err = ring.MayFollow(env.Keys.Ring())
+	}
 	if err != nil {
 		log.Error("Secrets not read again.", slog.String("error", err.Error()))
 		env.Events.Add(part, eventKeysError, err.Error())
--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/hkdf"
+	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
@@ -103,3 +104,18 @@
 	}
 	return keys
 }
+
+// ErrOrder says that a ring can't follow another without a break: processes
+// that still hold the other one would not accept what this one signs.
+var ErrOrder = errors.New("the current secret was not accepted before; rotate in steps: old,new then new,old then new")
+
+// MayFollow returns ErrOrder unless the ring's current secret is one that old
+// accepts.
+func (r *Ring) MayFollow(old *Ring) error {
+	for _, s := range old.secrets {
+		if s.ID == r.secrets[0].ID && hmac.Equal(s.Bytes, r.secrets[0].Bytes) {
+			return nil
+		}
+	}
+	return ErrOrder
+}
--- a/internal/keyring/keyring_test.go
+++ b/internal/keyring/keyring_test.go
@@ -58,3 +58,38 @@
 	same := bytes.Equal(other.Derive(keyring.PurposeToken, 32)[0].Bytes, ring.Derive(keyring.PurposeToken, 32)[1].Bytes)
 	g.Expect(same).To(BeTrue(), "the id must not change the key")
 }
+
+func TestARotationKeepsAnAcceptedSecretCurrent(t *testing.T) {
+	const a, b, c = "1:", "2:", "3:"
+	ring := func(ids ...string) *keyring.Ring {
+		var entries []string
+		for _, id := range ids {
+			entries = append(entries, id+hexA+hexB[:2*int(id[0]-'0')])
+		}
+		r, err := keyring.Parse(strings.Join(entries, ","))
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+	cases := []struct {
+		from, to *keyring.Ring
+		allowed  bool
+	}{
+		{ring(a), ring(a, b), true},
+		{ring(a, b), ring(b, a), true},
+		{ring(b, a), ring(b), true},
+		{ring(b, a), ring(b, c), true},
+		{ring(a), ring(a), true},
+		{ring(a), ring(b), false},
+		{ring(a), ring(b, a), false},
+		{ring(a, b), ring(c, a), false},
+	}
+	for i, tc := range cases {
+		g := NewWithT(t)
+		err := tc.to.MayFollow(tc.from)
+		g.Expect(err == nil).To(Equal(tc.allowed), "case %d: %v", i, err)
+	}
+	other, err := keyring.Parse("1:" + hexB)
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(other.MayFollow(ring(a))).To(MatchError(keyring.ErrOrder), "the same id with another secret")
+}
