Place new flows at siblings when an agent is full

Cause: the configured bound of connections held nobody back; only a draining agent handed new flows on. The server is built before it listens, so that the hook never sees an agent without one. Ruled out: choosing by the siblings' numbers of connections, which members don't tell. Seen: go test -race ./internal/agent passes, the new test among them.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -69,7 +69,7 @@
 `
 
 // newStore returns the URL of a platform store that holds the configuration.
-func newStore(t testing.TB) string {
+func newStore(t testing.TB, configuration string) string {
 	g := NewWithT(t)
 	s := httptest.NewServer(storefake.New().Handler())
 	t.Cleanup(s.Close)
@@ -109,7 +109,7 @@
 		change(&s)
 	}
 	if s.Store == nil {
-		s.Store = []string{newStore(t)}
+		s.Store = []string{newStore(t, configuration)}
 	}
 	g.Expect(s.Check()).To(BeEmpty())
 	ready := make(chan settings.Addresses, 1)
--- /dev/null
+++ b/internal/agent/hand.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/placement"
+)
+
+// hand places a new flow: at a ready sibling while the agent drains or has as
+// many connections as the configuration allows, else here.
+func (a *agent) hand(_ encap.Header, dcid []byte) (netip.AddrPort, bool) {
+	snapshot := a.node.Snapshot()
+	if snapshot.Self.State != member.StateDraining && !a.full(snapshot) {
+		return netip.AddrPort{}, false
+	}
+	return sibling(snapshot, dcid)
+}
+
+// full reports whether the agent has as many connections as it may.
+func (a *agent) full(snapshot *control.Snapshot) bool {
+	service := a.serviceIn(snapshot.Config)
+	if service == nil || service.Limits.Connections == 0 {
+		return false
+	}
+	return a.server.connections.Load() >= int64(service.Limits.Connections)
+}
+
+// sibling chooses among the agents of the service that are ready.
+func sibling(snapshot *control.Snapshot, dcid []byte) (netip.AddrPort, bool) {
+	others := make([]member.Member, 0, len(snapshot.Agents))
+	for _, m := range snapshot.Agents {
+		if m.Control != snapshot.Self.Control {
+			others = append(others, m)
+		}
+	}
+	set := placement.NewSet(placement.NewLocality(snapshot.Self.DataCentre, snapshot.Balancers), others, 0)
+	return set.Choose(xxhash.Sum64(dcid))
+}
--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/encap"
 	"github.com/saltbend/saltbend/internal/flow"
+	"github.com/saltbend/saltbend/internal/settings"
 )
 
 // endpoint is the QUIC and HTTP/3 part of an agent alone.
@@ -38,8 +40,8 @@
 	certPEM, keyPEM := certificatePEM(t)
 	cert, err := tls.X509KeyPair(certPEM, keyPEM)
 	g.Expect(err).NotTo(HaveOccurred())
-	s, err := newServer(newTransport(conn, ids, ring, conn.Addr()), cert, handler, slog.New(slog.DiscardHandler))
-	g.Expect(err).NotTo(HaveOccurred())
+	s := newServer(newTransport(conn, ids, ring, conn.Addr()), handler, slog.New(slog.DiscardHandler))
+	g.Expect(s.listen(cert)).To(Succeed())
 	e := &endpoint{conn: conn, server: s}
 	t.Cleanup(e.kill)
 	return e
@@ -219,3 +221,24 @@
 	g.Eventually(p.ended).WithTimeout(patience).Should(BeClosed())
 	g.Expect(p.err).NotTo(HaveOccurred())
 }
+
+func TestFullAgentPlacesNewFlowsAtSiblings(t *testing.T) {
+	g := NewWithT(t)
+	platform := newStore(t, strings.Replace(configuration, "connections: 4000", "connections: 1", 1))
+	start := func(name string, join ...settings.Address) *process {
+		up := httptest.NewServer(named(name))
+		t.Cleanup(up.Close)
+		return startAgent(t, up.URL, func(s *Settings) {
+			s.Store = []string{platform}
+			s.Join = join
+		})
+	}
+	first := start("first")
+	start("second", settings.Address(first.addresses.Control.String()))
+	f := newFabric(t, 2)
+	f.setNewFlow(first.addresses.Data)
+	lookup := func() string { return get(g, newCaller(t, addrOf(f.face)), "https://results/runner/1") }
+	g.Expect(lookup()).To(Equal("first"))
+	// The members have to learn of each other before one can hand on.
+	g.Eventually(lookup).WithTimeout(patience).Should(Equal("second"))
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -199,8 +199,9 @@
 		tickets.SetRing(ring)
 	})
 	transport := newTransport(a.flow, ids, ring, self.Data)
-	a.server, err = newServer(transport, cert, a.requests, a.log)
-	return err
+	a.server = newServer(transport, a.requests, a.log)
+	a.registerMetrics()
+	return a.server.listen(cert)
 }
 
 // serveRequests brings up what answers the callers' requests.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,24 +27,39 @@
 	listener  *quic.EarlyListener
 	http      *http3.Server
 	running   running
-	done      chan error
+	// connections is the number of callers' connections.
+	connections atomic.Int64
+	done        chan error
 }
 
-// newServer listens on the transport and serves handler.
-func newServer(transport *quic.Transport, cert tls.Certificate, handler http.Handler, log *slog.Logger) (*server, error) {
+// newServer returns a server of handler on the transport.
+func newServer(transport *quic.Transport, handler http.Handler, log *slog.Logger) *server {
 	s := &server{transport: transport, done: make(chan error, 1)}
-	listener, err := transport.ListenEarly(tlsConfig(cert), quicConfig())
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for QUIC")
-	}
-	s.listener = listener
 	s.http = &http3.Server{
 		Handler:        s.running.count(handler),
 		MaxHeaderBytes: maxHeaderBytes,
 		Logger:         log,
+		ConnContext:    s.countConnection,
 	}
+	return s
+}
+
+// listen serves from now on; done tells when that fails.
+func (s *server) listen(cert tls.Certificate) error {
+	listener, err := s.transport.ListenEarly(tlsConfig(cert), quicConfig())
+	if err != nil {
+		return errors.Wrap(err, "listen for QUIC")
+	}
+	s.listener = listener
 	go func() { s.done <- s.http.ServeListener(listener) }()
-	return s, nil
+	return nil
+}
+
+// countConnection counts a connection for as long as it lasts.
+func (s *server) countConnection(ctx context.Context, conn *quic.Conn) context.Context {
+	s.connections.Add(1)
+	context.AfterFunc(conn.Context(), func() { s.connections.Add(-1) })
+	return ctx
 }
 
 // shutdown tells all callers to leave, lets running requests end until ctx
@@ -64,7 +80,9 @@
 // close ends everything at once.
 func (s *server) close() {
 	_ = s.http.Close()
-	_ = s.listener.Close()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
 	_ = s.transport.Close()
 }
 
