Let processes leave old events out of the time line

Ruled out: sending the earliest time that is wanted; clocks differ, so the age is sent and each process subtracts it from its own clock. Change: Timeline.Since takes an age and says which sequence number its events should start with, so that events left out are not counted as lost and dropped ones still are, also between rounds. Figures: a collector with an age of a minute leaves out 5 old events without counting them lost, then counts 3 that its ring of 8 dropped.

--- a/cmd/saltbend/timeline.go
+++ b/cmd/saltbend/timeline.go
@@ -27,7 +27,7 @@
 	outputFlags
 	peerFlags
 	Parts    []string      `long:"part" value-name:"PART" env:"SALTBEND_PART" env-delim:"," description:"print only events of this part; may be repeated"`
-	Since    time.Duration `long:"since" value-name:"DURATION" env:"SALTBEND_SINCE" description:"print only events that are younger than this; 0 prints all that are kept"`
+	Since    time.Duration `long:"since" value-name:"DURATION" env:"SALTBEND_SINCE" description:"print only events that are younger than this; processes leave out the others; 0 prints all that are kept"`
 	Follow   bool          `long:"follow" env:"SALTBEND_FOLLOW" description:"go on printing new events until interrupted"`
 	Interval time.Duration `long:"interval" value-name:"DURATION" env:"SALTBEND_INTERVAL" default:"1s" description:"time between two rounds of collecting with --follow"`
 }
@@ -44,7 +44,7 @@
 	}
 	reader := &timelineReader{
 		command: c, out: out, access: access, members: members,
-		fleet:  timeline.NewFleet(access.caller, c.PeerTimeout, time.Now),
+		fleet:  timeline.NewFleet(access.caller, c.PeerTimeout, max(c.Since, 0), time.Now),
 		merger: timeline.NewMerger(),
 		failed: make(map[netip.AddrPort]bool),
 	}
--- a/internal/timeline/collect.go
+++ b/internal/timeline/collect.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/peer"
 )
 
@@ -18,6 +17,7 @@
 type Collector struct {
 	caller peer.Caller
 	addr   netip.AddrPort
+	age    time.Duration
 	now    func() time.Time
 	start  time.Time
 	next   uint64
@@ -25,9 +25,10 @@
 	known  bool
 }
 
-// NewCollector returns a collector of the process at addr.
-func NewCollector(caller peer.Caller, addr netip.AddrPort, now func() time.Time) *Collector {
-	return &Collector{caller: caller, addr: addr, now: now}
+// NewCollector returns a collector of the process at addr. It starts with the
+// events of the given age; 0 means all that are kept.
+func NewCollector(caller peer.Caller, addr netip.AddrPort, age time.Duration, now func() time.Time) *Collector {
+	return &Collector{caller: caller, addr: addr, age: age, now: now}
 }
 
 // Addr returns the control address of the process.
@@ -36,16 +37,20 @@
 // Collect returns the events since the last call. With an error it returns
 // those that came before it.
 func (c *Collector) Collect(ctx context.Context) (Log, error) {
-	var events []event.Event
+	var log Log
 	for probe := 0; ; probe++ {
 		reply, err := c.ask(ctx)
+		log.Offset = c.offset
 		if err != nil {
-			return Log{Events: events, Offset: c.offset}, err
+			return log, err
 		}
-		events = append(events, reply.Events...)
+		if len(log.Events) == 0 {
+			log.Expected = reply.First
+		}
+		log.Events = append(log.Events, reply.Events...)
 		if !reply.More && (c.known || probe+1 >= probes) {
 			c.known = true
-			return Log{Events: events, Offset: c.offset}, nil
+			return log, nil
 		}
 	}
 }
@@ -56,7 +61,7 @@
 	for {
 		var reply SinceReply
 		sample := Sample{Sent: c.now()}
-		if err := c.caller.Call(ctx, c.addr, methodSince, SinceArgs{Seq: c.next}, &reply); err != nil {
+		if err := c.caller.Call(ctx, c.addr, methodSince, SinceArgs{Seq: c.next, Age: c.age}, &reply); err != nil {
 			return SinceReply{}, err
 		}
 		sample.Remote, sample.Received = reply.Now, c.now()
--- a/internal/timeline/collect_test.go
+++ b/internal/timeline/collect_test.go
@@ -38,7 +38,7 @@
 	clock := tick(epoch.Add(time.Hour))
 	ring := event.NewRing(4096, clock)
 	d := &direct{service: timeline.NewService(processAddr, ring, clock)}
-	c := timeline.NewCollector(d, processAddr, tick(epoch))
+	c := timeline.NewCollector(d, processAddr, 0, tick(epoch))
 	for range timeline.MaxEvents + 10 {
 		ring.Add("part", "kind", "")
 	}
@@ -63,3 +63,35 @@
 	g.Expect(log.Events[0].Kind).To(Equal(event.Kind("first")))
 	g.Expect(log.Offset.Ahead).To(BeNumerically("~", 2*time.Hour, 10*time.Second))
 }
+
+func TestCollectorLeavesOutOldEventsWithoutCallingThemLost(t *testing.T) {
+	g := NewWithT(t)
+	now := epoch
+	clock := func() time.Time { return now }
+	const size = 8
+	ring := event.NewRing(size, clock)
+	c := timeline.NewCollector(&direct{service: timeline.NewService(processAddr, ring, clock)}, processAddr, time.Minute, clock)
+	merger := timeline.NewMerger()
+	collect := func() []timeline.Entry {
+		log, err := c.Collect(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		merger.Add("p", log)
+		return merger.Flush()
+	}
+	add := func(n int) {
+		for range n {
+			ring.Add("part", "kind", "")
+		}
+	}
+	add(5)
+	now = now.Add(time.Hour)
+	g.Expect(collect()).To(BeEmpty())
+	add(2)
+	entries := collect()
+	g.Expect(entries).To(HaveLen(2))
+	g.Expect(entries[0].Lost).To(BeZero())
+	add(size + 3)
+	entries = collect()
+	g.Expect(entries).To(HaveLen(size))
+	g.Expect(entries[0].Lost).To(Equal(uint64(3)))
+}
--- a/internal/timeline/fleet.go
+++ b/internal/timeline/fleet.go
@@ -19,12 +19,14 @@
 	caller     peer.Caller
 	now        func() time.Time
 	timeout    time.Duration
+	age        time.Duration
 	collectors map[netip.AddrPort]*Collector
 }
 
-// NewFleet returns a fleet that gives each process timeout to answer.
-func NewFleet(caller peer.Caller, timeout time.Duration, now func() time.Time) *Fleet {
-	return &Fleet{caller: caller, now: now, timeout: timeout, collectors: make(map[netip.AddrPort]*Collector)}
+// NewFleet returns a fleet that gives each process timeout to answer, and
+// starts with its events of the given age; 0 means all that are kept.
+func NewFleet(caller peer.Caller, timeout, age time.Duration, now func() time.Time) *Fleet {
+	return &Fleet{caller: caller, now: now, timeout: timeout, age: age, collectors: make(map[netip.AddrPort]*Collector)}
 }
 
 // Round is what one round of requests brought.
@@ -64,7 +66,7 @@
 func (f *Fleet) collector(addr netip.AddrPort) *Collector {
 	c := f.collectors[addr]
 	if c == nil {
-		c = NewCollector(f.caller, addr, f.now)
+		c = NewCollector(f.caller, addr, f.age, f.now)
 		f.collectors[addr] = c
 	}
 	return c
--- a/internal/timeline/merge_test.go
+++ b/internal/timeline/merge_test.go
@@ -111,9 +111,13 @@
 	if got := m.Release(epoch.Add(1050 * time.Millisecond)); len(got) != 1 || got[0].Seq != 0 {
 		t.Fatalf("released %+v, want event 0 alone", got)
 	}
-	m.Add("p", timeline.Log{Events: []event.Event{at(5)}, Offset: offset})
+	m.Add("p", timeline.Log{Events: []event.Event{at(5)}, Offset: offset, Expected: 3})
 	rest := m.Flush()
 	if len(rest) != 3 || rest[0].Seq != 1 || rest[0].Lost != 0 || rest[2].Lost != 2 {
 		t.Fatalf("flushed %+v, want events 1, 2 and 5 with 2 lost before it", rest)
 	}
+	m.Add("p", timeline.Log{Events: []event.Event{at(9)}, Offset: offset, Expected: 8})
+	if rest = m.Flush(); len(rest) != 1 || rest[0].Lost != 1 {
+		t.Fatalf("flushed %+v, want event 9 with 1 lost before it", rest)
+	}
 }
--- a/internal/timeline/merger.go
+++ b/internal/timeline/merger.go
@@ -15,6 +15,9 @@
 // Add takes the next events of a process and the newest estimate of its clock.
 func (m *Merger) Add(process string, log Log) {
 	held := m.pending[process]
+	if len(held.Events) == 0 {
+		held.Expected = log.Expected
+	}
 	held.Events = append(held.Events, log.Events...)
 	held.Offset = log.Offset
 	m.pending[process] = held
--- a/internal/timeline/service.go
+++ b/internal/timeline/service.go
@@ -27,6 +27,9 @@
 // SinceArgs asks for the events from a sequence number on.
 type SinceArgs struct {
 	Seq uint64
+	// Age leaves out events that are older by the process's own clock; 0 asks
+	// for all that are kept. Without it the rings of a large fleet are millions of events.
+	Age time.Duration
 }
 
 // SinceReply holds events of one process, oldest first.
@@ -35,7 +38,11 @@
 	// that it is another process, which numbers its events from 0 again.
 	Start time.Time
 	// Now is the process's clock while it answered.
-	Now    time.Time
+	Now time.Time
+	// First is the sequence number that the first event should have: the one
+	// that was asked for, or a later one where older events were left out. A
+	// gap after it means that the ring has dropped events.
+	First  uint64
 	Events []event.Event
 	// Next is the sequence number to ask for next; More says that there are
 	// events already.
@@ -64,17 +71,32 @@
 
 // Since is called over net/rpc.
 func (s *Service) Since(args SinceArgs, reply *SinceReply) error {
-	events := s.ring.Since(args.Seq)
+	now := s.now()
+	events, first := recent(s.ring.Since(args.Seq), args, now)
 	more := len(events) > MaxEvents
 	if more {
 		events = events[:MaxEvents]
 	}
-	next := args.Seq
+	next := first
 	for i := range events {
 		events[i].Process = s.process
 		events[i].Detail = events[i].Detail[:min(len(events[i].Detail), maxDetail)]
 		next = events[i].Seq + 1
 	}
-	*reply = SinceReply{Start: s.start, Now: s.now(), Events: events, Next: next, More: more}
+	*reply = SinceReply{Start: s.start, Now: s.now(), First: first, Events: events, Next: next, More: more}
 	return nil
 }
+
+// recent leaves out the events before the first one that is young enough.
+func recent(events []event.Event, args SinceArgs, now time.Time) (young []event.Event, first uint64) {
+	if args.Age <= 0 {
+		return events, args.Seq
+	}
+	oldest := now.Add(-args.Age)
+	first = args.Seq
+	for len(events) > 0 && events[0].Time.Before(oldest) {
+		first = events[0].Seq + 1
+		events = events[1:]
+	}
+	return events, first
+}
