Bound the processor time that strangers can take by handshakes

Cause: anyone who reaches the control port could make a process compute handshakes without end; it carries callers' datagrams on the same cores. Ruled out: refusing by address (strangers choose theirs); refusing at once above the rate, which would also refuse a fleet that restarts; connections wait for their turn as long as the handshake's bound allows. Change: at most 100 handshakes a second after a burst of 200, by the rate-limit library; an option for it. Seen failing: the new spec fails without the wait.

--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 
 	"github.com/saltbend/saltbend/internal/keyring"
 	"github.com/saltbend/saltbend/internal/peer"
@@ -32,7 +33,7 @@
 
 func benchServer(b *testing.B) *peer.Peer {
 	b.Helper()
-	p, err := peer.Listen(loopback, benchRing(b))
+	p, err := peer.Listen(loopback, benchRing(b), peer.WithHandshakes(rate.Inf, 1))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Default limits.
@@ -22,6 +24,12 @@
 	// DefaultServed bounds the connections that are served at once, those in
 	// the handshake among them.
 	DefaultServed = 4096
+	// DefaultHandshakes bounds the handshakes a second that are answered, and
+	// DefaultHandshakeBurst those at once. A handshake costs about a
+	// millisecond of processor time, which strangers must not take from traffic;
+	// a restart of the whole fleet brings a process some dozens.
+	DefaultHandshakes     = 100
+	DefaultHandshakeBurst = 200
 )
 
 // serverIdleFactor keeps the server's end open for longer than the caller's,
@@ -36,6 +44,8 @@
 	idle         time.Duration
 	dial         time.Duration
 	write        time.Duration
+	handshakes   rate.Limit
+	burst        int
 }
 
 func defaults() options {
@@ -47,6 +57,8 @@
 		idle:         DefaultIdle,
 		dial:         DefaultDial,
 		write:        DefaultWrite,
+		handshakes:   DefaultHandshakes,
+		burst:        DefaultHandshakeBurst,
 	}
 }
 
@@ -82,3 +94,9 @@
 func WithServed(n int) Option {
 	return func(o *options) { o.maxServed = n }
 }
+
+// WithHandshakes bounds the handshakes that are answered to a rate a second,
+// and to burst at once.
+func WithHandshakes(perSecond rate.Limit, burst int) Option {
+	return func(o *options) { o.handshakes, o.burst = perSecond, burst }
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,7 @@
 	traffic  *traffic
 	slots    chan struct{}
 	refusals *rate.Limiter
+	welcomes *rate.Limiter
 
 	mu     sync.Mutex
 	closed bool
@@ -102,6 +103,7 @@
 		traffic:  newTraffic(),
 		slots:    make(chan struct{}, o.maxServed),
 		refusals: rate.NewLimiter(refusalsPerSecond, refusalBurst),
+		welcomes: rate.NewLimiter(o.handshakes, o.burst),
 		served:   make(map[*serverConn]struct{}),
 		pool:     make(map[netip.AddrPort]*clientConn),
 		done:     make(chan struct{}),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -58,9 +58,14 @@
 }
 
 // welcome makes the handshake and tells the caller that its key is accepted.
+// Above the rate of handshakes a connection waits, and is refused at once when
+// its turn would come too late.
 func (p *Peer) welcome(conn *tls.Conn) error {
 	ctx, cancel := context.WithTimeout(context.Background(), p.options.dial)
 	defer cancel()
+	if err := p.welcomes.Wait(ctx); err != nil {
+		return err
+	}
 	if err := conn.HandshakeContext(ctx); err != nil {
 		return err
 	}
--- a/internal/peer/stranger_test.go
+++ b/internal/peer/stranger_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/time/rate"
 
 	"github.com/saltbend/saltbend/internal/peer"
 )
@@ -76,6 +77,21 @@
 		expectEnd(silent)
 	})
 
+	It("takes no more processor time than the rate of handshakes allows", func() {
+		a, _ := serve(ring(secretA), peer.WithHandshakes(rate.Every(time.Hour), 2))
+		b, _ := serve(ring(secretA))
+		Expect(echo(b, a.Addr())).To(Succeed())
+		garbage := connect(a)
+		_, err := garbage.Write([]byte("garbage\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		expectEnd(garbage)
+		late, err := peer.NewCaller(ring(secretA))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(late.Close)
+		Expect(echo(late, a.Addr())).To(MatchError(peer.ErrUnreachable))
+		Expect(echo(b, a.Addr())).To(Succeed())
+	})
+
 	It("that accepts and stays silent is unreachable after the handshake's bound", func() {
 		listener, err := net.Listen("tcp", loopback.String())
 		Expect(err).NotTo(HaveOccurred())
