health: let an upstream earn its work by observed outcomes

Cause: an upstream that answers errors at once has free slots all the time and drew the work of its siblings; health endpoints lag or mislead. Change: internal/health (pure) keeps the share of good outcomes and latencies; out of them come slots, whether the agent may draw work, and a weight for new flows in steps of 250, with a slow start. A report of bad health counts only where recent outcomes don't contradict it. Below the panic threshold health is ignored for requests. A sick upstream's agent gives nine in ten movable requests to siblings; the tenth shows whether it has recovered. Ruled out: judging peers by the weight that panic itself raises (it would swing to and fro); the weight stays true, the panic rule reads it.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -3,11 +3,23 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/member"
 )
 
+// leaving tells of a reason to drain other than the process being stopped: the
+// upstream announces that it drains, or its service is gone.
+type leaving struct {
+	asked chan struct{}
+	once  *sync.Once
+}
+
+func newLeaving() leaving { return leaving{asked: make(chan struct{}), once: &sync.Once{}} }
+
+func (l leaving) ask() { l.once.Do(func() { close(l.asked) }) }
+
 // drain stops new work, lets running work and feeds end, and returns when none
 // is left or the drain's timeout is over.
 func (a *agent) drain() {
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/health"
 	"github.com/saltbend/saltbend/internal/member"
 )
 
@@ -40,6 +41,16 @@
 	a.flow.SetRevision(snapshot.Config.Revision)
 	if service := a.serviceIn(snapshot.Config); service != nil {
 		a.applyService(service)
+	} else if a.fleet.ready {
+		a.leaving.ask() // the configuration no longer has the service
+	}
+}
+
+// judged takes up what the upstream has earned.
+func (a *agent) judged(v health.Verdict) {
+	a.node.SetLoad(v.Weight)
+	if v.Draining {
+		a.leaving.ask()
 	}
 }
 
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -62,11 +62,12 @@
 	server   *server
 	cancel   context.CancelFunc // ends the node and the requests' scheduler
 	fleet    fleet
+	leaving  leaving
 }
 
 // Run serves until ctx ends, then lets running work end and returns.
 func Run(ctx context.Context, s Settings, env settings.Env) error {
-	a := &agent{settings: s, env: env, log: logging.Part(env.Logger, part)}
+	a := &agent{settings: s, env: env, log: logging.Part(env.Logger, part), leaving: newLeaving()}
 	defer a.close()
 	if err := a.start(); err != nil {
 		return err
@@ -76,6 +77,9 @@
 	case <-ctx.Done():
 		a.drain()
 		return nil
+	case <-a.leaving.asked:
+		a.drain()
+		return nil
 	case err := <-a.server.done:
 		return errors.Wrap(err, "serve callers")
 	}
@@ -224,6 +228,7 @@
 		Caller:   a.peer,
 		Registry: a.peer,
 		Tickets:  tickets,
+		Judged:   a.judged,
 		Events:   a.env.Events,
 		Logger:   a.env.Logger,
 	})
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// probeOneIn is the share of movable requests that an unhealthy upstream keeps:
+// one in so many.
+const probeOneIn = 10
+
 // Options choose between policies.
 type Options struct {
 	// IgnoreDeadlines admits by the length of the queue alone. It exists to
@@ -182,7 +186,7 @@
 
 // placeNow starts or pushes a request that needn't wait.
 func (s *Scheduler) placeNow(now time.Time, r Request) bool {
-	rather := r.Movable && (r.Elsewhere || s.draining)
+	rather := r.Movable && (r.Elsewhere || s.draining || s.avoids())
 	if rather && s.pushAnywhere(now, r) {
 		return true
 	}
@@ -197,7 +201,14 @@
 		s.start(r)
 		return true
 	}
-	return r.Movable && s.pushIdle(now, r)
+	return r.Movable && s.pushIdle(now, r, false)
+}
+
+// avoids reports whether a request should rather not run here: the upstream's
+// outcomes are bad. Some still do, or the upstream could not show itself
+// healthy again.
+func (s *Scheduler) avoids() bool {
+	return !s.draws && s.rng.IntN(probeOneIn) != 0
 }
 
 // admit queues a request that can still make its deadline, or refuses it.
--- a/internal/dispatch/sibling.go
+++ b/internal/dispatch/sibling.go
@@ -191,21 +191,22 @@
 	return s.finish(now)
 }
 
-// pushIdle pushes r to a sibling that has an idle slot.
-func (s *Scheduler) pushIdle(now time.Time, r Request) bool {
+// pushIdle pushes r to a sibling that has an idle slot. With admit it stays
+// there though the slot may be taken by then.
+func (s *Scheduler) pushIdle(now time.Time, r Request, admit bool) bool {
 	v := s.pickIdle(now)
 	if v == nil {
 		return false
 	}
 	v.heard.Idle--
-	s.push(now, r, Push{To: v.addr})
+	s.push(now, r, Push{To: v.addr, Admit: admit})
 	return true
 }
 
 // pushAnywhere pushes r to an idle sibling, else to the one with the shortest
 // queue.
 func (s *Scheduler) pushAnywhere(now time.Time, r Request) bool {
-	if s.pushIdle(now, r) {
+	if s.pushIdle(now, r, true) {
 		return true
 	}
 	var best *view
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,131 @@
+package health_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/health"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const slots = 5
+
+func tracker(outcomes int, o health.Outcome) (t *health.Tracker, now time.Time) {
+	t = health.NewTracker(start, 0)
+	now = start
+	for range outcomes {
+		now = now.Add(10 * time.Millisecond)
+		t.Observe(now, o)
+	}
+	return t, now
+}
+
+var (
+	good = health.Outcome{Good: true, Latency: 20 * time.Millisecond}
+	fast = health.Outcome{Latency: time.Millisecond}
+)
+
+func TestFastErrorsEarnNothing(t *testing.T) {
+	tr, now := tracker(100, fast)
+	tr.Hear(now, health.Report{Healthy: true})
+	v := tr.Judge(now, slots, health.Peers{Known: 6, Healthy: 6, PanicThreshold: 0.5})
+	if v.Draws || v.Slots != 1 || v.Weight > 100 {
+		t.Fatalf("an upstream that answers errors earned %+v", v)
+	}
+	for range 100 {
+		tr.Observe(now, good)
+	}
+	if v := tr.Judge(now, slots, health.Peers{}); !v.Draws || v.Slots != slots || v.Weight < 750 {
+		t.Fatalf("recovered upstream earned %+v", v)
+	}
+}
+
+func TestOutcomesOutweighAReportOfBadHealth(t *testing.T) {
+	tr, now := tracker(100, good)
+	tr.Hear(now, health.Report{Healthy: false})
+	if v := tr.Judge(now, slots, health.Peers{}); !v.Draws || v.Weight != health.FullWeight {
+		t.Fatalf("contradicted report counted: %+v", v)
+	}
+	if v := tr.Judge(now.Add(time.Minute), slots, health.Peers{}); v.Draws || v.Weight != 0 {
+		t.Fatalf("nothing contradicts the report any more: %+v", v)
+	}
+}
+
+func TestSlowStartRaisesTheWeight(t *testing.T) {
+	tr := health.NewTracker(start, 10*time.Second)
+	last := 0
+	for _, after := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 10 * time.Second} {
+		// The steps lie further apart than the grain of weights.
+		w := tr.Judge(start.Add(after), slots, health.Peers{}).Weight
+		if w <= last {
+			t.Fatalf("weight %d after %s, %d before", w, after, last)
+		}
+		last = w
+	}
+	if last != health.FullWeight {
+		t.Fatalf("weight %d when warm", last)
+	}
+}
+
+func TestLatencyAboveItsPastLowersTheWeight(t *testing.T) {
+	tr, now := tracker(1000, good)
+	for range 100 {
+		tr.Observe(now, health.Outcome{Good: true, Latency: 400 * time.Millisecond})
+	}
+	if w := tr.Judge(now, slots, health.Peers{}).Weight; w > health.FullWeight/2 {
+		t.Fatalf("weight %d of an upstream that got 20 times slower", w)
+	}
+}
+
+func TestPanicSpreadsWork(t *testing.T) {
+	tr, now := tracker(100, fast)
+	v := tr.Judge(now, slots, health.Peers{Known: 6, Healthy: 2, PanicThreshold: 0.5})
+	if !v.Panic || !v.Draws || v.Slots != slots {
+		t.Fatalf("most of the service is bad, but %+v", v)
+	}
+	if v.Weight > 100 {
+		t.Fatalf("weight %d hides from the others that this one is bad", v.Weight)
+	}
+}
+
+// endpoint answers the poll.
+type endpoint struct {
+	status int
+	body   string
+}
+
+func (e endpoint) Run(context.Context, *http.Request, config.Class) (*http.Response, error) {
+	return &http.Response{StatusCode: e.status, Body: io.NopCloser(strings.NewReader(e.body))}, nil
+}
+
+func TestPoll(t *testing.T) {
+	for name, c := range map[string]struct {
+		endpoint endpoint
+		want     health.Report
+	}{
+		"healthy":  {endpoint{200, `{"status":"ok"}`}, health.Report{Healthy: true}},
+		"no JSON":  {endpoint{200, "fine"}, health.Report{Healthy: true}},
+		"failing":  {endpoint{500, ""}, health.Report{}},
+		"draining": {endpoint{503, `{"status":"draining"}`}, health.Report{Healthy: true, Draining: true}},
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		got := make(chan health.Report, 1)
+		settings := func() config.Health { return config.Health{Path: "/health", Interval: time.Millisecond} }
+		go health.Poll(ctx, c.endpoint, settings, func(r health.Report) {
+			select {
+			case got <- r:
+			default:
+			}
+		})
+		if r := <-got; r != c.want {
+			t.Errorf("%s: report %+v, want %+v", name, r, c.want)
+		}
+		cancel()
+	}
+}
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -15,6 +15,7 @@
 	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/dispatch"
 	"github.com/saltbend/saltbend/internal/event"
+	"github.com/saltbend/saltbend/internal/health"
 	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/retry"
@@ -43,8 +44,10 @@
 	// Tickets keeps non-idempotent requests to one run; without it they are
 	// answered "not run".
 	Tickets Tickets
-	Events  *event.Ring
-	Logger  *slog.Logger
+	// Judged, if set, is told of each change of what the upstream has earned.
+	Judged func(health.Verdict)
+	Events *event.Ring
+	Logger *slog.Logger
 }
 
 // Handler serves the callers' requests of one agent.
@@ -55,8 +58,10 @@
 	links   *links
 	metrics *counters
 
-	mu     sync.Mutex
-	budget *retry.Budget
+	mu      sync.Mutex
+	budget  *retry.Budget
+	tracker *health.Tracker
+	verdict health.Verdict
 }
 
 // NewHandler returns a handler that serves until ctx ends.
@@ -66,6 +71,7 @@
 		log:     logging.Part(o.Logger, "request"),
 		metrics: newCounters(),
 		budget:  retry.NewBudget(retry.DefaultPolicy()),
+		tracker: health.NewTracker(time.Now(), 0),
 	}
 	h.links = newLinks(ctx, o, h.log)
 	h.engine = newEngine(h.limits(), h.links, h.log)
@@ -77,6 +83,8 @@
 	}
 	go h.engine.run(ctx)
 	go h.follow(ctx)
+	go h.rejudge(ctx)
+	go health.Poll(ctx, o.Upstream, h.healthSettings, h.hear)
 	return h, nil
 }
 
--- a/internal/request/message.go
+++ b/internal/request/message.go
@@ -108,6 +108,16 @@
 	return e.sched.SetSiblings(now, m.siblings)
 }
 
+// earned is what the upstream's outcomes have earned.
+type earned struct {
+	slots int
+	draws bool
+}
+
+func (m earned) apply(e *engine, now time.Time) []dispatch.Action {
+	return e.sched.SetHealth(now, m.slots, m.draws)
+}
+
 // draining ends the intake.
 type draining struct{}
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -139,6 +139,7 @@
 	e, err := h.exchange(ctx, j)
 	service := time.Since(began)
 	whole := err == nil && !e.cut
+	h.observe(ctx, e, err, service)
 	h.engine.post(ended{id: j.id, service: service, whole: whole})
 	return e, err
 }
--- a/internal/sim/balance_test.go
+++ b/internal/sim/balance_test.go
@@ -16,6 +16,7 @@
 
 func today() []service {
 	return []service{
+		evenService("7x5", 7, 5).withLying(),
 		evenService("7x5", 7, 5),
 		evenService("7x7", 7, 7),
 		evenService("7x5", 7, 5).withSlow(3),
@@ -42,6 +43,7 @@
 					b.ReportMetric(float64(p99)/float64(ideal), "p99/ideal")
 					b.ReportMetric(r.maxLoad, "max/mean")
 					b.ReportMetric(r.messages, "msg/req")
+					b.ReportMetric(100*r.failures(), "failed-%")
 					b.ReportMetric(0, "ns/op")
 				})
 			}
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/health"
 )
 
 const (
@@ -55,6 +56,20 @@
 	return s
 }
 
+// withLying makes the first upstream answer errors at once while it claims to
+// be healthy.
+func (s service) withLying() service {
+	s.name += "-lying"
+	s.upstreams[0].broken = true
+	s.capacity -= float64(s.upstreams[0].slots)
+	return s
+}
+
+// working returns the upstreams that answer at all.
+func (s service) working() []*upstream {
+	return slices.DeleteFunc(slices.Clone(s.upstreams), func(u *upstream) bool { return u.broken })
+}
+
 // arrivals draws a workload at that share of the capacity.
 func arrivals(seed uint64, s service, busy float64, length time.Duration, classes []class) []*work {
 	rng := rand.New(rand.NewPCG(seed, 7))
@@ -98,6 +113,8 @@
 	// fifo forgets priorities.
 	fifo  bool
 	queue int
+	// health has agents judge their upstreams by their outcomes.
+	health bool
 }
 
 func byHash(*rand.Rand) chooser {
@@ -131,7 +148,7 @@
 		{name: "random", choose: atRandom, options: alone, queue: endless},
 		{name: "round-robin", choose: roundRobin, options: alone, queue: endless},
 		{name: "hash", choose: byHash, options: alone, queue: endless},
-		{name: "chosen", choose: byHash, queue: endless},
+		{name: "chosen", choose: byHash, queue: endless, health: true},
 	}
 }
 
@@ -145,10 +162,13 @@
 func simulate(p policy, s service, load []*work, delay time.Duration) result {
 	w := &world{rng: rand.New(rand.NewPCG(1, 2)), delay: delay}
 	if p.single {
-		w.add(s.upstreams, p.queue, p.options)
+		w.add(s.working(), p.queue, p.options)
 	} else {
 		for _, u := range s.upstreams {
-			w.add([]*upstream{u}, p.queue, p.options)
+			n := w.add([]*upstream{u}, p.queue, p.options)
+			if p.health {
+				n.tracker = health.NewTracker(epoch, 0)
+			}
 		}
 	}
 	w.introduce()
@@ -211,4 +231,15 @@
 	return all[int(q*float64(len(all)-1))]
 }
 
+// failures is the share of requests that an upstream failed.
+func (r result) failures() float64 {
+	n := 0
+	for _, k := range r.works {
+		if k.failed {
+			n++
+		}
+	}
+	return float64(n) / float64(len(r.works))
+}
+
 func wait(k *work) (time.Duration, bool) { return k.started - k.arrival, !k.refused }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/health"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -25,6 +26,7 @@
 	started time.Duration
 	ended   time.Duration
 	refused bool
+	failed  bool
 }
 
 // class is a class of requests.
@@ -46,19 +48,23 @@
 	slots int
 	// slow multiplies service times at a time.
 	slow func(now time.Duration) float64
+	// broken upstreams answer all requests with an error in a millisecond,
+	// while they claim to be healthy.
+	broken bool
 }
 
 // node is an agent with its upstream; the ideal queue is one node with the
 // servers of all.
 type node struct {
-	addr   netip.AddrPort
-	sched  *dispatch.Scheduler
-	free   []server
-	busy   time.Duration // slot time in use, summed
-	inHand float64       // requests in hand, integrated over time
-	since  time.Duration
-	works  map[dispatch.ID]*work
-	wakeAt time.Duration
+	addr    netip.AddrPort
+	sched   *dispatch.Scheduler
+	free    []server
+	inHand  float64 // requests in hand, integrated over time
+	since   time.Duration
+	works   map[dispatch.ID]*work
+	wakeAt  time.Duration
+	tracker *health.Tracker
+	limits  dispatch.Limits
 }
 
 // world is one run.
@@ -121,6 +127,7 @@
 		}
 	}
 	limits := dispatch.Limits{Slots: len(n.free), Queue: queue}
+	n.limits = limits
 	seed := uint64(len(w.nodes))
 	n.sched = dispatch.New(limits, 1, rand.New(rand.NewPCG(seed, seed)), o)
 	w.nodes = append(w.nodes, n)
@@ -211,14 +218,28 @@
 	s := n.free[at]
 	n.free = slices.Delete(n.free, at, at+1)
 	service := time.Duration(float64(k.service) * s.upstream.slow(w.now))
-	n.busy += service
+	k.failed = s.upstream.broken
+	if k.failed {
+		service = time.Millisecond
+	}
 	w.after(service, func() {
 		k.ended = w.now
 		n.free = append(n.free, s)
-		w.do(n, n.sched.Done(w.clock(), id, service, true))
+		w.judge(n, health.Outcome{Good: !k.failed, Latency: service})
+		w.do(n, n.sched.Done(w.clock(), id, service, !k.failed))
 	})
 }
 
+// judge has the node judge its upstream, as the shell does.
+func (w *world) judge(n *node, o health.Outcome) {
+	if n.tracker == nil {
+		return
+	}
+	n.tracker.Observe(w.clock(), o)
+	v := n.tracker.Judge(w.clock(), n.limits.Slots, health.Peers{})
+	w.do(n, n.sched.SetHealth(w.clock(), v.Slots, v.Draws))
+}
+
 func (w *world) refuse(n *node, a dispatch.Refuse) {
 	k := n.works[a.ID]
 	delete(n.works, a.ID)
