--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 // The memory of callers and upstreams must not count as the agent's, so that
@@ -175,6 +176,7 @@
 	socket := listenUDP(b)
 	transport := &quic.Transport{Conn: socket}
 	b.Cleanup(func() { _ = transport.Close() })
+	before := cpuTime(b)
 	var group errgroup.Group
 	group.SetLimit(dialers)
 	for b.Loop() {
@@ -188,4 +190,12 @@
 	}
 	g.Expect(group.Wait()).To(Succeed())
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "handshakes/s")
+	b.ReportMetric((cpuTime(b)-before).Seconds()*1e6/float64(b.N), "cpu-us/handshake")
+}
+
+// cpuTime returns the processor time that the process has used.
+func cpuTime(b *testing.B) time.Duration {
+	var u unix.Rusage
+	NewWithT(b).Expect(unix.Getrusage(unix.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
