--- a/test/harness/config.go
+++ b/test/harness/config.go
@@ -72,6 +72,9 @@
 	var stdout, stderr bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &stdout, &stderr
 	cmd.Env = append(append(os.Environ(), f.env...), "SALTBEND_STORE="+f.Store.URL("address"))
+	for _, b := range f.Balancers() {
+		cmd.Env = append(cmd.Env, "SALTBEND_PEERS="+b.Address("control").String()) // one is enough
+	}
 	err := cmd.Run()
 	var exit *exec.ExitError
 	if err != nil && !errors.As(err, &exit) {
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -297,6 +297,13 @@
 	return jsonhttp.Do(ctx, http.MethodPut, f.Store.URL("address")+"/faults", faults, nil)
 }
 
+// StoreWrites returns the store's writes that took effect, oldest first.
+func (f *Fleet) StoreWrites(ctx context.Context) ([]storefake.Write, error) {
+	var writes []storefake.Write
+	err := jsonhttp.Do(ctx, http.MethodGet, f.Store.URL("address")+"/writes", nil, &writes)
+	return writes, err
+}
+
 // Close ends all processes that the fleet started.
 func (f *Fleet) Close() {
 	f.mu.Lock()
--- a/test/storefake/http.go
+++ b/test/storefake/http.go
@@ -39,6 +39,9 @@
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Reply(w, s.Calls())
 	})
+	mux.HandleFunc("GET /writes", func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Reply(w, s.Writes())
+	})
 	return mux
 }
 
@@ -143,7 +146,7 @@
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
 	}
-	loseAnswer(faults)
+	loseAnswer(faults, key)
 	w.Header().Set("ETag", etag(revision))
 }
 
@@ -156,16 +159,17 @@
 	if !ok {
 		return
 	}
-	if !s.remove(strings.TrimPrefix(r.URL.Path, keyPath), expected) {
+	key := strings.TrimPrefix(r.URL.Path, keyPath)
+	if !s.remove(key, expected) {
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
 	}
-	loseAnswer(faults)
+	loseAnswer(faults, key)
 }
 
 // loseAnswer closes the connection in place of an answer, by chance.
-func loseAnswer(f Faults) {
-	if f.LoseAnswer > 0 && rand.Float64() < f.LoseAnswer {
+func loseAnswer(f Faults, key string) {
+	if strings.HasPrefix(key, f.LosePrefix) && rand.Float64() < f.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/test/storefake/storefake.go
+++ b/test/storefake/storefake.go
@@ -13,6 +13,7 @@
 const (
 	maxValueBytes = 1 << 20
 	maxWait       = time.Minute
+	maxWrites     = 10_000
 )
 
 // Faults are what the store does to calls.
@@ -24,6 +25,15 @@
 	// LoseAnswer is the share of writes (0 to 1) that take effect and whose
 	// connection is then closed without an answer.
 	LoseAnswer float64
+	// LosePrefix limits LoseAnswer to keys that start with it.
+	LosePrefix string
+}
+
+// Write is one write that took effect.
+type Write struct {
+	Key      string
+	Revision uint64
+	Time     time.Time
 }
 
 // Calls counts calls by kind; a waiting watch counts as one.
@@ -45,6 +55,7 @@
 	changed  chan struct{} // closed and replaced at each change
 	faults   Faults
 	calls    Calls
+	writes   []Write // the last maxWrites
 	now      func() time.Time
 }
 
@@ -114,10 +125,26 @@
 		time.AfterFunc(lease, s.SweepExpired)
 	}
 	s.values[key] = next
+	s.remember(Write{Key: key, Revision: s.revision, Time: s.now()})
 	s.wake()
 	return s.revision, true
 }
 
+// remember keeps a write for Writes; mu must be held.
+func (s *Store) remember(w Write) {
+	if len(s.writes) == maxWrites {
+		s.writes = s.writes[1:]
+	}
+	s.writes = append(s.writes, w)
+}
+
+// Writes returns the last writes of values, oldest first.
+func (s *Store) Writes() []Write {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Write(nil), s.writes...)
+}
+
 func (s *Store) remove(key string, expected uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
