dispatch: hand a new flow to a clearly better placed sibling

Cause: balancers place flows by hashing alone; with 400 flows over seven agents the fullest gets well above its share, and nothing but the hard bound on connections moved one. Change: siblings' standings carry the number of connections and are sent when it has moved by 16; the engine publishes the sibling with the fewest, and the hook of the data path hands a new flow there when this agent has more by 16 and by a tenth. A sibling that said nothing isn't taken for empty. Still one hop. Ruled out: reading the scheduler from the data path, which would wait for it; reports by the clock.

--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -12,13 +12,29 @@
 )
 
 // hand places a new flow: at a ready sibling while the agent drains or has as
-// many connections as the configuration allows, else here.
+// many connections as the configuration allows, at the least loaded one while
+// that is clearly better placed, else here.
 func (a *agent) hand(_ encap.Header, dcid []byte) (netip.AddrPort, bool) {
 	snapshot := a.node.Snapshot()
-	if snapshot.Self.State != member.StateDraining && !a.full(snapshot) {
+	if snapshot.Self.State == member.StateDraining || a.full(snapshot) {
+		return sibling(snapshot, dcid)
+	}
+	target := a.requests.FlowTarget()
+	if !target.Better(int(a.server.connections.Load())) {
 		return netip.AddrPort{}, false
 	}
-	return sibling(snapshot, dcid)
+	return dataOf(snapshot, target.To)
+}
+
+// dataOf returns the data address of the ready sibling with the control
+// address.
+func dataOf(snapshot *control.Snapshot, to netip.AddrPort) (netip.AddrPort, bool) {
+	for _, m := range snapshot.Agents {
+		if m.Control == to && m.State == member.StateReady {
+			return m.Data, true
+		}
+	}
+	return netip.AddrPort{}, false
 }
 
 // full reports whether the agent has as many connections as it may.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -204,6 +204,7 @@
 	})
 	transport := newTransport(a.flow, ids, ring, self.Data)
 	a.server = newServer(transport, a.requests, a.log)
+	a.server.counted = a.requests.SetConnections
 	a.registerMetrics()
 	return a.server.listen(cert)
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -29,6 +29,8 @@
 	running   running
 	// connections is the number of callers' connections.
 	connections atomic.Int64
+	// counted, if set before the server listens, is told of their number.
+	counted func(int)
 	done        chan error
 }
 
@@ -57,11 +59,18 @@
 
 // countConnection counts a connection for as long as it lasts.
 func (s *server) countConnection(ctx context.Context, conn *quic.Conn) context.Context {
-	s.connections.Add(1)
-	context.AfterFunc(conn.Context(), func() { s.connections.Add(-1) })
+	s.addConnections(1)
+	context.AfterFunc(conn.Context(), func() { s.addConnections(-1) })
 	return ctx
 }
 
+func (s *server) addConnections(n int64) {
+	sum := s.connections.Add(n)
+	if s.counted != nil {
+		s.counted(int(sum))
+	}
+}
+
 // shutdown tells all callers to leave, lets running requests end until ctx
 // does, and closes what is left then. The last packets of an answer get time to
 // arrive before its connection is closed.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -131,6 +131,8 @@
 	// Priority is that of the first of them, Waited the time since it arrived.
 	Priority int
 	Waited   time.Duration
+	// Connections is the number of callers' connections.
+	Connections int
 	// Draws tells whether the agent may be handed work.
 	Draws bool
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -36,6 +36,8 @@
 	draws    bool
 	draining bool
 
+	connections int
+
 	group    group
 	reserved map[Reservation]reservation
 	lastID   Reservation
--- a/internal/dispatch/sibling.go
+++ b/internal/dispatch/sibling.go
@@ -41,6 +41,8 @@
 	addr    Sibling
 	heard   Standing
 	expires time.Time
+	// spoken tells that heard is the sibling's own word.
+	spoken bool
 	// oldest is when the first of its waiting requests arrived.
 	oldest time.Time
 }
@@ -71,7 +73,7 @@
 	if !ok {
 		heard = Standing{Draws: true}
 	}
-	return view{addr: addr, heard: heard, expires: now.Add(claimLife)}
+	return view{addr: addr, heard: heard, spoken: ok, expires: now.Add(claimLife)}
 }
 
 func (g *group) keepStranger(addr Sibling, standing Standing) {
@@ -114,6 +116,7 @@
 		return
 	}
 	v.heard = standing
+	v.spoken = true
 	v.expires = now.Add(claimLife)
 	v.oldest = now.Add(-standing.Waited)
 }
@@ -383,7 +386,7 @@
 func (s *Scheduler) announce(now time.Time) {
 	idle, queued := s.idle(), s.queue.movable
 	changed := edge(idle, s.told.Idle) || edge(queued, s.told.Queued) || s.willing() != s.told.Draws
-	if !changed {
+	if !changed && !s.connectionsMoved() {
 		return
 	}
 	s.told = s.standing(now)
@@ -408,7 +411,7 @@
 // standing returns how the agent stands now, under a number of its own.
 func (s *Scheduler) standing(now time.Time) Standing {
 	s.seq++
-	st := Standing{Seq: s.seq, Idle: s.idle(), Queued: s.queue.movable, Draws: s.willing()}
+	st := Standing{Seq: s.seq, Idle: s.idle(), Queued: s.queue.movable, Connections: s.connections, Draws: s.willing()}
 	if i := s.queue.firstMovable(); i >= 0 {
 		st.Priority = s.queue.waiting[i].Priority
 		st.Waited = now.Sub(s.queue.waiting[i].Arrived)
--- a/internal/request/message.go
+++ b/internal/request/message.go
@@ -118,6 +118,13 @@
 	return e.sched.SetHealth(now, m.slots, m.draws)
 }
 
+// connected is the number of callers' connections.
+type connected struct{ connections int }
+
+func (m connected) apply(e *engine, now time.Time) []dispatch.Action {
+	return e.sched.SetConnections(now, m.connections)
+}
+
 // draining ends the intake.
 type draining struct{}
 
