--- a/internal/adopt/adopt.go
+++ b/internal/adopt/adopt.go
@@ -7,9 +7,11 @@
 //  1. A process only ever adopts a higher revision than its own.
 //  2. A process that has once served goes on serving, whatever it can reach.
 //  3. A process without memory serves once its revision is vouched for: either
-//     a reading of the store that is younger than Rules.Fresh shows no higher
-//     one, or enough distinct peers that serve themselves answered. It never
-//     begins while a peer that is not gone claims a higher revision.
+//     a reading of the store that was made after the process started, and is
+//     younger than Rules.Fresh, shows no higher one; or enough distinct peers
+//     that serve themselves answered. It never begins while a peer that is not
+//     gone claims a higher revision. A reading from before the start may be
+//     older than a revision that was in force everywhere at the start.
 //  4. Only balancers that serve vouch. Newcomers that asked one lagging peer
 //     would else vouch for each other, and agents learn a revision after the
 //     balancers.
@@ -96,6 +98,7 @@
 // State is what a process knows about the configuration. The zero value is not
 // usable; New makes one. One goroutine owns it.
 type State struct {
+	started   time.Time
 	rules     Rules
 	adopted   uint64
 	served    bool
@@ -117,9 +120,9 @@
 	sent     time.Time
 }
 
-// New returns the state of a process without memory.
-func New(rules Rules) *State {
-	return &State{rules: rules, answers: map[netip.AddrPort]heard{}}
+// New returns the state of a process without memory that starts now.
+func New(rules Rules, now time.Time) *State {
+	return &State{rules: rules, started: now, answers: map[netip.AddrPort]heard{}}
 }
 
 // Revision returns the adopted revision, 0 for none.
@@ -213,7 +216,7 @@
 		return true, ReasonMemory
 	case higher || s.readHigher(now):
 		return false, ReasonHigher
-	case s.read.known && now.Sub(s.read.sent) <= s.rules.Fresh:
+	case s.readFresh(now):
 		return true, ReasonStore
 	case s.vouching() >= s.quorum():
 		return true, ReasonPeers
@@ -221,6 +224,11 @@
 	return false, ReasonUnsure
 }
 
+// readFresh reports whether the store was read lately and since the start.
+func (s *State) readFresh(now time.Time) bool {
+	return s.read.known && !s.read.sent.Before(s.started) && now.Sub(s.read.sent) <= s.rules.Fresh
+}
+
 // readHigher reports whether the store lately held a higher revision. An older
 // reading does not count: its text may have been lost with its reader, and a
 // quorum of peers that serve then knows better.
--- a/internal/adopt/adopt_test.go
+++ b/internal/adopt/adopt_test.go
@@ -22,6 +22,7 @@
 
 func TestDecide(t *testing.T) {
 	const late = time.Hour
+	const processAge = 9500 * time.Millisecond
 	tests := []struct {
 		name      string
 		balancers int
@@ -56,6 +57,8 @@
 			want: adopt.Decision{Serve: true, Reason: adopt.ReasonStore}},
 		{name: "a reading ages on its way", balancers: 9, adopted: 4, read: &adopt.Reading{Revision: 4, Age: 9 * time.Second},
 			after: 2 * time.Second, want: adopt.Decision{Reason: adopt.ReasonUnsure}},
+		{name: "a reading from before the start", balancers: 9, adopted: 4, read: &adopt.Reading{Revision: 4, Age: processAge + 1},
+			want: adopt.Decision{Reason: adopt.ReasonUnsure}},
 		{name: "a reading shows a higher revision", balancers: 1, adopted: 4, read: &adopt.Reading{Revision: 5},
 			answers: []adopt.Answer{serving(1, 4)}, want: adopt.Decision{Reason: adopt.ReasonHigher}},
 		{name: "old answers do not count", balancers: 1, adopted: 4, answers: []adopt.Answer{serving(1, 4)}, after: late,
@@ -64,7 +67,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := adopt.New(adopt.DefaultRules())
+			s := adopt.New(adopt.DefaultRules(), start.Add(-processAge))
 			s.Expect(tt.balancers)
 			if tt.adopted > 0 {
 				s.Adopt(tt.adopted)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -70,7 +70,7 @@
 		stopped: make(chan struct{}),
 		ctx:     ctx,
 		engine:  gossip.New(o.Self, o.Timing, newRand(o.Self)),
-		adopt:   adopt.New(o.Rules),
+		adopt:   adopt.New(o.Rules, o.Now()),
 		rand:    newRand(o.Self),
 	}
 	n.seeding = newSeeding(n)
