Let the follower of a seed take the free slot

A holder that had been second and is now first sat on the second slot, and the new second claimed that one for ever while the first slot stayed free: a fault of the decision, which now tries the other slot, with a test that fails without it. How long a holder goes on is now four leases, in place of a fixed minute.

--- a/internal/seed/seed.go
+++ b/internal/seed/seed.go
@@ -28,8 +28,9 @@
 	DefaultLease = 15 * time.Second
 	// renewShare is the number of renewals within a lease.
 	renewShare = 3
-	// settle is how long a seed that is no longer among the first goes on.
-	settle = time.Minute
+	// settleShare is the number of leases for which a seed goes on that is no
+	// longer among the first.
+	settleShare = 4
 )
 
 // Prefix is the prefix of the store's keys of seeds.
@@ -102,7 +103,10 @@
 	until    time.Time
 	next     time.Time
 	demoted  time.Time
-	backoff  Backoff
+	// taken counts the slots found taken: who follows a holder that still sits
+	// on the wrong slot must try the other.
+	taken   int
+	backoff Backoff
 }
 
 // New returns the machine of a process that holds no lease. It takes leases of
@@ -141,7 +145,7 @@
 	case m.inspect:
 		return Action{Kind: Inspect, Slot: m.slot}
 	}
-	m.slot = in.Rank % Slots
+	m.slot = (in.Rank + m.taken) % Slots
 	return Action{Kind: Claim, Slot: m.slot}
 }
 
@@ -155,7 +159,7 @@
 	if m.demoted.IsZero() {
 		m.demoted = now
 	}
-	return m.holding && (in.Rank < 0 || now.Sub(m.demoted) >= settle)
+	return m.holding && (in.Rank < 0 || now.Sub(m.demoted) >= settleShare*m.lease)
 }
 
 func eligible(in Input) bool {
@@ -182,6 +186,7 @@
 		m.backoff.Reset()
 	case Taken:
 		m.holding = false
+		m.taken++
 		m.next = now.Add(spread(m.rand, m.lease))
 		m.backoff.Reset()
 	case Free:
--- a/internal/seed/seed_test.go
+++ b/internal/seed/seed_test.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// The first in rank may sit on the second slot, taken when it was second.
+func TestTakenSlotLeadsToTheOther(t *testing.T) {
+	m := newMachine()
+	a := m.Decide(start, seed.Input{Rank: 1})
+	m.Done(start, start, a, seed.Taken, 0)
+	later := start.Add(2 * seed.DefaultLease)
+	if next := m.Decide(later, seed.Input{Rank: 1}); next.Kind != seed.Claim || next.Slot == a.Slot {
+		t.Errorf("claims slot %d, then does %v", a.Slot, next)
+	}
+}
+
 // The lease counts from before the call: an answer that was long under way
 // grants what is left.
 func TestLeaseCountsFromTheCall(t *testing.T) {
