Let a feed outlive the handler that opened it

Cause: of the 75,317 B of an open feed, the handler's goroutine held some 8 KB of stack: 3.4 KB deep in library frames, it never shrinks. Change: where the response is a stream of events over HTTP/3, the handler takes the stream over and returns; a goroutine with a shallow stack copies the events. The count of running requests, by which a drain ends, follows the stream. Seen: tests of agent, request and upstream pass under the race detector; the drain test keeps the feed and ends after it.

--- /dev/null
+++ b/internal/agent/running.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// running counts the requests in progress, feeds included.
+type running struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{} // closed when n falls to 0; nil when nobody waits
+}
+
+// count wraps a handler. A request whose stream the handler takes over runs
+// until the stream ends.
+func (r *running) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.add(1)
+		counted := &countedWriter{ResponseWriter: w}
+		defer func() {
+			if counted.taken == nil {
+				r.add(-1)
+				return
+			}
+			context.AfterFunc(counted.taken.Context(), func() { r.add(-1) })
+		}()
+		next.ServeHTTP(counted, req)
+	})
+}
+
+// countedWriter notes whether the response's stream is taken over.
+type countedWriter struct {
+	http.ResponseWriter
+	taken *http3.Stream
+}
+
+// Unwrap lets http.ResponseController find what else the writer can do.
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// HTTPStream implements http3.HTTPStreamer.
+func (w *countedWriter) HTTPStream() (*http3.Stream, error) {
+	streamer, ok := w.ResponseWriter.(http3.HTTPStreamer)
+	if !ok {
+		return nil, errors.New("agent: the response has no HTTP/3 stream")
+	}
+	stream, err := streamer.HTTPStream()
+	if err == nil {
+		w.taken = stream
+	}
+	return stream, err
+}
+
+func (r *running) add(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n += n
+	if r.n == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+// number returns how many requests are in progress.
+func (r *running) number() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.n
+}
+
+// wait returns when no request is in progress or ctx ends.
+func (r *running) wait(ctx context.Context) {
+	r.mu.Lock()
+	if r.n == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	r.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-idle:
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"log/slog"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,54 +103,3 @@
 	case <-timer.C:
 	}
 }
-
-// running counts the requests in progress, feeds included.
-type running struct {
-	mu   sync.Mutex
-	n    int
-	idle chan struct{} // closed when n falls to 0; nil when nobody waits
-}
-
-// count wraps a handler.
-func (r *running) count(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.add(1)
-		defer r.add(-1)
-		next.ServeHTTP(w, req)
-	})
-}
-
-func (r *running) add(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.n += n
-	if r.n == 0 && r.idle != nil {
-		close(r.idle)
-		r.idle = nil
-	}
-}
-
-// number returns how many requests are in progress.
-func (r *running) number() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.n
-}
-
-// wait returns when no request is in progress or ctx ends.
-func (r *running) wait(ctx context.Context) {
-	r.mu.Lock()
-	if r.n == 0 {
-		r.mu.Unlock()
-		return
-	}
-	if r.idle == nil {
-		r.idle = make(chan struct{})
-	}
-	idle := r.idle
-	r.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-idle:
-	}
-}
--- a/internal/request/feed.go
+++ b/internal/request/feed.go
@@ -5,6 +5,7 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/dispatch"
+	"github.com/saltbend/saltbend/internal/upstream"
 )
 
 // serveFeed passes a feed on for as long as it lasts. It takes a connection
@@ -29,21 +30,37 @@
 		h.write(w, class.Name, refused(a))
 		return
 	}
-	defer h.engine.post(feedClosing{id: j.id})
-	h.finish(w, class.Name, h.passFeed(w, r, j))
+	h.passFeed(w, r, j)
 }
 
-func (h *Handler) passFeed(w http.ResponseWriter, r *http.Request, j *job) end {
-	request, err := j.upstreamRequest(r.Context())
+// passFeed ends with the feed, or leaves it to a goroutine that does.
+func (h *Handler) passFeed(w http.ResponseWriter, r *http.Request, j *job) {
+	response, err := h.openFeed(r, j)
 	if err != nil {
-		return h.failed(j, err)
+		h.engine.post(feedClosing{id: j.id})
+		h.finish(w, j.class.Name, h.failed(j, err))
+		return
+	}
+	id, class, body := j.id, j.class.Name, response.Body // all that an open feed holds
+	head := &Answer{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header)}
+	writeHead(w, head, h.freshTicket())
+	detached := upstream.IsEvents(response.Header) && upstream.Detach(w, body, func(err error) {
+		h.engine.post(feedClosing{id: id})
+		h.countStreamed(class, err != nil)
+	})
+	if detached {
+		return
 	}
-	response, err := h.o.Upstream.Run(r.Context(), request, j.class)
+	defer h.engine.post(feedClosing{id: id})
+	defer body.Close()
+	err = upstream.Stream(w, head.Header, body)
+	h.finish(w, class, end{streamed: true, cut: err != nil})
+}
+
+func (h *Handler) openFeed(r *http.Request, j *job) (*http.Response, error) {
+	request, err := j.upstreamRequest(r.Context())
 	if err != nil {
-		return h.failed(j, err)
+		return nil, err
 	}
-	defer response.Body.Close()
-	head := &Answer{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header)}
-	err = h.stream(w, head, response.Body)
-	return end{streamed: true, cut: err != nil}
+	return h.o.Upstream.Run(r.Context(), request, j.class)
 }
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -214,11 +214,18 @@
 		h.write(w, class, e.answer)
 		return
 	}
+	h.countStreamed(class, e.cut)
 	if e.cut {
-		h.metrics.ended(class, OutcomeUnknown)
 		panic(http.ErrAbortHandler) // the caller must not take the part for the whole
 	}
-	h.metrics.ended(class, OutcomeComplete)
+}
+
+func (h *Handler) countStreamed(class string, cut bool) {
+	outcome := OutcomeComplete
+	if cut {
+		outcome = OutcomeUnknown
+	}
+	h.metrics.ended(class, outcome)
 }
 
 func (h *Handler) write(w http.ResponseWriter, class string, a *Answer) {
