--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -30,7 +30,7 @@
 	connections atomic.Int64
 	// counted, if set before the server listens, is told of their number.
 	counted func(int)
-	done        chan error
+	done    chan error
 }
 
 // newServer returns a server of handler on the transport.
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -115,6 +115,8 @@
 	queue int
 	// health has agents judge their upstreams by their outcomes.
 	health bool
+	// endless deadlines are unknown to the scheduler.
+	endless bool
 }
 
 func byHash(*rand.Rand) chooser {
@@ -177,10 +179,12 @@
 	for i := range load {
 		k := *load[i]
 		works[i] = &k
+		works[i].told = *k.class
 		if p.fifo {
-			c := *k.class
-			c.priority = 0
-			works[i].class = &c
+			works[i].told.priority = 0
+		}
+		if p.endless {
+			works[i].told.deadline = time.Hour
 		}
 		w.after(k.arrival, func() { w.arrive(w.nodes[choose(&k, len(w.nodes))], dispatch.ID(i+1), works[i]) })
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -22,6 +22,8 @@
 	arrival time.Duration
 	service time.Duration
 	flow    int
+	// told is the class as the scheduler sees it.
+	told class
 
 	started time.Duration
 	ended   time.Duration
@@ -155,8 +157,8 @@
 
 func request(id dispatch.ID, k *work) dispatch.Request {
 	return dispatch.Request{
-		ID: id, Priority: k.class.priority, Movable: k.class.movable,
-		Arrived: epoch.Add(k.arrival), Deadline: epoch.Add(k.arrival + k.class.deadline),
+		ID: id, Priority: k.told.priority, Movable: k.told.movable,
+		Arrived: epoch.Add(k.arrival), Deadline: epoch.Add(k.arrival + k.told.deadline),
 	}
 }
 
