Tell a call that nobody serves from one that failed

Cause: a process listens before its parts have registered their methods, so a call to one that starts came back as a remote error, which says that the method has run. A caller that decides about running something at most once must then give up. Ruled out: registering before listening; the parts need the address that listening gives. Change: net/rpc's answer about an unknown service or method becomes ErrUnreachable. The spec that expected a remote error for a missing method now expects this, for a missing service too. Seen failing: the changed spec fails without the change. Conclusion: such a call may be made elsewhere or again.

--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -107,8 +107,11 @@
 		var out string
 		err := a.Call(context.Background(), b.Addr(), "Test.Fail", "luck", &out)
 		Expect(err).To(Equal(rpc.ServerError("no luck")))
-		err = a.Call(context.Background(), b.Addr(), "Test.Missing", "", &out)
-		Expect(err).To(BeAssignableToTypeOf(rpc.ServerError("")))
+		for _, missing := range []string{"Test.Missing", "Missing.Echo"} {
+			err = a.Call(context.Background(), b.Addr(), missing, "", &out)
+			Expect(err).To(MatchError(peer.ErrUnreachable), missing)
+		}
+		Expect(echo(a, b.Addr())).To(Succeed())
 	})
 
 	It("is unreachable where nobody listens", func() {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -148,6 +148,8 @@
 	case call.Error == nil:
 		reflect.ValueOf(reply).Elem().Set(result.Elem())
 		return false, nil
+	case errors.As(call.Error, &remote) && isNotServed(remote):
+		return false, unreachable(remote)
 	case errors.As(call.Error, &remote):
 		return false, remote
 	case !out.left.Load():
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"net/rpc"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -10,8 +12,9 @@
 // Errors of Call. They are matched with errors.Is; the cause, such as
 // context.DeadlineExceeded, matches too.
 var (
-	// ErrUnreachable says that the call never left this process: the method has
-	// not run and will not.
+	// ErrUnreachable says that the method has not run and will not: the call
+	// never left this process, or the other one doesn't serve the method, as
+	// while it starts.
 	ErrUnreachable = errors.New("peer: unreachable")
 	// ErrInterrupted says that the call left and its reply didn't come: the
 	// method may have run, or may run yet.
@@ -42,3 +45,12 @@
 
 // Unwrap lets errors.Is match both the outcome and the cause.
 func (e *CallError) Unwrap() []error { return []error{e.Outcome, e.Cause} }
+
+// notServed is how net/rpc's server begins its errors about a service or a
+// method that it doesn't know; the package has no typed error for it.
+const notServed = "rpc: can't find "
+
+// isNotServed reports whether the other process doesn't serve the method.
+func isNotServed(remote rpc.ServerError) bool {
+	return strings.HasPrefix(string(remote), notServed)
+}
