--- a/internal/upstream/feed.go
+++ b/internal/upstream/feed.go
@@ -14,7 +14,7 @@
 
 // feedBuffer is the size of the read buffer of a feed's connection in bytes: a
 // feed is open for hours and carries small events.
-const feedBuffer = 1 << 10
+const feedBuffer = 512
 
 // runFeed runs a request on a connection of its own without http.Transport,
 // whose two goroutines and buffers for each connection would be a large part
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -13,7 +13,7 @@
 // holds its buffer for hours, so that it is small.
 const (
 	copyBuffer  = 32 << 10
-	eventBuffer = 1 << 10
+	eventBuffer = 512
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
