--- a/internal/confdelta/confdelta.go
+++ b/internal/confdelta/confdelta.go
@@ -20,8 +20,9 @@
 // dictionaryID stands in the frame; both sides know which text it means.
 const dictionaryID = 1
 
-// window spans the largest text and its dictionary.
-const window = 4 << 20
+// minWindow is the least window of the compression. A window spans the text
+// and what may precede it, since a match reaches back into the base.
+const minWindow = 64 << 10
 
 // Errors of Decode.
 var (
@@ -37,7 +38,8 @@
 	options := []zstd.EOption{
 		zstd.WithEncoderConcurrency(1),
 		zstd.WithEncoderLevel(zstd.SpeedBetterCompression),
-		zstd.WithWindowSize(window),
+		zstd.WithWindowSize(windowFor(len(base) + len(text))),
+		zstd.WithLowerEncoderMem(true),
 	}
 	if len(base) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
@@ -52,6 +54,15 @@
 	return enc.EncodeAll(text, header), nil
 }
 
+// windowFor returns the least power of two that is no less than n bytes.
+func windowFor(n int) int {
+	window := minWindow
+	for window < n {
+		window *= 2
+	}
+	return window
+}
+
 // Decode applies a delta to the base; the result has at most limit bytes.
 func Decode(base, delta []byte, limit int) ([]byte, error) {
 	if len(delta) < headerBytes {
