dispatch: tell a sibling only what changes its choice

Cause: an agent told all siblings of each edge of its idle slots, 10 messages a request at 85% busy, though a sibling with idle slots of its own has no use for them. Change: what was told is kept for each sibling; idle slots are told while one of the two has some and the other none, or where the sibling may still believe in some.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -116,8 +116,11 @@
 	Standing    Standing
 }
 
-// Announce tells all siblings how the agent stands.
-type Announce struct{ Standing Standing }
+// Announce tells a sibling how the agent stands.
+type Announce struct {
+	To       Sibling
+	Standing Standing
+}
 
 // Standing is what siblings are told of an agent; each message to a sibling
 // carries the sender's.
--- a/internal/dispatch/flows.go
+++ b/internal/dispatch/flows.go
@@ -50,8 +50,8 @@
 	return s.finish(now)
 }
 
-// connectionsMoved reports whether the siblings' knowledge is out of date.
-func (s *Scheduler) connectionsMoved() bool {
-	moved := s.connections - s.told.Connections
+// connectionsMoved reports whether the sibling's knowledge is out of date.
+func (s *Scheduler) connectionsMoved(v *view) bool {
+	moved := s.connections - v.told.Connections
 	return moved >= flowStep || moved <= -flowStep
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -41,7 +41,6 @@
 	group    group
 	reserved map[Reservation]reservation
 	lastID   Reservation
-	told     Standing
 	seq      uint64
 	out      []Action
 }
--- a/internal/dispatch/sibling.go
+++ b/internal/dispatch/sibling.go
@@ -41,6 +41,8 @@
 	addr    Sibling
 	heard   Standing
 	expires time.Time
+	// told is what the sibling was last told.
+	told Standing
 	// spoken tells that heard is the sibling's own word.
 	spoken bool
 	// oldest is when the first of its waiting requests arrived.
@@ -95,7 +97,6 @@
 	s.group.strangers = nil
 	slices.SortFunc(next, func(a, b view) int { return a.addr.Compare(b.addr) })
 	s.group.views = next
-	s.told = Standing{}
 	return s.finish(now)
 }
 
@@ -151,7 +152,7 @@
 	if i := s.queue.firstMovable(); i >= 0 {
 		s.push(now, s.queue.removeAt(i), Push{To: from, Reservation: held})
 	} else {
-		s.emit(Decline{To: from, Reservation: held, Standing: s.standing(now)})
+		s.emit(Decline{To: from, Reservation: held, Standing: s.standing(now, from)})
 	}
 	return s.finish(now)
 }
@@ -229,7 +230,7 @@
 
 func (s *Scheduler) push(now time.Time, r Request, p Push) {
 	p.ID = r.ID
-	p.Standing = s.standing(now)
+	p.Standing = s.standing(now, p.To)
 	s.pushed[r.ID] = pushed{request: r, to: p.To, admit: p.Admit}
 	s.emit(p)
 }
@@ -304,7 +305,7 @@
 	v.heard.Queued--
 	s.lastID++
 	s.reserved[s.lastID] = reservation{from: v.addr, until: now.Add(reservationLife), displaced: ahead}
-	s.emit(Pull{From: v.addr, Reservation: s.lastID, Standing: s.standing(now)})
+	s.emit(Pull{From: v.addr, Reservation: s.lastID, Standing: s.standing(now, v.addr)})
 }
 
 // ahead counts the requests of siblings that wait here or are to come without
@@ -380,18 +381,31 @@
 	}
 }
 
-// announce tells the siblings when an agent that had no idle slot has one, or
-// the other way round, and likewise for movable requests that wait. Numbers in
+// announce tells each sibling what it needs to know and doesn't yet. Numbers in
 // between aren't worth a message of their own.
 func (s *Scheduler) announce(now time.Time) {
-	idle, queued := s.idle(), s.queue.movable
-	changed := edge(idle, s.told.Idle) || edge(queued, s.told.Queued) || s.willing() != s.told.Draws
-	if !changed && !s.connectionsMoved() {
+	if s.options.Alone {
 		return
 	}
-	s.told = s.standing(now)
-	if len(s.group.views) > 0 && !s.options.Alone {
-		s.emit(Announce{Standing: s.told})
+	for i := range s.group.views {
+		v := &s.group.views[i]
+		if s.outOfDate(v) {
+			s.emit(Announce{To: v.addr, Standing: s.standing(now, v.addr)})
+		}
+	}
+}
+
+// outOfDate reports whether the sibling would act otherwise if it knew how the
+// agent stands. Idle slots matter while one of the two has some and the other
+// none, or where the sibling may still believe in some.
+func (s *Scheduler) outOfDate(v *view) bool {
+	switch {
+	case s.willing() != v.told.Draws, s.connectionsMoved(v):
+		return true
+	case s.queue.movable > 0 && v.told.Queued == 0:
+		return true
+	default:
+		return edge(s.idle(), v.told.Idle) && (v.heard.Idle <= 0 || s.idle() == 0)
 	}
 }
 
@@ -408,13 +422,17 @@
 	return max(s.free(), 0)
 }
 
-// standing returns how the agent stands now, under a number of its own.
-func (s *Scheduler) standing(now time.Time) Standing {
+// standing returns how the agent stands now, under a number of its own, to be
+// sent to the sibling.
+func (s *Scheduler) standing(now time.Time, to Sibling) Standing {
 	s.seq++
 	st := Standing{Seq: s.seq, Idle: s.idle(), Queued: s.queue.movable, Connections: s.connections, Draws: s.willing()}
 	if i := s.queue.firstMovable(); i >= 0 {
 		st.Priority = s.queue.waiting[i].Priority
 		st.Waited = now.Sub(s.queue.waiting[i].Arrived)
 	}
+	if v := s.group.find(to); v != nil {
+		v.told = st
+	}
 	return st
 }
--- a/internal/request/engine.go
+++ b/internal/request/engine.go
@@ -31,7 +31,7 @@
 type siblingLinks interface {
 	pull(dispatch.Pull)
 	decline(dispatch.Decline)
-	announce(dispatch.Standing)
+	announce(dispatch.Announce)
 }
 
 // message is one input of the scheduler.
@@ -102,7 +102,7 @@
 		case dispatch.Decline:
 			e.links.decline(a)
 		case dispatch.Announce:
-			e.links.announce(a.Standing)
+			e.links.announce(a)
 		}
 	}
 }
--- a/internal/request/follow.go
+++ b/internal/request/follow.go
@@ -18,9 +18,7 @@
 func (h *Handler) follow(ctx context.Context) {
 	for {
 		changed := h.o.Source.Changed()
-		siblings := h.siblings()
-		h.links.siblings.Store(&siblings)
-		h.engine.post(surroundings{limits: h.limits(), siblings: siblings})
+		h.engine.post(surroundings{limits: h.limits(), siblings: h.siblings()})
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/request/links.go
+++ b/internal/request/links.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/dispatch"
@@ -17,17 +16,14 @@
 // links carries messages to siblings, each in a goroutine of its own so that
 // the engine never waits for the network.
 type links struct {
-	ctx      context.Context
-	o        Options
-	log      *slog.Logger
-	engine   *engine
-	siblings atomic.Pointer[[]dispatch.Sibling]
+	ctx    context.Context
+	o      Options
+	log    *slog.Logger
+	engine *engine
 }
 
 func newLinks(ctx context.Context, o Options, log *slog.Logger) *links {
-	l := &links{ctx: ctx, o: o, log: log}
-	l.siblings.Store(&[]dispatch.Sibling{})
-	return l
+	return &links{ctx: ctx, o: o, log: log}
 }
 
 func (l *links) pull(p dispatch.Pull) {
@@ -44,11 +40,9 @@
 	go l.signal(d.To, methodDecline, &args)
 }
 
-func (l *links) announce(s dispatch.Standing) {
-	args := SignalArgs{Service: l.o.Service, From: l.o.Self, Standing: s}
-	for _, to := range *l.siblings.Load() {
-		go l.signal(to, methodClaim, &args)
-	}
+func (l *links) announce(a dispatch.Announce) {
+	args := SignalArgs{Service: l.o.Service, From: l.o.Self, Standing: a.Standing}
+	go l.signal(a.To, methodClaim, &args)
 }
 
 func (l *links) signal(to netip.AddrPort, method string, args *SignalArgs) {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -182,11 +182,7 @@
 				return to.sched.Declined(w.clock(), n.addr, a.Reservation)
 			})
 		case dispatch.Announce:
-			for _, to := range w.nodes {
-				if to != n {
-					w.send(n, to.addr, a.Standing, nil)
-				}
-			}
+			w.send(n, a.To, a.Standing, nil)
 		}
 	}
 	w.wake(n)
