Keep a burst of replies together and count callers silent sooner

Cause: replies followed each datagram of the caller, so that a long answer was dealt out over all balancers; and with one balancer frozen one run of five took 0.86 s for an event, because a caller counted as silent only after 250 ms. Change: a flow keeps its balancer for 20 ms; a caller is silent after 100 ms.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -199,3 +199,25 @@
 	NewWithT(b).Expect(unix.Getrusage(unix.RUSAGE_SELF, &u)).To(Succeed())
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkDownload measures a long answer through three balancers that take
+// the caller's datagrams in turn.
+func BenchmarkDownload(b *testing.B) {
+	g := NewWithT(b)
+	const size = 16 << 20
+	e := startEndpoint(b, anyPort, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.Copy(w, io.LimitReader(zeros{}, size))
+	}), nil)
+	f := newFabric(b, 3)
+	f.setNewFlow(e.conn.Addr())
+	caller := newCaller(b, addrOf(f.face))
+	b.SetBytes(size)
+	for b.Loop() {
+		resp, err := caller.Get("https://" + testService + "/")
+		g.Expect(err).NotTo(HaveOccurred())
+		n, err := io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(BeEquivalentTo(size))
+		g.Expect(resp.Body.Close()).To(Succeed())
+	}
+}
--- a/internal/flow/paths.go
+++ b/internal/flow/paths.go
@@ -10,10 +10,11 @@
 const (
 	// silentAfter is the time without a datagram of the caller after which a
 	// flow no longer relies on the balancer that carried its last one.
-	silentAfter = 250 * time.Millisecond
+	silentAfter = 100 * time.Millisecond
 	// rotateEvery is how long the packets of a silent flow go through one
 	// balancer: long enough for a burst to stay in order, shorter than QUIC's
-	// shortest probe timeout, so that each retransmission takes another way.
+	// shortest probe timeout, so that each retransmission takes another way. A
+	// flow whose caller speaks keeps its balancer for as long, too.
 	rotateEvery = 20 * time.Millisecond
 	// handshakeFor and establishedFor are how long a flow without a datagram
 	// of its caller is remembered; the second is longer than MaxIdleTimeout,
@@ -40,6 +41,7 @@
 	Key
 	text        string
 	balancer    netip.AddrPort
+	since       time.Time // when the balancer was chosen
 	heard       time.Time
 	established bool
 }
@@ -83,7 +85,9 @@
 		f = &Flow{Key: key, text: key.Caller.String() + " at " + key.Face.String()}
 		p.flows[key] = f
 	}
-	f.balancer = via
+	if now.Sub(f.since) >= rotateEvery {
+		f.balancer, f.since = via, now
+	}
 	f.heard = now
 	f.established = f.established || established
 	p.heard(now, via)
--- a/internal/flow/paths_test.go
+++ b/internal/flow/paths_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+func TestBurstOfASpeakingCallerIsAnsweredThroughOneBalancer(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3)
+	changes := 0
+	var last netip.AddrPort
+	const span = 200 * time.Millisecond
+	w.run(span, func(elapsed time.Duration) {
+		f := w.paths.Arrived(w.now, caller, w.balancers[int(elapsed/time.Millisecond)%3], true)
+		if via := w.paths.Choose(w.now, f); via != last {
+			last = via
+			changes++
+		}
+	})
+	g.Expect(changes).To(BeNumerically("<=", int(span/rotateEvery)+1))
+}
+
 func TestBalancerThatTheFleetDoesNotNameYetIsUsedWhileItCarries(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(1)
