Forget flows at random at their bound; take up finished handshakes

Cause: at the bound of remembered flows new callers were refused. Whoever holds one valid token could have filled the table from forged addresses, each entry for 90 s, and kept all others out. HTTP/3 also took connections up before their handshake was over, so that a forged Initial cost its goroutines. Change: a random flow is forgotten for each new one. That costs little: its replies take the balancers in turn until its caller speaks again, and a reply looks the flow up anew. The listener waits for the handshake.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -23,7 +23,7 @@
 // server serves HTTP/3 on one QUIC transport.
 type server struct {
 	transport *quic.Transport
-	listener  *quic.EarlyListener
+	listener  *quic.Listener
 	http      *http3.Server
 	running   running
 	// connections is the number of callers' connections.
@@ -45,9 +45,11 @@
 	return s
 }
 
-// listen serves from now on; done tells when that fails.
+// listen serves from now on; done tells when that fails. Connections are taken
+// up only once their handshake is over, so that forged addresses cost no more
+// than that.
 func (s *server) listen(cert tls.Certificate) error {
-	listener, err := s.transport.ListenEarly(tlsConfig(cert), quicConfig())
+	listener, err := s.transport.Listen(tlsConfig(cert), quicConfig())
 	if err != nil {
 		return errors.Wrap(err, "listen for QUIC")
 	}
--- a/internal/flow/metrics.go
+++ b/internal/flow/metrics.go
@@ -26,7 +26,6 @@
 	droppedForged  = dropped("forged")
 	droppedService = dropped("service")
 	droppedEmpty   = dropped("empty")
-	droppedFlows   = dropped("flows")
 	droppedTooLong = dropped("too_long")
 	droppedQueue   = dropped("queue")
 	droppedEncode  = dropped("encode")
--- a/internal/flow/packet.go
+++ b/internal/flow/packet.go
@@ -13,7 +13,7 @@
 // packet, sharing the datagram's memory; ok is false for short headers and for
 // what is too short or too long. The QUIC library exports no such function.
 func longHeaderDCID(datagram []byte) (dcid []byte, ok bool) {
-	if len(datagram) <= dcidOffset || !isLongHeader(datagram) {
+	if len(datagram) <= dcidOffset || datagram[0]&longHeaderBit == 0 {
 		return nil, false
 	}
 	n := int(datagram[dcidLenOffset])
@@ -22,7 +22,3 @@
 	}
 	return datagram[dcidOffset : dcidOffset+n], true
 }
-
-func isLongHeader(datagram []byte) bool {
-	return datagram[0]&longHeaderBit != 0
-}
--- a/internal/flow/paths.go
+++ b/internal/flow/paths.go
@@ -16,16 +16,16 @@
 	// shortest probe timeout, so that each retransmission takes another way. A
 	// flow whose caller speaks keeps its balancer for as long, too.
 	rotateEvery = 20 * time.Millisecond
-	// handshakeFor and establishedFor are how long a flow without a datagram
-	// of its caller is remembered; the second is longer than MaxIdleTimeout,
-	// after which QUIC has given up the connection.
-	handshakeFor   = 15 * time.Second
-	establishedFor = MaxIdleTimeout + 30*time.Second
+	// flowFor is how long a flow without a datagram of its caller is
+	// remembered; it is longer than MaxIdleTimeout, after which QUIC has given
+	// up the connection.
+	flowFor = MaxIdleTimeout + 30*time.Second
 	// balancerFor is how long a balancer that the fleet's membership doesn't
 	// (or not yet) name is used after it last carried a datagram.
 	balancerFor = time.Second
-	// maxFlows bounds the remembered flows. New callers are refused at the
-	// bound, so that a flood cannot push out flows that are open.
+	// maxFlows bounds the remembered flows. Beyond it a random one is forgotten
+	// for each new one: its replies then take all balancers in turn, as those of
+	// a silent flow do, until its caller speaks again.
 	maxFlows = 1 << 15
 )
 
@@ -39,11 +39,10 @@
 // by, so that a reply finds its way without a look-up.
 type Flow struct {
 	Key
-	text        string
-	balancer    netip.AddrPort
-	since       time.Time // when the balancer was chosen
-	heard       time.Time
-	established bool
+	text     string
+	balancer netip.AddrPort
+	since    time.Time // when the balancer was chosen
+	heard    time.Time
 }
 
 // Network implements net.Addr.
@@ -73,14 +72,12 @@
 	}
 }
 
-// Arrived records that a balancer carried a datagram of the caller. It returns
-// nil when the bound of flows is reached. established tells that the datagram
-// belongs to a connection whose handshake is over.
-func (p *Paths) Arrived(now time.Time, key Key, via netip.AddrPort, established bool) *Flow {
+// Arrived records that a balancer carried a datagram of the caller.
+func (p *Paths) Arrived(now time.Time, key Key, via netip.AddrPort) *Flow {
 	f := p.flows[key]
 	if f == nil {
 		if len(p.flows) >= maxFlows {
-			return nil
+			p.forgetOne()
 		}
 		f = &Flow{Key: key, text: key.Caller.String() + " at " + key.Face.String()}
 		p.flows[key] = f
@@ -89,11 +86,18 @@
 		f.balancer, f.since = via, now
 	}
 	f.heard = now
-	f.established = f.established || established
 	p.heard(now, via)
 	return f
 }
 
+// forgetOne makes room. Go's maps start at a random place.
+func (p *Paths) forgetOne() {
+	for key := range p.flows {
+		delete(p.flows, key)
+		return
+	}
+}
+
 // heard notes that a balancer carried a datagram to here. That says nothing of
 // the way back, so it lifts no suspicion.
 func (p *Paths) heard(now time.Time, via netip.AddrPort) {
@@ -133,6 +137,9 @@
 // goes now: the one that last carried the flow while the caller speaks and the
 // balancer is usable, else the usable ones in turn.
 func (p *Paths) Choose(now time.Time, f *Flow) netip.AddrPort {
+	if newer := p.flows[f.Key]; newer != nil {
+		f = newer // QUIC keeps the first address, also of a flow that was forgotten
+	}
 	last := p.balancers[f.balancer]
 	if now.Sub(f.heard) <= silentAfter && last != nil && last.usable(now) {
 		last.used = now
@@ -172,11 +179,7 @@
 // Expire forgets flows whose callers have long been silent.
 func (p *Paths) Expire(now time.Time) {
 	for key, f := range p.flows {
-		limit := handshakeFor
-		if f.established {
-			limit = establishedFor
-		}
-		if now.Sub(f.heard) > limit {
+		if now.Sub(f.heard) > flowFor {
 			delete(p.flows, key)
 		}
 	}
--- a/internal/flow/read.go
+++ b/internal/flow/read.go
@@ -81,12 +81,8 @@
 	}
 	key := Key{Caller: h.Caller, Face: h.Face}
 	c.mu.Lock()
-	f := c.paths.Arrived(now, key, h.Balancer, !isLongHeader(payload))
+	f := c.paths.Arrived(now, key, h.Balancer)
 	c.mu.Unlock()
-	if f == nil {
-		droppedFlows.Inc()
-		return nil, nil
-	}
 	return payload, f
 }
 
