Measure what control costs in fleets of real processes

Cause: the budgets for control (share of a core, memory, bytes a second of each node, calls to the store) had no measurement with real processes; slopes need three sizes and more. The benchmarks of the pure engine did not bear the name by which make bench-capacity finds them.

Change: test/cmd/footprint starts fleets of 5, 20, 40 and 60 processes on the harness, a quarter of them balancers and services of seven agents at every size, and reports per role and size, idle and under ten changes a minute: control bytes, processor time, memory, calls to the store, and the time until a change is in force on every balancer, read from the logs so that nobody is asked. make bench-fleet and make bench-capacity show the measurements and the lines fitted through them. BenchmarkCapacityStep adds what the state's goroutine of a node spends on one renewal, with all that it looks at after each message.

Ruled out: one service for all agents, as in the first trial. Agents then seemed to cost 9 bytes/s more for each process of the fleet under changes, but that was the size of the service: a claim to each sibling.

A property test holds the list of balancers to the records and to staying as it was handed out. It was seen failing with a patch that deletes nothing and with one that patches in place; the first form of the test missed the latter, since it compared before the list was asked for again.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SKIP ?=
 SKIP_SPECS ?=
 
-.PHONY: help build test unit integration demo bench bench-capacity model lint
+.PHONY: help build test unit integration demo bench bench-capacity bench-fleet model lint
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -30,7 +30,18 @@
 	$(GO) test -run '^$$' -bench . -benchmem -benchtime 300ms ./internal/...
 
 bench-capacity: ## slopes for docs/CAPACITY.md
-	$(GO) test -run '^$$' -bench Capacity -benchtime 1x ./internal/...
+	set -o pipefail; $(GO) test -run '^$$' -bench Capacity -benchtime 100ms ./internal/... | tee $(BIN)/$@.txt && $(GO) run ./test/cmd/slope < $(BIN)/$@.txt
+
+bench-fleet: ## control cost of processes in fleets of 5 to 60
+	set -o pipefail; $(GO) run ./test/cmd/footprint | tee $(BIN)/$@.txt && $(GO) run ./test/cmd/slope < $(BIN)/$@.txt
+
+# The capacity targets pipe what they measure through the fit of lines; a
+# failed benchmark must fail them.
+bench-capacity bench-fleet: SHELL := bash
+bench-capacity bench-fleet: | $(BIN)
+
+$(BIN):
+	mkdir -p $@
 
 model: ## check the Promela models exhaustively, and that seeded faults are caught
 	bash spec/check.sh
--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/gossip"
+	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/store"
+)
+
+// The fleets of the benchmark have the shape of the largest one expected.
+const (
+	targetBalancers = 780
+	targetMembers   = 6880
+	exchangeBatch   = 256
+	renewals        = 200
+)
+
+// BenchmarkCapacityStep measures what a renewal costs the goroutine that owns
+// the state of a balancer, with all that it looks at after each message. The
+// calls of other processes cost nothing here.
+func BenchmarkCapacityStep(b *testing.B) {
+	for _, members := range []int{700, 2100, 6900} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			fleet := bigFleet(members)
+			n := benchNode(b, fleet)
+			s := &Service{node: n}
+			renewal := gossip.Announce{Self: fleet[members-1], Epoch: n.Snapshot().Self.Incarnation, Cursor: uint64(members)}
+			for b.Loop() {
+				for range renewals {
+					if err := s.Announce(renewal, &gossip.AnnounceReply{}); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*renewals), "ns/renewal")
+		})
+	}
+}
+
+// bigFleet returns the members of a fleet, the balancers first.
+func bigFleet(members int) []member.Member {
+	balancers := members * targetBalancers / targetMembers
+	var out []member.Member
+	for i := range members {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 4100)
+		m := member.Member{Control: addr, Role: member.RoleBalancer, DataCentre: "cardiff-1", Incarnation: 1, State: member.StateReady}
+		if i >= balancers {
+			m.Role, m.Service = member.RoleAgent, fmt.Sprintf("service-%d", i/7)
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// benchNode returns the first balancer of a fleet that it knows.
+func benchNode(b *testing.B, fleet []member.Member) *Node {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	n, err := Start(ctx, Options{Self: fleet[0], Peer: quietPeer{}, Store: takenStore{}, Logger: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		cancel()
+		<-n.stopped
+	})
+	for batch := range slices.Chunk(fleet[1:], exchangeBatch) {
+		if err := (&Service{node: n}).Exchange(gossip.Exchange{From: fleet[1].Control, Members: batch}, &gossip.Exchange{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return n
+}
+
+// quietPeer answers every call with no news.
+type quietPeer struct{}
+
+func (quietPeer) Register(string, any) error { return nil }
+
+func (quietPeer) Call(_ context.Context, _ netip.AddrPort, _ string, _, reply any) error {
+	if digest, ok := reply.(*gossip.DigestReply); ok {
+		digest.Equal = true
+	}
+	return nil
+}
+
+// takenStore is a store whose slots others hold.
+type takenStore struct{ store.Store }
+
+func (takenStore) Get(context.Context, string) (store.Entry, error) {
+	return store.Entry{}, store.ErrNotFound
+}
+
+func (takenStore) Swap(context.Context, string, []byte, uint64, time.Duration) (store.Entry, error) {
+	return store.Entry{}, store.ErrConflict
+}
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -96,7 +96,7 @@
 
 func claim() gossip.Claim { return gossip.Claim{Revision: 40_000, Serving: true, Balancers: 779} }
 
-func BenchmarkTable(b *testing.B) {
+func BenchmarkCapacityTable(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		var before, after runtime.MemStats
 		engines := make([]*gossip.Engine, b.N)
@@ -112,7 +112,7 @@
 	})
 }
 
-func BenchmarkRenewal(b *testing.B) {
+func BenchmarkCapacityRenewal(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		self := fleetMember(n-1, n)
@@ -129,7 +129,7 @@
 	})
 }
 
-func BenchmarkTransition(b *testing.B) {
+func BenchmarkCapacityTransition(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		m := fleetMember(n-1, n)
@@ -156,7 +156,7 @@
 	b.ReportMetric(callBytes(b, "Control.Push", p, gossip.PushReply{Claim: claim()}), "wire-B/op")
 }
 
-func BenchmarkDigest(b *testing.B) {
+func BenchmarkCapacityDigest(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		d := gossip.Digest{From: at(1), Claim: claim(), Root: e.Table().Digest().Root()}
@@ -174,8 +174,8 @@
 	})
 }
 
-// BenchmarkJoin measures what a new balancer fetches: the whole table.
-func BenchmarkJoin(b *testing.B) {
+// BenchmarkCapacityJoin measures what a new balancer fetches: the whole table.
+func BenchmarkCapacityJoin(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		all := make([]int, member.DigestBuckets)
@@ -190,8 +190,8 @@
 	})
 }
 
-// BenchmarkBalancerChange measures choosing the witnesses of all members anew.
-func BenchmarkBalancerChange(b *testing.B) {
+// BenchmarkCapacityBalancerChange measures choosing the witnesses of all members anew.
+func BenchmarkCapacityBalancerChange(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		m := fleetMember(1, n)
@@ -210,8 +210,8 @@
 	})
 }
 
-// BenchmarkTick measures a call of Actions when little is due.
-func BenchmarkTick(b *testing.B) {
+// BenchmarkCapacityTick measures a call of Actions when little is due.
+func BenchmarkCapacityTick(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		for b.Loop() {
@@ -220,8 +220,8 @@
 	})
 }
 
-// BenchmarkSnapshot measures listing the members anew after one has changed.
-func BenchmarkSnapshot(b *testing.B) {
+// BenchmarkCapacitySnapshot measures listing the members anew after one has changed.
+func BenchmarkCapacitySnapshot(b *testing.B) {
 	forSizes(b, func(b *testing.B, n int) {
 		e := full(n)
 		m := fleetMember(n-1, n)
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +110,48 @@
 		t.Fatal("the missing record is not in the bucket that differs")
 	}
 }
+
+// manyBalancers have the addresses of drawRecord among theirs.
+const manyBalancers = 40
+
+// The list of balancers is always that of the records, whatever changed, and a
+// list that was handed out stays as it was.
+func TestListOfBalancersFollowsTheRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := member.NewTable(time.Hour)
+		for i := range manyBalancers { // many, so that one change is a small part
+			table.Merge(member.Member{Control: addr(i), Role: member.RoleBalancer, State: member.StateReady}, start)
+		}
+		now := start
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			handedOut := table.Balancers()
+			copied := slices.Clone(handedOut)
+			m := drawRecord(t)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				table.Merge(m, now)
+			case 1:
+				table.NoteRevision(m.Control, m.Incarnation, rapid.Uint64Range(1, 3).Draw(t, "revision"))
+			case 2:
+				now = now.Add(2 * time.Hour)
+				table.Expire(now)
+			}
+			if listed, truth := table.Balancers(), liveBalancers(table); !slices.Equal(listed, truth) {
+				t.Fatalf("the list is %v, the records say %v", listed, truth)
+			}
+			if !slices.Equal(handedOut, copied) {
+				t.Fatalf("a list changed from %v to %v", copied, handedOut)
+			}
+		}
+	})
+}
+
+func liveBalancers(table *member.Table) []member.Member {
+	var out []member.Member
+	for i := range manyBalancers {
+		if m, ok := table.Get(addr(i)); ok && m.Role == member.RoleBalancer && m.State != member.StateGone {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/test/cmd/footprint/report.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// report prints one line for each role, and one for the calls to the store.
+func (w window) report(name string, size int) {
+	seconds := w.length.Seconds()
+	for _, role := range roles {
+		line := start(name+"/role="+role, size)
+		for _, q := range []struct {
+			unit string
+			of   func(usage) float64
+		}{
+			{"bytes-in/s", func(u usage) float64 { return u.bytesIn / seconds }},
+			{"bytes-out/s", func(u usage) float64 { return u.bytesOut / seconds }},
+			{"cpu-percent", func(u usage) float64 { return 100 * u.cpuSeconds / seconds }},
+			{"resident-bytes", func(u usage) float64 { return u.resident }},
+			{"anonymous-bytes", func(u usage) float64 { return u.anonymous }},
+			{"heap-bytes", func(u usage) float64 { return u.heap }},
+			{"stack-bytes", func(u usage) float64 { return u.stack }},
+		} {
+			mean, most := spread(w.byRole[role], q.of)
+			line += value(mean, q.unit) + value(most, "max-"+q.unit)
+		}
+		fmt.Println(line)
+	}
+	perMinute := func(n uint64, unit string) string { return value(float64(n)/w.length.Minutes(), unit) }
+	c := w.calls
+	fmt.Println(start(name+"/store", size) +
+		perMinute(c.Get, "gets/min") + perMinute(c.List, "lists/min") + perMinute(c.Put, "puts/min") +
+		perMinute(c.Delete, "deletes/min") + perMinute(c.Watch, "watches/min") +
+		perMinute(c.Get+c.List+c.Put+c.Delete+c.Watch, "calls/min"))
+}
+
+func spread(all []usage, of func(usage) float64) (mean, most float64) {
+	for _, u := range all {
+		mean += of(u) / float64(len(all))
+		most = max(most, of(u))
+	}
+	return mean, most
+}
+
+// reportDelays prints the times until changes were in force everywhere.
+func reportDelays(size int, delays []time.Duration) {
+	var sum, most time.Duration
+	for _, d := range delays {
+		sum += d
+		most = max(most, d)
+	}
+	mean := sum / time.Duration(len(delays))
+	fmt.Println(start("FleetInForce", size) + value(mean.Seconds(), "seconds") + value(most.Seconds(), "max-seconds"))
+}
+
+// start is the beginning of a line in the format of Go benchmarks.
+func start(name string, size int) string {
+	return fmt.Sprintf("Benchmark%s/processes=%d 1", name, size)
+}
+
+func value(v float64, unit string) string { return fmt.Sprintf(" %.6g %s", v, unit) }
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -112,6 +112,9 @@
 // URL returns the base URL of an address that the process logged.
 func (p *Process) URL(key string) string { return "http://" + p.Address(key).String() }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Alive reports whether the process still runs.
 func (p *Process) Alive() bool {
 	select {
