request: carry feeds with ids on at a sibling

Cause: an upstream that drains or fails took its open feeds with it, though the feeds say where they can be resumed. Change: the body of a feed passes whole events on and remembers the last id. On a drain it is opened at a sibling after that id, and the own source is left only once the sibling has taken it and no event has passed since; a part of an event that was kept back comes again. Without an id, or a sibling that takes it, the feed stays. A sibling reads for the owner over net/rpc with a long poll. Ruled out: interrupting first and looking for a sibling then (a feed that nobody takes would be cut). Tests: carried on after the last whole event, left alone without ids or takers, carried on when the upstream fails; two of them seen failing with the carrying switched off. Race detector, eight runs.

--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -92,6 +92,13 @@
 	status int
 	body   io.Reader
 	err    error
+	events *io.PipeReader // a feed instead of the body
+}
+
+// feed returns an answer whose events the test writes.
+func feed() (reply, *io.PipeWriter) {
+	r, w := io.Pipe()
+	return reply{status: http.StatusOK, events: r}, w
 }
 
 func newRunner() *runner {
@@ -113,6 +120,11 @@
 		if a.err != nil {
 			return nil, a.err
 		}
+		if a.events != nil {
+			context.AfterFunc(ctx, func() { _ = a.events.CloseWithError(ctx.Err()) })
+			header := http.Header{"Content-Type": {"text/event-stream"}}
+			return &http.Response{StatusCode: a.status, Header: header, Body: a.events}, nil
+		}
 		return &http.Response{StatusCode: a.status, Header: http.Header{}, Body: io.NopCloser(a.body)}, nil
 	case <-ctx.Done():
 		return nil, &upstream.Error{Outcome: upstream.ErrMayHaveRun, Cause: ctx.Err()}
--- a/internal/request/feed.go
+++ b/internal/request/feed.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/saltbend/saltbend/internal/config"
@@ -35,13 +36,16 @@
 
 // passFeed ends with the feed, or leaves it to a goroutine that does.
 func (h *Handler) passFeed(w http.ResponseWriter, r *http.Request, j *job) {
-	response, err := h.openFeed(r, j)
+	source, response, err := h.openHere(r.Context(), j)
 	if err != nil {
 		h.engine.post(feedClosing{id: j.id})
 		h.finish(w, j.class.Name, h.failed(j, err))
 		return
 	}
-	id, class, body := j.id, j.class.Name, response.Body // all that an open feed holds
+	id, class, body := j.id, j.class.Name, io.ReadCloser(source)
+	if h.carryable(j, response) {
+		body = h.carryFeed(r.Context(), j, source)
+	}
 	head := &Answer{Outcome: OutcomeComplete, Status: response.StatusCode, Header: endToEnd(response.Header)}
 	writeHead(w, head, h.freshTicket())
 	detached := upstream.IsEvents(response.Header) && upstream.Detach(w, body, func(err error) {
@@ -56,11 +60,3 @@
 	err = upstream.Stream(w, head.Header, body)
 	h.finish(w, class, end{streamed: true, cut: err != nil})
 }
-
-func (h *Handler) openFeed(r *http.Request, j *job) (*http.Response, error) {
-	request, err := j.upstreamRequest(r.Context())
-	if err != nil {
-		return nil, err
-	}
-	return h.o.Upstream.Run(r.Context(), request, j.class)
-}
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -62,6 +62,9 @@
 	budget  *retry.Budget
 	tracker *health.Tracker
 	verdict health.Verdict
+	feeds   map[*carriedFeed]struct{}
+
+	relays relays
 }
 
 // NewHandler returns a handler that serves until ctx ends.
@@ -71,6 +74,7 @@
 		log:     logging.Part(o.Logger, "request"),
 		metrics: newCounters(),
 		budget:  retry.NewBudget(retry.DefaultPolicy()),
+		feeds:   map[*carriedFeed]struct{}{},
 		tracker: health.NewTracker(time.Now(), 0),
 	}
 	h.links = newLinks(ctx, o, h.log)
@@ -88,8 +92,13 @@
 	return h, nil
 }
 
-// Drain ends the intake of new requests and feeds; admitted work runs on.
-func (h *Handler) Drain() { h.engine.post(draining{}) }
+// Drain ends the intake of new requests and feeds; admitted work runs on, and
+// feeds go on at siblings where they can.
+func (h *Handler) Drain() {
+	h.engine.post(draining{})
+	h.relays.stopAll()
+	h.leaveFeeds()
+}
 
 // Load returns what the agent has in hand.
 func (h *Handler) Load() dispatch.Load { return *h.engine.load.Load() }
--- /dev/null
+++ b/internal/request/relay.go
@@ -0,0 +1,259 @@
+package request
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/dispatch"
+)
+
+const (
+	methodFeedOpen  = siblingService + ".FeedOpen"
+	methodFeedNext  = siblingService + ".FeedNext"
+	methodFeedClose = siblingService + ".FeedClose"
+)
+
+const (
+	// feedPoll is how long a sibling waits for the next event.
+	feedPoll = 10 * time.Second
+	// feedGrace is added to it for travel.
+	feedGrace = 5 * time.Second
+	// relayIdle ends a relay whose reader has gone without a word.
+	relayIdle = 30 * time.Second
+	// relayBuffer is the size of one read from the upstream in bytes.
+	relayBuffer = 512
+)
+
+// errNoRelay tells that a relay has ended or never was.
+var errNoRelay = errors.New("request: no such feed")
+
+// FeedOpenReply names the relay.
+type FeedOpenReply struct{ Relay dispatch.ID }
+
+// FeedArgs names a relay.
+type FeedArgs struct{ Relay dispatch.ID }
+
+// FeedNextReply carries whole events; none, and not ended, after a while
+// without any.
+type FeedNextReply struct {
+	Events []byte
+	Ended  bool
+}
+
+// relay reads a feed of the own upstream for a sibling.
+type relay struct {
+	next chan FeedNextReply // unbuffered: what was offered has been taken
+	done <-chan struct{}
+	stop context.CancelFunc
+	idle *time.Timer
+}
+
+// relays are the feeds that siblings read here.
+type relays struct {
+	mu   sync.Mutex
+	open map[dispatch.ID]*relay
+}
+
+func (r *relays) add(id dispatch.ID, one *relay) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open == nil {
+		r.open = map[dispatch.ID]*relay{}
+	}
+	r.open[id] = one
+}
+
+func (r *relays) get(id dispatch.ID) *relay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[id]
+}
+
+func (r *relays) remove(id dispatch.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, id)
+}
+
+// stopAll has the owners go on elsewhere.
+func (r *relays) stopAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range r.open {
+		one.stop()
+	}
+}
+
+// FeedOpen opens a feed for a sibling whose upstream leaves.
+func (s *Sibling) FeedOpen(call *Call, reply *FeedOpenReply) error {
+	h := s.handler
+	if call.Service != h.o.Service {
+		return errOtherService
+	}
+	j, err := h.passedJob(call)
+	if err != nil {
+		return err
+	}
+	if j.class.Kind != config.KindFeed {
+		return errors.New("request: not a feed")
+	}
+	reply.Relay = j.id
+	return h.startRelay(j)
+}
+
+func (h *Handler) startRelay(j *job) error {
+	ctx, stop := context.WithCancel(h.links.ctx)
+	if err := h.admitFeed(ctx, j); err != nil {
+		stop()
+		return err
+	}
+	source, response, err := h.openHere(ctx, j)
+	if err == nil && !h.carryable(j, response) {
+		_ = source.Close()
+		err = errors.Errorf("request: feed answered %d", response.StatusCode)
+	}
+	if err != nil {
+		stop()
+		h.engine.post(feedClosing{id: j.id})
+		return err
+	}
+	one := &relay{
+		next: make(chan FeedNextReply),
+		done: ctx.Done(),
+		stop: stop,
+		idle: time.AfterFunc(relayIdle, stop),
+	}
+	h.relays.add(j.id, one)
+	go h.pump(ctx, j.id, one, source)
+	return nil
+}
+
+// admitFeed takes a connection for the feed.
+func (h *Handler) admitFeed(ctx context.Context, j *job) error {
+	if !h.engine.post(feedOpening{job: j}) {
+		return errors.New(string(reasonStopped))
+	}
+	if a, refuse := h.await(ctx, j).(dispatch.Refuse); refuse {
+		return errors.New(string(a.Reason))
+	}
+	return nil
+}
+
+// pump passes whole events on until the feed or the relay ends.
+func (h *Handler) pump(ctx context.Context, id dispatch.ID, one *relay, source feedSource) {
+	defer h.engine.post(feedClosing{id: id})
+	defer h.relays.remove(id)
+	defer one.idle.Stop()
+	defer one.stop()
+	defer source.Close()
+	var events events
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := source.Read(buffer)
+		if whole := events.take(buffer[:n]); len(whole) > 0 && !one.offer(ctx, FeedNextReply{Events: whole}) {
+			return
+		}
+		if err == io.EOF {
+			one.offer(ctx, FeedNextReply{Events: events.part, Ended: true})
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) offer(ctx context.Context, reply FeedNextReply) bool {
+	select {
+	case r.next <- reply:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// FeedNext returns the next events.
+func (s *Sibling) FeedNext(args *FeedArgs, reply *FeedNextReply) error {
+	one := s.handler.relays.get(args.Relay)
+	if one == nil {
+		return errNoRelay
+	}
+	one.idle.Reset(relayIdle)
+	timer := time.NewTimer(feedPoll)
+	defer timer.Stop()
+	select {
+	case *reply = <-one.next:
+	case <-one.done:
+		return errNoRelay
+	case <-timer.C:
+	}
+	return nil
+}
+
+// FeedClose ends a relay.
+func (s *Sibling) FeedClose(args *FeedArgs, _ *SignalReply) error {
+	if one := s.handler.relays.get(args.Relay); one != nil {
+		one.stop()
+	}
+	return nil
+}
+
+// remoteFeed reads a feed at a sibling.
+type remoteFeed struct {
+	ctx     context.Context
+	handler *Handler
+	sibling netip.AddrPort
+	relay   dispatch.ID
+	left    []byte
+	ended   bool
+}
+
+// openThere opens a feed at a sibling.
+func (h *Handler) openThere(ctx context.Context, sibling netip.AddrPort, call *Call) (feedSource, error) {
+	opening, cancel := context.WithTimeout(ctx, signalTimeout)
+	defer cancel()
+	var reply FeedOpenReply
+	if err := h.o.Caller.Call(opening, sibling, methodFeedOpen, call, &reply); err != nil {
+		return feedSource{}, err
+	}
+	own, interrupt := context.WithCancel(ctx)
+	feed := &remoteFeed{ctx: own, handler: h, sibling: sibling, relay: reply.Relay}
+	return feedSource{ReadCloser: feed, interrupt: interrupt}, nil
+}
+
+// Read returns the next events.
+func (f *remoteFeed) Read(p []byte) (int, error) {
+	for len(f.left) == 0 {
+		if f.ended {
+			return 0, io.EOF
+		}
+		ctx, cancel := context.WithTimeout(f.ctx, feedPoll+feedGrace)
+		reply := &FeedNextReply{}
+		err := f.handler.o.Caller.Call(ctx, f.sibling, methodFeedNext, &FeedArgs{Relay: f.relay}, reply)
+		cancel()
+		if err != nil {
+			return 0, errors.Wrap(err, "request: feed at a sibling")
+		}
+		f.left, f.ended = reply.Events, reply.Ended
+	}
+	n := copy(p, f.left)
+	f.left = f.left[n:]
+	return n, nil
+}
+
+// Close ends the relay; the sibling would find out by itself, later.
+func (f *remoteFeed) Close() error {
+	go func() {
+		args := FeedArgs{Relay: f.relay}
+		if err := f.handler.links.call(f.sibling, methodFeedClose, &args, &SignalReply{}); err != nil {
+			f.handler.log.Debug("Sibling didn't take the end of a feed.", "error", err)
+		}
+	}()
+	return nil
+}
--- a/internal/request/sibling_test.go
+++ b/internal/request/sibling_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -95,4 +98,67 @@
 		a.upstream.answer <- text(string(long))
 		Expect(receive(second).Body.Len()).To(Equal(len(long)))
 	})
+
+	Describe("of one that drains, and has a feed open", func() {
+		var here *io.PipeWriter
+		var caller <-chan *httptest.ResponseRecorder
+
+		BeforeEach(func() {
+			var answer reply
+			answer, here = feed()
+			a.upstream.answer <- answer
+			caller = a.send(ctx, "GET", "/feed", "", "")
+			Eventually(a.upstream.began, patience).Should(Receive())
+		})
+		write := func(w *io.PipeWriter, text string) {
+			GinkgoHelper()
+			Expect(io.WriteString(w, text)).To(Equal(len(text)))
+		}
+
+		It("carry it on after the last event, without the caller noticing", func() {
+			write(here, "id: 1\ndata: a\n\n")
+			write(here, "id: 2\nda") // comes again, whole
+			answer, there := feed()
+			b.upstream.answer <- answer
+			go a.handler.Drain()
+			var r *http.Request
+			Eventually(b.upstream.began, patience).Should(Receive(&r))
+			Expect(r.Header.Get("Last-Event-ID")).To(Equal("1"))
+			write(there, "id: 2\ndata: b\n\n")
+			Expect(there.Close()).To(Succeed())
+			w := receive(caller)
+			Expect(w.Code).To(Equal(http.StatusOK))
+			Expect(w.Body.String()).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+			Eventually(func() int { return b.handler.Load().Feeds }, patience).Should(BeZero())
+		})
+
+		It("leave it where it is when its events have no ids", func() {
+			write(here, "data: a\n\n")
+			a.handler.Drain()
+			write(here, "data: b\n\n")
+			Expect(here.Close()).To(Succeed())
+			Expect(receive(caller).Body.String()).To(Equal("data: a\n\ndata: b\n\n"))
+			Expect(b.upstream.ran()).To(BeEmpty())
+		})
+
+		It("leave it where it is when none of them takes it", func() {
+			write(here, "id: 1\ndata: a\n\n")
+			b.handler.Drain()
+			a.handler.Drain()
+			write(here, "id: 2\ndata: b\n\n")
+			Expect(here.Close()).To(Succeed())
+			Expect(receive(caller).Body.String()).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		})
+
+		It("carry it on when its upstream fails", func() {
+			write(here, "id: 1\ndata: a\n\n")
+			answer, there := feed()
+			b.upstream.answer <- answer
+			Expect(here.CloseWithError(io.ErrUnexpectedEOF)).To(Succeed())
+			Eventually(b.upstream.began, patience).Should(Receive())
+			write(there, "id: 2\ndata: b\n\n")
+			Expect(there.Close()).To(Succeed())
+			Expect(receive(caller).Body.String()).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		})
+	})
 })
