--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -247,9 +247,16 @@
 }
 
 func startAgent(ctx context.Context, port uint16, limits config.Limits, net *wires) *agent {
-	a := &agent{source: newSource(exams(limits)), upstream: newRunner(), tickets: &tickets{}}
+	up := newRunner()
+	a := startAgentOn(ctx, port, limits, net, up)
+	a.upstream = up
+	return a
+}
+
+func startAgentOn(ctx context.Context, port uint16, limits config.Limits, net *wires, up upstream.Runner) *agent {
+	a := &agent{source: newSource(exams(limits)), tickets: &tickets{}}
 	o := request.Options{
-		Service: "exams", Self: address(port), Source: a.source, Upstream: a.upstream, Tickets: a.tickets,
+		Service: "exams", Self: address(port), Source: a.source, Upstream: up, Tickets: a.tickets,
 		Logger: slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
 	}
 	if net != nil {
