--- a/internal/request/feed.go
+++ b/internal/request/feed.go
@@ -28,6 +28,7 @@
 		return
 	}
 	if a, refuse := h.await(r.Context(), j).(dispatch.Refuse); refuse {
+		h.metrics.refused(class.Name, a.Reason)
 		h.write(w, class.Name, refused(a))
 		return
 	}
--- a/internal/request/metrics.go
+++ b/internal/request/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/saltbend/saltbend/internal/dispatch"
 )
 
 // counters counts the ends of requests by class and outcome. Classes come from
@@ -23,6 +25,11 @@
 	metrics.GetOrCreateCounter(name).Inc()
 }
 
+func (*counters) refused(class string, reason dispatch.Reason) {
+	name := fmt.Sprintf("saltbend_request_refusals_total{class=%q,reason=%q}", class, reason)
+	metrics.GetOrCreateCounter(name).Inc()
+}
+
 func (*counters) waited(class string, wait time.Duration) {
 	name := fmt.Sprintf("saltbend_request_wait_seconds{class=%q}", class)
 	metrics.GetOrCreateHistogram(name).Update(wait.Seconds())
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -51,6 +51,7 @@
 		case dispatch.Start:
 			return h.runHere(ctx, j)
 		case dispatch.Refuse:
+			h.metrics.refused(j.class.Name, a.Reason)
 			return j.refusedEnd(a), nil
 		case dispatch.Push:
 			e, taken, err := h.runThere(ctx, j, a)
--- a/internal/request/ticketed.go
+++ b/internal/request/ticketed.go
@@ -100,6 +100,7 @@
 	case dispatch.Start:
 		return h.startOwned(own, d.ID, j)
 	case dispatch.Refuse:
+		h.metrics.refused(j.class.Name, a.Reason)
 		return h.void(d.ID, a)
 	default:
 		// Only movable jobs are pushed; this one never left the agent.
