Join at every given address, whoever announces first

Five balancers that each join the one before, watched by frequent status calls, stayed in groups of two and three for over 20 s: a process that heard from another one before its own first renewal gave up its addresses to join at, and two groups that know no member of each other have no way to meet. Ruled out: the status calls themselves, which only made the first step come earlier, and a digest with a random join address now and then, which heals late. A process now announces itself at each address to join at until that one has answered once; one that does not answer is passed over like any balancer.

--- a/internal/gossip/announce.go
+++ b/internal/gossip/announce.go
@@ -31,10 +31,22 @@
 	if len(next) == 0 {
 		e.findPeers(now)
 		next = slices.DeleteFunc(slices.Clone(e.join), func(a netip.AddrPort) bool { return a == e.self.Control })
+	} else {
+		next = append(next, e.unjoined(now, next)...)
 	}
 	e.witnesses = e.keepInTouch(now, next)
 }
 
+// unjoined returns the addresses to join at that have not answered yet, without
+// the chosen ones. Others may announce themselves first; who then gave up its
+// own addresses could stay apart from the rest of the fleet with them.
+func (e *Engine) unjoined(now time.Time, chosen []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(e.join), func(a netip.AddrPort) bool {
+		_, answered := e.cursors[a]
+		return a == e.self.Control || answered || now.Before(e.avoid[a].until) || slices.Contains(chosen, a)
+	})
+}
+
 // keepInTouch adds one of the former witnesses when none of the chosen has
 // answered yet: they may all be behind a cut.
 func (e *Engine) keepInTouch(now time.Time, next []netip.AddrPort) []netip.AddrPort {
