--- a/cmd/saltbend/fleet_test.go
+++ b/cmd/saltbend/fleet_test.go
@@ -37,6 +37,13 @@
 // startBalancerWithStore runs the control side of a balancer that may be a
 // seed.
 func startBalancerWithStore(t *testing.T, s store.Store, join ...netip.AddrPort) *peer.Peer {
+	t.Helper()
+	p, _ := startNode(t, s, join...)
+	return p
+}
+
+// startNode is startBalancerWithStore for a test that looks into the process.
+func startNode(t *testing.T, s store.Store, join ...netip.AddrPort) (*peer.Peer, *control.Node) {
 	t.Helper()
 	g := NewWithT(t)
 	ring, err := keyring.Parse(fleetSecret)
@@ -52,12 +59,12 @@
 		Control: p.Addr(), Role: member.RoleBalancer, DataCentre: "cardiff-1",
 		Incarnation: uint64(time.Now().UnixNano()), State: member.StateReady,
 	}
-	_, err = control.Start(ctx, control.Options{
+	node, err := control.Start(ctx, control.Options{
 		Self: self, Store: s, Join: join, Peer: p, Events: events, Logger: slog.New(slog.DiscardHandler),
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	events.Add("test", "Balancer started.", p.Addr().String())
-	return p
+	return p, node
 }
 
 // tool runs the tool and returns its exit code and streams.
