--- /dev/null
+++ b/internal/dispatch/group.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// view is what the agent knows of one sibling.
+type view struct {
+	addr    Sibling
+	heard   Standing
+	expires time.Time
+	// told is what the sibling was last told.
+	told Standing
+	// spoken tells that heard is the sibling's own word.
+	spoken bool
+	// oldest is when the first of its waiting requests arrived.
+	oldest time.Time
+}
+
+// group is the known siblings, in the order of their addresses so that equal
+// inputs give equal actions.
+type group struct {
+	views []view
+	// strangers have spoken before this agent learnt that they are siblings.
+	strangers map[Sibling]Standing
+}
+
+func (g *group) find(addr Sibling) *view {
+	i, ok := slices.BinarySearchFunc(g.views, addr, func(v view, a Sibling) int { return v.addr.Compare(a) })
+	if !ok {
+		return nil
+	}
+	return &g.views[i]
+}
+
+// join returns the view of a sibling: the one at hand, or a new one that is
+// taken for willing until it says otherwise.
+func (g *group) join(now time.Time, addr Sibling) view {
+	if old := g.find(addr); old != nil {
+		return *old
+	}
+	heard, ok := g.strangers[addr]
+	if !ok {
+		heard = Standing{Draws: true}
+	}
+	return view{addr: addr, heard: heard, spoken: ok, expires: now.Add(claimLife)}
+}
+
+func (g *group) keepStranger(addr Sibling, standing Standing) {
+	if g.strangers == nil {
+		g.strangers = map[Sibling]Standing{}
+	}
+	if _, known := g.strangers[addr]; known || len(g.strangers) < maxStrangers {
+		g.strangers[addr] = standing
+	}
+}
+
+// SetSiblings sets the other ready agents of the service.
+func (s *Scheduler) SetSiblings(now time.Time, siblings []Sibling) []Action {
+	s.begin()
+	next := make([]view, 0, len(siblings))
+	for _, addr := range siblings {
+		next = append(next, s.group.join(now, addr))
+	}
+	s.group.strangers = nil
+	slices.SortFunc(next, func(a, b view) int { return a.addr.Compare(b.addr) })
+	s.group.views = next
+	return s.finish(now)
+}
+
+// Heard takes a sibling's standing.
+func (s *Scheduler) Heard(now time.Time, from Sibling, standing Standing) []Action {
+	s.begin()
+	s.hear(now, from, standing)
+	return s.finish(now)
+}
+
+func (s *Scheduler) hear(now time.Time, from Sibling, standing Standing) {
+	v := s.group.find(from)
+	if v == nil {
+		s.group.keepStranger(from, standing)
+		return
+	}
+	if standing.Seq <= v.heard.Seq {
+		return
+	}
+	v.heard = standing
+	v.spoken = true
+	v.expires = now.Add(claimLife)
+	v.oldest = now.Add(-standing.Waited)
+}
--- /dev/null
+++ b/internal/dispatch/push.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// pushIdle pushes r to a sibling that has an idle slot. With admit it stays
+// there though the slot may be taken by then.
+func (s *Scheduler) pushIdle(now time.Time, r Request, admit bool) bool {
+	v := s.pickIdle(now)
+	if v == nil {
+		return false
+	}
+	v.heard.Idle--
+	s.push(now, r, Push{To: v.addr, Admit: admit})
+	return true
+}
+
+// pushAnywhere pushes r to an idle sibling, else to the one with the shortest
+// queue.
+func (s *Scheduler) pushAnywhere(now time.Time, r Request) bool {
+	if s.pushIdle(now, r, true) {
+		return true
+	}
+	var best *view
+	for i := range s.group.views {
+		v := &s.group.views[i]
+		if v.heard.Draws && (best == nil || v.heard.Queued < best.heard.Queued) {
+			best = v
+		}
+	}
+	if best == nil || s.options.Alone {
+		return false
+	}
+	best.heard.Queued++
+	s.push(now, r, Push{To: best.addr, Admit: true})
+	return true
+}
+
+func (s *Scheduler) push(now time.Time, r Request, p Push) {
+	p.ID = r.ID
+	p.Standing = s.standing(now, p.To)
+	s.pushed[r.ID] = pushed{request: r, to: p.To, admit: p.Admit}
+	s.emit(p)
+}
+
+// pickIdle draws one of the known idle slots of siblings at random: a fixed
+// order would send all agents to the same sibling.
+func (s *Scheduler) pickIdle(now time.Time) *view {
+	total := 0
+	for i := range s.group.views {
+		total += s.group.views[i].idle(now)
+	}
+	if total == 0 || s.options.Alone {
+		return nil
+	}
+	at := s.rng.IntN(total)
+	for i := range s.group.views {
+		v := &s.group.views[i]
+		if at -= v.idle(now); at < 0 {
+			return v
+		}
+	}
+	return nil
+}
+
+func (v *view) idle(now time.Time) int {
+	if !v.heard.Draws || !now.Before(v.expires) {
+		return 0
+	}
+	return max(v.heard.Idle, 0)
+}
+
+// moveOut pushes waiting requests to siblings that are known to be idle.
+func (s *Scheduler) moveOut(now time.Time) {
+	for {
+		i := s.queue.firstMovable()
+		if i < 0 {
+			return
+		}
+		v := s.pickIdle(now)
+		if v == nil {
+			return
+		}
+		v.heard.Idle--
+		s.push(now, s.queue.removeAt(i), Push{To: v.addr})
+	}
+}
