Look again for running requests before a drain closes connections

Cause: a request whose header was still being read when the drain found nothing running had one second before its connection was closed. The scheduler refuses such a request in far less, so that no failure was seen; but that is its neighbour's promise. Change: after the second the drain looks again. Tests of the agent under the race detector and the leave of an agent with real processes pass.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -80,8 +80,13 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		s.running.wait(graceful)
-		wait(graceful, goAwayGrace)
+		for {
+			s.running.wait(graceful)
+			wait(graceful, goAwayGrace)
+			if s.running.number() == 0 || graceful.Err() != nil {
+				return
+			}
+		}
 	}()
 	// The error only says that some connections were still open.
 	_ = s.http.Shutdown(graceful)
