--- a/internal/confdelta/confdelta.go
+++ b/internal/confdelta/confdelta.go
@@ -37,7 +37,7 @@
 func Encode(base, text []byte) ([]byte, error) {
 	options := []zstd.EOption{
 		zstd.WithEncoderConcurrency(1),
-		zstd.WithEncoderLevel(zstd.SpeedBetterCompression),
+		zstd.WithEncoderLevel(zstd.SpeedFastest),
 		zstd.WithWindowSize(windowFor(len(base) + len(text))),
 		zstd.WithLowerEncoderMem(true),
 	}
