Measure a balancer among thousands of members

Cause: fleets of up to 60 processes say little about a balancer at the target of 6,880 members: the line through them is stretched a hundredfold, and the pure benchmarks see neither connections nor the collector.

--- a/test/cmd/footprint/fleet.go
+++ b/test/cmd/footprint/fleet.go
@@ -43,7 +43,7 @@
 	balancers := (size + balancerShare - 1) / balancerShare
 	agents := size - balancers
 	var services []string
-	for i := 0; i < agents; i += agentsPerService {
+	for i := 0; i < max(agents, 1); i += agentsPerService {
 		services = append(services, fmt.Sprintf("service-%d", i/agentsPerService))
 	}
 	own, err := os.MkdirTemp(dir, "fleet-")
@@ -79,8 +79,8 @@
 		}
 		f.add(balancer, p)
 	}
-	for i, service := range services {
-		if err := f.addService(ctx, service, min(agentsPerService, agents-i*agentsPerService)); err != nil {
+	for i := 0; i < agents; i += agentsPerService {
+		if err := f.addService(ctx, services[i/agentsPerService], min(agentsPerService, agents-i)); err != nil {
 			return err
 		}
 	}
--- a/test/cmd/footprint/main.go
+++ b/test/cmd/footprint/main.go
@@ -16,11 +16,20 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/saltbend/saltbend/test/crowd"
 	"github.com/saltbend/saltbend/test/harness"
 )
 
+// Parts of the measurement.
+const (
+	partFleets = "fleets"
+	partCrowd  = "crowd"
+)
+
 type options struct {
+	Parts   []string      `long:"part" choice:"fleets" choice:"crowd" default:"fleets" default:"crowd" description:"What to measure; may be repeated."`
 	Sizes   []int         `long:"sizes" default:"5" default:"20" default:"40" default:"60" description:"Number of processes of a fleet; may be repeated."`
+	Members []int         `long:"members" default:"700" default:"2100" default:"6900" description:"Number of members around one balancer, all but it stand-ins; may be repeated."`
 	Window  time.Duration `long:"window" default:"30s" description:"Length of each measurement; watches of the store last this long."`
 	Settle  time.Duration `long:"settle" default:"75s" description:"Time to get quiet: former seeds go on for a minute."`
 	Changes int           `long:"changes" default:"10" description:"Configuration changes a minute in the second measurement."`
@@ -48,9 +57,13 @@
 	if err := harness.Build(ctx, filepath.Join(dir, "bin")); err != nil {
 		return err
 	}
-	for _, size := range o.Sizes {
-		if err := measureFleet(ctx, o, dir, size); err != nil {
-			return err
+	measure := map[string]func(context.Context, options, string, int) error{partFleets: measureFleet, partCrowd: measureCrowd}
+	sizes := map[string][]int{partFleets: o.Sizes, partCrowd: o.Members}
+	for _, part := range o.Parts {
+		for _, size := range sizes[part] {
+			if err := measure[part](ctx, o, dir, size); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -63,6 +76,27 @@
 		return err
 	}
 	defer f.harness.Close()
+	return f.measureBoth(ctx, o, "Fleet", fmt.Sprintf("processes=%d", size))
+}
+
+// measureCrowd measures one balancer among stand-ins for the other members.
+func measureCrowd(ctx context.Context, o options, dir string, members int) error {
+	f, err := startFleet(ctx, dir, 1)
+	if err != nil {
+		return err
+	}
+	defer f.harness.Close()
+	others, err := crowd.Surround(ctx, harness.Secrets, f.processes[balancer][0].Address("control"), members)
+	if err != nil {
+		return err
+	}
+	defer others.Close()
+	fmt.Fprintf(os.Stderr, "in touch with %d of %d members\n", others.Touched(), members)
+	return f.measureBoth(ctx, o, "Crowd", fmt.Sprintf("members=%d", members))
+}
+
+// measureBoth measures once idle and once under changes.
+func (f *fleet) measureBoth(ctx context.Context, o options, name, size string) error {
 	if err := pause(ctx, o.Settle); err != nil {
 		return err
 	}
@@ -70,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	idle.report("FleetIdle", size)
+	idle.report(name+"Idle", size)
 	var delays []time.Duration
 	changing, err := f.measure(ctx, func() (err error) {
 		delays, err = f.change(ctx, o.Window, time.Minute/time.Duration(o.Changes))
@@ -80,8 +114,8 @@
 		return err
 	}
 	changing.calls = minus(changing.calls, f.applyCalls, uint64(len(delays))) // the operator's own
-	changing.report("FleetChanging", size)
-	reportDelays(size, delays)
+	changing.report(name+"Changing", size)
+	reportDelays(name+"InForce", size, delays)
 	return nil
 }
 
--- a/test/cmd/footprint/report.go
+++ b/test/cmd/footprint/report.go
@@ -6,9 +6,12 @@
 )
 
 // report prints one line for each role, and one for the calls to the store.
-func (w window) report(name string, size int) {
+func (w window) report(name, size string) {
 	seconds := w.length.Seconds()
 	for _, role := range roles {
+		if len(w.byRole[role]) == 0 {
+			continue
+		}
 		line := start(name+"/role="+role, size)
 		for _, q := range []struct {
 			unit string
@@ -44,19 +47,17 @@
 }
 
 // reportDelays prints the times until changes were in force everywhere.
-func reportDelays(size int, delays []time.Duration) {
+func reportDelays(name, size string, delays []time.Duration) {
 	var sum, most time.Duration
 	for _, d := range delays {
 		sum += d
 		most = max(most, d)
 	}
 	mean := sum / time.Duration(len(delays))
-	fmt.Println(start("FleetInForce", size) + value(mean.Seconds(), "seconds") + value(most.Seconds(), "max-seconds"))
+	fmt.Println(start(name, size) + value(mean.Seconds(), "seconds") + value(most.Seconds(), "max-seconds"))
 }
 
 // start is the beginning of a line in the format of Go benchmarks.
-func start(name string, size int) string {
-	return fmt.Sprintf("Benchmark%s/processes=%d 1", name, size)
-}
+func start(name, size string) string { return fmt.Sprintf("Benchmark%s/%s 1", name, size) }
 
 func value(v float64, unit string) string { return fmt.Sprintf(" %.6g %s", v, unit) }
