--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -48,6 +48,13 @@
 	return jsonhttp.Do(ctx, http.MethodPut, p.Upstream.URL("address")+"/behaviour", b, nil)
 }
 
+// Load asks the upstream for its load.
+func (p *Pair) Load(ctx context.Context) (upstream.Load, error) {
+	var load upstream.Load
+	err := jsonhttp.Do(ctx, http.MethodGet, p.Upstream.URL("address")+upstream.PathLoad, nil, &load)
+	return load, err
+}
+
 // Fleet is the whole system as processes.
 type Fleet struct {
 	Store  *Process
