health: give an upstream its full weight back after a failure

Cause: weights were cut down to steps of 250, and the average of outcomes comes back close to one but not to it, so a single failure left an upstream at 750 for hundreds of good outcomes; at a steady share of failures the weight could also swing between steps, each time with messages to the fleet. Change: round to the nearest step, and leave a step only when the weight has moved by three quarters of one. Both halves of the test were seen failing (750 after 100 good outcomes). The recovery test asks for 900 again; it had been lowered to 750 when steps came, which hid this.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -16,6 +16,8 @@
 	minWeight = 50
 	// weightStep is the grain of weights: each change costs the fleet messages.
 	weightStep = 250
+	// leaveStep is the part of a step by which the weight has to have moved.
+	leaveStep = 0.75
 	// gain is the weight of one outcome in the moving averages.
 	gain = 0.05
 	// drawsFrom is the share of good outcomes from which on an upstream may
@@ -81,6 +83,8 @@
 	inRow     int
 	last      time.Time
 	report    Report
+	// step is the weight that was last given, but for minWeight.
+	step int
 }
 
 // NewTracker returns the tracker of an upstream that is cold at start.
@@ -126,7 +130,8 @@
 	return t.inRow >= trusted && now.Sub(t.last) < fresh
 }
 
-// Judge returns what the upstream has earned of its slots.
+// Judge returns what the upstream has earned of its slots. Weights move in
+// steps, of which the tracker remembers the last.
 func (t *Tracker) Judge(now time.Time, slots int, peers Peers) Verdict {
 	v := Verdict{
 		Weight:   t.weight(now),
@@ -155,7 +160,16 @@
 	if t.past > 0 && t.latency > slowFactor*t.past {
 		w *= float64(slowFactor*t.past) / float64(t.latency)
 	}
-	return max(int(w)/weightStep*weightStep, minWeight)
+	return max(t.settle(w), minWeight)
+}
+
+// settle returns the step that the weight stands at. It leaves a step only for
+// one that is clearly nearer, so that it doesn't swing.
+func (t *Tracker) settle(w float64) int {
+	if math.Abs(w-float64(t.step)) >= leaveStep*weightStep {
+		t.step = int(math.Round(w/weightStep)) * weightStep
+	}
+	return t.step
 }
 
 func (t *Tracker) warmth(now time.Time) float64 {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -41,11 +41,35 @@
 	for range 100 {
 		tr.Observe(now, good)
 	}
-	if v := tr.Judge(now, slots, health.Peers{}); !v.Draws || v.Slots != slots || v.Weight < 750 {
+	if v := tr.Judge(now, slots, health.Peers{}); !v.Draws || v.Slots != slots || v.Weight < 900 {
 		t.Fatalf("recovered upstream earned %+v", v)
 	}
 }
 
+func TestWeightIsFullAgainAfterFailuresAndDoesNotSwing(t *testing.T) {
+	tr, now := tracker(100, good)
+	changes, last := 0, health.FullWeight
+	for i := range 2000 {
+		o := good
+		if i%16 == 0 {
+			o = fast
+		}
+		tr.Observe(now, o)
+		if w := tr.Judge(now, slots, health.Peers{}).Weight; w != last {
+			changes, last = changes+1, w
+		}
+	}
+	if changes > 2 {
+		t.Errorf("the weight changed %d times under steady failures", changes)
+	}
+	for range 100 {
+		tr.Observe(now, good)
+	}
+	if w := tr.Judge(now, slots, health.Peers{}).Weight; w != health.FullWeight {
+		t.Errorf("weight %d after 100 good outcomes", w)
+	}
+}
+
 func TestOutcomesOutweighAReportOfBadHealth(t *testing.T) {
 	tr, now := tracker(100, good)
 	tr.Hear(now, health.Report{Healthy: false})
