request: honour the slow start from the first verdict on

Cause: the time of a slow start was read half a second after the start, so that a cold upstream was announced with full weight before; and each start was logged as a change of health.

--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -80,6 +80,7 @@
 	h.links = newLinks(ctx, o, h.log)
 	h.engine = newEngine(h.limits(), h.links, h.log)
 	h.links.engine = h.engine
+	h.verdict = health.Verdict{Weight: health.FullWeight, Slots: h.limits().Slots, Draws: true}
 	if o.Registry != nil {
 		if err := o.Registry.Register(siblingService, &Sibling{handler: h}); err != nil {
 			return nil, errors.Wrap(err, "request: register")
--- a/internal/request/handler_test.go
+++ b/internal/request/handler_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/health"
 	"github.com/saltbend/saltbend/internal/request"
 )
 
@@ -128,6 +131,24 @@
 		Expect(a.upstream.ran()).To(HaveLen(2))
 	})
 
+	It("gives a cold upstream little weight from the first verdict on", func() {
+		service := exams(one)
+		service.Health = config.Health{Path: "/health", Interval: time.Hour, SlowStart: time.Hour}
+		up := newRunner()
+		up.answer <- text(`{"status":"ok"}`)
+		verdicts := make(chan health.Verdict, 100)
+		_, err := request.NewHandler(ctx, request.Options{
+			Service: "exams", Self: address(1), Source: newSource(service), Upstream: up,
+			Judged: func(v health.Verdict) { verdicts <- v },
+			Logger: slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		var first health.Verdict
+		Eventually(verdicts, patience).Should(Receive(&first))
+		Expect(first.Weight).To(BeNumerically("<", health.FullWeight/2))
+		Expect(first.Draws).To(BeTrue())
+	})
+
 	It("admits nothing once it drains, and ends what runs", func() {
 		a, first := busy()
 		a.handler.Drain()
--- a/internal/request/judge.go
+++ b/internal/request/judge.go
@@ -60,7 +60,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.judge(func(time.Time) { h.tracker.SetSlowStart(h.healthSettings().SlowStart) })
+			h.judge(func(time.Time) {})
 		}
 	}
 }
@@ -71,6 +71,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.tracker.SetSlowStart(h.healthSettings().SlowStart)
 	change(now)
 	before := h.verdict
 	h.verdict = h.tracker.Judge(now, h.limits().Slots, h.peers())
