Let a face rest before another service may have it

A face could pass to another service in two files applied in a row. A balancer that was still at the first file would then send the new service's callers to the old one: a packet at the wrong service. The record now keeps the faces that were given up, and apply refuses one to another service for a minute. Ruled out: asking all balancers, since apply must work without the fleet's secrets and a balancer that is cut off can't be asked. The test was seen failing without the check.

--- a/internal/apply/race_test.go
+++ b/internal/apply/race_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/apply"
+	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/store/httpstore"
@@ -221,3 +222,34 @@
 	g.Expect(refused.Findings.Error()).To(gomega.ContainSubstring("b.yaml:3:23 services[0].faces[0]"))
 	g.Expect(fake.Calls().Put).To(gomega.BeEquivalentTo(1))
 }
+
+// TestFaceRestsBetweenTwoServices applies three files in a row: balancers may
+// still be at the first when the third is accepted.
+func TestFaceRestsBetweenTwoServices(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(storefake.New().Handler())
+	defer server.Close()
+	s := open(t, server.URL)
+	now := time.Unix(1_000_000, 0)
+	file := func(name, face string) apply.Result {
+		body := strings.NewReplacer("name: a", "name: "+name, "192.0.2.1", face).Replace(string(text(0, 0)))
+		res, err := apply.Run(t.Context(), apply.Request{Text: []byte(body)}, apply.Env{
+			Store: s, Now: func() time.Time { return now }, NewID: func() record.ChangeID { return record.ChangeID(name + face) },
+			Pause: apply.Backoff(time.Millisecond, time.Millisecond), Progress: func(string) {},
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return res
+	}
+	g.Expect(file("a", "192.0.2.1").Verdict).To(gomega.Equal(apply.Accepted))
+	g.Expect(file("a", "192.0.2.2").Verdict).To(gomega.Equal(apply.Accepted))
+	now = now.Add(record.RestTime / 2)
+	g.Expect(file("a", "192.0.2.3").Verdict).To(gomega.Equal(apply.Accepted))
+	now = now.Add(record.RestTime/2 - 1)
+	refused := file("b", "192.0.2.1")
+	g.Expect(refused.Findings).To(gomega.HaveLen(1))
+	g.Expect(refused.Findings[0].Code).To(gomega.Equal(config.CodeFaceMoved))
+	now = now.Add(1)
+	g.Expect(file("b", "192.0.2.1").Verdict).To(gomega.Equal(apply.Accepted))
+	g.Expect(file("b", "192.0.2.2").Verdict).To(gomega.Equal(apply.Refused), "the second face still rests")
+	g.Expect(file("a", "192.0.2.2").Verdict).To(gomega.Equal(apply.Accepted), "its own service may have it back")
+}
--- a/internal/apply/run.go
+++ b/internal/apply/run.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return Result{Verdict: Unavailable, Err: err}, nil
 	}
-	res, ready := prepare(req, held)
+	res, ready := prepare(req, held, env.Now())
 	if !ready || req.DryRun {
 		return res, nil
 	}
@@ -105,15 +105,17 @@
 
 // prepare compares the file with what the store holds. ready is false where
 // the verdict is already known.
-func prepare(req Request, held *Held) (res Result, ready bool) {
+func prepare(req Request, held *Held, now time.Time) (res Result, ready bool) {
 	var current *config.Config
+	var former []config.Former
 	if held != nil {
 		res.Base, current = held.Revision, held.Record.Config
+		former = held.Record.Resting(now)
 	}
 	if req.Base != nil && *req.Base != res.Base {
 		return Result{Verdict: Conflict, Base: *req.Base, Winner: held}, false
 	}
-	next, findings := config.ParseNext(req.Text, 0, current)
+	next, findings := config.ParseNext(req.Text, 0, current, former...)
 	if len(findings) > 0 {
 		res.Verdict, res.Findings = Refused, findings.In(req.File)
 		return res, false
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// checkFormer refuses a face that another service gave up a moment ago.
+func (f *file) checkFormer(d *decoder, former []Former) {
+	for i := range f.config.Services {
+		s := &f.config.Services[i]
+		for j, face := range s.Faces {
+			k := slices.IndexFunc(former, func(was Former) bool { return was.Face == face && was.Service != s.Name })
+			if k >= 0 {
+				d.report(f.places[i].faces[j], CodeFaceMoved,
+					fmt.Sprintf("the face %s belonged to %s a moment ago, and balancers may lag", face, former[k].Service),
+					"apply the file again in a minute")
+			}
+		}
+	}
+}
+
 func (f *file) checkClasses(d *decoder, i int) {
 	classes, places := f.config.Services[i].Classes, f.places[i].classes
 	names := map[string]bool{}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"time"
@@ -74,9 +75,16 @@
 	return ParseNext(data, revision, nil)
 }
 
+// Former is a face that a service gave up so lately that no other service may
+// have it yet.
+type Former struct {
+	Face    netip.AddrPort
+	Service string
+}
+
 // ParseNext is Parse with the rules for what may follow the previous
-// configuration, which may be nil.
-func ParseNext(data []byte, revision uint64, previous *Config) (*Config, Findings) {
+// configuration, which may be nil, and the faces that were given up lately.
+func ParseNext(data []byte, revision uint64, previous *Config, former ...Former) (*Config, Findings) {
 	d := &decoder{}
 	root := d.document(data)
 	if root == nil {
@@ -85,6 +93,7 @@
 	f := d.file(root)
 	f.check(d)
 	f.checkMoved(d, previous)
+	f.checkFormer(d, former)
 	if len(d.findings) > 0 {
 		d.findings.sort()
 		return nil, d.findings
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -48,6 +48,8 @@
 	Sequence uint64 `json:"sequence"`
 	// Recent are the changes before this one, newest first.
 	Recent []Change `json:"recent,omitempty"`
+	// Retired are the faces that services gave up lately.
+	Retired []Retired `json:"retired,omitempty"`
 	// Text is the operators' file.
 	Text string `json:"text"`
 	// Config is what Text says. Processes adopt it without parsing the text,
@@ -138,6 +140,7 @@
 func (r Record) Next(revision uint64, d Draft) Record {
 	next := First(d)
 	next.Sequence = r.Sequence + 1
+	next.Retired = r.retire(d.Config, next.Time)
 	next.Recent = append([]Change{{ID: r.ID, Revision: revision}}, r.Recent...)
 	if len(next.Recent) > MaxRecent {
 		next.Recent = next.Recent[:MaxRecent]
