Let parts of a fleet that formed apart meet by their seeds

Two parts whose processes joined each other only could hold one seed lease each and never learn of one another: a holder does not look at the other slot. Seen failing first, with four balancers in two pairs of which one each was given the store: two ready members in place of four after a minute.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -18,6 +18,7 @@
 	EventRefuted   event.Kind = "Own death refuted."
 	EventKept      event.Kind = "Unreachable members kept."
 	EventKeptEnd   event.Kind = "Unreachable members kept no longer."
+	EventLearned   event.Kind = "Table learned from a peer."
 )
 
 var noticeKinds = map[gossip.NoticeKind]event.Kind{
@@ -29,11 +30,13 @@
 	gossip.NoticeRefuted:   EventRefuted,
 	gossip.NoticeKept:      EventKept,
 	gossip.NoticeKeptEnd:   EventKeptEnd,
+	gossip.NoticeLearned:   EventLearned,
 }
 
 // notice puts what the engine noticed on the time line.
 func (n *Node) notice(a gossip.Notice) {
-	if a.Kind == gossip.NoticeKept || a.Kind == gossip.NoticeKeptEnd {
+	switch a.Kind {
+	case gossip.NoticeKept, gossip.NoticeKeptEnd, gossip.NoticeLearned:
 		n.event(noticeKinds[a.Kind], fmt.Sprintf("%d members", a.Count))
 		return
 	}
--- a/internal/control/finder.go
+++ b/internal/control/finder.go
@@ -16,7 +16,9 @@
 
 // finder looks for addresses to join at while no known balancer answers.
 type finder struct {
-	busy    bool
+	busy bool
+	// wanted asks for a search as soon as the back-off allows.
+	wanted  bool
 	next    time.Time
 	backoff seed.Backoff
 }
@@ -27,7 +29,7 @@
 	if n.options.Store == nil || f.busy || now.Before(f.next) {
 		return
 	}
-	f.busy = true
+	f.busy, f.wanted = true, false
 	go n.listSeeds()
 }
 
--- a/internal/control/seeding.go
+++ b/internal/control/seeding.go
@@ -63,6 +63,9 @@
 		return
 	}
 	n.readToJoin(now)
+	if n.finder.wanted {
+		n.findPeers(now)
+	}
 	if n.options.Self.Role != member.RoleBalancer {
 		return
 	}
@@ -124,6 +127,11 @@
 	n.post(func(now time.Time) {
 		n.noteStore(now, err)
 		n.seeding.machine.Done(now, sent, a, result, entry.Revision)
+		if a.Kind == seed.Claim && result != seed.Unavailable {
+			// Other holders may belong to a part of the fleet not met yet. Of
+			// two that claim, the later one sees the earlier.
+			n.finder.wanted = true
+		}
 	})
 	if result == seed.Held {
 		n.readConfig(ctx)
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -1,6 +1,8 @@
 package control_test
 
 import (
+	"net/netip"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -68,6 +70,27 @@
 		Eventually(late.inForce, patience).Should(Equal(revision))
 	})
 
+	It("makes parts meet that formed apart", func() {
+		f := newFleet().withStore()
+		parts := f.client
+		f.client = nil
+		a := f.start(balancerAt(0))
+		f.join = []netip.AddrPort{a.addr}
+		f.client = parts
+		b := f.start(balancerAt(1))
+		f.join, f.client = nil, nil
+		c := f.start(balancerAt(2))
+		f.join = []netip.AddrPort{c.addr}
+		f.client = parts
+		d := f.start(balancerAt(3))
+		for _, n := range []*node{a, b, c, d} {
+			n.SetState(member.StateReady)
+		}
+		for _, n := range []*node{a, b, c, d} {
+			Eventually(n.ready, patience).Should(Equal(4))
+		}
+	})
+
 	It("is called by seeds only, however many balancers there are", func() {
 		f := newFleet().withStore()
 		revision := f.apply(0)
--- a/internal/gossip/engine.go
+++ b/internal/gossip/engine.go
@@ -247,7 +247,8 @@
 		}
 	}
 	for addr, c := range e.cursors {
-		if !slices.Contains(e.witnesses, addr) && now.Sub(c.at) > time.Minute {
+		inUse := slices.Contains(e.witnesses, addr) || slices.Contains(e.join, addr)
+		if !inUse && now.Sub(c.at) > time.Minute {
 			delete(e.cursors, addr)
 		}
 	}
--- a/internal/gossip/messages.go
+++ b/internal/gossip/messages.go
@@ -139,13 +139,15 @@
 	NoticeKept
 	// NoticeKeptEnd: it keeps none any more.
 	NoticeKeptEnd
+	// NoticeLearned: many records came at once, as when a process joins.
+	NoticeLearned
 )
 
 // Notice is for the time line: nothing has to be done.
 type Notice struct {
 	Kind   NoticeKind
 	Member member.Member
-	// Count is the number of members that are kept.
+	// Count is the number of members that are kept, or were learned.
 	Count int
 }
 
--- a/internal/gossip/reconcile.go
+++ b/internal/gossip/reconcile.go
@@ -12,6 +12,12 @@
 // passed on as transitions.
 const passOnLimit = 32
 
+// isMemberNews reports whether the action notes one member's joining or change.
+func isMemberNews(a Action) bool {
+	n, ok := a.(Notice)
+	return ok && (n.Kind == NoticeJoined || n.Kind == NoticeState)
+}
+
 // reconcile compares tables with a random balancer once a period.
 func (e *Engine) reconcile(now time.Time) {
 	if !e.isBalancer() || now.Before(e.nextDigest) {
@@ -166,8 +172,10 @@
 	for _, m := range x.Members {
 		e.merge(now, m)
 	}
-	if len(e.pending)-queued > passOnLimit {
+	if news := len(e.pending) - queued; news > passOnLimit {
 		e.pending = e.pending[:queued]
+		e.actions = slices.DeleteFunc(e.actions, isMemberNews)
+		e.do(Notice{Kind: NoticeLearned, Count: news})
 	}
 	for _, s := range x.Suspicions {
 		e.takeSuspicion(now, s)
