Carry on only the feeds whose class may be resumed

Cause: a feed was subscribed to again at a sibling whenever its events had ids. The configuration's resume, false unless written, was read and shown in differences but never used. Ids of one upstream may mean nothing at another: the caller would get events twice or miss some. Change: carrying asks for resume. Ruled out: dropping the setting. Tests: the feed of the request tests' service is now resumed; a second one that is not must stay at its upstream. Seen failing without the change.

--- a/internal/request/carry.go
+++ b/internal/request/carry.go
@@ -77,7 +77,7 @@
 
 // carryable reports whether the feed of that response can change its source.
 func (h *Handler) carryable(j *job, response *http.Response) bool {
-	return h.o.Caller != nil && j.class.Idempotent && response.StatusCode == http.StatusOK &&
+	return h.o.Caller != nil && j.class.Resume && response.StatusCode == http.StatusOK &&
 		upstream.IsEvents(response.Header) && response.Header.Get("Content-Encoding") == ""
 }
 
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -40,7 +40,8 @@
 		{Name: "report", Methods: []string{"GET"}, Path: "/reports/*", Kind: config.KindRequest, Priority: 5, Idempotent: true, Deadline: patience},
 		{Name: "answer", Methods: []string{"POST"}, Path: "/answers", Kind: config.KindRequest, Priority: 1, Deadline: patience},
 		{Name: "photo", Methods: []string{"PUT"}, Path: "/photos/*", Kind: config.KindUpload, Priority: 2, Deadline: patience},
-		{Name: "feed", Methods: []string{"GET"}, Path: "/feed", Kind: config.KindFeed, Idempotent: true},
+		{Name: "feed", Methods: []string{"GET"}, Path: "/feed", Kind: config.KindFeed, Idempotent: true, Resume: true},
+		{Name: "local-feed", Methods: []string{"GET"}, Path: "/local-feed", Kind: config.KindFeed, Idempotent: true},
 	}}
 }
 
--- a/internal/request/sibling_test.go
+++ b/internal/request/sibling_test.go
@@ -141,6 +141,20 @@
 			Expect(b.upstream.ran()).To(BeEmpty())
 		})
 
+		It("leave it where it is when its class isn't resumed", func() {
+			answer, local := feed()
+			a.upstream.answer <- answer
+			caller := a.send(ctx, "GET", "/local-feed", "", "")
+			Eventually(a.upstream.began, patience).Should(Receive())
+			write(local, "id: 1\ndata: a\n\n")
+			a.handler.Drain()
+			write(local, "id: 2\ndata: b\n\n")
+			Expect(local.Close()).To(Succeed())
+			Expect(receive(caller).Body.String()).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+			Expect(b.upstream.ran()).To(BeEmpty())
+			Expect(here.Close()).To(Succeed())
+		})
+
 		It("leave it where it is when none of them takes it", func() {
 			write(here, "id: 1\ndata: a\n\n")
 			b.handler.Drain()
