--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -8,6 +8,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"github.com/saltbend/saltbend/internal/config"
 )
 
 const (
@@ -57,3 +59,23 @@
 		}
 	}
 }
+
+// example is a whole configuration file within a page.
+var example = regexp.MustCompile("(?s)```yaml\n(version: .*?)```")
+
+func TestExamplesOfConfigurationsAreValid(t *testing.T) {
+	for _, page := range []string{root + "/README.md", pages + "/configuration.md"} {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		match := example.FindSubmatch(text)
+		if match == nil {
+			t.Errorf("%s has no example", page)
+			continue
+		}
+		if _, findings := config.Parse(match[1], 0); len(findings) > 0 {
+			t.Errorf("%s: %v", page, findings)
+		}
+	}
+}
