Have a home that stops leave word of its tickets

A planned restart made every unused ticket of the agent 'unknown', though it never ran; and a draining agent went on issuing tickets whose home was about to go. Requests that others had passed to a stopping home were not waited for either: only its own callers' were.

Now a draining agent issues no tickets, closes its window when its callers' work has ended (what is queued and unused is voided in that step), waits for what runs, and gives its siblings the nonces that may have run; about the others they may say 'not run'. Closings are handed on by those that stop later. Recorded answers are not: a retry at a sibling is told 'unknown'.

Model: agents that stop, with a crash at any moment between, 2,096,782 states, no violation; the closing made before the window is closed, or spent tickets left out of it, are found.

The process test first hung: Close waited for ever when nothing ran, because the channel that it waits for had been set to nil. Waits of the test's own HTTP calls are bounded since. go test -race passes for ticket, home, request and agent; spec/check.sh passes.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -31,6 +31,7 @@
 	wait(ctx, announceGrace)
 	a.requests.Drain()
 	a.server.shutdown(ctx)
+	a.tickets.Close(ctx)
 	left := a.server.running.number()
 	a.env.Events.Add(part, eventDrained, "")
 	a.log.Info("Drained.", slog.Int("cut", left))
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -59,6 +59,7 @@
 	flow     *flow.Conn
 	upstream *upstream.Client
 	requests *request.Handler
+	tickets  *home.Home
 	server   *server
 	cancel   context.CancelFunc // ends the node and the requests' scheduler
 	fleet    fleet
@@ -192,15 +193,14 @@
 	if err != nil {
 		return err
 	}
-	tickets, err := a.serveRequests(ctx, ring, self)
-	if err != nil {
+	if err := a.serveRequests(ctx, ring, self); err != nil {
 		return err
 	}
 	a.env.Keys.OnChange(func(ring *keyring.Ring) {
 		ids.SetKeys(ring)
 		a.flow.SetKeys(ring)
 		a.peer.SetRing(ring)
-		tickets.SetRing(ring)
+		a.tickets.SetRing(ring)
 	})
 	transport := newTransport(a.flow, ids, ring, self.Data)
 	a.server = newServer(transport, a.requests, a.log)
@@ -210,8 +210,8 @@
 }
 
 // serveRequests brings up what answers the callers' requests.
-func (a *agent) serveRequests(ctx context.Context, ring *keyring.Ring, self member.Member) (*home.Home, error) {
-	tickets, err := home.New(home.Options{
+func (a *agent) serveRequests(ctx context.Context, ring *keyring.Ring, self member.Member) (err error) {
+	a.tickets, err = home.New(home.Options{
 		Self:   self,
 		Source: a.node,
 		Caller: a.peer,
@@ -219,7 +219,7 @@
 		Logger: a.env.Logger,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	a.requests, err = request.NewHandler(ctx, request.Options{
 		Service:  self.Service,
@@ -228,15 +228,15 @@
 		Upstream: a.upstream,
 		Caller:   a.peer,
 		Registry: a.peer,
-		Tickets:  tickets,
+		Tickets:  a.tickets,
 		Judged:   a.judged,
 		Events:   a.env.Events,
 		Logger:   a.env.Logger,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return tickets, tickets.Serve(a.peer, a.requests)
+	return a.tickets.Serve(a.peer, a.requests)
 }
 
 // close takes down all parts that stand.
--- /dev/null
+++ b/internal/home/closing.go
@@ -0,0 +1,155 @@
+package home
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/internal/ticket"
+)
+
+// maxClosings bounds the closings that a process holds; the oldest goes first.
+const maxClosings = 32
+
+// handOnTimeout bounds the last word of a process that stops.
+const handOnTimeout = 2 * time.Second
+
+// closings are the last words of homes that stopped in good order. A process
+// that stops hands them on with its own, so that they outlive a restart of all
+// agents one after the other.
+type closings struct {
+	mu   sync.Mutex
+	held []ticket.Closing // by incarnation, the latest first
+}
+
+// add keeps a closing; one that is there already changes nothing.
+func (c *closings) add(closing ticket.Closing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.find(closing.Home, closing.Incarnation) != nil {
+		return
+	}
+	c.held = append(c.held, closing)
+	slices.SortFunc(c.held, func(a, b ticket.Closing) int { return cmp.Compare(b.Incarnation, a.Incarnation) })
+	c.held = c.held[:min(len(c.held), maxClosings)]
+}
+
+func (c *closings) find(home netip.AddrPort, incarnation uint64) *ticket.Closing {
+	for i := range c.held {
+		if c.held[i].Home == home && c.held[i].Incarnation == incarnation {
+			return &c.held[i]
+		}
+	}
+	return nil
+}
+
+// outcome returns what the closing of the ticket's home says; ok is false
+// where none is held.
+func (c *closings) outcome(t ticket.Ticket) (o ticket.Outcome, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closing := c.find(t.Home, t.Incarnation)
+	if closing == nil {
+		return 0, false
+	}
+	return closing.Outcome(t.Nonce), true
+}
+
+func (c *closings) all() []ticket.Closing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.held)
+}
+
+// Close ends the home in good order: queued and unused tickets are voided,
+// what runs is waited for until ctx ends, and the siblings learn which tickets
+// may have run. Nothing runs under a ticket of this process afterwards.
+func (h *Home) Close(ctx context.Context) {
+	h.mu.Lock()
+	for _, nonce := range h.window.Close() {
+		h.abandon(nonce)
+	}
+	idle := h.whenIdle()
+	h.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	own, _ := h.window.Closing()
+	h.mu.Unlock()
+	own.Home, own.Incarnation = h.o.Self.Control, h.o.Self.Incarnation
+	h.closings.add(own)
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOnTimeout)
+	defer cancel()
+	h.handOn(bounded)
+}
+
+// whenIdle returns a channel that is closed when no ticket is running.
+func (h *Home) whenIdle() <-chan struct{} {
+	idle := make(chan struct{})
+	h.idle = idle
+	h.tellIdle() // sets h.idle to nil if there is nothing to wait for
+	return idle
+}
+
+func (h *Home) tellIdle() {
+	if h.idle != nil && len(h.runs) == 0 {
+		close(h.idle)
+		h.idle = nil
+	}
+}
+
+// handOn gives all closings to each sibling.
+func (h *Home) handOn(ctx context.Context) {
+	snapshot := h.o.Source.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	var calls sync.WaitGroup
+	for _, m := range snapshot.Agents {
+		if m.Control == h.o.Self.Control || m.Service != h.o.Self.Service {
+			continue
+		}
+		calls.Go(func() { h.handTo(ctx, m.Control) })
+	}
+	calls.Wait()
+}
+
+// handTo gives one closing at a time, to stay within the bound of a message.
+func (h *Home) handTo(ctx context.Context, sibling netip.AddrPort) {
+	for _, closing := range h.closings.all() {
+		args := &InheritArgs{Service: h.o.Self.Service, Closing: closing}
+		if err := h.o.Caller.Call(ctx, sibling, methodInherit, args, &InheritReply{}); err != nil {
+			h.log.Info("Sibling didn't take the closing.", slog.String("sibling", sibling.String()), slog.Any("error", err))
+			return
+		}
+	}
+}
+
+// InheritArgs is the closing of a home.
+type InheritArgs struct {
+	Service string
+	Closing ticket.Closing
+}
+
+// InheritReply is empty.
+type InheritReply struct{}
+
+// Inherit keeps the closing of a home of the same service.
+func (s *Service) Inherit(args *InheritArgs, _ *InheritReply) error {
+	if args.Service == s.home.o.Self.Service {
+		s.home.closings.add(args.Closing)
+	}
+	return nil
+}
+
+// closed is the decision about a ticket whose home has stopped in good order.
+func closed(o ticket.Outcome) request.Decision {
+	return settled(ticket.Result{Outcome: o})
+}
--- a/internal/home/faults_test.go
+++ b/internal/home/faults_test.go
@@ -209,6 +209,49 @@
 	}
 }
 
+// A home that stops in good order lets running requests end, and leaves word
+// of which tickets may have run; the word outlives those that heard it.
+func TestHomeStopsInGoodOrder(t *testing.T) {
+	takeTurn(t)
+	f := startFleet(t, long)
+	unused := f.ticket
+	recorded := f.result(f.home.send("", "nothing")).Ticket
+	f.Expect(f.result(f.others[0].send(recorded, "recorded")).Outcome).To(Equal(request.OutcomeComplete))
+	running := f.result(f.home.send("", "nothing")).Ticket
+	last := f.others[0].send(running, hold+"last")
+	f.running(hold + "last")
+	f.home.tell(membersPath, f.siblings())
+
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		f.home.tell(closePath, nil)
+	}()
+	f.Eventually(func() string { return f.result(f.home.send("", "nothing")).Ticket }, patience).Should(BeEmpty())
+	f.Expect(f.result(f.home.send(unused, "victim")).Outcome).To(Equal(request.OutcomeNotRun))
+	f.upstream.release(hold + "last")
+	f.Expect(f.result(last).Outcome).To(Equal(request.OutcomeComplete))
+	f.Eventually(closed, patience).Should(BeClosed())
+	f.home.kill()
+
+	expectWord := func(n *node) {
+		f.Expect(f.result(n.send(unused, "victim")).Outcome).To(Equal(request.OutcomeNotRun))
+		f.Expect(f.result(n.send(recorded, "recorded")).Outcome).To(Equal(request.OutcomeUnknown))
+		f.Expect(f.result(n.send(running, hold+"last")).Outcome).To(Equal(request.OutcomeUnknown))
+	}
+	expectWord(f.others[0])
+	f.home = startNode(t, f.home.Peer)
+	f.start(f.home, f.control)
+	f.others[1].tell(membersPath, []member.Member{{Control: f.control, Service: testService}})
+	f.others[1].tell(closePath, nil)
+	for _, n := range f.others {
+		n.kill()
+	}
+	expectWord(f.home)
+	f.Expect(f.upstream.ran("victim")).To(BeZero())
+	f.Expect(f.upstream.ran("recorded")).To(Equal(1))
+}
+
 // A caller that leaves takes its queued request with it, unless another
 // attempt waits for it.
 func TestQueuedRequestEndsWithItsLastCaller(t *testing.T) {
--- a/internal/home/fleet_test.go
+++ b/internal/home/fleet_test.go
@@ -201,6 +201,15 @@
 	f.Expect(err).NotTo(HaveOccurred())
 }
 
+// siblings lists the agents that are not the home.
+func (f *fleet) siblings() []member.Member {
+	var all []member.Member
+	for _, n := range f.others {
+		all = append(all, member.Member{Control: netip.MustParseAddrPort(n.Peer), Service: testService})
+	}
+	return all
+}
+
 // tellMembers puts a member list in force at the other agents.
 func (f *fleet) tellMembers(members ...member.Member) {
 	f.t.Helper()
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -54,6 +54,9 @@
 	mu     sync.Mutex
 	window *ticket.Window
 	runs   map[uint64]*run // queued and running, by nonce
+	idle   chan struct{}   // closed with the last run, while Close waits
+
+	closings closings
 }
 
 var _ request.Tickets = (*Home)(nil)
@@ -114,16 +117,19 @@
 	case err != nil:
 		// Sealed with a key that is out of use, perhaps: it may have run.
 		return request.Decision{Verdict: request.VerdictUnknown}
-	case t.Home != h.o.Self.Control:
-		return h.elsewhere(t)
-	case t.Incarnation != h.o.Self.Incarnation:
-		return request.Decision{Verdict: request.VerdictUnknown}
+	case t.Home == h.o.Self.Control && t.Incarnation == h.o.Self.Incarnation:
+		return h.admit(t.Nonce, digest, deadline)
 	}
-	return h.admit(t.Nonce, digest, deadline)
+	return h.elsewhere(t)
 }
 
+// elsewhere decides about a ticket of another home, or of an earlier
+// incarnation at this address.
 func (h *Home) elsewhere(t ticket.Ticket) request.Decision {
-	if standing(h.o.Source.Snapshot(), t) == replaced {
+	if outcome, ok := h.closings.outcome(t); ok {
+		return closed(outcome)
+	}
+	if t.Home == h.o.Self.Control || standing(h.o.Source.Snapshot(), t) == replaced {
 		return request.Decision{Verdict: request.VerdictUnknown}
 	}
 	return request.Decision{Verdict: request.VerdictPass, Home: t.Home}
@@ -198,9 +204,16 @@
 	}
 	r.callers--
 	if r.callers == 0 && h.window.Void(nonce) {
+		h.abandon(nonce)
+	}
+}
+
+// abandon takes a voided ticket from its owner, who waits in the queue.
+func (h *Home) abandon(nonce uint64) {
+	if r := h.runs[nonce]; r != nil {
 		close(r.abandoned)
-		h.settle(nonce, notRun(reasonVoided))
 	}
+	h.settle(nonce, notRun(reasonVoided))
 }
 
 // settle gives all that wait the one outcome.
@@ -210,6 +223,7 @@
 		return
 	}
 	delete(h.runs, nonce)
+	h.tellIdle()
 	for _, wait := range r.waits {
 		wait <- answer // has room for the one answer that it gets
 	}
--- a/internal/home/node_test.go
+++ b/internal/home/node_test.go
@@ -44,6 +44,7 @@
 	testService = "exams"
 	startPath   = "/-/start"
 	membersPath = "/-/members"
+	closePath   = "/-/close"
 	metricsPath = "/-/metrics"
 )
 
@@ -152,6 +153,10 @@
 		}
 		view.setAgents(members)
 	})
+	mux.HandleFunc(closePath, func(http.ResponseWriter, *http.Request) {
+		handler.Drain()
+		tickets.Close(context.Background())
+	})
 	mux.Handle("/", handler)
 }
 
@@ -197,7 +202,8 @@
 	g := NewWithT(n.t)
 	body, err := json.Marshal(v)
 	g.Expect(err).NotTo(HaveOccurred())
-	r, err := http.Post("http://"+n.HTTP+path, "application/json", bytes.NewReader(body))
+	client := &http.Client{Timeout: patience}
+	r, err := client.Post("http://"+n.HTTP+path, "application/json", bytes.NewReader(body))
 	g.Expect(err).NotTo(HaveOccurred())
 	r.Body.Close()
 	g.Expect(r.StatusCode).To(Equal(http.StatusOK))
--- a/internal/home/pass.go
+++ b/internal/home/pass.go
@@ -56,6 +56,10 @@
 	answer, err := h.send(watched, home, args)
 	if err != nil {
 		go h.leave(home, args.Attempt)
+		if o, ok := h.closings.outcome(t); ok && o == ticket.NotRun {
+			h.metrics.passed("closed")
+			return notRun(reasonVoided), nil // the home's own word, given in advance
+		}
 		h.metrics.passed("unreachable")
 		if cause := context.Cause(watched); cause != nil {
 			err = errors.Wrap(cause, err.Error())
--- a/internal/home/service.go
+++ b/internal/home/service.go
@@ -16,9 +16,10 @@
 const serviceName = "Home"
 
 const (
-	methodRun   = serviceName + ".Run"
-	methodLeave = serviceName + ".Leave"
-	methodProbe = serviceName + ".Probe"
+	methodRun     = serviceName + ".Run"
+	methodLeave   = serviceName + ".Leave"
+	methodProbe   = serviceName + ".Probe"
+	methodInherit = serviceName + ".Inherit"
 )
 
 // Attempt identifies one pass of a request over all processes.
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,9 @@
 	links   *links
 	metrics *counters
 
+	// draining is set when new tickets would outlive their home.
+	draining atomic.Bool
+
 	mu      sync.Mutex
 	budget  *retry.Budget
 	tracker *health.Tracker
@@ -96,6 +100,7 @@
 // Drain ends the intake of new requests and feeds; admitted work runs on, and
 // feeds go on at siblings where they can.
 func (h *Handler) Drain() {
+	h.draining.Store(true)
 	h.engine.post(draining{})
 	h.relays.stopAll()
 	h.leaveFeeds()
@@ -247,7 +252,7 @@
 }
 
 func (h *Handler) freshTicket() string {
-	if h.o.Tickets == nil {
+	if h.o.Tickets == nil || h.draining.Load() {
 		return ""
 	}
 	return h.o.Tickets.Issue()
--- a/internal/request/ticketed.go
+++ b/internal/request/ticketed.go
@@ -14,6 +14,8 @@
 	switch {
 	case text == "" && h.o.Tickets == nil:
 		return end{answer: NotRun(http.StatusServiceUnavailable, "no-tickets", time.Second)}
+	case text == "" && h.draining.Load():
+		return end{answer: NotRun(http.StatusServiceUnavailable, "draining", time.Second)}
 	case text == "":
 		return end{answer: NotRun(http.StatusPreconditionRequired, "no-ticket", 0)}
 	case h.o.Tickets == nil:
--- a/internal/ticket/window.go
+++ b/internal/ticket/window.go
@@ -120,6 +120,7 @@
 	entries map[uint64]*entry
 	order   *list.List // recorded entries, oldest first
 	bytes   int
+	closed  bool
 }
 
 // New returns an empty window.
@@ -167,13 +168,13 @@
 	}
 }
 
-// enqueue admits a first use. With no room even after forgetting the oldest
-// record, the request is refused for good.
+// enqueue admits a first use. In a closed window, or with no room even after
+// forgetting the oldest record, the request is refused for good.
 func (w *Window) enqueue(nonce uint64, digest Digest, deadline time.Time) (Verdict, Result) {
-	if len(w.entries) >= w.bounds.Entries {
+	if !w.closed && len(w.entries) >= w.bounds.Entries {
 		w.forgetOldest()
 	}
-	if len(w.entries) >= w.bounds.Entries {
+	if w.closed || len(w.entries) >= w.bounds.Entries {
 		w.ledger.set(nonce, markVoided)
 		return Settled, Result{Outcome: NotRun}
 	}
--- a/internal/ticket/window_test.go
+++ b/internal/ticket/window_test.go
@@ -189,9 +189,50 @@
 			"fresh":  s.useFresh,
 			"wait":   func(*rapid.T) { s.now = s.now.Add(time.Second) },
 		})
+		s.close(t)
 	})
 }
 
+// close ends the window and checks its last word against what happened, and
+// against what it still lets happen.
+func (s *schedule) close(t *rapid.T) {
+	if _, ok := s.w.Closing(); ok {
+		t.Fatalf("an open window gave its last word")
+	}
+	s.w.Close()
+	closing, _ := s.w.Closing()
+	for n := range uint64(len(s.past) + 1) {
+		if closing.Outcome(n) == NotRun {
+			s.deny(t, n, Digest{0})
+			s.deny(t, n, Digest{1})
+		}
+	}
+	for n := range uint64(len(s.past)) {
+		if v, _ := s.w.Admit(n, Digest{}, s.now.Add(time.Hour)); v == Admitted {
+			t.Fatalf("%d: admitted after the close", n)
+		}
+		s.startAt(t, n)
+	}
+}
+
+func TestClosingSpeaksOnlyOfWhatItNames(t *testing.T) {
+	g := NewWithT(t)
+	w := newWindow(t, Bounds{Entries: 4, Bytes: 100, Span: 8})
+	for range 10 {
+		w.Issue()
+	}
+	ran := run(g, w, "x")
+	w.Close()
+	late := w.Issue()
+	c, ok := w.Closing()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(c.Outcome(0)).To(Equal(Unknown))
+	g.Expect(c.Outcome(ran)).To(Equal(Unknown))
+	g.Expect(c.Outcome(ran - 1)).To(Equal(NotRun))
+	g.Expect(c.Outcome(late)).To(Equal(NotRun))
+	g.Expect(c.Outcome(late + 1)).To(Equal(Unknown))
+}
+
 func newWindow(t *testing.T, b Bounds) *Window {
 	t.Helper()
 	w, err := New(b)
--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -11,18 +11,22 @@
  * set. A paused process is one whose next step comes arbitrarily late; every
  * interleaving is explored, so pauses need no state of their own.
  *
+ * An agent may stop in good order: it closes its window, which voids what is
+ * queued and unused, and then gives its last word, the closing, to the others.
+ *
  * The upstream takes a started request from the wire at any later time, also
  * when its agent has died, and may crash before, during or after the run.
  *
  * The constants below state the size that is explored.
  */
-// FAULTS: VOID_SPLIT INCARNATION NONHOME_NOTRUN FORGET DEADLINE RUN_ELSEWHERE RERUN CANCEL_RUNNING NO_DIGEST BLANK CRASH_NOTRUN VOID_FORGOTTEN
-// REACHES: COMPLETE_BY_PASS NOTRUN UNKNOWN SECOND_TICKET REPLAY CRASH_THEN_UNKNOWN JOINED
+// FAULTS: VOID_SPLIT INCARNATION NONHOME_NOTRUN FORGET DEADLINE RUN_ELSEWHERE RERUN CANCEL_RUNNING NO_DIGEST BLANK CRASH_NOTRUN VOID_FORGOTTEN CLOSE_EARLY CLOSE_FORGETS
+// REACHES: COMPLETE_BY_PASS NOTRUN UNKNOWN SECOND_TICKET REPLAY CRASH_THEN_UNKNOWN JOINED CLOSING_TOLD
 
 // SIZE: -DTICKETS=1 -DHONEST=2 -DROGUES=1
 // SIZE: -DTICKETS=2 -DHONEST=3
 // SIZE: -DTICKETS=2 -DHONEST=2 -DCRASHES=2
 // SIZE: -DTICKETS=1 -DHONEST=2 -DROGUES=1 -DCRASHES=2
+// SIZE: -DTICKETS=2 -DHONEST=2 -DSTOPS=1
 
 #define AGENTS   2
 #ifndef TICKETS
@@ -34,6 +38,9 @@
 #ifndef ROGUES
 #define ROGUES   0  /* attempts of another request under the first ticket */
 #endif
+#ifndef STOPS
+#define STOPS    0  /* 1: agents may stop in good order */
+#endif
 #define ATTEMPTS (HONEST + ROGUES)
 #define ROGUE    HONEST
 #ifndef CRASHES
@@ -66,6 +73,8 @@
 bit  incarnation[AGENTS];  /* 1 after a crash and restart */
 bit  issuer[TICKETS];      /* incarnation that issued the ticket */
 byte crashes;
+bit  closed[AGENTS];       /* the first incarnation has closed its window */
+byte closing[TICKETS];     /* what the home's closing says, in the network */
 
 /* The home's window. */
 byte state[TICKETS];
@@ -172,7 +181,7 @@
 	:: ALIVE(t) ->
 #endif
 		if
-		:: state[t] == UNUSED ->
+		:: state[t] == UNUSED && !closed[home[t]] ->
 			state[t] = QUEUED;
 			body[t] = BODY(a);
 			waits[a] = 1
@@ -209,6 +218,23 @@
 	fi
 }
 
+/* speak is the closing of agent g. */
+inline speak(g) {
+	for (t : 0 .. TICKETS - 1) {
+		if
+		:: home[t] == g && (state[t] == UNUSED || state[t] == VOIDED) -> closing[t] = NOTRUN
+#ifdef FAULT_CLOSE_FORGETS
+		:: home[t] == g && state[t] == SPENT -> closing[t] = NOTRUN
+		:: home[t] == g && (state[t] == QUEUED || state[t] == RUNNING || state[t] == DONE) -> closing[t] = UNKNOWN
+#else
+		:: home[t] == g && state[t] != UNUSED && state[t] != VOIDED -> closing[t] = UNKNOWN
+#endif
+		:: else
+		fi
+	};
+	t = 0
+}
+
 /* Ticket is the home's part for ticket t. Each atomic step is one call of the
  * window; the home's messages to its own tasks are part of the step. */
 proctype Ticket(byte t) {
@@ -299,6 +325,13 @@
 #endif
 		tell(a, reply[a], replyAnswer[a])
 	}
+	:: atomic { at[a] < AGENTS && !gone[a] && told[a] == NONE && closing[under[a]] != NONE &&
+		(!ISHOME(a) || !ALIVE(under[a])) ->
+#ifdef REACH_CLOSING_TOLD
+		assert(closing[under[a]] != NOTRUN);
+#endif
+		tell(a, closing[under[a]], 0)
+	}
 	:: atomic { at[a] < AGENTS && !ISHOME(a) && !gone[a] && told[a] == NONE ->
 		/* the home is gone, unreachable or silent */
 #ifdef FAULT_RUN_ELSEWHERE
@@ -341,6 +374,34 @@
 	od
 }
 
+#if STOPS
+/* Stop ends agent g in good order; a crash may come at any moment between. */
+proctype Stop(byte g) {
+	byte k = 0, t = 0;
+#ifdef FAULT_CLOSE_EARLY
+end0:
+	atomic { incarnation[g] == 0 -> speak(g) }
+#endif
+end1:
+	atomic { incarnation[g] == 0 ->
+		closed[g] = 1;
+		for (t : 0 .. TICKETS - 1) {
+			if
+			:: home[t] == g && (state[t] == UNUSED || state[t] == QUEUED) ->
+				state[t] = VOIDED;
+				settle(t, NOTRUN, 0)
+			:: else
+			fi
+		};
+		t = 0
+	}
+#ifndef FAULT_CLOSE_EARLY
+end2:
+	atomic { incarnation[g] == 0 -> speak(g) }
+#endif
+}
+#endif
+
 /* Crash restarts agent g as a new incarnation without memory. */
 proctype Crash(byte g) {
 	byte k = 0;
@@ -348,6 +409,7 @@
 	atomic { crashes < CRASHES ->
 		crashes++;
 		incarnation[g] = 1;
+		closed[g] = 0;
 		for (k : 0 .. TICKETS - 1) {
 			if
 			:: home[k] == g ->
@@ -458,6 +520,10 @@
 		home[0] = 0;
 		for (i : 0 .. ATTEMPTS - 1) { run Attempt(i) };
 		for (i : 0 .. TICKETS - 1) { run Ticket(i); run Upstream(i); run Clock(i) };
+#if STOPS
+		run Stop(0);
+		run Stop(1);
+#endif
 		run Crash(0);
 		run Crash(1);
 #if ROGUES
