--- a/test/integration/operators_test.go
+++ b/test/integration/operators_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/saltbend/saltbend/internal/apply"
 	"github.com/saltbend/saltbend/internal/exit"
+	"github.com/saltbend/saltbend/test/caller"
 	"github.com/saltbend/saltbend/test/harness"
 	"github.com/saltbend/saltbend/test/storefake"
 )
@@ -71,6 +73,9 @@
 	ginkgo.It("are told the truth, and what was accepted comes into force everywhere", func(ctx ginkgo.SpecContext) {
 		fleet, _ := start(ctx, size{balancers: 5, pairs: 2}, harness.DefaultValues(), results)
 		gomega.Expect(fleet.SetStoreFaults(ctx, storefake.Faults{LoseAnswer: 1, LosePrefix: configKey})).To(gomega.Succeed())
+		const callers = 30
+		tally := caller.NewTally()
+		crowd := gather(ctx, fleet, tally, callers, caller.Load{Feed: true, LookupEvery: 200 * time.Millisecond})
 		before := len(configWrites(ctx, fleet))
 
 		var t told
@@ -95,5 +100,9 @@
 		ginkgo.AddReportEntry("in force", fmt.Sprintf("%d changes, %d conflicts, %d processes: p50 %s, p99 %s, max %s",
 			len(writes), t.conflicts, len(events), micros(h.ValueAtPercentile(50)), micros(h.ValueAtPercentile(99)), micros(h.Max())),
 			ginkgo.ReportEntryVisibilityAlways)
+		progress(tally, callers, callers)
+		everyFeedGoesOn(tally, callers)
+		crowd.Disperse()
+		expectWhole(fleet, tally, callers)
 	}, ginkgo.SpecTimeout(specTimeout))
 })
