Turn silent flows by sends, and probe less in large fleets

Cause 1: a silent flow's way back was chosen by the clock, modulo the usable balancers. Events at a multiple of the turns' period met the same balancer each time: with 5 balancers and 25 ms between sends one of them was never tried (property test, draw: 5 balancers, quiet 309 ms, 4 bad), and each new suspicion numbered the rest anew. Cause 2: ten probes a second from each of 6,100 agents are 78 a second at each of 780 balancers: 10.6 KB/s of the 11 KB/s for control, both ways, with UDP and IP headers (worked out). Ruled out: a random choice for each send, which bounds nothing; fewer probes at any size, as with few balancers a failed one carries many packets. Change: a silent flow takes the next usable balancer at each send at least 20 ms after the last turn, counted over all known balancers; above 16 balancers an agent sends at most 3 probes a second. Tests: TestRegularEventsOfASilentFlowTakeAllWays was seen failing before the change (1 balancer of 5 taken); the probe test, which demanded at least 5 probes a second with 200 balancers, now states both sizes with the same strictness and was seen failing before (109 probes, 40 allowed). The silent flow property failed 1 of 1 tries on the stored draw before, and holds in 90,000 draws after. Conclusion: 3 probes a second are 23 at a balancer of the target: 3.2 KB/s.

--- a/internal/flow/paths.go
+++ b/internal/flow/paths.go
@@ -43,6 +43,10 @@
 	balancer netip.AddrPort
 	since    time.Time // when the balancer was chosen
 	heard    time.Time
+	// turn counts the ways that a silent flow has taken, turned is when it
+	// took the last one.
+	turn   uint64
+	turned time.Time
 }
 
 // Network implements net.Addr.
@@ -58,7 +62,7 @@
 	flows     map[Key]*Flow
 	balancers map[netip.AddrPort]*balancer
 	live      []netip.AddrPort
-	usable    []netip.AddrPort
+	turns     []*balancer // all known balancers, in the order of their addresses
 	probes    probes
 }
 
@@ -79,7 +83,7 @@
 		if len(p.flows) >= maxFlows {
 			p.forgetOne()
 		}
-		f = &Flow{Key: key, text: key.Caller.String() + " at " + key.Face.String()}
+		f = &Flow{Key: key, turn: uint64(key.Caller.Port()), text: key.Caller.String() + " at " + key.Face.String()}
 		p.flows[key] = f
 	}
 	if now.Sub(f.since) >= rotateEvery {
@@ -105,15 +109,9 @@
 	if b == nil {
 		b = &balancer{addr: via}
 		p.balancers[via] = b
-		b.heard = now
-		p.rebuild(now)
-		return
+		p.rebuild()
 	}
-	was := b.usable(now)
 	b.heard = now
-	if !was && !b.suspect {
-		p.rebuild(now)
-	}
 }
 
 // SetLive names the balancers that the fleet's membership knows to live.
@@ -130,7 +128,7 @@
 		}
 		b.member = true
 	}
-	p.rebuild(now)
+	p.rebuild()
 }
 
 // Choose returns the balancer through which a datagram to the flow's caller
@@ -145,35 +143,50 @@
 		last.used = now
 		return last.addr
 	}
-	if len(p.usable) == 0 {
+	if now.Sub(f.turned) >= rotateEvery {
+		f.turn++
+		f.turned = now
+	}
+	chosen := p.usableAt(now, f.turn)
+	if chosen == nil {
 		return f.balancer // nothing better is known
 	}
-	turn := uint64(now.UnixNano() / int64(rotateEvery))
-	turn += uint64(f.Caller.Port()) // spreads the flows over the balancers
-	chosen := p.balancers[p.usable[turn%uint64(len(p.usable))]]
 	chosen.used = now
 	return chosen.addr
 }
 
+// usableAt returns the balancer whose turn it is, or the next usable one. The
+// turns count the unusable ones as well: else each new suspicion would number
+// the others anew, and a good one could be passed over turn after turn.
+func (p *Paths) usableAt(now time.Time, turn uint64) *balancer {
+	n := uint64(len(p.turns))
+	for i := range n {
+		if b := p.turns[(turn+i)%n]; b.usable(now) {
+			return b
+		}
+	}
+	return nil
+}
+
 // Tick expires what is old and returns the probes to send.
 func (p *Paths) Tick(now time.Time) []Probe {
+	before := len(p.balancers)
 	for addr, b := range p.balancers {
 		if !b.member && now.Sub(b.heard) > balancerFor {
 			delete(p.balancers, addr)
 		}
 	}
-	out := p.probes.due(now, p.balancers)
-	p.rebuild(now)
-	return out
+	if len(p.balancers) != before {
+		p.rebuild()
+	}
+	return p.probes.due(now, p.balancers)
 }
 
 // Answered records a balancer's answer to a probe: both ways work.
 func (p *Paths) Answered(now time.Time, addr netip.AddrPort, nonce uint64) {
-	b := p.balancers[addr]
-	if b == nil || !b.answered(now, nonce) {
-		return
+	if b := p.balancers[addr]; b != nil {
+		b.answered(now, nonce)
 	}
-	p.rebuild(now)
 }
 
 // Expire forgets flows whose callers have long been silent.
@@ -199,13 +212,11 @@
 	return n
 }
 
-// rebuild makes the list of usable balancers, in the order of their addresses.
-func (p *Paths) rebuild(now time.Time) {
-	p.usable = p.usable[:0]
-	for addr, b := range p.balancers {
-		if b.usable(now) {
-			p.usable = append(p.usable, addr)
-		}
+// rebuild lists the known balancers in the order of their addresses.
+func (p *Paths) rebuild() {
+	p.turns = p.turns[:0]
+	for _, b := range p.balancers {
+		p.turns = append(p.turns, b)
 	}
-	slices.SortFunc(p.usable, netip.AddrPort.Compare)
+	slices.SortFunc(p.turns, func(a, b *balancer) int { return a.addr.Compare(b.addr) })
 }
--- a/internal/flow/probes.go
+++ b/internal/flow/probes.go
@@ -20,11 +20,15 @@
 	suspectEvery = 500 * time.Millisecond
 	// inUseFor is how long a balancer counts as in use after a reply.
 	inUseFor = time.Second
-	// probesPerSecond bounds an agent's probes however many balancers it uses.
-	// Beyond it proofs get older, and turning silent flows over the balancers
-	// (Choose) is what recovers them.
+	// probesPerSecond bounds an agent's probes. Beyond it proofs get older, and
+	// turning silent flows over the balancers (Choose) is what recovers them.
 	probesPerSecond = 10
 	probeBurst      = 10
+	// With more than fewBalancers the bound is manyProbesPerSecond: a balancer
+	// that fails then carries few of the packets, and it answers the probes of
+	// the whole fleet's agents out of its budget for control.
+	fewBalancers        = 16
+	manyProbesPerSecond = 3
 )
 
 // Probe asks one balancer whether it answers.
@@ -100,7 +104,7 @@
 }
 
 func (p *probes) due(now time.Time, balancers map[netip.AddrPort]*balancer) []Probe {
-	p.fill(now)
+	p.fill(now, probeRate(len(balancers)))
 	var due []*balancer
 	for _, b := range balancers {
 		b.judge(now)
@@ -122,11 +126,20 @@
 	return out
 }
 
-func (p *probes) fill(now time.Time) {
+// probeRate returns the probes a second that an agent of so many balancers may
+// send.
+func probeRate(balancers int) float64 {
+	if balancers > fewBalancers {
+		return manyProbesPerSecond
+	}
+	return probesPerSecond
+}
+
+func (p *probes) fill(now time.Time, perSecond float64) {
 	if p.filled.IsZero() {
 		p.tokens = probeBurst
 	} else {
-		p.tokens += now.Sub(p.filled).Seconds() * probesPerSecond
+		p.tokens += now.Sub(p.filled).Seconds() * perSecond
 	}
 	p.tokens = min(p.tokens, probeBurst)
 	p.filled = now
