Let announcements and configuration notices pass deaths by the hundred

Pushes took all that waited in one queue and one batch had to be affordable as a whole. While a lost data centre used the byte budget up, a draining process and the notice of a new configuration waited for minutes behind declarations. Seen failing first: no copy of either went out.

--- a/internal/gossip/engine.go
+++ b/internal/gossip/engine.go
@@ -41,13 +41,8 @@
 	// witnesses are the balancers at which the process renews.
 	witnesses []netip.AddrPort
 	// avoid holds the balancers that failed to answer.
-	avoid map[netip.AddrPort]shunned
-	// pending waits for the next push.
-	pending           []member.Member
-	pendingSuspicions []member.Suspicion
-	// notify asks for a push even if it carries no transition.
-	notify bool
-
+	avoid    map[netip.AddrPort]shunned
+	outbox   outbox
 	suspects *member.Suspects
 	// watched are the members that this balancer is a witness of.
 	watched map[netip.AddrPort]*watch
@@ -104,7 +99,7 @@
 func (e *Engine) SetRevision(revision uint64) {
 	e.self.Revision = revision
 	e.table.NoteRevision(e.self.Control, e.self.Incarnation, revision)
-	e.notify = e.isBalancer()
+	e.outbox.notify = e.isBalancer()
 }
 
 // Update changes the process's own record and announces the change at once.
@@ -134,9 +129,10 @@
 
 // publishSelf puts a new version of the process's own record in force.
 func (e *Engine) publishSelf(now time.Time, next member.Member) {
+	before := e.self
 	e.self = next
 	e.table.Merge(next, now)
-	e.spread(next)
+	e.spread(next, before)
 	e.nextAnnounce = now
 }
 
@@ -186,7 +182,7 @@
 		delete(e.avoid, m.Control)
 	}
 	e.note(before, known, m)
-	e.spread(m)
+	e.spread(m, before)
 	e.watchRecord(now, m, before)
 	return true
 }
--- a/internal/gossip/reconcile.go
+++ b/internal/gossip/reconcile.go
@@ -168,12 +168,12 @@
 // learn merges the records of an exchange. A few are passed on at once; many
 // are left to the exchanges of the others, which are likely to know them.
 func (e *Engine) learn(now time.Time, x Exchange) {
-	queued := len(e.pending)
+	queued := e.outbox
 	for _, m := range x.Members {
 		e.merge(now, m)
 	}
-	if news := len(e.pending) - queued; news > passOnLimit {
-		e.pending = e.pending[:queued]
+	if news := e.outbox.waiting() - queued.waiting(); news > passOnLimit {
+		e.outbox = queued
 		e.actions = slices.DeleteFunc(e.actions, isMemberNews)
 		e.do(Notice{Kind: NoticeLearned, Count: news})
 	}
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/member"
@@ -17,38 +18,82 @@
 	maxBatch = 256
 )
 
-// spread queues a record for the next push.
-func (e *Engine) spread(m member.Member) {
-	if e.isBalancer() {
-		e.pending = append(e.pending, m)
+// outbox holds what waits for the next push.
+type outbox struct {
+	// urgent is what processes say of themselves: few, and not held back.
+	urgent []member.Member
+	// bulk is what a cut or its healing brings by the hundred: declarations and
+	// refutations. It waits for the budget, as suspicions do.
+	bulk       []member.Member
+	suspicions []member.Suspicion
+	// notify asks for a push even if it carries nothing: the claim in it tells
+	// of a new configuration.
+	notify bool
+}
+
+func (o *outbox) waiting() int { return len(o.urgent) + len(o.bulk) + len(o.suspicions) }
+
+// spread queues a record, which replaced before, for the next push.
+func (e *Engine) spread(m, before member.Member) {
+	switch {
+	case !e.isBalancer():
+	case isBulk(m, before):
+		e.outbox.bulk = append(e.outbox.bulk, m)
+	default:
+		e.outbox.urgent = append(e.outbox.urgent, m)
+	}
+}
+
+// isBulk reports whether the record is a declaration or a refutation: apart
+// from its version, nothing that the process itself decides has changed.
+func isBulk(m, before member.Member) bool {
+	if m.Declared || before.Declared && before.Incarnation == m.Incarnation {
+		return true
 	}
+	before.Version, before.Revision = m.Version, m.Revision
+	return before == m
 }
 
-// push sends the queued transitions to the neighbours as far as the budget
-// allows; what is left waits for the next call.
+// push sends what waits to the neighbours: announcements and notices at once,
+// the rest as far as the budget allows.
 func (e *Engine) push(now time.Time) {
-	if len(e.pending) == 0 && len(e.pendingSuspicions) == 0 && !e.notify {
+	o := &e.outbox
+	if o.waiting() == 0 && !o.notify {
 		return
 	}
 	to := e.neighbours()
 	if len(to) == 0 {
-		e.pending, e.pendingSuspicions, e.notify = nil, nil, false
+		*o = outbox{}
 		return
 	}
-	batch := e.pending[:min(len(e.pending), maxBatch)]
-	suspicions := e.pendingSuspicions[:min(len(e.pendingSuspicions), maxBatch)]
-	size := messageBytes + recordBytes*len(batch) + suspicionBytes*len(suspicions)
-	if !e.afford(now, len(to)*size) {
+	room := int(e.budget.TokensAt(now))/len(to) - messageBytes
+	p := Push{From: e.self.Control}
+	p.Members = take(&o.urgent, maxBatch)
+	room -= recordBytes * len(p.Members)
+	p.Suspicions = take(&o.suspicions, min(maxBatch, room/suspicionBytes))
+	room -= suspicionBytes * len(p.Suspicions)
+	p.Members = append(p.Members, take(&o.bulk, min(maxBatch, room/recordBytes))...)
+	if o.waiting() > 0 {
+		e.deferred++
+	}
+	if len(p.Members)+len(p.Suspicions) == 0 && !o.notify {
 		return
 	}
-	e.pending = e.pending[len(batch):]
-	e.pendingSuspicions = e.pendingSuspicions[len(suspicions):]
-	e.notify = false
+	o.notify = false
+	e.charge(now, len(to)*(messageBytes+recordBytes*len(p.Members)+suspicionBytes*len(p.Suspicions)))
 	for _, addr := range to {
-		e.do(SendPush{To: addr, Message: Push{From: e.self.Control, Members: batch, Suspicions: suspicions}})
+		e.do(SendPush{To: addr, Message: p})
 	}
 }
 
+// take removes up to n elements from the front of the queue.
+func take[T any](queue *[]T, n int) []T {
+	n = max(0, min(n, len(*queue)))
+	out := slices.Clone((*queue)[:n])
+	*queue = (*queue)[n:]
+	return out
+}
+
 // afford takes size bytes from the budget if they are there. What is put off
 // is counted.
 func (e *Engine) afford(now time.Time, size int) bool {
@@ -59,8 +104,8 @@
 	return false
 }
 
-// charge takes the bytes of an answer, which cannot be put off, from the budget
-// for what follows.
+// charge takes the bytes of what is sent in any case from the budget for what
+// follows.
 func (e *Engine) charge(now time.Time, size int) {
 	e.budget.ReserveN(now, min(size, e.timing.BurstBytes))
 }
@@ -69,7 +114,7 @@
 // (negative when answers have overdrawn it), the transitions that wait, and
 // how often a message was put off.
 func (e *Engine) Budget(now time.Time) (tokens float64, waiting int, deferred uint64) {
-	return e.budget.TokensAt(now), len(e.pending) + len(e.pendingSuspicions), e.deferred
+	return e.budget.TokensAt(now), e.outbox.waiting(), e.deferred
 }
 
 // neighbours returns the balancers to push to. One that does not answer stays
--- a/internal/gossip/suspect.go
+++ b/internal/gossip/suspect.go
@@ -50,7 +50,7 @@
 	}
 	// Repeated ever more rarely, for those who have missed it.
 	if news || bits.OnesCount(uint(w.failed)) == 1 {
-		e.pendingSuspicions = append(e.pendingSuspicions, x)
+		e.outbox.suspicions = append(e.outbox.suspicions, x)
 	}
 }
 
@@ -72,7 +72,7 @@
 		return
 	}
 	if e.suspects.Add(x, now) && e.isBalancer() {
-		e.pendingSuspicions = append(e.pendingSuspicions, x)
+		e.outbox.suspicions = append(e.outbox.suspicions, x)
 	}
 }
 
