Check that a close voids the queue and waits for what runs

Two seeded faults had been missed: a close that left queued requests in place, and one that waited for nothing. After the close the random schedules now expect no start at all, and the process test watches for 300 ms that the close doesn't return while a request runs; a sound program can't fail that.

--- a/internal/home/faults_test.go
+++ b/internal/home/faults_test.go
@@ -17,6 +17,9 @@
 	brief = 1500 * time.Millisecond
 	// long is the deadline where an outcome must come without it.
 	long = 10 * time.Minute
+	// aWhile is how long a test watches that something doesn't happen; a longer
+	// time finds more faults, none makes a sound program fail.
+	aWhile = 300 * time.Millisecond
 	// newTickets is how many tickets a restarted home issues before it meets an
 	// old one, so that the old one's nonce is among them.
 	newTickets = 8
@@ -229,6 +232,7 @@
 	}()
 	f.Eventually(func() string { return f.result(f.home.send("", "nothing")).Ticket }, patience).Should(BeEmpty())
 	f.Expect(f.result(f.home.send(unused, "victim")).Outcome).To(Equal(request.OutcomeNotRun))
+	f.Consistently(closed, aWhile).ShouldNot(BeClosed()) // it waits for the last request
 	f.upstream.release(hold + "last")
 	f.Expect(f.result(last).Outcome).To(Equal(request.OutcomeComplete))
 	f.Eventually(closed, patience).Should(BeClosed())
--- a/internal/ticket/window_test.go
+++ b/internal/ticket/window_test.go
@@ -211,7 +211,9 @@
 		if v, _ := s.w.Admit(n, Digest{}, s.now.Add(time.Hour)); v == Admitted {
 			t.Fatalf("%d: admitted after the close", n)
 		}
-		s.startAt(t, n)
+		if s.w.Start(n, s.now) {
+			t.Fatalf("%d: started after the close", n)
+		}
 	}
 }
 
