Refuse new flows of lagging balancers at faces the service gave up

Cause: a balancer that lags behind a configuration places new flows of a moved face at its former service; the agent checked the service that the balancer named, but not whether the service still has the face. So the promise rested on the operator's waiting time between giving a face up and giving it away. Ruled out: refusing whatever face the agent does not know, as an agent that lags itself would refuse flows of a new face. Change: an agent drops a new flow whose header names an older revision than its own, and a face that its service does not list; open flows pass by their token. The agent tests' stand-in balancers now state a revision, as real ones do; their assertions are as they were.

--- a/internal/agent/balancer_test.go
+++ b/internal/agent/balancer_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -92,6 +93,7 @@
 			Caller:   netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port()),
 			Face:     addrOf(f.face),
 			Service:  config.TagOf(testService),
+			Revision: math.MaxUint64, // these balancers never lag behind the agent
 			Balancer: addrOf(b.data),
 		}
 		if codec.Encode(buf, &h) != nil {
--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/encap"
 	"github.com/saltbend/saltbend/internal/member"
@@ -26,6 +28,22 @@
 	return dataOf(snapshot, target.To)
 }
 
+// admit refuses a new flow that a balancer with an older configuration placed
+// here, through a face that the service no longer has: the caller means the
+// service that has the face now.
+func (a *agent) admit(h encap.Header) bool {
+	c := a.node.Snapshot().Config
+	return c == nil || admits(c.Revision, a.serviceIn(c), h)
+}
+
+// admits decides with the service as of a revision, nil where it has none.
+func admits(revision uint64, service *config.Service, h encap.Header) bool {
+	if h.Revision >= revision {
+		return true
+	}
+	return service != nil && slices.Contains(service.Faces, h.Face)
+}
+
 // dataOf returns the data address of the ready sibling with the control
 // address.
 func dataOf(snapshot *control.Snapshot, to netip.AddrPort) (netip.AddrPort, bool) {
--- /dev/null
+++ b/internal/agent/hand_test.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/config"
+	"github.com/saltbend/saltbend/internal/encap"
+)
+
+func TestNewFlowsOfLaggingBalancersComeThroughFacesOfTheServiceOnly(t *testing.T) {
+	g := NewWithT(t)
+	const revision = 7
+	here, elsewhere := netip.MustParseAddrPort("192.0.2.1:443"), netip.MustParseAddrPort("192.0.2.2:443")
+	service := &config.Service{Name: "results", Faces: []netip.AddrPort{here}}
+	for _, c := range []struct {
+		name    string
+		service *config.Service
+		face    netip.AddrPort
+		seen    uint64
+		admits  bool
+	}{
+		{"a face of the service, lagging", service, here, revision - 1, true},
+		{"a former face, lagging", service, elsewhere, revision - 1, false},
+		{"a new face that the agent doesn't know yet", service, elsewhere, revision + 1, true},
+		{"the same revision", service, elsewhere, revision, true},
+		{"a service that is gone, lagging", nil, here, revision - 1, false},
+	} {
+		h := encap.Header{Face: c.face, Revision: c.seen}
+		g.Expect(admits(revision, c.service, h)).To(Equal(c.admits), c.name)
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -132,6 +132,7 @@
 		Data:    a.settings.Data.AddrPort(),
 		Service: config.TagOf(a.settings.Service),
 		Ring:    ring,
+		Admit:   a.admit,
 		Hand:    a.hand,
 	})
 	a.flow = conn
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -25,6 +25,8 @@
 	Data    netip.AddrPort
 	Service config.Tag
 	Ring    *keyring.Ring
+	// Admit tells whether a new flow may come in; nil admits all.
+	Admit AdmitFunc
 	// Hand may place new flows at siblings; nil keeps all.
 	Hand HandFunc
 }
@@ -34,6 +36,7 @@
 type Conn struct {
 	socket  *net.UDPConn
 	service config.Tag
+	admit   AdmitFunc
 	hand    HandFunc
 	writer  *writer
 	once    sync.Once
@@ -73,6 +76,7 @@
 	c := &Conn{
 		socket:   socket,
 		service:  o.Service,
+		admit:    o.Admit,
 		hand:     o.Hand,
 		batch:    ipv4.NewPacketConn(socket),
 		messages: newMessages(),
--- a/internal/flow/conn_test.go
+++ b/internal/flow/conn_test.go
@@ -170,6 +170,28 @@
 	}
 }
 
+func TestRefusedNewFlowsAreDroppedAndOpenOnesAreNot(t *testing.T) {
+	g := NewWithT(t)
+	c := listen(t, nil)
+	c.admit = func(h encap.Header) bool { return h.Revision > 0 }
+	b := newPeer(t, ring(g, oldSecret))
+	before := droppedFace.Get()
+	b.send(g, c.Addr(), b.header(), initial("refused!"))
+	ids, err := NewIDs(ring(g, oldSecret), c.Addr(), config.TagOf("results"), 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	id, err := ids.GenerateConnectionID()
+	g.Expect(err).NotTo(HaveOccurred())
+	b.send(g, c.Addr(), b.header(), initial(string(id.Bytes())))
+	admitted := b.header()
+	admitted.Revision = 1
+	b.send(g, c.Addr(), admitted, initial("admitted"))
+	for _, want := range []string{string(id.Bytes()), "admitted"} {
+		payload, _ := next(g, c)
+		g.Expect(payload[dcidOffset : dcidOffset+len(want)]).To(Equal(want))
+	}
+	g.Expect(droppedFace.Get() - before).To(BeEquivalentTo(1))
+}
+
 func TestRotatedKeysAreTakenUp(t *testing.T) {
 	g := NewWithT(t)
 	c := listen(t, nil)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -25,6 +25,10 @@
 // the packets of a flow take many paths, of which discovery would probe one.
 const PacketSize = 1280
 
+// AdmitFunc tells whether a new flow with this header may come in. It must not
+// block.
+type AdmitFunc func(h encap.Header) bool
+
 // HandFunc may place a new flow elsewhere. It gets the header of the Initial
 // and its destination connection ID, which it must not keep, and returns the
 // data address of a sibling that takes the flow. It must not block.
--- a/internal/flow/metrics.go
+++ b/internal/flow/metrics.go
@@ -25,6 +25,7 @@
 	droppedKey     = dropped("key")
 	droppedForged  = dropped("forged")
 	droppedService = dropped("service")
+	droppedFace    = dropped("face")
 	droppedEmpty   = dropped("empty")
 	droppedTooLong = dropped("too_long")
 	droppedQueue   = dropped("queue")
--- a/internal/flow/read.go
+++ b/internal/flow/read.go
@@ -75,9 +75,15 @@
 		droppedEmpty.Inc()
 		return nil, nil
 	}
-	if to := c.place(now, h, payload); to.IsValid() {
-		c.handOn(h, payload, to)
-		return nil, nil
+	if dcid, ok := c.opensFlow(payload); ok {
+		if c.admit != nil && !c.admit(h) {
+			droppedFace.Inc()
+			return nil, nil
+		}
+		if to := c.place(now, h, dcid, len(payload)); to.IsValid() {
+			c.handOn(h, payload, to)
+			return nil, nil
+		}
 	}
 	key := Key{Caller: h.Caller, Face: h.Face}
 	c.mu.Lock()
@@ -95,24 +101,28 @@
 	c.writer.send(d, payload)
 }
 
+// opensFlow returns the connection ID that the caller chose, where the payload
+// is of a flow that has no token yet.
+func (c *Conn) opensFlow(payload []byte) (dcid []byte, ok bool) {
+	dcid, ok = longHeaderDCID(payload)
+	if !ok {
+		return nil, false
+	}
+	_, err := c.tokens.Open(dcid, c.service)
+	return dcid, err != nil
+}
+
 // place returns the sibling that takes a new flow, or the zero AddrPort when
 // the datagram is for here. What was handed on to here stays here.
-func (c *Conn) place(now time.Time, h encap.Header, payload []byte) netip.AddrPort {
+func (c *Conn) place(now time.Time, h encap.Header, dcid []byte, size int) netip.AddrPort {
 	if c.hand == nil {
 		return netip.AddrPort{}
 	}
-	dcid, ok := longHeaderDCID(payload)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	if _, err := c.tokens.Open(dcid, c.service); err == nil {
-		return netip.AddrPort{} // a token of ours: the flow is here already
-	}
 	key := makeDCIDKey(dcid)
 	if to, ok := c.placed.get(now, key); ok {
 		return to
 	}
-	if h.Kind == encap.KindHandOn || len(payload) < minInitialSize {
+	if h.Kind == encap.KindHandOn || size < minInitialSize {
 		c.placed.put(now, key, netip.AddrPort{})
 		return netip.AddrPort{}
 	}
