Let a process advertise another control address than it binds

Cause: a process told the fleet the address that its control listener is bound to. Behind an address translation, or bound to all addresses, nobody could call it; and a test could put nothing between two processes.

The transport holds it, so that members, seeds, time line and ready line all name the same address; the ready line adds control_bound where the two differ. Findings: an address that can't be called. Additive: without the flag nothing changes.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -73,7 +73,10 @@
 	if err := a.start(); err != nil {
 		return err
 	}
-	env.Ready(settings.Addresses{Control: a.peer.Addr(), Data: a.flow.Addr(), Ops: a.ops.Addr()})
+	env.Ready(settings.Addresses{
+		Control: a.peer.Addr(), ControlBound: a.peer.Bound(),
+		Data: a.flow.Addr(), Ops: a.ops.Addr(),
+	})
 	select {
 	case <-ctx.Done():
 		a.drain()
@@ -98,7 +101,9 @@
 		return err
 	}
 	a.upstream = upstream.New(base)
-	if a.peer, err = peer.Listen(a.settings.Control.AddrPort(), ring, peer.WithLogger(logging.Part(a.env.Logger, peer.Part))); err != nil {
+	a.peer, err = peer.Listen(a.settings.Control.AddrPort(), ring,
+		peer.WithLogger(logging.Part(a.env.Logger, peer.Part)), peer.WithAdvertised(a.settings.Advertise.AddrPort()))
+	if err != nil {
 		return err
 	}
 	if err := timeline.Register(a.peer, a.env.Events); err != nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -84,7 +84,8 @@
 // listen opens the process's own listeners.
 func (r *role) listen() (err error) {
 	ring := r.env.Keys.Ring()
-	r.peer, err = peer.Listen(r.settings.Control.AddrPort(), ring, peer.WithLogger(logging.Part(r.env.Logger, peer.Part)))
+	r.peer, err = peer.Listen(r.settings.Control.AddrPort(), ring,
+		peer.WithLogger(logging.Part(r.env.Logger, peer.Part)), peer.WithAdvertised(r.settings.Advertise.AddrPort()))
 	if err != nil {
 		return err
 	}
@@ -180,9 +181,10 @@
 func (r *role) addresses() settings.Addresses {
 	data := r.data.LocalAddr().(*net.UDPAddr).AddrPort()
 	return settings.Addresses{
-		Control: r.peer.Addr(),
-		Data:    netip.AddrPortFrom(data.Addr().Unmap(), data.Port()),
-		Ops:     r.ops.Addr(),
+		Control:      r.peer.Addr(),
+		ControlBound: r.peer.Bound(),
+		Data:         netip.AddrPortFrom(data.Addr().Unmap(), data.Port()),
+		Ops:          r.ops.Addr(),
 	}
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -38,6 +39,7 @@
 
 type options struct {
 	logger       *slog.Logger
+	advertised   netip.AddrPort
 	messageBytes int64
 	pending      int
 	maxServed    int
@@ -70,6 +72,12 @@
 	return func(o *options) { o.logger = l }
 }
 
+// WithAdvertised makes addr the address by which others know the process, in
+// place of the one that it listens at. The zero value changes nothing.
+func WithAdvertised(addr netip.AddrPort) Option {
+	return func(o *options) { o.advertised = addr }
+}
+
 // WithMessageBytes bounds one request or reply to n bytes.
 func WithMessageBytes(n int64) Option {
 	return func(o *options) { o.messageBytes = n }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -112,9 +112,18 @@
 	return p, nil
 }
 
-// Addr returns the address that is served, or the zero value of a peer that
-// only calls.
+// Addr returns the address by which others call the process, or the zero value
+// of a peer that only calls.
 func (p *Peer) Addr() netip.AddrPort {
+	if p.options.advertised.IsValid() {
+		return p.options.advertised
+	}
+	return p.Bound()
+}
+
+// Bound returns the address that is listened at, or the zero value of a peer
+// that only calls.
+func (p *Peer) Bound() netip.AddrPort {
 	if p.listener == nil {
 		return netip.AddrPort{}
 	}
--- a/internal/settings/env.go
+++ b/internal/settings/env.go
@@ -22,9 +22,12 @@
 // Addresses are the addresses that a process serves on, after the kernel has
 // chosen ports.
 type Addresses struct {
-	Control netip.AddrPort
-	Data    netip.AddrPort
-	Ops     netip.AddrPort
+	// Control is the address by which others know the process, ControlBound
+	// the one that its control listener is bound to.
+	Control, ControlBound netip.AddrPort
+
+	Data netip.AddrPort
+	Ops  netip.AddrPort
 	// Faces maps each public face to the local address that serves it; only
 	// balancers have any.
 	Faces map[netip.AddrPort]netip.AddrPort
@@ -41,6 +44,9 @@
 		slog.String("data", a.Data.String()),
 		slog.String("ops", a.Ops.String()),
 	}
+	if a.ControlBound != a.Control {
+		attrs = append(attrs, slog.String("control_bound", a.ControlBound.String()))
+	}
 	if a.Faces != nil {
 		attrs = append(attrs, slog.Any("faces", a.Faces))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,7 @@
 // Common are the settings that both roles share.
 type Common struct {
 	Control     Address   `long:"control" env:"SALTBEND_CONTROL" default:"127.0.0.1:0" value-name:"IP:PORT" description:"listen address of the control traffic between processes (TCP); port 0 lets the kernel choose"`
+	Advertise   Address   `long:"control-advertise" env:"SALTBEND_CONTROL_ADVERTISE" value-name:"IP:PORT" description:"address at which other processes reach the control listener, where that is not the listen address: behind an address translation, or when the listener is bound to all addresses"`
 	Data        Address   `long:"data" env:"SALTBEND_DATA" default:"127.0.0.1:0" value-name:"IP:PORT" description:"listen address of the encapsulated datagrams between processes (UDP)"`
 	Ops         Address   `long:"ops" env:"SALTBEND_OPS" default:"127.0.0.1:0" value-name:"IP:PORT" description:"listen address of /metrics, /livez and /readyz (HTTP)"`
 	DataCentre  string    `long:"dc" env:"SALTBEND_DC" value-name:"NAME" description:"data centre of this host (required)"`
@@ -82,6 +83,7 @@
 func (c *Common) Check() Findings {
 	var f Findings
 	f = append(f, CheckAddress("control", c.Control)...)
+	f = append(f, c.checkAdvertise()...)
 	f = append(f, CheckAddress("data", c.Data)...)
 	f = append(f, CheckAddress("ops", c.Ops)...)
 	if c.DataCentre == "" {
@@ -110,6 +112,19 @@
 	return nil
 }
 
+// checkAdvertise checks that others can call the address which the process
+// gives as its own.
+func (c *Common) checkAdvertise() Findings {
+	if c.Advertise == "" {
+		return nil
+	}
+	f := CheckAddress("control-advertise", c.Advertise)
+	if addr := c.Advertise.AddrPort(); len(f) == 0 && (addr.Port() == 0 || addr.Addr().IsUnspecified()) {
+		f.Add("control-advertise", addr.String()+" can't be called", "give the address and the port that other processes call")
+	}
+	return f
+}
+
 func checkJoin(a Address) Findings {
 	f := CheckAddress("join", a)
 	if len(f) == 0 && a.AddrPort().Port() == 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,6 +33,7 @@
 		spoil func(*settings.Common)
 	}{
 		{"--control (SALTBEND_CONTROL)", func(c *settings.Common) { c.Control = "localhost:1" }},
+		{"--control-advertise (SALTBEND_CONTROL_ADVERTISE)", func(c *settings.Common) { c.Advertise = "192.0.2.1:0" }},
 		{"--data (SALTBEND_DATA)", func(c *settings.Common) { c.Data = "127.0.0.1" }},
 		{"--ops (SALTBEND_OPS)", func(c *settings.Common) { c.Ops = "" }},
 		{"--dc (SALTBEND_DC)", func(c *settings.Common) { c.DataCentre = "" }},
