--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -169,15 +169,24 @@
 
 // AddBalancerVia is AddBalancer with another way to the store.
 func (f *Fleet) AddBalancerVia(ctx context.Context, store string) (*Process, error) {
-	args := append([]string{"balancer", "--face-host", "127.0.0.1"}, f.memberArgs(store)...)
+	p, err := f.startBalancer(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	return p, f.Spray(ctx, p)
+}
+
+// startBalancer starts a balancer that finds the store at the URL.
+func (f *Fleet) startBalancer(ctx context.Context, store string, args ...string) (*Process, error) {
+	args = append(append([]string{"balancer", "--face-host", "127.0.0.1"}, f.memberArgs(store)...), args...)
 	p, err := f.start(ctx, f.id("balancer"), "saltbendd", args...)
 	if err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.live[p.Name] = p
-	f.mu.Unlock()
-	return p, f.Spray(ctx, p)
+	return p, nil
 }
 
 // Spray waits until the balancer is ready with all faces and tells the fabric.
--- a/test/integration/seeds_test.go
+++ b/test/integration/seeds_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -74,11 +75,19 @@
 		frozen := seeds[0]
 		frozen.Freeze()
 		others := slices.DeleteFunc(fleet.Balancers(), func(b *harness.Process) bool { return b == frozen })
-		time.Sleep(seed.DefaultLease) // the fault itself: the lease lapses
+		begun := time.Now()
+		gomega.Eventually(func() int { return len(holders(ctx, others)) }, patience).Should(gomega.Equal(seed.Slots))
 		revision := change(ctx, fleet, 100)
 		reportInForce(ctx, fleet, "a seed frozen", inForce(ctx, fleet, revision, others))
 		frozen.Thaw()
 		reportInForce(ctx, fleet, "woken", inForce(ctx, fleet, revision, fleet.Balancers()))
+		// It leaves the slot to who took it, and took nobody for dead meanwhile.
+		gomega.Consistently(func() int { return len(holders(ctx, fleet.Balancers())) }, seed.DefaultLease/2).
+			Should(gomega.Equal(seed.Slots))
+		for _, e := range notedSince(ctx, fleet, begun) {
+			concernsFrozen := strings.Contains(e.Detail, " "+frozen.Address("control").String()+",")
+			gomega.Expect(slices.Contains(transitions, e.Kind) && !concernsFrozen).To(gomega.BeFalse(), "%+v", e)
+		}
 		progress(tally, callersEach, callersEach)
 		crowd.Disperse()
 		expectWhole(fleet, tally, callersEach)
