Make the specs of leaving upstreams and frozen seeds sharp and steady

The frozen seed's spec failed in 2 of 2 runs on a busier machine: agents learn of their siblings with their first renewal, and where that came after the freeze it was counted as a change. The leaving upstreams had been added last and carried no flow of any caller, so that "no new work after 3 s" could not fail: an agent that goes on taking requests for 20 s after the signal passed.

Change: both wait until every process, agents included, knows all members; the upstreams that leave are the first ones, and each must have run work before.

Seen failing: with the same 20 s in the agent, 321 runs began at an upstream that leaves later than 3 s after the signal.

--- a/test/integration/control_faults_test.go
+++ b/test/integration/control_faults_test.go
@@ -107,6 +107,23 @@
 	return gomega.And(gomega.HaveLen(processes), gomega.HaveEach(float64(value)))
 }
 
+// expectTables waits until each process knows all balancers and agents, and
+// returns the check that it does.
+func expectTables(ctx context.Context, fleet *harness.Fleet, pairs []*harness.Pair) func(gomega.Gomega) {
+	ginkgo.GinkgoHelper()
+	members := fleet.Balancers()
+	balancers := len(members)
+	for _, pair := range pairs {
+		members = append(members, pair.Agent)
+	}
+	whole := func(g gomega.Gomega) {
+		g.Expect(gauges(ctx, members, metricAgents)).To(allOf(len(pairs), len(members)))
+		g.Expect(gauges(ctx, members, metricBalancers)).To(allOf(balancers, len(members)))
+	}
+	gomega.Eventually(whole, patience).Should(gomega.Succeed())
+	return whole
+}
+
 // newFlowsThroughEach sends lookups over new connections until every balancer
 // has placed some of them.
 func newFlowsThroughEach(ctx context.Context, fleet *harness.Fleet, tally *caller.Tally) {
@@ -191,17 +208,13 @@
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		}
 		all := fleet.Balancers()
-		members := slices.Clone(all)
+		var agents []*harness.Pair
 		for range pairs {
 			pair, err := fleet.AddPair(ctx, results)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			members = append(members, pair.Agent)
+			agents = append(agents, pair)
 		}
-		tablesWhole := func(g gomega.Gomega) {
-			g.Expect(gauges(ctx, members, metricAgents)).To(allOf(pairs, len(members)))
-			g.Expect(gauges(ctx, members, metricBalancers)).To(allOf(balancers, len(members)))
-		}
-		gomega.Eventually(tablesWhole, patience).Should(gomega.Succeed())
+		tablesWhole := expectTables(ctx, fleet, agents)
 		before := int(change(ctx, fleet, 100))
 		gomega.Eventually(gauges, patience).WithArguments(ctx, all, metricRevision).Should(allOf(before, balancers))
 		tally := caller.NewTally()
@@ -269,7 +282,8 @@
 	times := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxInForce.Microseconds(), 3) }
 
 	ginkgo.It("that comes, leaves or crashes is known to every balancer", func(ctx ginkgo.SpecContext) {
-		fleet, _ := start(ctx, size{balancers: 5, pairs: 2}, harness.DefaultValues(), results)
+		fleet, pairs := start(ctx, size{balancers: 5, pairs: rounds}, harness.DefaultValues(), results)
+		expectTables(ctx, fleet, pairs) // so that each gets some of the flows
 		tally := caller.NewTally()
 		crowd := gather(ctx, fleet, tally, callersEach, load)
 		came, left, crashed := times(), times(), times()
@@ -282,9 +296,10 @@
 		}
 		var begun time.Time
 		leavers := make(map[string]time.Time)
-		for range rounds {
-			pair := add()
-			progress(tally, callersEach, callersEach)
+		for _, pair := range pairs {
+			add()
+			progress(tally, 4*callersEach, callersEach)
+			gomega.Expect(runs(fleet, tally, pair)).NotTo(gomega.BeZero(), "no work would be missed there")
 			begun = time.Now()
 			pair.Agent.Signal(syscall.SIGTERM)
 			timed(left, begun, everyBalancerNotes(ctx, fleet, begun, stateOf(pair, "draining")))
--- a/test/integration/seeds_test.go
+++ b/test/integration/seeds_test.go
@@ -64,7 +64,7 @@
 	load := caller.Load{Feed: true, LookupEvery: 300 * time.Millisecond}
 
 	ginkgo.It("that are frozen past their lease change nobody's routing and never bring back what was", func(ctx ginkgo.SpecContext) {
-		fleet, _ := start(ctx, size{balancers: 4, pairs: 2}, harness.DefaultValues(), results)
+		fleet, pairs := start(ctx, size{balancers: 4, pairs: 2}, harness.DefaultValues(), results)
 		tally := caller.NewTally()
 		crowd := gather(ctx, fleet, tally, callersEach, load)
 		var seeds []*harness.Process
@@ -72,6 +72,7 @@
 			seeds = seedsOf(ctx, fleet)
 			return len(seeds)
 		}, patience).Should(gomega.Equal(seed.Slots))
+		expectTables(ctx, fleet, pairs)
 		frozen := seeds[0]
 		gomega.Expect(frozen.Freeze()).To(gomega.Succeed())
 		others := slices.DeleteFunc(fleet.Balancers(), func(b *harness.Process) bool { return b == frozen })
