quicid: read QUIC's version-independent fields in one place

The balancer's classify filter and the agent's packet connection each cut the destination connection ID out of a packet with offsets of their own. Both now ask quicid.Destination; the agent keeps its stricter bounds (more than six bytes, at most 20 bytes of ID) around it, so neither accepts or refuses other packets than before.

--- a/internal/datapath/classify.go
+++ b/internal/datapath/classify.go
@@ -6,6 +6,7 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/encap"
+	"github.com/saltbend/saltbend/internal/quicid"
 	"github.com/saltbend/saltbend/internal/token"
 )
 
@@ -16,11 +17,10 @@
 // chooses, in bytes.
 const minInitialID = 8
 
-// Bits of a QUIC packet's first byte (RFC 8999, RFC 9000, RFC 9369).
+// Bits of a QUIC packet's first byte (RFC 9000, RFC 9369).
 const (
-	longHeader = 0x80
-	fixedBit   = 0x40
-	longType   = 0x30
+	fixedBit = 0x40
+	longType = 0x30
 )
 
 // Types of a long-header packet that opens a flow, by version.
@@ -32,13 +32,9 @@
 	negotiateVersion = 0
 )
 
-// Places in a QUIC packet that hold for all versions (RFC 8999).
-const (
-	shortIDAt    = 1 // after the first byte
-	versionEnd   = 5 // bytes up to the end of a long header's version
-	longIDLength = 5
-	longIDAt     = 6
-)
+// versionEnd is the length of a long header up to the end of its version, in
+// bytes.
+const versionEnd = 5
 
 // verdict is what the classify filter found out about a datagram.
 type verdict struct {
@@ -58,7 +54,7 @@
 	if len(b) > encap.MaxPayload {
 		return verdict{drop: Oversized}
 	}
-	id, ok := connectionID(b)
+	id, ok := quicid.Destination(b, token.Size)
 	if !ok {
 		return verdict{drop: Truncated}
 	}
@@ -66,7 +62,7 @@
 	if err == nil {
 		return verdict{service: t.Service, agent: t.Agent}
 	}
-	if b[0]&longHeader == 0 {
+	if !quicid.IsLong(b) {
 		return verdict{drop: tokenReason(err)}
 	}
 	if !opensFlow(b) || len(id) < minInitialID || len(id) > token.Size {
@@ -87,30 +83,6 @@
 	return t, err
 }
 
-// connectionID returns the destination connection ID, which shares b's memory.
-// It reads only what is the same in all versions of QUIC; the QUIC library
-// keeps its own function for this to itself. A short header does not tell the
-// ID's length: it is a token's.
-func connectionID(b []byte) (id []byte, ok bool) {
-	if len(b) == 0 {
-		return nil, false
-	}
-	if b[0]&longHeader == 0 {
-		return slice(b, shortIDAt, token.Size)
-	}
-	if len(b) < longIDAt {
-		return nil, false
-	}
-	return slice(b, longIDAt, int(b[longIDLength]))
-}
-
-func slice(b []byte, from, n int) ([]byte, bool) {
-	if len(b) < from+n {
-		return nil, false
-	}
-	return b[from : from+n], true
-}
-
 // opensFlow reports whether a whole long-header packet may be a flow's first. A
 // packet of an unknown version may: the agent answers it with the versions that
 // it knows.
--- a/internal/datapath/classify_test.go
+++ b/internal/datapath/classify_test.go
@@ -10,6 +10,7 @@
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/encap"
 	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/quicid"
 	"github.com/saltbend/saltbend/internal/token"
 )
 
@@ -20,6 +21,13 @@
 	goneSecrets  = "9:000102030405060708090a0b0c0d0e0f"
 )
 
+// Offsets of the destination connection ID and its length, in bytes.
+const (
+	shortIDAt    = 1
+	longIDLength = 5
+	longIDAt     = 6
+)
+
 var (
 	results = config.TagOf("results")
 	intake  = config.TagOf("intake")
@@ -46,7 +54,7 @@
 // long returns a long-header packet of n bytes.
 func long(first byte, version uint32, id []byte, n int) []byte {
 	b := make([]byte, n)
-	b[0] = longHeader | first
+	b[0] = quicid.LongHeader | first
 	binary.BigEndian.PutUint32(b[1:], version)
 	b[longIDLength] = byte(len(id))
 	copy(b[longIDAt:], id)
@@ -124,7 +132,7 @@
 	f.Add(long(fixedBit, version1, []byte("12345678"), 1200))
 	f.Add(long(fixedBit|initialVersion2, version2, make([]byte, 20), 1200))
 	f.Add(long(0, 0x1a2a3a4a, make([]byte, 255), 300))
-	f.Add([]byte{longHeader, 0, 0, 0, 1, 255})
+	f.Add([]byte{quicid.LongHeader, 0, 0, 0, 1, 255})
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		v := classify(b, face, k.Tokens)
--- a/internal/datapath/spray_test.go
+++ b/internal/datapath/spray_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/saltbend/saltbend/internal/flow"
 	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/quicid"
 	"github.com/saltbend/saltbend/internal/token"
 )
 
@@ -38,7 +39,7 @@
 
 func (c *checked) ReadFrom(b []byte) (int, net.Addr, error) {
 	n, from, err := c.PacketConn.ReadFrom(b)
-	if err != nil || n <= token.Size || b[0]&longHeader != 0 {
+	if err != nil || n <= token.Size || quicid.IsLong(b) {
 		return n, from, err
 	}
 	c.came.Add(1)
@@ -99,7 +100,7 @@
 }
 
 func (s *sprayed) WriteTo(b []byte, _ net.Addr) (int, error) {
-	if b[0]&(longHeader|longType) == longHeader { // an Initial
+	if b[0]&(quicid.LongHeader|longType) == quicid.LongHeader { // an Initial
 		s.doubled.Add(1)
 		for _, to := range s.balancers {
 			_, _ = s.conn.WriteToUDPAddrPort(b, to)
--- a/internal/flow/conn_test.go
+++ b/internal/flow/conn_test.go
@@ -11,11 +11,18 @@
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/encap"
 	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/quicid"
 	"github.com/saltbend/saltbend/internal/token"
 )
 
 const patience = 20 * time.Second
 
+// Offsets of the destination connection ID in a long header, in bytes.
+const (
+	dcidLenOffset = 5
+	dcidOffset    = 6
+)
+
 func ring(g Gomega, secrets string) *keyring.Ring {
 	r, err := keyring.Parse(secrets)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -240,7 +247,7 @@
 		if len(b) == 0 {
 			return
 		}
-		if dcid, ok := longHeaderDCID(b); ok && len(dcid) > maxDCID {
+		if dcid, ok := longHeaderDCID(b); ok && len(dcid) > quicid.MaxSize {
 			t.Fatal("longer than a connection ID")
 		}
 	})
--- a/internal/flow/hands.go
+++ b/internal/flow/hands.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/saltbend/saltbend/internal/quicid"
 )
 
 // How long and for how many connection attempts a placement is remembered.
@@ -14,7 +16,7 @@
 // dcidKey is a connection ID as a map key; n tells its length.
 type dcidKey struct {
 	n  uint8
-	id [maxDCID]byte
+	id [quicid.MaxSize]byte
 }
 
 func makeDCIDKey(dcid []byte) dcidKey {
--- a/internal/flow/packet.go
+++ b/internal/flow/packet.go
@@ -1,24 +1,26 @@
 package flow
 
-// Offsets in a QUIC long header that no version changes (RFC 8999).
+import "github.com/saltbend/saltbend/internal/quicid"
+
 const (
-	longHeaderBit  = 0x80
-	dcidLenOffset  = 5
-	dcidOffset     = 6
-	maxDCID        = 20
+	// minInitialSize is QUIC's least size of a datagram that opens a flow, in
+	// bytes.
 	minInitialSize = 1200
+	// longHeaderSize is the length of a long header up to its first ID, in
+	// bytes; more must follow.
+	longHeaderSize = 6
 )
 
 // longHeaderDCID returns the destination connection ID of a long-header
 // packet, sharing the datagram's memory; ok is false for short headers and for
-// what is too short or too long. The QUIC library exports no such function.
+// what is too short or too long.
 func longHeaderDCID(datagram []byte) (dcid []byte, ok bool) {
-	if len(datagram) <= dcidOffset || datagram[0]&longHeaderBit == 0 {
+	if len(datagram) <= longHeaderSize || !quicid.IsLong(datagram) {
 		return nil, false
 	}
-	n := int(datagram[dcidLenOffset])
-	if n > maxDCID || len(datagram) < dcidOffset+n {
+	dcid, ok = quicid.Destination(datagram, 0)
+	if !ok || len(dcid) > quicid.MaxSize {
 		return nil, false
 	}
-	return datagram[dcidOffset : dcidOffset+n], true
+	return dcid, true
 }
