process: set up what both roles have in one place

The agent and the balancer each bound the listener for control traffic, served the time line, bound ops, chose the store and started the control node, line for line alike, and the advertised address had to be added to both. The package internal/process does it for both; run.go and balancer.go lose some 130 lines and gain 27. The listeners of a balancer now close in the order of the agent's (control traffic, then ops), after it has left the fleet; all else is as before. The type that the tests of both roles called process is runningRole now, as the package took its name; their assertions are as before.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -85,8 +85,8 @@
 	return s.URL
 }
 
-// process is an agent role that runs inside the test.
-type process struct {
+// runningRole is an agent role that runs inside the test.
+type runningRole struct {
 	addresses settings.Addresses
 	stop      context.CancelFunc
 	ended     chan struct{}
@@ -94,7 +94,7 @@
 }
 
 // startAgent runs the role until the test ends.
-func startAgent(t testing.TB, upstreamURL string, change func(*Settings)) *process {
+func startAgent(t testing.TB, upstreamURL string, change func(*Settings)) *runningRole {
 	g := NewWithT(t)
 	cert, key := certificatePEM(t)
 	s := Settings{
@@ -120,7 +120,7 @@
 		Ready:  func(a settings.Addresses) { ready <- a },
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{stop: stop, ended: make(chan struct{})}
+	p := &runningRole{stop: stop, ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
 		p.err = Run(ctx, s, env)
@@ -134,7 +134,7 @@
 	return p
 }
 
-func (p *process) readyz(t testing.TB) int {
+func (p *runningRole) readyz(t testing.TB) int {
 	resp, err := http.Get("http://" + p.addresses.Ops.String() + "/readyz")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -225,7 +225,7 @@
 func TestFullAgentPlacesNewFlowsAtSiblings(t *testing.T) {
 	g := NewWithT(t)
 	platform := newStore(t, strings.Replace(configuration, "connections: 4000", "connections: 1", 1))
-	start := func(name string, join ...settings.Address) *process {
+	start := func(name string, join ...settings.Address) *runningRole {
 		up := httptest.NewServer(named(name))
 		t.Cleanup(up.Close)
 		return startAgent(t, up.URL, func(s *Settings) {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,13 +16,9 @@
 	"github.com/saltbend/saltbend/internal/keyring"
 	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/member"
-	"github.com/saltbend/saltbend/internal/ops"
-	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/process"
 	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/settings"
-	"github.com/saltbend/saltbend/internal/store"
-	"github.com/saltbend/saltbend/internal/store/httpstore"
-	"github.com/saltbend/saltbend/internal/timeline"
 	"github.com/saltbend/saltbend/internal/upstream"
 )
 
@@ -53,9 +48,8 @@
 	settings Settings
 	env      settings.Env
 	log      *slog.Logger
-	peer     *peer.Peer
+	process  *process.Process
 	node     *control.Node
-	ops      *ops.Server
 	flow     *flow.Conn
 	upstream *upstream.Client
 	requests *request.Handler
@@ -73,10 +67,7 @@
 	if err := a.start(); err != nil {
 		return err
 	}
-	env.Ready(settings.Addresses{
-		Control: a.peer.Addr(), ControlBound: a.peer.Bound(),
-		Data: a.flow.Addr(), Ops: a.ops.Addr(),
-	})
+	env.Ready(a.process.Addresses(a.flow.Addr()))
 	select {
 	case <-ctx.Done():
 		a.drain()
@@ -101,33 +92,22 @@
 		return err
 	}
 	a.upstream = upstream.New(base)
-	a.peer, err = peer.Listen(a.settings.Control.AddrPort(), ring,
-		peer.WithLogger(logging.Part(a.env.Logger, peer.Part)), peer.WithAdvertised(a.settings.Advertise.AddrPort()))
-	if err != nil {
-		return err
-	}
-	if err := timeline.Register(a.peer, a.env.Events); err != nil {
-		return err
-	}
-	if a.ops, err = ops.Listen(a.settings.Ops.AddrPort()); err != nil {
+	if a.process, err = process.Listen(&a.settings.Common, a.env); err != nil {
 		return err
 	}
-	if a.settings.Pprof {
-		a.ops.EnablePprof()
-	}
 	if err := a.listenFlow(ring); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	self := a.self()
-	if err := a.join(ctx, self); err != nil {
+	if a.node, err = a.process.Join(ctx, self); err != nil {
 		return err
 	}
 	if err := a.serve(ctx, ring, cert, self); err != nil {
 		return err
 	}
-	a.ops.AddCheck(a.unready)
+	a.process.Ops.AddCheck(a.unready)
 	go a.follow(ctx)
 	return nil
 }
@@ -144,29 +124,12 @@
 	return err
 }
 
-// join makes the agent a member of the fleet.
-func (a *agent) join(ctx context.Context, self member.Member) error {
-	platform, err := a.store()
-	if err != nil {
-		return err
-	}
-	a.node, err = control.Start(ctx, control.Options{
-		Self:   self,
-		Peer:   a.peer,
-		Store:  platform,
-		Join:   addresses(a.settings.Join),
-		Events: a.env.Events,
-		Logger: a.env.Logger,
-	})
-	return err
-}
-
 // self returns the agent's record at its start.
 func (a *agent) self() member.Member {
 	return member.Member{
-		Control:     a.peer.Addr(),
+		Control:     a.process.Peer.Addr(),
 		Data:        a.flow.Addr(),
-		Ops:         a.ops.Addr(),
+		Ops:         a.process.Ops.Addr(),
 		Role:        member.RoleAgent,
 		DataCentre:  a.settings.DataCentre,
 		Service:     a.settings.Service,
@@ -177,22 +140,6 @@
 	}
 }
 
-// store returns the platform's key-value service, or nil when none is given.
-func (a *agent) store() (store.Store, error) {
-	if len(a.settings.Store) == 0 {
-		return nil, nil
-	}
-	return httpstore.New(a.settings.Store, httpstore.Options{})
-}
-
-func addresses(texts []settings.Address) []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(texts))
-	for _, text := range texts {
-		out = append(out, text.AddrPort())
-	}
-	return out
-}
-
 // serve ends the callers' connections.
 func (a *agent) serve(ctx context.Context, ring *keyring.Ring, cert tls.Certificate, self member.Member) error {
 	ids, err := flow.NewIDs(ring, self.Data, config.TagOf(self.Service), self.Incarnation)
@@ -205,7 +152,7 @@
 	a.env.Keys.OnChange(func(ring *keyring.Ring) {
 		ids.SetKeys(ring)
 		a.flow.SetKeys(ring)
-		a.peer.SetRing(ring)
+		a.process.Peer.SetRing(ring)
 		a.tickets.SetRing(ring)
 	})
 	transport := newTransport(a.flow, ids, ring, self.Data)
@@ -220,7 +167,7 @@
 	a.tickets, err = home.New(home.Options{
 		Self:   self,
 		Source: a.node,
-		Caller: a.peer,
+		Caller: a.process.Peer,
 		Ring:   ring,
 		Logger: a.env.Logger,
 	})
@@ -232,8 +179,8 @@
 		Self:     self.Control,
 		Source:   a.node,
 		Upstream: a.upstream,
-		Caller:   a.peer,
-		Registry: a.peer,
+		Caller:   a.process.Peer,
+		Registry: a.process.Peer,
 		Tickets:  a.tickets,
 		Judged:   a.judged,
 		Events:   a.env.Events,
@@ -242,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	return a.tickets.Serve(a.peer, a.requests)
+	return a.tickets.Serve(a.process.Peer, a.requests)
 }
 
 // close takes down all parts that stand.
@@ -261,11 +208,8 @@
 	if a.cancel != nil {
 		a.cancel()
 	}
-	if a.peer != nil {
-		_ = a.peer.Close()
-	}
-	if a.ops != nil {
-		_ = a.ops.Close(ctx)
+	if a.process != nil {
+		a.process.Close(ctx)
 	}
 	if a.upstream != nil {
 		a.upstream.Close()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -22,12 +22,8 @@
 	"github.com/saltbend/saltbend/internal/keyring"
 	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/member"
-	"github.com/saltbend/saltbend/internal/ops"
-	"github.com/saltbend/saltbend/internal/peer"
+	"github.com/saltbend/saltbend/internal/process"
 	"github.com/saltbend/saltbend/internal/settings"
-	"github.com/saltbend/saltbend/internal/store"
-	"github.com/saltbend/saltbend/internal/store/httpstore"
-	"github.com/saltbend/saltbend/internal/timeline"
 )
 
 // Part is the fixed prefix of this package's logs and events.
@@ -42,8 +38,7 @@
 	settings  Settings
 	env       settings.Env
 	log       *slog.Logger
-	peer      *peer.Peer
-	ops       *ops.Server
+	process   *process.Process
 	data      *net.UDPConn
 	node      *control.Node
 	path      *datapath.Path
@@ -83,27 +78,15 @@
 
 // listen opens the process's own listeners.
 func (r *role) listen() (err error) {
-	ring := r.env.Keys.Ring()
-	r.peer, err = peer.Listen(r.settings.Control.AddrPort(), ring,
-		peer.WithLogger(logging.Part(r.env.Logger, peer.Part)), peer.WithAdvertised(r.settings.Advertise.AddrPort()))
+	r.process, err = process.Listen(&r.settings.Common, r.env)
 	if err != nil {
 		return err
 	}
-	if err := timeline.Register(r.peer, r.env.Events); err != nil {
-		return err
-	}
 	r.data, err = datapath.Bind(r.settings.Data.AddrPort())
 	if err != nil {
 		return errors.Wrap(err, "data socket")
 	}
 	r.checkBuffer()
-	r.ops, err = ops.Listen(r.settings.Ops.AddrPort())
-	if err != nil {
-		return err
-	}
-	if r.settings.Pprof {
-		r.ops.EnablePprof()
-	}
 	return nil
 }
 
@@ -122,19 +105,8 @@
 }
 
 // start joins the fleet and begins to publish what it learns.
-func (r *role) start(ctx context.Context) error {
-	platform, err := r.store()
-	if err != nil {
-		return err
-	}
-	r.node, err = control.Start(ctx, control.Options{
-		Self:   r.self(),
-		Peer:   r.peer,
-		Store:  platform,
-		Join:   addresses(r.settings.Join),
-		Events: r.env.Events,
-		Logger: r.env.Logger,
-	})
+func (r *role) start(ctx context.Context) (err error) {
+	r.node, err = r.process.Join(ctx, r.self())
 	if err != nil {
 		return err
 	}
@@ -151,21 +123,13 @@
 		ready:    r.ready,
 	}
 	r.env.Keys.OnChange(r.setRing)
-	r.ops.AddCheck(r.publisher.check)
-	r.ops.AddCheck(r.checkLeaving)
-	r.ops.HandleJSON("GET /faces", func() any { return r.publisher.local() })
+	r.process.Ops.AddCheck(r.publisher.check)
+	r.process.Ops.AddCheck(r.checkLeaving)
+	r.process.Ops.HandleJSON("GET /faces", func() any { return r.publisher.local() })
 	go r.publisher.run(ctx)
 	return nil
 }
 
-// store returns the platform's service, or nil if the settings name none.
-func (r *role) store() (store.Store, error) {
-	if len(r.settings.Store) == 0 {
-		return nil, nil
-	}
-	return httpstore.New(r.settings.Store, httpstore.Options{})
-}
-
 func (r *role) self() member.Member {
 	a := r.addresses()
 	return member.Member{
@@ -180,12 +144,7 @@
 // addresses returns the addresses of the process's own listeners.
 func (r *role) addresses() settings.Addresses {
 	data := r.data.LocalAddr().(*net.UDPAddr).AddrPort()
-	return settings.Addresses{
-		Control:      r.peer.Addr(),
-		ControlBound: r.peer.Bound(),
-		Data:         netip.AddrPortFrom(data.Addr().Unmap(), data.Port()),
-		Ops:          r.ops.Addr(),
-	}
+	return r.process.Addresses(netip.AddrPortFrom(data.Addr().Unmap(), data.Port()))
 }
 
 // ready announces that the process serves.
@@ -198,7 +157,7 @@
 
 // setRing puts changed secrets in force.
 func (r *role) setRing(ring *keyring.Ring) {
-	if err := r.peer.SetRing(ring); err != nil {
+	if err := r.process.Peer.SetRing(ring); err != nil {
 		r.log.Error("Secrets not in force for control traffic.", slog.String("error", err.Error()))
 	}
 	r.publisher.setRing(ring)
@@ -257,18 +216,7 @@
 	if r.data != nil {
 		_ = r.data.Close()
 	}
-	if r.ops != nil {
-		_ = r.ops.Close(ctx)
-	}
-	if r.peer != nil {
-		_ = r.peer.Close()
-	}
-}
-
-func addresses(list []settings.Address) []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(list))
-	for _, a := range list {
-		out = append(out, a.AddrPort())
+	if r.process != nil {
+		r.process.Close(ctx)
 	}
-	return out
 }
--- a/internal/balancer/role_test.go
+++ b/internal/balancer/role_test.go
@@ -57,8 +57,8 @@
 	return server.URL
 }
 
-// process is a balancer that runs in the test.
-type process struct {
+// runningRole is a balancer that runs in the test.
+type runningRole struct {
 	addresses settings.Addresses
 	keys      *settings.Keys
 	stop      context.CancelFunc
@@ -66,7 +66,7 @@
 	err       error
 }
 
-func startBalancer(t *testing.T, s Settings) *process {
+func startBalancer(t *testing.T, s Settings) *runningRole {
 	t.Helper()
 	g := NewWithT(t)
 	s.Control, s.Data, s.Ops = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
@@ -81,7 +81,7 @@
 		Ready:  func(a settings.Addresses) { ready <- a },
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{keys: env.Keys, stop: stop, ended: make(chan struct{})}
+	p := &runningRole{keys: env.Keys, stop: stop, ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
 		p.err = Run(ctx, s, env)
@@ -95,7 +95,7 @@
 }
 
 // get returns the status and the body of an ops endpoint.
-func (p *process) get(path string) (int, string) {
+func (p *runningRole) get(path string) (int, string) {
 	answer, err := http.Get("http://" + p.addresses.Ops.String() + path)
 	if err != nil {
 		return 0, ""
