Name all kinds of events as slugs

Kinds came in two styles: sentences ("Configuration in force.") from control, agent and daemon, and slugs ("face-opened") from the balancer and requests. All are slugs now: short, one word to a filter, and safe in scripts. Logs keep their sentences. The balancer's kinds are of type event.Kind now as well, so the test of the pages finds them; it asks in addition for the form of a slug and for the whole name between backquotes in docs/operations.

--- a/cmd/saltbendd/signals.go
+++ b/cmd/saltbendd/signals.go
@@ -13,10 +13,10 @@
 
 // Kinds of events of the daemon.
 const (
-	eventStart     event.Kind = "Started."
-	eventStop      event.Kind = "Stopping."
-	eventKeys      event.Kind = "Secrets read again."
-	eventKeysError event.Kind = "Secrets not read again."
+	eventStart     event.Kind = "started"
+	eventStop      event.Kind = "stopping"
+	eventKeys      event.Kind = "secrets-reloaded"
+	eventKeysError event.Kind = "secrets-refused"
 )
 
 // part names the daemon in logs and events.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -27,9 +27,9 @@
 
 // Kinds of events of the agent.
 const (
-	eventReady    event.Kind = "Agent ready."
-	eventDraining event.Kind = "Agent draining."
-	eventDrained  event.Kind = "Agent drained."
+	eventReady    event.Kind = "agent-ready"
+	eventDraining event.Kind = "agent-draining"
+	eventDrained  event.Kind = "agent-drained"
 )
 
 const (
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,6 +29,9 @@
 // Part is the fixed prefix of this package's logs and events.
 const Part = "balancer"
 
+// eventLeaving tells that the process ends, with the grace period.
+const eventLeaving event.Kind = "leaving"
+
 // goodbye bounds the time in which the fleet is told that the process ends and
 // the listeners close.
 const goodbye = 2 * time.Second
@@ -172,7 +175,7 @@
 	} else {
 		r.log.Info("Face changed.", slog.String("face", public.String()), slog.String("change", string(change)))
 	}
-	r.env.Events.Add(Part, event.Kind(change), detail)
+	r.env.Events.Add(Part, change, detail)
 }
 
 // serviceChanged tells operators of a service that is served again, or no more.
@@ -182,14 +185,14 @@
 		level = slog.LevelInfo
 	}
 	r.log.Log(context.Background(), level, "Service changed.", slog.String("service", service), slog.String("change", string(state)))
-	r.env.Events.Add(Part, event.Kind(state), service)
+	r.env.Events.Add(Part, state, service)
 }
 
 // leave announces the end and forwards on, until the fabric and the agents
 // have had time to turn to other balancers.
 func (r *role) leave() {
 	r.log.Info("Leaving.", slog.Duration("grace", r.settings.Grace))
-	r.env.Events.Add(Part, "leaving", r.settings.Grace.String())
+	r.env.Events.Add(Part, eventLeaving, r.settings.Grace.String())
 	r.leaving.Store(true)
 	r.node.SetState(member.StateDraining)
 	time.Sleep(r.settings.Grace)
--- a/internal/balancer/faces.go
+++ b/internal/balancer/faces.go
@@ -7,6 +7,7 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/datapath"
+	"github.com/saltbend/saltbend/internal/event"
 )
 
 // faces holds the open face sockets. It belongs to the goroutine that turns
@@ -35,14 +36,14 @@
 }
 
 // faceChange is what happened to a face.
-type faceChange string
+type faceChange = event.Kind
 
-// Changes of a face; they name the events, too.
+// Changes of a face.
 const (
-	faceOpened   faceChange = "face-opened"
-	faceDraining faceChange = "face-draining"
-	faceClosed   faceChange = "face-closed"
-	faceFailed   faceChange = "face-failed"
+	faceOpened   event.Kind = "face-opened"
+	faceDraining event.Kind = "face-draining"
+	faceClosed   event.Kind = "face-closed"
+	faceFailed   event.Kind = "face-failed"
 )
 
 func newFaces(host netip.Addr, drain time.Duration, notify func(faceChange, netip.AddrPort, error)) *faces {
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -6,20 +6,21 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/saltbend/saltbend/internal/control"
+	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/placement"
 )
 
-// serviceState tells where a service's new flows go; it names the events, too.
-type serviceState string
+// serviceState tells where a service's new flows go.
+type serviceState = event.Kind
 
 // States of a service.
 const (
 	// serviceServed: to ready agents.
-	serviceServed serviceState = "service-served"
+	serviceServed event.Kind = "service-served"
 	// servicePanics: also to agents that do not look well, for want of others.
-	servicePanics serviceState = "service-panics"
+	servicePanics event.Kind = "service-panics"
 	// serviceUnserved: nowhere, there is no agent.
-	serviceUnserved serviceState = "service-unserved"
+	serviceUnserved event.Kind = "service-unserved"
 )
 
 var serviceStates = []serviceState{serviceServed, servicePanics, serviceUnserved}
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -16,11 +16,11 @@
 
 // Events of the configuration.
 const (
-	EventAdopted event.Kind = "Configuration adopted."
-	EventServing event.Kind = "Configuration in force."
-	EventRefused event.Kind = "Configuration refused."
+	EventAdopted event.Kind = "configuration-adopted"
+	EventServing event.Kind = "configuration-in-force"
+	EventRefused event.Kind = "configuration-refused"
 	// EventUnconfigured: an agent's service is not in the configuration.
-	EventUnconfigured event.Kind = "Service is not configured."
+	EventUnconfigured event.Kind = "service-not-configured"
 )
 
 // adopted is the adopted configuration with its text as it travels.
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 
 	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/gossip"
@@ -10,15 +11,15 @@
 
 // Events of membership.
 const (
-	EventJoined    event.Kind = "Member joined."
-	EventState     event.Kind = "Member changed state."
-	EventSuspected event.Kind = "Member suspected."
-	EventDeclared  event.Kind = "Member declared gone."
-	EventReturned  event.Kind = "Member returned."
-	EventRefuted   event.Kind = "Own death refuted."
-	EventKept      event.Kind = "Unreachable members kept."
-	EventKeptEnd   event.Kind = "Unreachable members kept no longer."
-	EventLearned   event.Kind = "Table learned from a peer."
+	EventJoined    event.Kind = "member-joined"
+	EventState     event.Kind = "member-state-changed"
+	EventSuspected event.Kind = "member-suspected"
+	EventDeclared  event.Kind = "member-declared-gone"
+	EventReturned  event.Kind = "member-returned"
+	EventRefuted   event.Kind = "own-death-refuted"
+	EventKept      event.Kind = "unreachable-kept"
+	EventKeptEnd   event.Kind = "unreachable-kept-no-longer"
+	EventLearned   event.Kind = "table-learned"
 )
 
 var noticeKinds = map[gossip.NoticeKind]event.Kind{
@@ -33,6 +34,34 @@
 	gossip.NoticeLearned:   EventLearned,
 }
 
+// messages are what the log says of events.
+var messages = map[event.Kind]string{
+	EventJoined:       "Member joined.",
+	EventState:        "Member changed state.",
+	EventSuspected:    "Member suspected.",
+	EventDeclared:     "Member declared gone.",
+	EventReturned:     "Member returned.",
+	EventRefuted:      "Own death refuted.",
+	EventKept:         "Unreachable members kept.",
+	EventKeptEnd:      "Unreachable members kept no longer.",
+	EventLearned:      "Table learned from a peer.",
+	EventFound:        "Seeds read from the store.",
+	EventSeed:         "Seed lease taken.",
+	EventSeedLost:     "Seed lease lost.",
+	EventAdopted:      "Configuration adopted.",
+	EventServing:      "Configuration in force.",
+	EventRefused:      "Configuration refused.",
+	EventUnconfigured: "Service is not configured.",
+}
+
+// event records an event of the time line and logs it.
+func (n *Node) event(kind event.Kind, detail string) {
+	if n.options.Events != nil {
+		n.options.Events.Add(Part, kind, detail)
+	}
+	n.logger.Info(messages[kind], slog.String("detail", detail))
+}
+
 // notice puts what the engine noticed on the time line.
 func (n *Node) notice(a gossip.Notice) {
 	switch a.Kind {
--- a/internal/control/finder.go
+++ b/internal/control/finder.go
@@ -12,7 +12,7 @@
 )
 
 // EventFound tells that addresses to join at were read from the store.
-const EventFound event.Kind = "Seeds read from the store."
+const EventFound event.Kind = "seeds-read"
 
 // finder looks for addresses to join at while no known balancer answers.
 type finder struct {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -11,7 +11,6 @@
 
 	"github.com/saltbend/saltbend/internal/adopt"
 	"github.com/saltbend/saltbend/internal/config"
-	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/gossip"
 	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/member"
@@ -200,11 +199,3 @@
 		n.engine.Update(now, func(m *member.Member) { m.Slots = slots })
 	})
 }
-
-// event records an event of the time line and logs it.
-func (n *Node) event(kind event.Kind, detail string) {
-	if n.options.Events != nil {
-		n.options.Events.Add(Part, kind, detail)
-	}
-	n.logger.Info(string(kind), slog.String("detail", detail))
-}
--- a/internal/control/seeding.go
+++ b/internal/control/seeding.go
@@ -18,8 +18,8 @@
 
 // Events of seeds.
 const (
-	EventSeed     event.Kind = "Seed lease taken."
-	EventSeedLost event.Kind = "Seed lease lost."
+	EventSeed     event.Kind = "seed-lease-taken"
+	EventSeedLost event.Kind = "seed-lease-lost"
 )
 
 // storeTimeout bounds one call to the store other than a watch.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Kind names what happened; the values are listed in docs/OPERATIONS.md.
+// Kind names what happened: a few words in lower case with hyphens between
+// them. The values are listed in docs/operations/settings.md.
 type Kind string
 
 // Event is one thing that happened in a process.
--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -18,10 +18,13 @@
 )
 
 // What operators meet: names of metrics and kinds of events.
-var shown = []*regexp.Regexp{
-	regexp.MustCompile(`\b(saltbend_[a-z_]+)`),
-	regexp.MustCompile(`event\.Kind\s*=\s*"([^"]+)"`),
-}
+var (
+	metric = regexp.MustCompile(`\b(saltbend_[a-z_]+)`)
+	kind   = regexp.MustCompile(`event\.Kind\s*=\s*"([^"]+)"`)
+)
+
+// kindForm is the form of all kinds of events.
+var kindForm = regexp.MustCompile(`^[a-z]+(-[a-z]+)*$`)
 
 // read returns the text of all files below dir that keep accepts.
 func read(t *testing.T, dir string, keep func(path string) bool) string {
@@ -47,19 +50,33 @@
 		return strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go")
 	}
 	code := read(t, root+"/internal", program) + read(t, root+"/cmd", program)
-	for _, pattern := range shown {
-		matches := pattern.FindAllStringSubmatch(code, -1)
-		if len(matches) == 0 {
-			t.Errorf("nothing in the code matches %s", pattern)
+	for _, name := range found(t, metric, code) {
+		if !strings.Contains(documented, name) {
+			t.Errorf("%q is on no page of docs/operations", name)
+		}
+	}
+	for _, name := range found(t, kind, code) {
+		if !kindForm.MatchString(name) {
+			t.Errorf("the kind %q has not the form of the others", name)
 		}
-		for _, match := range matches {
-			if !strings.Contains(documented, match[1]) {
-				t.Errorf("%q is on no page of docs/operations", match[1])
-			}
+		if !strings.Contains(documented, "`"+name+"`") {
+			t.Errorf("`%s` is on no page of docs/operations", name)
 		}
 	}
 }
 
+// found returns what the pattern's group matches in the code.
+func found(t *testing.T, pattern *regexp.Regexp, code string) (out []string) {
+	t.Helper()
+	for _, match := range pattern.FindAllStringSubmatch(code, -1) {
+		out = append(out, match[1])
+	}
+	if len(out) == 0 {
+		t.Errorf("nothing in the code matches %s", pattern)
+	}
+	return out
+}
+
 // example is a whole configuration file within a page.
 var example = regexp.MustCompile("(?s)```yaml\n(version: .*?)```")
 
