--- a/internal/datapath/forward.go
+++ b/internal/datapath/forward.go
@@ -23,11 +23,9 @@
 
 // forwarder decides on the datagrams of one face; it belongs to one goroutine.
 type forwarder struct {
-	// snapshot is the one that face, header and keys were taken from.
-	snapshot *Snapshot
-	face     *Face
-	header   encap.Header
-	keys     Keys
+	view
+	face   *Face
+	header encap.Header
 }
 
 func newForwarder(self, public netip.AddrPort) *forwarder {
@@ -55,13 +53,9 @@
 
 // use makes the snapshot the one that decide acts on.
 func (f *forwarder) use(s *Snapshot) {
-	if f.snapshot == s {
+	if !f.view.use(s) {
 		return
 	}
-	if f.snapshot == nil || f.snapshot.Keys != s.Keys {
-		f.keys = s.Keys.clone()
-	}
-	f.snapshot = s
 	f.face = s.Faces[f.header.Face]
 	f.header.Revision = s.Revision
 }
--- a/internal/datapath/reply.go
+++ b/internal/datapath/reply.go
@@ -23,8 +23,7 @@
 
 // replier decides on the datagrams of agents; it belongs to one goroutine.
 type replier struct {
-	snapshot *Snapshot
-	keys     Keys
+	view
 	toAgents *queue
 	counters *replyCounters
 }
@@ -43,17 +42,6 @@
 	}
 }
 
-// use makes the snapshot the one that handle acts on.
-func (r *replier) use(s *Snapshot) {
-	if r.snapshot == s {
-		return
-	}
-	if r.snapshot == nil || r.snapshot.Keys != s.Keys {
-		r.keys = s.Keys.clone()
-	}
-	r.snapshot = s
-}
-
 // handle queues the first end bytes of the buffer where they belong, or counts
 // why not. It returns the buffer to use next.
 func (r *replier) handle(buffer []byte, end int, from netip.AddrPort) []byte {
--- a/internal/datapath/snapshot.go
+++ b/internal/datapath/snapshot.go
@@ -56,3 +56,22 @@
 func (k *Keys) clone() Keys {
 	return Keys{Tokens: k.Tokens.Clone(), Headers: k.Headers.Clone()}
 }
+
+// view is the snapshot that one goroutine acts on, with its own copy of the
+// keys.
+type view struct {
+	snapshot *Snapshot
+	keys     Keys
+}
+
+// use makes s the snapshot of the view. It reports whether it is another one.
+func (v *view) use(s *Snapshot) bool {
+	if v.snapshot == s {
+		return false
+	}
+	if v.snapshot == nil || v.snapshot.Keys != s.Keys {
+		v.keys = s.Keys.clone()
+	}
+	v.snapshot = s
+	return true
+}
