peer: split the longest function of the product in two

callOnce made a call and also sorted out how it failed, in 45 lines, the only function of the product over 40. The latter is now failed, with the outcomes as they were: not served and never left are unreachable, an error of the remote method is passed on, all else is interrupted and closes the connection. The tests of calls, cuts and strangers pass unchanged under the race detector.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -143,20 +143,32 @@
 		}()
 		return false, &CallError{Outcome: ErrInterrupted, Addr: addr, Method: method, Cause: ctx.Err()}
 	}
-	var remote rpc.ServerError
-	switch {
-	case call.Error == nil:
+	if call.Error == nil {
 		reflect.ValueOf(reply).Elem().Set(result.Elem())
 		return false, nil
+	}
+	again, err = failed(call, out, addr)
+	if errors.Is(err, ErrInterrupted) {
+		c.close()
+	}
+	return again && !fresh, err
+}
+
+// failed returns the error of a call that ended with one, and whether another
+// attempt may fare better.
+func failed(call *rpc.Call, out *outgoing, addr netip.AddrPort) (again bool, _ error) {
+	result := &CallError{Outcome: ErrUnreachable, Addr: addr, Method: call.ServiceMethod, Cause: call.Error}
+	var remote rpc.ServerError
+	switch {
 	case errors.As(call.Error, &remote) && isNotServed(remote):
-		return false, unreachable(remote)
+		return false, result
 	case errors.As(call.Error, &remote):
 		return false, remote
 	case !out.left.Load():
-		return !fresh && errors.Is(call.Error, rpc.ErrShutdown), unreachable(call.Error)
+		return errors.Is(call.Error, rpc.ErrShutdown), result
 	}
-	c.close()
-	return false, &CallError{Outcome: ErrInterrupted, Addr: addr, Method: method, Cause: call.Error}
+	result.Outcome = ErrInterrupted
+	return false, result
 }
 
 // finish gives back the place of a call that has ended.
