--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -32,6 +32,7 @@
 
 func (l *limitReader) renew() { l.left = l.bound }
 
+// Read implements io.Reader. It fails with ErrTooLarge beyond the bound.
 func (l *limitReader) Read(p []byte) (int, error) {
 	if l.left <= 0 {
 		return 0, ErrTooLarge
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -132,6 +132,7 @@
 	closed func()
 }
 
+// Read implements net.Conn.
 func (r *closingReader) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if err != nil {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -143,6 +143,7 @@
 	once    sync.Once
 }
 
+// Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.in.Add(uint64(n))
@@ -150,6 +151,7 @@
 	return n, err
 }
 
+// Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.traffic.out.Add(uint64(n))
