Use the field's terms for leaving the fleet and for a change of health

A balancer's goodbye is closeTimeout now, as at the agent; the farewell of internal/control is its announcements of leaving; the message earned of internal/request is healthChanged. Names and comments only, no behaviour.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -39,7 +39,8 @@
 	// drains before its callers are told to leave, so that their new
 	// connections don't come back to it.
 	announceGrace = 500 * time.Millisecond
-	// closeTimeout bounds the goodbye to the fleet and to operators' requests.
+	// closeTimeout bounds the time in which the fleet is told that the process ends
+	// and the listeners close.
 	closeTimeout = 2 * time.Second
 )
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -32,9 +32,9 @@
 // eventLeaving tells that the process ends, with the grace period.
 const eventLeaving event.Kind = "leaving"
 
-// goodbye bounds the time in which the fleet is told that the process ends and
-// the listeners close.
-const goodbye = 2 * time.Second
+// closeTimeout bounds the time in which the fleet is told that the process ends
+// and the listeners close.
+const closeTimeout = 2 * time.Second
 
 // role is a running balancer.
 type role struct {
@@ -196,7 +196,7 @@
 	r.leaving.Store(true)
 	r.node.SetState(member.StateDraining)
 	time.Sleep(r.settings.Grace)
-	ctx, cancel := context.WithTimeout(context.Background(), goodbye)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	r.node.Leave(ctx)
 }
@@ -211,7 +211,7 @@
 
 // close closes what was opened.
 func (r *role) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), goodbye)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if r.path != nil {
 		r.path.Close()
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -12,16 +12,16 @@
 // answered or ctx ends. The process is expected to have drained before, when it
 // has given up a lease in the store, too.
 func (n *Node) Leave(ctx context.Context) {
-	var farewell []gossip.Action
+	var announcements []gossip.Action
 	var claim gossip.Claim
 	n.ask(ctx, func(now time.Time) {
-		farewell = n.engine.Leave(now)
+		announcements = n.engine.Leave(now)
 		claim = n.claim(now, n.options.Self.Control)
 	})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.sayFarewell(farewell, claim)
+		n.announceLeave(announcements, claim)
 	}()
 	select {
 	case <-done:
@@ -29,10 +29,10 @@
 	}
 }
 
-// sayFarewell makes the calls at once and waits for their ends.
-func (n *Node) sayFarewell(farewell []gossip.Action, claim gossip.Claim) {
+// announceLeave makes the calls at once and waits for their ends.
+func (n *Node) announceLeave(announcements []gossip.Action, claim gossip.Claim) {
 	var calls sync.WaitGroup
-	for _, a := range farewell {
+	for _, a := range announcements {
 		switch a := a.(type) {
 		case gossip.SendAnnounce:
 			a.Message.Claim = claim
--- a/internal/request/judge.go
+++ b/internal/request/judge.go
@@ -80,7 +80,7 @@
 		return
 	}
 	if before.Slots != after.Slots || before.Draws != after.Draws {
-		h.engine.post(earned{slots: after.Slots, draws: after.Draws})
+		h.engine.post(healthChanged{slots: after.Slots, draws: after.Draws})
 	}
 	if before.Draws != after.Draws {
 		h.tellHealth(after)
--- a/internal/request/message.go
+++ b/internal/request/message.go
@@ -108,13 +108,13 @@
 	return e.sched.SetSiblings(now, m.siblings)
 }
 
-// earned is what the upstream's outcomes have earned.
-type earned struct {
+// healthChanged tells what the upstream's health allows.
+type healthChanged struct {
 	slots int
 	draws bool
 }
 
-func (m earned) apply(e *engine, now time.Time) []dispatch.Action {
+func (m healthChanged) apply(e *engine, now time.Time) []dispatch.Action {
 	return e.sched.SetHealth(now, m.slots, m.draws)
 }
 
