sim: keep the simulator apart from the benchmarks that run it

The simulated agents and the drawn workloads, 520 lines, stood in test files, though they assert nothing: they are a tool that two benchmarks drive. They are the package's code now, and the benchmarks alone its test files.

--- a/internal/sim/load_test.go
+++ b/internal/sim/load.go
@@ -1,4 +1,4 @@
-package sim_test
+package sim
 
 import (
 	"math/rand/v2"
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim.go
@@ -1,7 +1,7 @@
 // Package sim measures the scheduler of internal/dispatch in simulated time:
 // the agents of one service, their slots, and messages that take a while.
-// Everything is drawn from fixed seeds.
-package sim_test
+// Everything is drawn from fixed seeds. No process imports it.
+package sim
 
 import (
 	"container/heap"
