test: let one mesh stand in for the network between processes

The tests of internal/control and internal/request each had net/rpc over pipes in memory, with their own servers, clients and cuts (those of request were never used). test/mesh serves both. All assertions are as before; both suites pass under the race detector.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -18,9 +18,13 @@
 	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/store/httpstore"
+	"github.com/saltbend/saltbend/test/mesh"
 	"github.com/saltbend/saltbend/test/storefake"
 )
 
+// patience bounds every wait; a wait that succeeds is short.
+const patience = time.Minute
+
 // fastTiming shortens the periods, so that a test waits for conditions only
 // briefly. No test depends on the values.
 func fastTiming() gossip.Timing {
@@ -33,14 +37,14 @@
 
 // fleet starts nodes on one mesh.
 type fleet struct {
-	mesh   *mesh
+	mesh   *mesh.Mesh
 	join   []netip.AddrPort
 	fake   *storefake.Store
 	client store.Store
 }
 
 func newFleet() *fleet {
-	return &fleet{mesh: newMesh(), join: []netip.AddrPort{addrOf(1, 0)}}
+	return &fleet{mesh: mesh.New(), join: []netip.AddrPort{addrOf(1, 0)}}
 }
 
 // withStore gives the nodes that start from now on a store instead of
@@ -79,7 +83,7 @@
 	counted := &countedStore{Store: f.client}
 	options := control.Options{
 		Self:      self,
-		Peer:      f.mesh.open(self.Control),
+		Peer:      f.mesh.Open(self.Control),
 		Join:      f.join,
 		Timing:    fastTiming(),
 		Events:    ring,
@@ -93,7 +97,7 @@
 	n, err := control.Start(ctx, options)
 	Expect(err).NotTo(HaveOccurred())
 	return &node{Node: n, addr: self.Control, events: ring, store: counted, crash: func() {
-		f.mesh.crash(self.Control)
+		f.mesh.Crash(self.Control)
 		cancel()
 	}}
 }
@@ -204,3 +208,15 @@
 	c.enter()
 	return c.Store.Watch(ctx, key, after)
 }
+
+func balancerAt(i int) member.Member {
+	return member.Member{Control: addrOf(1, i), Role: member.RoleBalancer, DataCentre: "a"}
+}
+
+func agentAt(i int, service string) member.Member {
+	return member.Member{Control: addrOf(2, i), Role: member.RoleAgent, DataCentre: "a", Service: service, Slots: 5, Weight: 1000}
+}
+
+func addrOf(kind byte, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, kind, byte(i)}), 4100)
+}
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -48,11 +48,11 @@
 		f := newFleet()
 		bs, as := f.startMany(4, 3)
 		lost := as[0]
-		f.mesh.setCut(func(a, _ netip.AddrPort) bool { return a == lost.addr })
+		f.mesh.SetCut(func(a, _ netip.AddrPort) bool { return a == lost.addr })
 		for _, n := range append(bs, as[1:]...) {
 			Eventually(n.state(lost.addr), patience).Should(Equal(member.StateGone))
 		}
-		f.mesh.setCut(nil)
+		f.mesh.SetCut(nil)
 		for _, n := range append(bs, as[1:]...) {
 			Eventually(n.state(lost.addr), patience).Should(Equal(member.StateReady))
 		}
@@ -62,11 +62,11 @@
 		f := newFleet()
 		bs, as := f.startMany(4, 4)
 		side := func(a netip.AddrPort) bool { return a.Addr().As4()[3]%2 == 0 }
-		f.mesh.setCut(func(a, b netip.AddrPort) bool { return side(a) != side(b) })
+		f.mesh.SetCut(func(a, b netip.AddrPort) bool { return side(a) != side(b) })
 		for _, n := range bs {
 			Eventually(func() int { return n.count(control.EventKept) }, patience).Should(BeNumerically(">", 0))
 		}
-		f.mesh.setCut(nil)
+		f.mesh.SetCut(nil)
 		for _, n := range bs {
 			Eventually(func() int { return n.Status().Suspected }, patience).Should(BeZero())
 			Expect(n.count(control.EventDeclared)).To(BeZero(), "%v", n.events.Since(0))
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"net/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +22,7 @@
 	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/ticket"
 	"github.com/saltbend/saltbend/internal/upstream"
+	"github.com/saltbend/saltbend/test/mesh"
 )
 
 func TestRequest(t *testing.T) {
@@ -185,56 +184,6 @@
 	return nil, errors.New("no home")
 }
 
-// wires is a peer network in memory, on net/rpc.
-type wires struct {
-	mu      sync.Mutex
-	servers map[netip.AddrPort]*rpc.Server
-	clients map[netip.AddrPort]*rpc.Client
-	cut     map[netip.AddrPort]bool
-}
-
-func newWires() *wires {
-	return &wires{
-		servers: map[netip.AddrPort]*rpc.Server{},
-		clients: map[netip.AddrPort]*rpc.Client{},
-		cut:     map[netip.AddrPort]bool{},
-	}
-}
-
-// registry registers receivers at one address.
-type registry struct{ server *rpc.Server }
-
-func (r registry) Register(name string, receiver any) error {
-	return r.server.RegisterName(name, receiver)
-}
-
-func (w *wires) at(addr netip.AddrPort) registry {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	server := rpc.NewServer()
-	here, there := net.Pipe()
-	go server.ServeConn(there)
-	w.servers[addr] = server
-	w.clients[addr] = rpc.NewClient(here)
-	return registry{server}
-}
-
-func (w *wires) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
-	w.mu.Lock()
-	client, cut := w.clients[addr], w.cut[addr]
-	w.mu.Unlock()
-	if client == nil || cut {
-		return errors.New("unreachable")
-	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		return call.Error
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // agent is a handler with its stand-ins.
 type agent struct {
 	handler  *request.Handler
@@ -247,21 +196,22 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 }
 
-func startAgent(ctx context.Context, port uint16, limits config.Limits, net *wires) *agent {
+func startAgent(ctx context.Context, port uint16, limits config.Limits, net *mesh.Mesh) *agent {
 	up := newRunner()
 	a := startAgentOn(ctx, port, limits, net, up)
 	a.upstream = up
 	return a
 }
 
-func startAgentOn(ctx context.Context, port uint16, limits config.Limits, net *wires, up upstream.Runner) *agent {
+func startAgentOn(ctx context.Context, port uint16, limits config.Limits, net *mesh.Mesh, up upstream.Runner) *agent {
 	a := &agent{source: newSource(exams(limits)), tickets: &tickets{}}
 	o := request.Options{
 		Service: "exams", Self: address(port), Source: a.source, Upstream: up, Tickets: a.tickets,
 		Logger: slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
 	}
 	if net != nil {
-		o.Caller, o.Registry = net, net.at(o.Self)
+		port := net.Open(o.Self)
+		o.Caller, o.Registry = port, port
 	}
 	h, err := request.NewHandler(ctx, o)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/request/outcome_test.go
+++ b/internal/request/outcome_test.go
@@ -19,6 +19,7 @@
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/upstream"
+	"github.com/saltbend/saltbend/test/mesh"
 )
 
 // erratic is the upstreams of a service together: what a request meets depends
@@ -67,7 +68,7 @@
 	It("gives each request one true outcome", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		net, service := newWires(), &erratic{ran: map[string]int{}}
+		net, service := mesh.New(), &erratic{ran: map[string]int{}}
 		var agents []*agent
 		var members []member.Member
 		for port := range uint16(3) {
--- a/internal/request/sibling_test.go
+++ b/internal/request/sibling_test.go
@@ -12,12 +12,13 @@
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/request"
+	"github.com/saltbend/saltbend/test/mesh"
 )
 
 var _ = Describe("Siblings", func() {
 	var (
 		ctx  context.Context
-		net  *wires
+		net  *mesh.Mesh
 		a, b *agent
 	)
 	limits := config.Limits{Slots: 1, Queue: 10, Connections: 10, BodyBytes: 64}
@@ -26,7 +27,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		net = newWires()
+		net = mesh.New()
 		a = startAgent(ctx, 1, limits, net)
 		b = startAgent(ctx, 2, limits, net)
 		agents := []member.Member{
--- a/internal/control/mesh_test.go
+++ b/test/mesh/mesh.go
@@ -1,4 +1,6 @@
-package control_test
+// Package mesh stands in for the network between processes that run in one
+// test: the product's net/rpc calls go over pipes in memory.
+package mesh
 
 import (
 	"context"
@@ -7,49 +9,50 @@
 	"net/rpc"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/pkg/errors"
-
-	"github.com/saltbend/saltbend/internal/member"
 )
 
-// mesh connects nodes of one test process by net/rpc over in-memory pipes, and
-// can cut them from each other.
-type mesh struct {
+// Mesh connects processes that run in one test by net/rpc over pipes, and can
+// cut them from each other. It is safe for concurrent use.
+type Mesh struct {
 	mu      sync.Mutex
 	servers map[netip.AddrPort]*rpc.Server
 	clients map[[2]netip.AddrPort]*rpc.Client
 	cut     func(a, b netip.AddrPort) bool
 }
 
-func newMesh() *mesh {
-	return &mesh{servers: map[netip.AddrPort]*rpc.Server{}, clients: map[[2]netip.AddrPort]*rpc.Client{}}
+// New returns a mesh without processes.
+func New() *Mesh {
+	return &Mesh{servers: map[netip.AddrPort]*rpc.Server{}, clients: map[[2]netip.AddrPort]*rpc.Client{}}
 }
 
-// setCut makes calls fail for which cut holds, in both directions.
-func (m *mesh) setCut(cut func(a, b netip.AddrPort) bool) {
+// SetCut makes calls fail for which cut holds, in both directions.
+func (m *Mesh) SetCut(cut func(a, b netip.AddrPort) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cut = cut
 }
 
-// port is one node's end of the mesh.
-type port struct {
-	mesh *mesh
+// Port is one process's end of the mesh. It implements peer.Caller and
+// peer.Registry.
+type Port struct {
+	mesh *Mesh
 	addr netip.AddrPort
 }
 
-func (m *mesh) open(addr netip.AddrPort) *port {
+// Open returns the port of a process that starts at addr. One that was there
+// before is gone.
+func (m *Mesh) Open(addr netip.AddrPort) *Port {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.servers[addr] = rpc.NewServer()
 	m.drop(addr)
-	return &port{m, addr}
+	return &Port{m, addr}
 }
 
 // drop forgets the connections from and to addr.
-func (m *mesh) drop(addr netip.AddrPort) {
+func (m *Mesh) drop(addr netip.AddrPort) {
 	for key, c := range m.clients {
 		if key[0] == addr || key[1] == addr {
 			c.Close()
@@ -58,21 +61,24 @@
 	}
 }
 
-// crash takes a node off the mesh.
-func (m *mesh) crash(addr netip.AddrPort) {
+// Crash takes the process at addr off the mesh.
+func (m *Mesh) Crash(addr netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.servers, addr)
 	m.drop(addr)
 }
 
-func (p *port) Register(name string, receiver any) error {
+// Register serves the receiver's methods to the other processes.
+func (p *Port) Register(name string, receiver any) error {
 	p.mesh.mu.Lock()
 	defer p.mesh.mu.Unlock()
 	return p.mesh.servers[p.addr].RegisterName(name, receiver)
 }
 
-func (p *port) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
+// Call calls a method of the process at the address to. It fails if there is
+// none, or if the two are cut from each other.
+func (p *Port) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
 	client, err := p.mesh.client(p.addr, to)
 	if err != nil {
 		return err
@@ -86,7 +92,7 @@
 	}
 }
 
-func (m *mesh) client(from, to netip.AddrPort) (*rpc.Client, error) {
+func (m *Mesh) client(from, to netip.AddrPort) (*rpc.Client, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.cut != nil && (m.cut(from, to) || m.cut(to, from)) {
@@ -104,18 +110,3 @@
 	}
 	return m.clients[key], nil
 }
-
-func balancerAt(i int) member.Member {
-	return member.Member{Control: addrOf(1, i), Role: member.RoleBalancer, DataCentre: "a"}
-}
-
-func agentAt(i int, service string) member.Member {
-	return member.Member{Control: addrOf(2, i), Role: member.RoleAgent, DataCentre: "a", Service: service, Slots: 5, Weight: 1000}
-}
-
-func addrOf(kind byte, i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, kind, byte(i)}), 4100)
-}
-
-// patience bounds every wait; a wait that succeeds is short.
-const patience = time.Minute
