test: run a role inside a test in one place

The tests of the agent and of the balancer each had the environment of a role, its start and stop, and a store that holds a configuration. test/rolerun has them for both now.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -11,7 +11,6 @@
 	"encoding/pem"
 	"fmt"
 	"io"
-	"log/slog"
 	"math/big"
 	"net/http"
 	"net/http/httptest"
@@ -24,12 +23,8 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
-	"github.com/saltbend/saltbend/internal/config"
-	"github.com/saltbend/saltbend/internal/event"
-	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/settings"
-	"github.com/saltbend/saltbend/internal/store/httpstore"
-	"github.com/saltbend/saltbend/test/storefake"
+	"github.com/saltbend/saltbend/test/rolerun"
 )
 
 // patience bounds each wait; nothing is meant to take as long.
@@ -68,33 +63,8 @@
       - {name: batch, methods: [POST], path: "/batch", deadline: 20s}
 `
 
-// newStore returns the URL of a platform store that holds the configuration.
-func newStore(t testing.TB, configuration string) string {
-	g := NewWithT(t)
-	s := httptest.NewServer(storefake.New().Handler())
-	t.Cleanup(s.Close)
-	t.Cleanup(s.CloseClientConnections)
-	c, findings := config.Parse([]byte(configuration), 0)
-	g.Expect(findings).To(BeEmpty())
-	value, err := record.First(record.Draft{ID: "1", Time: time.Now(), Text: []byte(configuration), Config: c}).Encode()
-	g.Expect(err).NotTo(HaveOccurred())
-	platform, err := httpstore.New([]string{s.URL}, httpstore.Options{})
-	g.Expect(err).NotTo(HaveOccurred())
-	_, err = platform.Swap(t.Context(), record.Key, value, 0, 0)
-	g.Expect(err).NotTo(HaveOccurred())
-	return s.URL
-}
-
-// runningRole is an agent role that runs inside the test.
-type runningRole struct {
-	addresses settings.Addresses
-	stop      context.CancelFunc
-	ended     chan struct{}
-	err       error // valid after ended
-}
-
 // startAgent runs the role until the test ends.
-func startAgent(t testing.TB, upstreamURL string, change func(*Settings)) *runningRole {
+func startAgent(t testing.TB, upstreamURL string, change func(*Settings)) *rolerun.Role {
 	g := NewWithT(t)
 	cert, key := certificatePEM(t)
 	s := Settings{
@@ -109,33 +79,16 @@
 		change(&s)
 	}
 	if s.Store == nil {
-		s.Store = []string{newStore(t, configuration)}
+		s.Store = []string{rolerun.NewStore(t, configuration)}
 	}
 	g.Expect(s.Check()).To(BeEmpty())
-	ready := make(chan settings.Addresses, 1)
-	env := settings.Env{
-		Logger: slog.New(slog.DiscardHandler),
-		Events: event.NewRing(event.DefaultRingSize, time.Now),
-		Keys:   settings.NewKeys(testRing(t)),
-		Ready:  func(a settings.Addresses) { ready <- a },
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	p := &runningRole{stop: stop, ended: make(chan struct{})}
-	go func() {
-		defer close(p.ended)
-		p.err = Run(ctx, s, env)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-p.ended
-	})
-	g.Eventually(ready).WithTimeout(patience).Should(Receive(&p.addresses))
-	g.Eventually(func() int { return p.readyz(t) }).WithTimeout(patience).Should(Equal(http.StatusOK))
+	p := rolerun.Start(t, testRing(t), func(ctx context.Context, env settings.Env) error { return Run(ctx, s, env) })
+	g.Eventually(func() int { return readyz(t, p) }).WithTimeout(patience).Should(Equal(http.StatusOK))
 	return p
 }
 
-func (p *runningRole) readyz(t testing.TB) int {
-	resp, err := http.Get("http://" + p.addresses.Ops.String() + "/readyz")
+func readyz(t testing.TB, p *rolerun.Role) int {
+	resp, err := http.Get("http://" + p.Addresses.Ops.String() + "/readyz")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	return resp.StatusCode
@@ -224,7 +177,7 @@
 	up := httptest.NewServer(feedHandler(events))
 	t.Cleanup(up.Close)
 	f := newFabric(t, 3)
-	f.setNewFlow(startAgent(t, up.URL, nil).addresses.Data)
+	f.setNewFlow(startAgent(t, up.URL, nil).Addresses.Data)
 	caller := newCaller(t, addrOf(f.face))
 
 	feed := openFeed(g, caller)
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/test/rolerun"
 )
 
 func TestUpstreamThatAnnouncesADrainIsDrained(t *testing.T) {
@@ -26,10 +28,10 @@
 	up := httptest.NewServer(mux)
 	t.Cleanup(up.Close)
 	polled := strings.Replace(configuration, "    drain:", "    health: {path: /health, interval: 100ms}\n    drain:", 1)
-	agent := startAgent(t, up.URL, func(s *Settings) { s.Store = []string{newStore(t, polled)} })
+	agent := startAgent(t, up.URL, func(s *Settings) { s.Store = []string{rolerun.NewStore(t, polled)} })
 	g.Eventually(polls.Load).WithTimeout(patience).Should(BeNumerically(">=", 2))
-	g.Expect(agent.ended).NotTo(BeClosed())
+	g.Expect(agent.Ended).NotTo(BeClosed())
 	draining.Store(true)
-	g.Eventually(agent.ended).WithTimeout(patience).Should(BeClosed())
-	g.Expect(agent.err).NotTo(HaveOccurred())
+	g.Eventually(agent.Ended).WithTimeout(patience).Should(BeClosed())
+	g.Expect(agent.Err).NotTo(HaveOccurred())
 }
--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -21,6 +21,7 @@
 	"github.com/saltbend/saltbend/internal/encap"
 	"github.com/saltbend/saltbend/internal/flow"
 	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/test/rolerun"
 )
 
 // endpoint is the QUIC and HTTP/3 part of an agent alone.
@@ -66,7 +67,7 @@
 	up := httptest.NewServer(feedHandler(events))
 	t.Cleanup(up.Close)
 	f := newFabric(t, 3)
-	f.setNewFlow(startAgent(t, up.URL, nil).addresses.Data)
+	f.setNewFlow(startAgent(t, up.URL, nil).Addresses.Data)
 	feed := openFeed(g, newCaller(t, addrOf(f.face)))
 	worst := time.Duration(0)
 	for round := range 6 {
@@ -200,32 +201,32 @@
 	t.Cleanup(up.Close)
 	f := newFabric(t, 2)
 	p := startAgent(t, up.URL, nil)
-	f.setNewFlow(p.addresses.Data)
+	f.setNewFlow(p.Addresses.Data)
 	caller := newCaller(t, addrOf(f.face))
 	feed := openFeed(g, caller)
 	answer := make(chan string, 1)
 	go func() { answer <- get(g, caller, "https://results/runner/slow") }()
 	g.Eventually(begun).WithTimeout(patience).Should(BeClosed())
 
-	p.stop()
-	g.Eventually(func() int { return p.readyz(t) }).WithTimeout(patience).Should(Equal(http.StatusServiceUnavailable))
+	p.Stop()
+	g.Eventually(func() int { return readyz(t, p) }).WithTimeout(patience).Should(Equal(http.StatusServiceUnavailable))
 	close(finish)
 	g.Eventually(answer).WithTimeout(patience).Should(Receive(Equal("whole")))
 	for i := range 3 {
 		events <- fmt.Sprint(i)
 		g.Eventually(feed).WithTimeout(patience).Should(Receive(Equal(fmt.Sprint(i))))
 	}
-	g.Expect(p.ended).NotTo(BeClosed())
+	g.Expect(p.Ended).NotTo(BeClosed())
 	close(events)
 	g.Eventually(feed).WithTimeout(patience).Should(BeClosed())
-	g.Eventually(p.ended).WithTimeout(patience).Should(BeClosed())
-	g.Expect(p.err).NotTo(HaveOccurred())
+	g.Eventually(p.Ended).WithTimeout(patience).Should(BeClosed())
+	g.Expect(p.Err).NotTo(HaveOccurred())
 }
 
 func TestFullAgentPlacesNewFlowsAtSiblings(t *testing.T) {
 	g := NewWithT(t)
-	platform := newStore(t, strings.Replace(configuration, "connections: 4000", "connections: 1", 1))
-	start := func(name string, join ...settings.Address) *runningRole {
+	platform := rolerun.NewStore(t, strings.Replace(configuration, "connections: 4000", "connections: 1", 1))
+	start := func(name string, join ...settings.Address) *rolerun.Role {
 		up := httptest.NewServer(named(name))
 		t.Cleanup(up.Close)
 		return startAgent(t, up.URL, func(s *Settings) {
@@ -234,9 +235,9 @@
 		})
 	}
 	first := start("first")
-	start("second", settings.Address(first.addresses.Control.String()))
+	start("second", settings.Address(first.Addresses.Control.String()))
 	f := newFabric(t, 2)
-	f.setNewFlow(first.addresses.Data)
+	f.setNewFlow(first.Addresses.Data)
 	lookup := func() string { return get(g, newCaller(t, addrOf(f.face)), "https://results/runner/1") }
 	g.Expect(lookup()).To(Equal("first"))
 	// The members have to learn of each other before one can hand on.
--- a/internal/balancer/role_test.go
+++ b/internal/balancer/role_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -15,14 +13,10 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/encap"
-	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/keyring"
-	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/settings"
-	"github.com/saltbend/saltbend/internal/store"
-	"github.com/saltbend/saltbend/internal/store/httpstore"
 	"github.com/saltbend/saltbend/internal/token"
-	"github.com/saltbend/saltbend/test/storefake"
+	"github.com/saltbend/saltbend/test/rolerun"
 )
 
 const (
@@ -40,63 +34,19 @@
 `
 )
 
-// startStore returns the URL of a store that holds the test configuration.
-func startStore(t *testing.T) string {
-	t.Helper()
-	g := NewWithT(t)
-	server := httptest.NewServer(storefake.New().Handler())
-	t.Cleanup(server.Close)
-	parsed, findings := config.Parse([]byte(testConfig), 1)
-	g.Expect(findings).To(BeEmpty())
-	value, err := record.First(record.Draft{ID: "1", Text: []byte(testConfig), Config: parsed}).Encode()
-	g.Expect(err).NotTo(HaveOccurred())
-	client, err := httpstore.New([]string{server.URL}, httpstore.Options{})
-	g.Expect(err).NotTo(HaveOccurred())
-	_, err = client.Swap(context.Background(), record.Key, value, store.Create, 0)
-	g.Expect(err).NotTo(HaveOccurred())
-	return server.URL
-}
-
-// runningRole is a balancer that runs in the test.
-type runningRole struct {
-	addresses settings.Addresses
-	keys      *settings.Keys
-	stop      context.CancelFunc
-	ended     chan struct{}
-	err       error
-}
-
-func startBalancer(t *testing.T, s Settings) *runningRole {
+func startBalancer(t *testing.T, s Settings) *rolerun.Role {
 	t.Helper()
 	g := NewWithT(t)
 	s.Control, s.Data, s.Ops = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.DataCentre, s.Secrets, s.FaceHost = "a", testSecrets, "127.0.0.1"
 	s.LogFormat, s.LogLevel = settings.FormatJSON, "info"
 	g.Expect(s.Check()).To(BeEmpty())
-	ready := make(chan settings.Addresses, 1)
-	env := settings.Env{
-		Logger: slog.New(slog.DiscardHandler),
-		Events: event.NewRing(event.DefaultRingSize, time.Now),
-		Keys:   settings.NewKeys(ring(t, testSecrets)),
-		Ready:  func(a settings.Addresses) { ready <- a },
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	p := &runningRole{keys: env.Keys, stop: stop, ended: make(chan struct{})}
-	go func() {
-		defer close(p.ended)
-		p.err = Run(ctx, s, env)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-p.ended
-	})
-	g.Eventually(ready, patience).Should(Receive(&p.addresses))
-	return p
+	return rolerun.Start(t, ring(t, testSecrets), func(ctx context.Context, env settings.Env) error { return Run(ctx, s, env) })
 }
 
 // get returns the status and the body of an ops endpoint.
-func (p *runningRole) get(path string) (int, string) {
-	answer, err := http.Get("http://" + p.addresses.Ops.String() + path)
+func get(p *rolerun.Role, path string) (int, string) {
+	answer, err := http.Get("http://" + p.Addresses.Ops.String() + path)
 	if err != nil {
 		return 0, ""
 	}
@@ -109,25 +59,25 @@
 func TestABalancerServesUntilItsGraceEnds(t *testing.T) {
 	g := NewWithT(t)
 	s := Settings{FaceDrain: time.Hour, Grace: 3 * time.Second}
-	s.Store = []string{startStore(t)}
+	s.Store = []string{rolerun.NewStore(t, testConfig)}
 	p := startBalancer(t, s)
-	local := p.addresses.Faces[faceA]
+	local := p.Addresses.Faces[faceA]
 	g.Expect(local.Addr()).To(Equal(loopback))
-	_, faces := p.get("/faces")
+	_, faces := get(p, "/faces")
 	g.Expect(faces).To(MatchJSON(`{"` + faceA.String() + `":"` + local.String() + `"}`))
-	status, _ := p.get("/readyz")
+	status, _ := get(p, "/readyz")
 	g.Expect(status).To(Equal(http.StatusOK))
 
 	caller, agent := open(t), open(t)
 	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeTrue())
-	p.keys.Set(ring(t, newSecret+","+testSecrets))
+	p.Keys.Set(ring(t, newSecret+","+testSecrets))
 	g.Eventually(func() bool { return passes(t, newSecret, caller, agent, local) }, patience).Should(BeTrue())
 	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeTrue(), "the previous secret counts")
-	p.stop()
-	g.Eventually(func() int { status, _ := p.get("/readyz"); return status }, patience).Should(Equal(http.StatusServiceUnavailable))
+	p.Stop()
+	g.Eventually(func() int { status, _ := get(p, "/readyz"); return status }, patience).Should(Equal(http.StatusServiceUnavailable))
 	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeTrue(), "open flows go on during the grace")
-	g.Eventually(p.ended, patience).Should(BeClosed())
-	g.Expect(p.err).NotTo(HaveOccurred())
+	g.Eventually(p.Ended, patience).Should(BeClosed())
+	g.Expect(p.Err).NotTo(HaveOccurred())
 	g.Expect(passes(t, testSecrets, caller, agent, local)).To(BeFalse())
 }
 
