test: let the simulated fleet be a stand-in of its own

The clock, the lossy network and the processes that the tests of internal/gossip run on stood among the tests. They are test/simfleet now, with exported names and doc comments; the properties that run on them assert what they did, on the same seeds.

--- a/internal/gossip/engine_test.go
+++ b/internal/gossip/engine_test.go
@@ -10,6 +10,14 @@
 
 	"github.com/saltbend/saltbend/internal/gossip"
 	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/test/simfleet"
+)
+
+const tick = simfleet.Tick
+
+var (
+	at    = simfleet.At
+	begin = simfleet.Begin
 )
 
 func balancer(i int) member.Member {
@@ -21,12 +29,12 @@
 }
 
 // populate starts balancers and agents that join at the first two balancers.
-func populate(w *world, balancers, agents int) {
+func populate(w *simfleet.Fleet, balancers, agents int) {
 	for i := range balancers {
-		w.start(balancer(i), at(0), at(1))
+		w.Start(balancer(i), at(0), at(1))
 	}
 	for i := range agents {
-		w.start(agent(i, fmt.Sprintf("service-%d", i%2)), at(0), at(1))
+		w.Start(agent(i, fmt.Sprintf("service-%d", i%2)), at(0), at(1))
 	}
 }
 
@@ -34,25 +42,25 @@
 // over, all balancers hold the living for what they are and nobody else.
 func TestTablesConvergeOnTheTruth(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		w := simfleet.New(rapid.Uint64().Draw(t, "seed"))
 		balancers := rapid.IntRange(2, 6).Draw(t, "balancers")
 		agents := rapid.IntRange(0, 6).Draw(t, "agents")
 		populate(w, balancers, agents)
-		w.run(5 * time.Second)
-		w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		w.Run(5 * time.Second)
+		w.Loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
 		for range rapid.IntRange(1, 8).Draw(t, "steps") {
 			disturb(t, w, balancers, agents)
-			w.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+			w.Run(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
 		}
-		w.cut, w.loss = nil, 0
-		w.run(2 * time.Minute)
-		if d := w.differences(); len(d) > 0 {
+		w.Cut, w.Loss = nil, 0
+		w.Run(2 * time.Minute)
+		if d := w.Differences(); len(d) > 0 {
 			t.Fatalf("%d differences, such as %v", len(d), d[:min(len(d), 5)])
 		}
 	})
 }
 
-func disturb(t *rapid.T, w *world, balancers, agents int) {
+func disturb(t *rapid.T, w *simfleet.Fleet, balancers, agents int) {
 	// The first balancer stays, so that the others have one to join at.
 	victim := at(rapid.IntRange(1, balancers-1).Draw(t, "balancer"))
 	if agents > 0 && rapid.Bool().Draw(t, "of agents") {
@@ -60,30 +68,30 @@
 	}
 	switch rapid.SampledFrom([]string{"crash", "restart", "leave", "change", "cut", "heal"}).Draw(t, "step") {
 	case "crash":
-		w.crash(victim)
+		w.Crash(victim)
 	case "restart":
 		m := balancer(0)
 		if victim.Addr().As4()[3] >= 100 {
 			m = agent(0, "service-1") // may have been of another service
 		}
 		m.Control = victim
-		w.start(m, at(0))
+		w.Start(m, at(0))
 	case "leave":
-		if e := w.engines[victim]; e != nil {
-			e.Update(w.now, func(m *member.Member) { m.State = member.StateGone })
-			w.run(2 * tick)
-			w.crash(victim)
+		if e := w.Engines[victim]; e != nil {
+			e.Update(w.Now, func(m *member.Member) { m.State = member.StateGone })
+			w.Run(2 * tick)
+			w.Crash(victim)
 		}
 	case "change":
-		if e := w.engines[victim]; e != nil {
-			e.Update(w.now, func(m *member.Member) { m.Weight++; m.State = member.StateDraining })
+		if e := w.Engines[victim]; e != nil {
+			e.Update(w.Now, func(m *member.Member) { m.Weight++; m.State = member.StateDraining })
 		}
 	case "cut":
 		mask := byte(rapid.IntRange(1, 7).Draw(t, "mask"))
 		side := func(a netip.AddrPort) bool { return a.Addr().As4()[3]&mask == 0 }
-		w.cut = func(a, b netip.AddrPort) bool { return side(a) != side(b) }
+		w.Cut = func(a, b netip.AddrPort) bool { return side(a) != side(b) }
 	case "heal":
-		w.cut = nil
+		w.Cut = nil
 	}
 }
 
@@ -91,22 +99,22 @@
 // are back and nobody is declared gone again.
 func TestCutHealsWithoutFlapping(t *testing.T) {
 	for seed := range uint64(20) {
-		w := newWorld(seed)
+		w := simfleet.New(seed)
 		populate(w, 8, 12)
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		hidden := func(a netip.AddrPort) bool { return a == at(7) || a == at(100) || a == at(101) }
-		w.cut = func(a, b netip.AddrPort) bool { return hidden(a) != hidden(b) }
-		w.run(time.Minute)
-		if e := w.engines[at(0)]; e.Table().Live() != 17 {
+		w.Cut = func(a, b netip.AddrPort) bool { return hidden(a) != hidden(b) }
+		w.Run(time.Minute)
+		if e := w.Engines[at(0)]; e.Table().Live() != 17 {
 			t.Errorf("seed %d: %d live during the cut, want 17", seed, e.Table().Live())
 		}
-		w.cut = nil
-		declared := w.notices[gossip.NoticeDeclared]
-		w.run(30 * time.Second)
-		if d := w.differences(); len(d) > 0 {
+		w.Cut = nil
+		declared := w.Notices[gossip.NoticeDeclared]
+		w.Run(30 * time.Second)
+		if d := w.Differences(); len(d) > 0 {
 			t.Errorf("seed %d: %v", seed, d)
 		}
-		if again := w.notices[gossip.NoticeDeclared] - declared; again > 0 {
+		if again := w.Notices[gossip.NoticeDeclared] - declared; again > 0 {
 			t.Errorf("seed %d: %d declarations after the cut", seed, again)
 		}
 	}
@@ -115,15 +123,15 @@
 // One witness alone that cannot hear a member does not get it declared gone.
 func TestOneWitnessDeclaresNobody(t *testing.T) {
 	for i := range 5 {
-		w := newWorld(1)
+		w := simfleet.New(1)
 		populate(w, 5, 3)
-		w.run(10 * time.Second)
-		w.cut = func(a, b netip.AddrPort) bool { return a == at(i) && b == at(100) }
-		w.run(3 * time.Minute)
-		if n := w.notices[gossip.NoticeDeclared]; n > 0 {
+		w.Run(10 * time.Second)
+		w.Cut = func(a, b netip.AddrPort) bool { return a == at(i) && b == at(100) }
+		w.Run(3 * time.Minute)
+		if n := w.Notices[gossip.NoticeDeclared]; n > 0 {
 			t.Errorf("balancer %d: %d declarations", i, n)
 		}
-		if d := w.differences(); len(d) > 0 {
+		if d := w.Differences(); len(d) > 0 {
 			t.Errorf("balancer %d: %v", i, d)
 		}
 	}
@@ -132,18 +140,18 @@
 // Two parts that have declared each other gone meet again.
 func TestPartsThatDeclaredEachOtherGoneMeetAgain(t *testing.T) {
 	for seed := range uint64(10) {
-		w := newWorld(seed)
+		w := simfleet.New(seed)
 		populate(w, 5, 0)
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		low := func(a netip.AddrPort) bool { return a == at(0) || a == at(1) }
-		w.cut = func(a, b netip.AddrPort) bool { return low(a) != low(b) }
-		w.run(10 * time.Minute)
-		if live := w.engines[at(0)].Table().Live(); live != 2 {
+		w.Cut = func(a, b netip.AddrPort) bool { return low(a) != low(b) }
+		w.Run(10 * time.Minute)
+		if live := w.Engines[at(0)].Table().Live(); live != 2 {
 			t.Fatalf("seed %d: %d live on one side after ten minutes, want 2", seed, live)
 		}
-		w.cut = nil
-		w.run(2 * time.Minute)
-		if d := w.differences(); len(d) > 0 {
+		w.Cut = nil
+		w.Run(2 * time.Minute)
+		if d := w.Differences(); len(d) > 0 {
 			t.Errorf("seed %d: %v", seed, d)
 		}
 	}
@@ -152,14 +160,14 @@
 // The witnesses of a member may die with it.
 func TestDeadWitnessesAreReplaced(t *testing.T) {
 	for seed := range uint64(10) {
-		w := newWorld(seed)
+		w := simfleet.New(seed)
 		populate(w, 5, 1)
-		w.run(10 * time.Second)
+		w.Run(10 * time.Second)
 		for _, i := range []int{1, 2, 4, 100} {
-			w.crash(at(i))
+			w.Crash(at(i))
 		}
-		w.run(2 * time.Minute)
-		if d := w.differences(); len(d) > 0 {
+		w.Run(2 * time.Minute)
+		if d := w.Differences(); len(d) > 0 {
 			t.Errorf("seed %d: %v", seed, d)
 		}
 	}
@@ -168,27 +176,27 @@
 // The times that docs/design/control.md promises, on the engine's own clock.
 func TestChangesAreKnownInTime(t *testing.T) {
 	for name, c := range map[string]struct {
-		change func(*world)
+		change func(*simfleet.Fleet)
 		within time.Duration
 	}{
-		"draining": {func(w *world) {
-			w.engines[at(100)].Update(w.now, func(m *member.Member) { m.State = member.StateDraining })
+		"draining": {func(w *simfleet.Fleet) {
+			w.Engines[at(100)].Update(w.Now, func(m *member.Member) { m.State = member.StateDraining })
 		}, time.Second},
-		"a new agent":       {func(w *world) { w.start(agent(50, "service-0"), at(0)) }, time.Second},
-		"a crashed process": {func(w *world) { w.crash(at(100)) }, 8 * time.Second},
-		"a silent host": {func(w *world) {
-			w.cut = func(a, _ netip.AddrPort) bool { return a == at(100) }
-			delete(w.engines, at(100))
+		"a new agent":       {func(w *simfleet.Fleet) { w.Start(agent(50, "service-0"), at(0)) }, time.Second},
+		"a crashed process": {func(w *simfleet.Fleet) { w.Crash(at(100)) }, 8 * time.Second},
+		"a silent host": {func(w *simfleet.Fleet) {
+			w.Cut = func(a, _ netip.AddrPort) bool { return a == at(100) }
+			delete(w.Engines, at(100))
 		}, 15 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(10) {
-				w := newWorld(seed)
+				w := simfleet.New(seed)
 				populate(w, 8, 12)
-				w.run(10 * time.Second)
+				w.Run(10 * time.Second)
 				c.change(w)
-				w.run(c.within)
-				if d := w.differences(); len(d) > 0 {
+				w.Run(c.within)
+				if d := w.Differences(); len(d) > 0 {
 					t.Errorf("seed %d: %v", seed, d)
 				}
 			}
