Tell how many requests a drain cut; give a seed's reading its own time

Cause 1: the log line at the end of a drain counted the requests in progress after the server had ended them, so it always said 0. Cause 2: one timeout of 3 s covered the write of a seed's lease and the reading of the configuration after it; with a store of 2 s a call the reading failed, and status called the store unreachable at balancers that held a lease. Ruled out: counting in the handlers, which end at different times. Change: the server's shutdown counts when it gives up waiting, and returns the count; the reading has a timeout of its own. Tests: a drain that ends by its timeout tells of 1 cut request (the function had no result before). The second change has no test of its own; internal/control and internal/agent pass under -race.

--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -30,11 +30,10 @@
 	defer cancel()
 	wait(ctx, announceGrace)
 	a.requests.Drain()
-	a.server.shutdown(ctx)
+	cut := a.server.shutdown(ctx)
 	a.tickets.Close(ctx)
-	left := a.server.running.number()
 	a.env.Events.Add(part, eventDrained, "")
-	a.log.Info("Drained.", slog.Int("cut", left))
+	a.log.Info("Drained.", slog.Int("cut", cut))
 }
 
 // drainTimeout returns the end of a drain whose feeds don't end by themselves.
--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -223,6 +223,28 @@
 	g.Expect(p.Err).NotTo(HaveOccurred())
 }
 
+func TestDrainThatEndsByItsTimeoutTellsWhatItCut(t *testing.T) {
+	g := NewWithT(t)
+	begun := make(chan struct{})
+	endless := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	})
+	f := newFabric(t, 1)
+	e := startEndpoint(t, anyPort, endless, nil)
+	f.setNewFlow(e.conn.Addr())
+	caller := newCaller(t, addrOf(f.face))
+	go func() {
+		if resp, err := caller.Get("https://results/x"); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	g.Eventually(begun).WithTimeout(patience).Should(BeClosed())
+	over, end := context.WithCancel(t.Context())
+	end()
+	g.Expect(e.server.shutdown(over)).To(Equal(1))
+}
+
 func TestFullAgentPlacesNewFlowsAtSiblings(t *testing.T) {
 	g := NewWithT(t)
 	platform := rolerun.NewStore(t, strings.Replace(configuration, "connections: 4000", "connections: 1", 1))
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -73,23 +73,33 @@
 }
 
 // shutdown tells all callers to leave, lets running requests end until ctx
-// does, and closes what is left then. The last packets of an answer get time to
-// arrive before its connection is closed.
-func (s *server) shutdown(ctx context.Context) {
-	graceful, cancel := context.WithCancel(ctx)
-	defer cancel()
+// does, and closes what is left then. It returns the number of requests that
+// it cut.
+func (s *server) shutdown(ctx context.Context) (cut int) {
+	graceful, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	left := make(chan int, 1)
 	go func() {
-		defer cancel()
-		for {
-			s.running.wait(graceful)
-			wait(graceful, goAwayGrace)
-			if s.running.number() == 0 || graceful.Err() != nil {
-				return
-			}
-		}
+		left <- s.awaitIdle(ctx)
+		end()
 	}()
-	// The error only says that some connections were still open.
-	_ = s.http.Shutdown(graceful)
+	if err := s.http.Shutdown(graceful); err == nil {
+		return 0 // the callers have left by themselves
+	}
+	return <-left
+}
+
+// awaitIdle waits until no request runs or ctx ends, and returns how many run.
+// The last packets of an answer get time to arrive before its connection is
+// closed.
+func (s *server) awaitIdle(ctx context.Context) int {
+	for {
+		s.running.wait(ctx)
+		wait(ctx, goAwayGrace)
+		if n := s.running.number(); n == 0 || ctx.Err() != nil {
+			return n
+		}
+	}
 }
 
 // close ends everything at once.
--- a/internal/control/seeding.go
+++ b/internal/control/seeding.go
@@ -134,7 +134,10 @@
 		}
 	})
 	if result == seed.Held {
-		n.readConfig(ctx)
+		// A slow store may have used up the time of the first call.
+		reading, done := context.WithTimeout(n.ctx, storeTimeout)
+		defer done()
+		n.readConfig(reading)
 	}
 }
 
