dispatch: even out connections of small services too; count flows on their way

Cause: a new flow was handed on, and siblings were told of connections, only from a difference of 16 on, which is 64% of 25 connections. Numbers of connections also lag by a handshake and a message.

A Placer, owned by the reader of datagrams, counts the flows that it placed until connections have risen for them or 0.5 to 1 s have passed, so that a burst doesn't go to one sibling.

--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -21,11 +22,11 @@
 	if snapshot.Self.State == member.StateDraining || a.full(snapshot) {
 		return sibling(snapshot, dcid)
 	}
-	target := a.requests.FlowTarget()
-	if !target.Better(int(a.server.connections.Load())) {
+	to, ok := a.placer.Place(time.Now(), a.requests.FlowTargets(), int(a.server.connections.Load()))
+	if !ok {
 		return netip.AddrPort{}, false
 	}
-	return dataOf(snapshot, target.To)
+	return dataOf(snapshot, to)
 }
 
 // admit refuses a new flow that a balancer with an older configuration placed
