wait: wait for a time or the end of a context in one place

Six packages (agent, apply, control, survey, and the stand-ins caller and upstream) each had this select with a timer, returning nothing, a bool or an error. wait.For returns the context's error.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -20,6 +20,8 @@
 	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
+
+	"github.com/saltbend/saltbend/internal/wait"
 )
 
 // The memory of callers and upstreams must not count as the agent's, so that
@@ -82,7 +84,7 @@
 	for r.Context().Err() == nil {
 		fmt.Fprintf(w, "data: %s\n\n", strings.Repeat("x", 200))
 		_ = http.NewResponseController(w).Flush()
-		wait(r.Context(), eventEvery)
+		_ = wait.For(r.Context(), eventEvery)
 	}
 }
 
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/wait"
 )
 
 // leaving tells of a reason to drain other than the process being stopped: the
@@ -28,7 +29,7 @@
 	a.node.SetState(member.StateDraining)
 	ctx, cancel := context.WithTimeout(context.Background(), a.drainTimeout())
 	defer cancel()
-	wait(ctx, announceGrace)
+	_ = wait.For(ctx, announceGrace) // at its timeout the drain goes on all the same
 	a.requests.Drain()
 	cut := a.server.shutdown(ctx)
 	a.tickets.Close(ctx)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -11,6 +11,8 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+
+	"github.com/saltbend/saltbend/internal/wait"
 )
 
 // maxHeaderBytes bounds the headers of a caller's request.
@@ -95,7 +97,7 @@
 func (s *server) awaitIdle(ctx context.Context) int {
 	for {
 		s.running.wait(ctx)
-		wait(ctx, goAwayGrace)
+		_ = wait.For(ctx, goAwayGrace)
 		if n := s.running.number(); n == 0 || ctx.Err() != nil {
 			return n
 		}
@@ -110,13 +112,3 @@
 	}
 	_ = s.transport.Close()
 }
-
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/apply/backoff.go
+++ b/internal/apply/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/saltbend/saltbend/internal/wait"
 )
 
 // Backoff returns a pause for Env that doubles from first to limit and takes a
@@ -16,13 +18,6 @@
 			d = min(2*d, limit)
 		}
 		d = d/2 + rand.N(d/2+1)
-		t := time.NewTimer(d)
-		defer t.Stop()
-		select {
-		case <-t.C:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		return wait.For(ctx, d)
 	}
 }
--- a/internal/control/seeding.go
+++ b/internal/control/seeding.go
@@ -14,6 +14,7 @@
 	"github.com/saltbend/saltbend/internal/record"
 	"github.com/saltbend/saltbend/internal/seed"
 	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/wait"
 )
 
 // Events of seeds.
@@ -197,7 +198,7 @@
 	for ctx.Err() == nil {
 		entry, err := n.options.Store.Watch(ctx, record.Key, after)
 		if err != nil {
-			pause(ctx, backoff.Next(random))
+			_ = wait.For(ctx, backoff.Next(random)) // the loop sees the end of ctx
 			continue
 		}
 		backoff.Reset()
@@ -210,13 +211,4 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func storeBackoff() seed.Backoff { return seed.Backoff{Least: time.Second, Most: 30 * time.Second} }
--- a/internal/survey/inforce.go
+++ b/internal/survey/inforce.go
@@ -10,6 +10,7 @@
 
 	"github.com/saltbend/saltbend/internal/control"
 	"github.com/saltbend/saltbend/internal/member"
+	"github.com/saltbend/saltbend/internal/wait"
 )
 
 // membersEvery is the number of rounds after which the list of balancers is
@@ -44,7 +45,7 @@
 			state = next
 			progress(state)
 		}
-		if state.Everywhere() || !sleep(ctx, interval) {
+		if state.Everywhere() || wait.For(ctx, interval) != nil {
 			return state
 		}
 	}
@@ -106,15 +107,3 @@
 func equal(a, b InForce) bool {
 	return a.Balancers == b.Balancers && slices.Equal(a.Late, b.Late)
 }
-
-// sleep waits and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -23,6 +23,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/test/upstream"
 )
 
@@ -175,7 +176,7 @@
 		r, err := c.send(ctx, c.transport, method, path+id, id, "", body)
 		if err == nil && r.refused() {
 			c.o.Tally.refuse(kind, id)
-			if sleep(ctx, r.retryAfter) {
+			if wait.For(ctx, r.retryAfter) == nil {
 				continue
 			}
 			err = errors.New("refused until the deadline")
@@ -219,7 +220,7 @@
 		switch {
 		case err != nil:
 			c.redial()
-			if !sleep(ctx, redialPause) {
+			if wait.For(ctx, redialPause) != nil {
 				return OutcomeFailed, err
 			}
 		case r.status == http.StatusPreconditionRequired:
@@ -228,7 +229,7 @@
 			c.o.Tally.refuse(KindSubmission, id)
 			attempt++
 			ticket = r.ticket
-			if !sleep(ctx, r.retryAfter) {
+			if wait.For(ctx, r.retryAfter) != nil {
 				return OutcomeFailed, errors.New("refused until the deadline")
 			}
 		case r.outcome == string(OutcomeUnknown):
@@ -266,14 +267,3 @@
 func (c *Caller) newID() string {
 	return fmt.Sprintf("%s-%d", c.o.Name, ids.Add(1))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/test/caller/crowd.go
+++ b/test/caller/crowd.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/test/upstream"
 )
 
@@ -74,7 +75,7 @@
 		return
 	}
 	c.work.Go(func() {
-		for sleep(ctx, time.Duration(rand.Int64N(int64(2*mean)))) {
+		for wait.For(ctx, time.Duration(rand.Int64N(int64(2*mean)))) == nil {
 			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 			work(bounded)
 			cancel()
--- a/test/caller/feed.go
+++ b/test/caller/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/test/upstream"
 )
 
@@ -45,7 +46,7 @@
 			return errors.Errorf("feed: status %d", resp.StatusCode)
 		}
 		c.o.Tally.refuse(KindFeed, id)
-		if !sleep(ctx, retryAfter(resp.Header)) {
+		if wait.For(ctx, retryAfter(resp.Header)) != nil {
 			return errors.New("feed: refused until the deadline")
 		}
 	}
--- a/test/upstream/http.go
+++ b/test/upstream/http.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"os"
 	"strconv"
-	"time"
 
+	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/test/jsonhttp"
 )
 
@@ -104,7 +104,7 @@
 	}
 	sum := sha256.New()
 	n, err := io.Copy(sum, r.Body)
-	if err != nil || !sleep(r, u.serviceTime(b)) {
+	if err != nil || wait.For(r.Context(), u.serviceTime(b)) != nil {
 		u.record(r, PhaseCut)
 		return
 	}
@@ -131,7 +131,7 @@
 		if err != nil || out.Flush() != nil {
 			return
 		}
-		if !sleep(r, u.current().FeedInterval) {
+		if wait.For(r.Context(), u.current().FeedInterval) != nil {
 			return
 		}
 	}
@@ -142,15 +142,3 @@
 	defer u.mu.Unlock()
 	u.feeds += n
 }
-
-// sleep waits for d; it returns false when the request ends first.
-func sleep(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
