request: make the job of a feed and of other requests in one place

serveFeed and newJob built the same job, but for the times of arrival and deadline that a feed has none of. jobOf serves both. No behaviour changes; the tests of request and home pass under the race detector.

--- a/internal/request/feed.go
+++ b/internal/request/feed.go
@@ -12,17 +12,7 @@
 // serveFeed passes a feed on for as long as it lasts. It takes a connection
 // and no slot.
 func (h *Handler) serveFeed(w http.ResponseWriter, r *http.Request, class config.Class) {
-	j := &job{
-		id:    h.engine.nextID(),
-		class: class,
-		next:  make(chan dispatch.Action, 1),
-		call: &Call{
-			Service: h.o.Service,
-			Method:  r.Method,
-			URI:     r.URL.RequestURI(),
-			Header:  endToEnd(r.Header),
-		},
-	}
+	j := h.jobOf(r, class)
 	if !h.engine.post(feedOpening{job: j}) {
 		h.write(w, class.Name, refused(dispatch.Refuse{Reason: reasonStopped}))
 		return
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -191,19 +191,8 @@
 	if deadline <= 0 {
 		deadline = defaultDeadline
 	}
-	j := &job{
-		id:       h.engine.nextID(),
-		class:    class,
-		arrived:  arrived,
-		deadline: arrived.Add(deadline),
-		next:     make(chan dispatch.Action, 1),
-		call: &Call{
-			Service: h.o.Service,
-			Method:  r.Method,
-			URI:     r.URL.RequestURI(),
-			Header:  endToEnd(r.Header),
-		},
-	}
+	j := h.jobOf(r, class)
+	j.arrived, j.deadline = arrived, arrived.Add(deadline)
 	j.stream = func(head *Answer, rest io.Reader) error { return h.stream(w, head, rest) }
 	if r.Body == nil || r.Body == http.NoBody {
 		return j, nil
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -39,6 +39,21 @@
 	fallback *Answer
 }
 
+// jobOf returns the job of a request, without its body and its times.
+func (h *Handler) jobOf(r *http.Request, class config.Class) *job {
+	return &job{
+		id:    h.engine.nextID(),
+		class: class,
+		next:  make(chan dispatch.Action, 1),
+		call: &Call{
+			Service: h.o.Service,
+			Method:  r.Method,
+			URI:     r.URL.RequestURI(),
+			Header:  endToEnd(r.Header),
+		},
+	}
+}
+
 // movable reports whether a sibling may run the job.
 func (j *job) movable() bool {
 	return j.class.Idempotent && !j.longAnswer && j.body == nil && j.class.Kind == config.KindRequest
