peer, dispatch: say unauthenticated and unconfirmed for strangers

ErrStranger is ErrUnauthenticated now, with the same text, and what the scheduler keeps of agents that it doesn't know yet is unconfirmed. Names and comments only; the tests of both packages and of the command line pass.

--- a/cmd/saltbend/fleet_test.go
+++ b/cmd/saltbend/fleet_test.go
@@ -136,7 +136,7 @@
 		{"all findings together", "", []string{"--peer=host:1", "--peer-timeout=0s"}, exit.Usage, []string{"SALTBEND_PEERS", "SALTBEND_PEER_TIMEOUT", "SALTBEND_SECRETS"}},
 		{"no peer", fleetSecret, nil, exit.Usage, []string{"no process is given"}},
 		{"nobody there", fleetSecret, []string{"--peer=127.0.0.1:1"}, exit.Unavailable, []string{"unreachable"}},
-		{"another secret", otherSecret, []string{peerFlag}, exit.Unavailable, []string{peer.ErrStranger.Error()}},
+		{"another secret", otherSecret, []string{peerFlag}, exit.Unavailable, []string{peer.ErrUnauthenticated.Error()}},
 	}
 	for _, c := range cases {
 		for _, command := range []string{"status", "timeline"} {
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -22,8 +22,8 @@
 // inputs give equal actions.
 type group struct {
 	views []view
-	// strangers have spoken before this agent learnt that they are siblings.
-	strangers map[Sibling]Standing
+	// unconfirmed have spoken before this agent learnt that they are siblings.
+	unconfirmed map[Sibling]Standing
 }
 
 func (g *group) find(addr Sibling) *view {
@@ -40,19 +40,19 @@
 	if old := g.find(addr); old != nil {
 		return *old
 	}
-	heard, ok := g.strangers[addr]
+	heard, ok := g.unconfirmed[addr]
 	if !ok {
 		heard = Standing{Draws: true}
 	}
 	return view{addr: addr, heard: heard, spoken: ok, expires: now.Add(claimLife)}
 }
 
-func (g *group) keepStranger(addr Sibling, standing Standing) {
-	if g.strangers == nil {
-		g.strangers = map[Sibling]Standing{}
+func (g *group) keepUnconfirmed(addr Sibling, standing Standing) {
+	if g.unconfirmed == nil {
+		g.unconfirmed = map[Sibling]Standing{}
 	}
-	if _, known := g.strangers[addr]; known || len(g.strangers) < maxStrangers {
-		g.strangers[addr] = standing
+	if _, known := g.unconfirmed[addr]; known || len(g.unconfirmed) < maxUnconfirmed {
+		g.unconfirmed[addr] = standing
 	}
 }
 
@@ -63,7 +63,7 @@
 	for _, addr := range siblings {
 		next = append(next, s.group.join(now, addr))
 	}
-	s.group.strangers = nil
+	s.group.unconfirmed = nil
 	slices.SortFunc(next, func(a, b view) int { return a.addr.Compare(b.addr) })
 	s.group.views = next
 	s.targetsKnown = false
@@ -80,7 +80,7 @@
 func (s *Scheduler) hear(now time.Time, from Sibling, standing Standing) {
 	v := s.group.find(from)
 	if v == nil {
-		s.group.keepStranger(from, standing)
+		s.group.keepUnconfirmed(from, standing)
 		return
 	}
 	if standing.Seq <= v.heard.Seq {
--- a/internal/dispatch/sibling.go
+++ b/internal/dispatch/sibling.go
@@ -10,8 +10,8 @@
 	// maxAhead is the number of siblings' requests that wait here for the next
 	// slot, so that a slot is in use while messages travel.
 	maxAhead = 1
-	// maxStrangers bounds what is kept of agents that aren't known yet.
-	maxStrangers = 64
+	// maxUnconfirmed bounds what is kept of agents that aren't known yet.
+	maxUnconfirmed = 64
 	// reservationLife is how long a slot is held for a sibling's request: some
 	// round trips between data centres.
 	reservationLife = 25 * time.Millisecond
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -23,8 +23,8 @@
 	ErrTooLarge = errors.New("peer: message too large")
 	// ErrClosed says that this peer was closed.
 	ErrClosed = errors.New("peer: closed")
-	// ErrStranger says that the other end holds none of the fleet's keys.
-	ErrStranger = errors.New("peer: the other end holds no key of the fleet")
+	// ErrUnauthenticated says that the other end holds none of the fleet's keys.
+	ErrUnauthenticated = errors.New("peer: the other end holds no key of the fleet")
 	// ErrProtocol says that the other end speaks another protocol version.
 	ErrProtocol = errors.New("peer: other protocol version")
 )
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -95,7 +95,7 @@
 // has checked the proof itself.
 func (id *identity) verify(state tls.ConnectionState) error {
 	if !id.accepts(provedKey(state)) {
-		return ErrStranger
+		return ErrUnauthenticated
 	}
 	if state.NegotiatedProtocol != nextProtocol {
 		return ErrProtocol
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -27,8 +27,9 @@
 	DefaultServed = 4096
 	// DefaultHandshakes bounds the handshakes a second that are answered, and
 	// DefaultHandshakeBurst those at once. A handshake costs about a
-	// millisecond of processor time, which strangers must not take from traffic;
-	// a restart of the whole fleet brings a process some dozens.
+	// millisecond of processor time, which processes without a key must not
+	// take from traffic; a restart of the whole fleet brings a process some
+	// dozens.
 	DefaultHandshakes     = 100
 	DefaultHandshakeBurst = 200
 )
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,6 @@
 // Package peer carries net/rpc between the system's processes over mutually
 // authenticated TLS. A process proves that it holds the fleet's current or
-// previous secret; a stranger can neither call nor read.
+// previous secret; a process without one can neither call nor read.
 package peer
 
 import (
@@ -204,7 +204,7 @@
 	}
 }
 
-// Refused connections are logged up to this rate, so that a stranger can't
+// Refused connections are logged up to this rate, so that processes without a key can't
 // flood the log; the metric counts them all.
 const (
 	refusalsPerSecond = 1
--- a/internal/peer/stranger_test.go
+++ b/internal/peer/stranger_test.go
@@ -43,7 +43,7 @@
 		a, ours := serve(ring(secretA))
 		b, theirs := serve(ring(secretB))
 		Expect(echo(a, b.Addr())).To(MatchError(peer.ErrUnreachable))
-		Expect(echo(a, b.Addr())).To(MatchError(peer.ErrStranger))
+		Expect(echo(a, b.Addr())).To(MatchError(peer.ErrUnauthenticated))
 		Expect(echo(b, a.Addr())).To(MatchError(peer.ErrUnreachable))
 		Expect(ours.calls.Load() + theirs.calls.Load()).To(BeZero())
 	})
