Name parts by a constant, and give the agent's settings a file of that name

The balancer's part was exported though nothing outside used it, and request spelled its own out twice; both are a constant called part, as at agent and daemon. The settings of the agent stand in settings.go, as the balancer's do. The heap of the simulator has doc comments. No behaviour changes.

--- a/internal/agent/agent.go
+++ b/internal/agent/settings.go
@@ -1,6 +1,3 @@
-// Package agent assembles the agent role of the daemon: it ends the callers'
-// QUIC connections beside one upstream and serves their HTTP/3 requests from
-// it.
 package agent
 
 import (
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -26,8 +26,8 @@
 	"github.com/saltbend/saltbend/internal/settings"
 )
 
-// Part is the fixed prefix of this package's logs and events.
-const Part = "balancer"
+// part names the balancer in logs and events.
+const part = "balancer"
 
 // eventLeaving tells that the process ends, with the grace period.
 const eventLeaving event.Kind = "leaving"
@@ -53,7 +53,7 @@
 // the grace period, and returns.
 func Run(ctx context.Context, s Settings, env settings.Env) error {
 	boundGarbage()
-	r := &role{settings: s, env: env, log: logging.Part(env.Logger, Part)}
+	r := &role{settings: s, env: env, log: logging.Part(env.Logger, part)}
 	defer r.close()
 	if err := r.listen(); err != nil {
 		return err
@@ -175,7 +175,7 @@
 	} else {
 		r.log.Info("Face changed.", slog.String("face", public.String()), slog.String("change", string(change)))
 	}
-	r.env.Events.Add(Part, change, detail)
+	r.env.Events.Add(part, change, detail)
 }
 
 // serviceChanged tells operators of a service that is served again, or no more.
@@ -185,14 +185,14 @@
 		level = slog.LevelInfo
 	}
 	r.log.Log(context.Background(), level, "Service changed.", slog.String("service", service), slog.String("change", string(state)))
-	r.env.Events.Add(Part, state, service)
+	r.env.Events.Add(part, state, service)
 }
 
 // leave announces the end and forwards on, until the fabric and the agents
 // have had time to turn to other balancers.
 func (r *role) leave() {
 	r.log.Info("Leaving.", slog.Duration("grace", r.settings.Grace))
-	r.env.Events.Add(Part, eventLeaving, r.settings.Grace.String())
+	r.env.Events.Add(part, eventLeaving, r.settings.Grace.String())
 	r.leaving.Store(true)
 	r.node.SetState(member.StateDraining)
 	time.Sleep(r.settings.Grace)
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -23,6 +23,9 @@
 	"github.com/saltbend/saltbend/internal/upstream"
 )
 
+// part names the package in logs and events.
+const part = "request"
+
 const (
 	// defaultDeadline holds for classes without one.
 	defaultDeadline = 30 * time.Second
@@ -75,7 +78,7 @@
 func NewHandler(ctx context.Context, o Options) (*Handler, error) {
 	h := &Handler{
 		o:       o,
-		log:     logging.Part(o.Logger, "request"),
+		log:     logging.Part(o.Logger, part),
 		metrics: newCounters(),
 		budget:  retry.NewBudget(retry.DefaultPolicy()),
 		feeds:   map[*carriedFeed]struct{}{},
--- a/internal/request/judge.go
+++ b/internal/request/judge.go
@@ -94,7 +94,7 @@
 	detail := fmt.Sprintf("draws=%t weight=%d panic=%t", v.Draws, v.Weight, v.Panic)
 	h.log.Info("Upstream judged.", "draws", v.Draws, "weight", v.Weight, "panic", v.Panic)
 	if h.o.Events != nil {
-		h.o.Events.Add("request", eventHealth, detail)
+		h.o.Events.Add(part, eventHealth, detail)
 	}
 }
 
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -88,15 +88,24 @@
 
 type events []event
 
+// Len implements sort.Interface.
 func (e events) Len() int { return len(e) }
+
+// Less implements sort.Interface.
 func (e events) Less(i, j int) bool {
 	if e[i].at != e[j].at {
 		return e[i].at < e[j].at
 	}
 	return e[i].order < e[j].order
 }
+
+// Swap implements sort.Interface.
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
 func (e *events) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
