Revert "dispatch: even out connections of small services too; count flows on their way"

Cause: after it landed, one integration run failed: a new flow's lookup timed out right after an agent had been killed. A dead sibling keeps its last told count of connections until membership drops it some 6 s later, while the others' rise; with a margin of 2 in place of 16 connections, small services then hand new flows to the dead one, and all Initials of a connection attempt go the same way. This is read from the code and fits the failure; it was not traced in a run. Ruled out for now: handing on to recently heard siblings only, as standings are sent on events, so that silence proves nothing. Conclusion: broken flows weigh more than even connections; reverted until a failed hand-on is noticed. The same way out is open at 16, only later.

--- a/internal/agent/hand.go
+++ b/internal/agent/hand.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,11 +21,11 @@
 	if snapshot.Self.State == member.StateDraining || a.full(snapshot) {
 		return sibling(snapshot, dcid)
 	}
-	to, ok := a.placer.Place(time.Now(), a.requests.FlowTargets(), int(a.server.connections.Load()))
-	if !ok {
+	target := a.requests.FlowTarget()
+	if !target.Better(int(a.server.connections.Load())) {
 		return netip.AddrPort{}, false
 	}
-	return dataOf(snapshot, to)
+	return dataOf(snapshot, target.To)
 }
 
 // admit refuses a new flow that a balancer with an older configuration placed
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,7 +13,6 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/control"
-	"github.com/saltbend/saltbend/internal/dispatch"
 	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/flow"
 	"github.com/saltbend/saltbend/internal/home"
@@ -60,7 +59,6 @@
 	requests *request.Handler
 	tickets  *home.Home
 	server   *server
-	placer   dispatch.Placer    // the reader of flow owns it
 	cancel   context.CancelFunc // ends the node and the requests' scheduler
 	fleet    fleet
 	leaving  leaving
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -105,16 +105,14 @@
 func TestFlowGoesOnlyToAClearlyBetterPlace(t *testing.T) {
 	s := scheduler(dispatch.Limits{Slots: 1})
 	s.SetSiblings(start, []netip.AddrPort{address(2), address(3)})
-	var p dispatch.Placer
-	if _, ok := p.Place(start, s.FlowTargets(), 1000); ok {
+	if s.FlowTarget().Better(1000) {
 		t.Fatal("a sibling that said nothing was taken for empty")
 	}
 	s.Heard(start, address(2), dispatch.Standing{Seq: 5, Connections: 500, Draws: true})
 	s.Heard(start, address(3), dispatch.Standing{Seq: 5, Connections: 10})
 	for own, want := range map[int]bool{400: false, 540: false, 600: true} {
-		var p dispatch.Placer
-		if got, ok := p.Place(start, s.FlowTargets(), own); ok != want || ok && got != address(2) {
-			t.Errorf("%d connections: to %v, better %v", own, got, ok)
+		if got := s.FlowTarget(); got.To != address(2) || got.Better(own) != want {
+			t.Errorf("%d connections: %+v, better %v", own, got, !want)
 		}
 	}
 }
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -66,7 +66,6 @@
 	s.group.unconfirmed = nil
 	slices.SortFunc(next, func(a, b view) int { return a.addr.Compare(b.addr) })
 	s.group.views = next
-	s.targetsKnown = false
 	return s.finish(now)
 }
 
@@ -86,9 +85,6 @@
 	if standing.Seq <= v.heard.Seq {
 		return
 	}
-	if !v.spoken || v.heard.Draws != standing.Draws || v.heard.Connections != standing.Connections {
-		s.targetsKnown = false
-	}
 	v.heard = standing
 	v.spoken = true
 	v.expires = now.Add(claimLife)
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -37,9 +37,6 @@
 	draining bool
 
 	connections int
-	// targets holds for as long as targetsKnown.
-	targets      []FlowTarget
-	targetsKnown bool
 
 	group    group
 	reserved map[Reservation]reservation
--- a/internal/request/engine.go
+++ b/internal/request/engine.go
@@ -22,7 +22,7 @@
 	links siblingLinks
 	log   *slog.Logger
 	load  atomic.Pointer[dispatch.Load]
-	flows atomic.Pointer[[]dispatch.FlowTarget]
+	flows atomic.Pointer[dispatch.FlowTarget]
 	ids   atomic.Uint64
 	done  chan struct{}
 }
@@ -50,7 +50,7 @@
 		done:  make(chan struct{}),
 	}
 	e.load.Store(&dispatch.Load{Slots: limits.Slots})
-	e.flows.Store(&[]dispatch.FlowTarget{})
+	e.flows.Store(&dispatch.FlowTarget{})
 	return e
 }
 
@@ -71,7 +71,7 @@
 		if at, ok := e.sched.NextWake(); ok {
 			timer.Reset(max(time.Until(at), 0))
 		}
-		load, flows := e.sched.Load(), e.sched.FlowTargets()
+		load, flows := e.sched.Load(), e.sched.FlowTarget()
 		e.load.Store(&load)
 		e.flows.Store(&flows)
 	}
--- a/internal/request/handler.go
+++ b/internal/request/handler.go
@@ -115,9 +115,9 @@
 // SetConnections takes the number of callers' connections.
 func (h *Handler) SetConnections(n int) { h.engine.post(connected{connections: n}) }
 
-// FlowTargets returns where new flows may be placed besides here. It never
+// FlowTarget returns where new flows are better placed than here. It never
 // blocks.
-func (h *Handler) FlowTargets() []dispatch.FlowTarget { return *h.engine.flows.Load() }
+func (h *Handler) FlowTarget() dispatch.FlowTarget { return *h.engine.flows.Load() }
 
 // ServeHTTP answers one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
