Let spares read the store when no reading is younger than 30 s

Cause: two further balancers of a data centre tried for a seed's lease only when no reading of the store was younger than two minutes. Where the two that come first in the order lost the store in silence, a change reached nobody in that time. The spec "that are all cut from the store don't keep a change from any balancer" failed so in a run of all specs (0 of 4 balancers after 60 s): whether the seeds that it cuts are the first in the order is up to the ports. Ruled out: the busy machine; the log shows both leases lost and none taken. Change: 30 s, above the 5 s between readings and the 10 s between digests. At worst two more balancers of a data centre call the store, with back-off. A test cuts off just those that come first.

--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -122,6 +122,32 @@
 		Eventually(callers, patience).Should(Equal(seed.Slots))
 	})
 
+	It("brings a change to all though those who come first as seeds have lost it", func() {
+		f := newFleet().withStore()
+		revision := f.apply(0)
+		bs, as := f.startMany(4, 1)
+		var first []*node
+		Eventually(func() int {
+			first = nil
+			for _, n := range bs {
+				s := n.Snapshot()
+				if n.Status().Seed && member.Rank(s.Self, s.Balancers) < seed.Slots {
+					first = append(first, n)
+				}
+			}
+			return len(first)
+		}, patience).Should(Equal(seed.Slots))
+		for _, n := range first {
+			DeferCleanup(n.store.freeze())
+		}
+		for range 2 { // watches that are at the store already bring the first
+			revision = f.apply(revision)
+			for _, n := range append(bs, as...) {
+				Eventually(n.inForce, patience).Should(Equal(revision))
+			}
+		}
+	})
+
 	It("loses a frozen seed its lease and nobody a route", func() {
 		f := newFleet().withStore()
 		revision := f.apply(0)
--- a/internal/seed/seed.go
+++ b/internal/seed/seed.go
@@ -23,7 +23,7 @@
 	Spares = 2
 	// Stale is the age of the newest known reading of the store from which
 	// spares try.
-	Stale = 2 * time.Minute
+	Stale = 30 * time.Second
 	// DefaultLease is how long a seed holds its slot without renewing.
 	DefaultLease = 15 * time.Second
 	// renewShare is the number of renewals within a lease.
