reset: derive the keys of stateless resets in a package of its own

Cause: when an agent's host is gone for good, nobody answers its callers, though every balancer holds the secret that the reset's token follows from. The derivation was private to the agent. Conclusion: the agent's keys are the same; balancers can use the package.

--- a/internal/agent/quic.go
+++ b/internal/agent/quic.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"crypto/hkdf"
 	"crypto/sha256"
 	"crypto/tls"
 	"net"
@@ -14,6 +13,7 @@
 
 	"github.com/saltbend/saltbend/internal/flow"
 	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/reset"
 )
 
 const (
@@ -57,31 +57,18 @@
 
 // newTransport returns the QUIC transport over conn.
 func newTransport(conn net.PacketConn, ids *flow.IDs, ring *keyring.Ring, data netip.AddrPort) *quic.Transport {
-	reset := resetKey(ring, data)
+	resetKey := quic.StatelessResetKey(reset.NewKeys(ring).Key(data))
 	tokens := addressKey(ring)
 	limit := rate.NewLimiter(validateAbove, validateBurst)
 	return &quic.Transport{
 		Conn:                  conn,
 		ConnectionIDGenerator: ids,
-		StatelessResetKey:     &reset,
+		StatelessResetKey:     &resetKey,
 		TokenGeneratorKey:     &tokens,
 		VerifySourceAddress:   func(net.Addr) bool { return !limit.Allow() },
 	}
 }
 
-// resetKey returns the key of stateless resets. It depends on the secret and
-// the data address alone, so that a new incarnation can tell the flows of a
-// dead one at once, and differs between agents, so that none can be made to
-// reset the flows of another.
-func resetKey(ring *keyring.Ring, data netip.AddrPort) quic.StatelessResetKey {
-	secret := ring.Derive(keyring.PurposeReset, sha256.Size)[0].Bytes
-	b, err := hkdf.Expand(sha256.New, secret, data.String(), sha256.Size)
-	if err != nil {
-		panic(err) // only for lengths beyond 255 hashes
-	}
-	return quic.StatelessResetKey(b)
-}
-
 // addressKey returns the key of address validation tokens. The whole fleet has
 // the same: a caller may come back to another agent.
 func addressKey(ring *keyring.Ring) quic.TokenGeneratorKey {
