flow: answer balancers that ask whether the agent lives

Cause: a balancer that believes an agent gone has no way to ask it over the data path. That it hears nothing proves little: the replies of silent callers' flows take all balancers in turn, and acknowledgements are not answered. Change: an agent answers a probe as a balancer does, to the balancer that the header's MAC vouches for; one that names the agent itself is dropped as before. The new test was seen failing without the answer.

--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -22,7 +22,8 @@
 	KindReply
 	// KindHandOn carries a caller's Initial from an agent to a sibling.
 	KindHandOn
-	// KindProbe asks a balancer whether it lives; it answers KindProbeReply.
+	// KindProbe asks a balancer, or an agent that is thought to be gone, whether
+	// it lives; it answers KindProbeReply.
 	KindProbe
 	// KindProbeReply answers a probe and repeats its other fields: a probe may
 	// carry a nonce in Revision to know its own answer.
--- a/internal/flow/conn_test.go
+++ b/internal/flow/conn_test.go
@@ -137,6 +137,24 @@
 	g.Expect(err).To(HaveOccurred())
 }
 
+func TestABalancerThatAsksIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	c := listen(t, nil)
+	b := newPeer(t, ring(g, oldSecret))
+	probe := encap.Header{Kind: encap.KindProbe, Service: config.TagOf("results"), Revision: 9, Balancer: b.addr()}
+	self := probe
+	self.Balancer = c.Addr()
+	before := droppedKind.Get()
+	b.send(g, c.Addr(), self, nil)
+	b.send(g, c.Addr(), probe, nil)
+	b.send(g, c.Addr(), b.header(), []byte("good"))
+	next(g, c)
+	h, _ := b.receive(g)
+	probe.Kind = encap.KindProbeReply
+	g.Expect(h).To(Equal(probe))
+	g.Expect(droppedKind.Get()-before).To(BeEquivalentTo(1), "meant for another at the agent's address")
+}
+
 func initial(dcid string) []byte {
 	b := make([]byte, minInitialSize)
 	copy(b, "\xc3\x00\x00\x00\x01")
--- a/internal/flow/read.go
+++ b/internal/flow/read.go
@@ -57,12 +57,29 @@
 		return c.takePayload(now, h, payload)
 	case encap.KindProbeReply:
 		c.answered(now, h)
+	case encap.KindProbe:
+		c.answer(h)
 	default:
 		droppedKind.Inc()
 	}
 	return nil, nil
 }
 
+// answer tells a balancer that asks that the agent lives. A probe that names the
+// agent itself as balancer was meant for one that had the address before.
+func (c *Conn) answer(h encap.Header) {
+	if h.Balancer == c.Addr() || !h.Balancer.Addr().Is4() {
+		droppedKind.Inc()
+		return
+	}
+	d := c.writer.take()
+	d.to = h.Balancer
+	d.header = h
+	d.header.Kind = encap.KindProbeReply
+	c.writer.send(d, nil)
+	asked.Inc()
+}
+
 func (c *Conn) answered(now time.Time, h encap.Header) {
 	probesAnswered.Inc()
 	c.mu.Lock()
