--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,10 @@
 	// at an agent, Agents holds its own service only.
 	Balancers []member.Member
 	Agents    []member.Member
+	// Gone are the last records of agents that left or were declared gone within
+	// GoneFor, the newest first; empty at an agent. Who is not known at all is
+	// not gone: a new process's table is incomplete.
+	Gone []member.Member
 }
 
 // Source gives the current snapshot and says when it changes.
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -154,6 +154,14 @@
 	}
 }
 
+// gone returns who the node's snapshot says is gone.
+func (n *node) gone() (addrs []netip.AddrPort) {
+	for _, m := range n.Snapshot().Gone {
+		addrs = append(addrs, m.Control)
+	}
+	return addrs
+}
+
 // count returns the number of events of a kind.
 func (n *node) count(kind event.Kind) int {
 	count := 0
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -123,6 +123,7 @@
 // that follow each other closely share one.
 func (n *Node) publishChanges(now time.Time) {
 	seq := n.engine.Table().Seq()
+	n.dirty = n.dirty || n.forgets(now)
 	if !n.dirty && (seq == n.seenSeq || now.Sub(n.published) < publishInterval) {
 		return
 	}
@@ -163,6 +164,7 @@
 		s.Agents = table.Service(s.Self.Service)
 	} else {
 		s.Agents = table.Agents()
+		s.Gone = table.GoneAgents(n.options.Now().Add(-GoneFor))
 	}
 	before := n.current.Swap(&published{snapshot: s, changed: make(chan struct{})})
 	if before != nil {
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -38,6 +38,10 @@
 		for _, n := range append(bs, as[1:]...) {
 			Eventually(n.state(as[0].addr), patience).Should(Equal(member.StateGone))
 		}
+		for _, n := range bs {
+			Expect(n.gone()).To(Equal([]netip.AddrPort{as[0].addr}))
+		}
+		Expect(as[1].gone()).To(BeEmpty(), "only balancers act on it")
 		f.start(agentAt(0, "results")).SetState(member.StateReady)
 		for _, n := range append(bs, as[1:]...) {
 			Eventually(n.state(as[0].addr), patience).Should(Equal(member.StateReady))
@@ -55,6 +59,7 @@
 		f.mesh.SetCut(nil)
 		for _, n := range append(bs, as[1:]...) {
 			Eventually(n.state(lost.addr), patience).Should(Equal(member.StateReady))
+			Expect(n.gone()).To(BeEmpty())
 		}
 	})
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -34,6 +34,8 @@
 	// liveBalancers counts the live balancers, balancerSet sums the their addresses.
 	liveBalancers int
 	balancerSet   uint64
+	// gone holds the last agents to go, in the order in which they went.
+	gone goneList
 }
 
 // NewTable returns an empty table that keeps tombstones for ttl.
@@ -64,6 +66,7 @@
 	e.member, e.seq, e.goneAt = m, t.seq, time.Time{}
 	if m.State == StateGone {
 		e.goneAt = now
+		t.gone.note(m, now)
 	}
 	t.index(e)
 	return true
