balancer: reset flows of agents that are gone and silent

Cause: a caller with an open feed at an agent whose host is gone for good waited for its own idle timeout. Change: a balancer answers a short-header datagram with the stateless reset of its connection ID if membership says that the token's incarnation is gone, no agent lives at the data address, and four probes in a row, one a second, have brought no datagram of it. Otherwise it forwards as before. Resets are shorter than their cause, 300 a second at most, and counted. Ruled out: silence without asking (the first idea), since a balancer may hear nothing of a live agent for long; the key id of the token as the key of the reset, see internal/reset; an answer to 43 bytes and more only, as the QUIC library does: the test with a real caller failed after 10 s, as a keep-alive is shorter. Seen failing: with the check of silence taken out the table of the decision and the test of the live caller; likewise for the incarnation, the live agent at the address and the reset of the previous secret. Conclusion: callers that send anything learn in time; silent ones wait as ever.

--- a/internal/balancer/publisher.go
+++ b/internal/balancer/publisher.go
@@ -31,6 +31,7 @@
 	path     *datapath.Path
 	faces    *faces
 	services *services
+	gone     gone
 	keys     chan *datapath.Keys
 	inUse    *datapath.Keys
 	// ready is called once, with the first configuration in force.
@@ -99,6 +100,7 @@
 	}
 	ended := p.faces.update(s.Config, now)
 	p.services.update(s)
+	p.gone = p.gone.update(s)
 	p.path.Publish(p.snapshot(s))
 	for _, socket := range ended {
 		_ = socket.Close()
@@ -115,6 +117,7 @@
 		Revision: s.Config.Revision,
 		Keys:     p.inUse,
 		Faces:    make(map[netip.AddrPort]*datapath.Face, len(p.faces.open)),
+		Gone:     p.gone,
 	}
 	for public, open := range p.faces.open {
 		out.Faces[public] = &datapath.Face{
--- a/internal/datapath/bench_test.go
+++ b/internal/datapath/bench_test.go
@@ -34,7 +34,7 @@
 		{"forged", short(testKeys(b, otherSecrets), results, agent1, 400), 300},
 	} {
 		b.Run(tc.name, func(b *testing.B) {
-			f := newForwarder(agent1, publicFace)
+			f := newForwarder(agent1, publicFace, newResetLimit())
 			f.use(&Snapshot{Keys: k, Faces: map[netip.AddrPort]*Face{publicFace: face}})
 			c := newForwardCounters()
 			buffer := make([]byte, bufferSize)
--- a/internal/datapath/classify.go
+++ b/internal/datapath/classify.go
@@ -39,6 +39,8 @@
 // verdict is what the classify filter found out about a datagram.
 type verdict struct {
 	drop Reason
+	// incarnation is the tag of the agent's incarnation in an open flow.
+	incarnation uint16
 	// service is the one that the datagram is meant for.
 	service config.Tag
 	// agent ends the datagram's flow; it is invalid for a new flow.
@@ -60,7 +62,7 @@
 	}
 	t, err := openToken(id, f, tokens)
 	if err == nil {
-		return verdict{service: t.Service, agent: t.Agent}
+		return verdict{service: t.Service, agent: t.Agent, incarnation: t.Incarnation}
 	}
 	if !quicid.IsLong(b) {
 		return verdict{drop: tokenReason(err)}
--- a/internal/datapath/forward.go
+++ b/internal/datapath/forward.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/saltbend/saltbend/internal/encap"
 )
@@ -11,6 +12,9 @@
 type forwardCounters struct {
 	*counters
 	flows, initials *metrics.Counter
+	// resets counts datagrams answered for an agent that is gone, asks the
+	// probes of such agents.
+	resets, asks *metrics.Counter
 }
 
 func newForwardCounters() *forwardCounters {
@@ -18,6 +22,8 @@
 		counters: newCounters("forward"),
 		flows:    metrics.GetOrCreateCounter(`saltbend_balancer_forwarded_total{kind="flow"}`),
 		initials: metrics.GetOrCreateCounter(`saltbend_balancer_forwarded_total{kind="initial"}`),
+		resets:   metrics.GetOrCreateCounter(`saltbend_balancer_resets_total`),
+		asks:     metrics.GetOrCreateCounter(`saltbend_balancer_gone_probes_total`),
 	}
 }
 
@@ -26,16 +32,19 @@
 	view
 	face   *Face
 	header encap.Header
+	resets *rate.Limiter
+	// agent is the one in whose place decide wants the caller told.
+	agent netip.AddrPort
 }
 
-func newForwarder(self, public netip.AddrPort) *forwarder {
-	return &forwarder{header: encap.Header{Kind: encap.KindForward, Face: public, Balancer: self}}
+func newForwarder(self, public netip.AddrPort, resets *rate.Limiter) *forwarder {
+	return &forwarder{resets: resets, header: encap.Header{Kind: encap.KindForward, Face: public, Balancer: self}}
 }
 
 // serveFace carries the datagrams of one face until its socket is closed.
 func (p *Path) serveFace(s *Socket) {
 	defer s.replies.close()
-	f := newForwarder(p.self, s.face)
+	f := newForwarder(p.self, s.face, p.resets)
 	buffer := make([]byte, bufferSize)
 	for {
 		end, caller, err := receive(s.conn, buffer, encap.HeaderSize)
@@ -45,8 +54,11 @@
 		f.use(p.snapshot.Load())
 		agent, counter := f.decide(buffer, end, caller, p.forward)
 		counter.Inc()
-		if agent.IsValid() {
+		switch {
+		case agent.IsValid():
 			buffer = p.toAgents.add(buffer, 0, end, agent)
+		case counter == p.forward.resets:
+			buffer = p.resetFlow(s, f, buffer, end, caller)
 		}
 	}
 }
@@ -62,7 +74,8 @@
 
 // decide runs the datagram behind the buffer's headroom through classify and
 // route and writes its header. It returns the agent and what to count; the
-// agent is invalid for a datagram to be dropped.
+// agent is invalid for a datagram to be dropped, or answered in the place of
+// f.agent.
 func (f *forwarder) decide(buffer []byte, end int, caller netip.AddrPort, c *forwardCounters) (netip.AddrPort, *metrics.Counter) {
 	if f.face == nil {
 		return netip.AddrPort{}, c.drops[NoFace]
@@ -74,6 +87,10 @@
 	if v.drop != None {
 		return netip.AddrPort{}, c.drops[v.drop]
 	}
+	if len(f.snapshot.Gone) != 0 && f.tells(buffer[encap.HeaderSize:end], &v) {
+		f.agent = v.agent
+		return netip.AddrPort{}, c.resets
+	}
 	agent, reason := route(f.face, caller, &v)
 	if reason != None {
 		return netip.AddrPort{}, c.drops[reason]
@@ -87,3 +104,8 @@
 	}
 	return agent, c.initials
 }
+
+// tells reports whether the caller is to be told that the flow's agent is gone.
+func (f *forwarder) tells(datagram []byte, v *verdict) bool {
+	return f.snapshot.Gone[v.agent].resets(datagram, v.incarnation) && f.resets.Allow()
+}
--- a/internal/datapath/path.go
+++ b/internal/datapath/path.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 
 	"golang.org/x/net/ipv4"
+	"golang.org/x/time/rate"
 )
 
 // Path is a balancer's data path. Each socket has one goroutine that receives,
@@ -18,17 +20,25 @@
 	reply    *replyCounters
 	// toAgents goes out through data.
 	toAgents *queue
+	// resets limits the resets of all faces.
+	resets *rate.Limiter
+	closed chan struct{}
+	once   sync.Once
 }
 
 // Start returns a running path that exchanges encapsulated datagrams with
 // agents through data. self is the address of data as agents reach it; first
 // is the first snapshot.
 func Start(data *net.UDPConn, self netip.AddrPort, first *Snapshot) *Path {
-	p := &Path{data: data, self: self, forward: newForwardCounters(), reply: newReplyCounters()}
+	p := &Path{
+		data: data, self: self, forward: newForwardCounters(), reply: newReplyCounters(),
+		resets: newResetLimit(), closed: make(chan struct{}),
+	}
 	p.toAgents = newQueue(ipv4.NewPacketConn(data), dataBatch, p.forward.refused)
 	p.Publish(first)
 	go p.toAgents.run()
 	go p.serveReplies()
+	go p.askGone()
 	return p
 }
 
@@ -48,6 +58,7 @@
 
 // Close closes the data socket and all face sockets of the snapshot in force.
 func (p *Path) Close() {
+	p.once.Do(func() { close(p.closed) })
 	_ = p.data.Close()
 	p.toAgents.close()
 	for _, f := range p.snapshot.Load().Faces {
--- a/internal/datapath/reply.go
+++ b/internal/datapath/reply.go
@@ -11,6 +11,8 @@
 type replyCounters struct {
 	*counters
 	replies, probes *metrics.Counter
+	// heard counts datagrams of agents that are thought to be gone.
+	heard *metrics.Counter
 }
 
 func newReplyCounters() *replyCounters {
@@ -18,6 +20,7 @@
 		counters: newCounters("reply"),
 		replies:  metrics.GetOrCreateCounter(`saltbend_balancer_forwarded_total{kind="reply"}`),
 		probes:   metrics.GetOrCreateCounter(`saltbend_balancer_probes_total`),
+		heard:    metrics.GetOrCreateCounter(`saltbend_balancer_gone_heard_total`),
 	}
 }
 
@@ -52,15 +55,32 @@
 	if err != nil {
 		return r.dropped(buffer, headerReason(err))
 	}
+	known := len(r.snapshot.Gone) != 0 && r.heard(from)
 	switch h.Kind {
 	case encap.KindReply:
 		return r.reply(buffer, end, &h)
 	case encap.KindProbe:
 		return r.probe(buffer, &h, from)
+	case encap.KindProbeReply:
+		if known {
+			return buffer
+		}
 	}
 	return r.dropped(buffer, WrongKind)
 }
 
+// heard notes a sign of life of an agent that is thought to be gone, and reports
+// whether the sender is one.
+func (r *replier) heard(from netip.AddrPort) bool {
+	g := r.snapshot.Gone[from]
+	if g == nil {
+		return false
+	}
+	g.heard()
+	r.counters.heard.Inc()
+	return true
+}
+
 func (r *replier) dropped(buffer []byte, reason Reason) []byte {
 	r.counters.drops[reason].Inc()
 	return buffer
--- a/internal/datapath/snapshot.go
+++ b/internal/datapath/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/saltbend/saltbend/internal/encap"
 	"github.com/saltbend/saltbend/internal/keyring"
 	"github.com/saltbend/saltbend/internal/placement"
+	"github.com/saltbend/saltbend/internal/reset"
 	"github.com/saltbend/saltbend/internal/token"
 )
 
@@ -19,6 +20,8 @@
 	Keys     *Keys
 	// Faces holds the open faces by their public address.
 	Faces map[netip.AddrPort]*Face
+	// Gone holds the agents that are gone, by data address.
+	Gone map[netip.AddrPort]*Gone
 }
 
 // Face is one public address of a service as a balancer serves it.
@@ -45,16 +48,17 @@
 type Keys struct {
 	Tokens  *token.Codec
 	Headers *encap.Codec
+	Resets  *reset.Keys
 }
 
 // NewKeys derives the codecs from the ring.
 func NewKeys(ring *keyring.Ring) *Keys {
-	return &Keys{Tokens: token.NewCodec(ring), Headers: encap.NewCodec(ring)}
+	return &Keys{Tokens: token.NewCodec(ring), Headers: encap.NewCodec(ring), Resets: reset.NewKeys(ring)}
 }
 
 // clone returns codecs for one goroutine.
 func (k *Keys) clone() Keys {
-	return Keys{Tokens: k.Tokens.Clone(), Headers: k.Headers.Clone()}
+	return Keys{Tokens: k.Tokens.Clone(), Headers: k.Headers.Clone(), Resets: k.Resets}
 }
 
 // view is the snapshot that one goroutine acts on, with its own copy of the
--- a/internal/reset/reset.go
+++ b/internal/reset/reset.go
@@ -11,6 +11,7 @@
 	"net/netip"
 
 	"github.com/saltbend/saltbend/internal/keyring"
+	"github.com/saltbend/saltbend/internal/quicid"
 )
 
 // Sizes in bytes.
@@ -28,11 +29,8 @@
 	MinTrigger = 41
 )
 
-// Bits of the first byte: a short header, with the fixed bit set.
-const (
-	longHeader = 0x80
-	fixedBit   = 0x40
-)
+// fixedBit is set in the first byte of all packets (RFC 9000).
+const fixedBit = 0x40
 
 // Keys derives for each secret of a ring. It is immutable.
 type Keys struct {
@@ -67,7 +65,7 @@
 	for _, secret := range k.secrets {
 		p := make([]byte, size)
 		rand.Read(p) // never fails
-		p[0] = p[0]&^longHeader | fixedBit
+		p[0] = p[0]&^quicid.LongHeader | fixedBit
 		copy(p[size-TokenSize:], token(expand(secret, data), id))
 		out = append(out, p)
 	}
--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -51,6 +51,8 @@
 	Tally      *Tally
 	// AttemptTimeout bounds one attempt of a submission; zero is no bound.
 	AttemptTimeout time.Duration
+	// KeepAlive is how often a silent connection is pinged; zero is never.
+	KeepAlive time.Duration
 }
 
 // Caller has one HTTP/3 connection at a time, and another for submissions,
@@ -71,7 +73,7 @@
 func newTransport(o Options) *http3.Transport {
 	return &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: o.Roots, ServerName: o.ServerName},
-		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: o.KeepAlive},
 	}
 }
 
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -302,7 +302,12 @@
 // Caller returns a caller of the service that counts into tally and gives up
 // an attempt of a submission after attempt, if that is not zero.
 func (f *Fleet) Caller(name, service string, tally *caller.Tally, attempt time.Duration) *caller.Caller {
-	return caller.New(caller.Options{
+	return caller.New(f.CallerOptions(name, service, tally, attempt))
+}
+
+// CallerOptions returns the options of a caller as Caller makes it.
+func (f *Fleet) CallerOptions(name, service string, tally *caller.Tally, attempt time.Duration) caller.Options {
+	return caller.Options{
 		Name:           name,
 		Face:           f.Faces[service],
 		Service:        service,
@@ -310,7 +315,7 @@
 		Roots:          f.roots,
 		Tally:          tally,
 		AttemptTimeout: attempt,
-	})
+	}
 }
 
 // SetStoreFaults changes how the store acts.
