--- a/internal/home/node_test.go
+++ b/internal/home/node_test.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/exec"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +29,7 @@
 	"github.com/saltbend/saltbend/internal/peer"
 	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/upstream"
+	"github.com/saltbend/saltbend/test/fleetsource"
 	"github.com/saltbend/saltbend/test/freeze"
 )
 
@@ -69,35 +69,6 @@
 	Members  []member.Member
 }
 
-// source is a control.Source that tests set.
-type source struct {
-	mu       sync.Mutex
-	snapshot *control.Snapshot
-	changed  chan struct{}
-}
-
-func (s *source) Snapshot() *control.Snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.snapshot
-}
-
-func (s *source) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
-
-func (s *source) setAgents(agents []member.Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next := *s.snapshot
-	next.Agents = agents
-	s.snapshot = &next
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
@@ -131,10 +102,10 @@
 		Limits:  config.Limits{Slots: 1, Queue: 8, Connections: 8},
 		Classes: []config.Class{class},
 	}
-	view := &source{changed: make(chan struct{}), snapshot: &control.Snapshot{
+	view := fleetsource.New(&control.Snapshot{
 		Config: &config.Config{Services: []config.Service{service}},
 		Agents: s.Members,
-	}}
+	})
 	self := member.Member{Control: s.Control, Service: testService, Incarnation: uint64(time.Now().UnixNano())}
 	logger := slog.New(slog.DiscardHandler)
 	tickets := must(home.New(home.Options{
@@ -152,7 +123,7 @@
 		if err := json.NewDecoder(r.Body).Decode(&members); err != nil {
 			panic(err)
 		}
-		view.setAgents(members)
+		view.SetAgents(members)
 	})
 	mux.HandleFunc(closePath, func(http.ResponseWriter, *http.Request) {
 		handler.Drain()
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -18,10 +18,10 @@
 
 	"github.com/saltbend/saltbend/internal/config"
 	"github.com/saltbend/saltbend/internal/control"
-	"github.com/saltbend/saltbend/internal/member"
 	"github.com/saltbend/saltbend/internal/request"
 	"github.com/saltbend/saltbend/internal/ticket"
 	"github.com/saltbend/saltbend/internal/upstream"
+	"github.com/saltbend/saltbend/test/fleetsource"
 	"github.com/saltbend/saltbend/test/mesh"
 )
 
@@ -44,40 +44,8 @@
 	}}
 }
 
-// source is a control.Source that tests change.
-type source struct {
-	mu       sync.Mutex
-	snapshot *control.Snapshot
-	changed  chan struct{}
-}
-
-func newSource(s config.Service) *source {
-	return &source{
-		snapshot: &control.Snapshot{Config: &config.Config{Services: []config.Service{s}}},
-		changed:  make(chan struct{}),
-	}
-}
-
-func (s *source) Snapshot() *control.Snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.snapshot
-}
-
-func (s *source) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
-
-func (s *source) setAgents(agents []member.Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next := *s.snapshot
-	next.Agents = agents
-	s.snapshot = &next
-	close(s.changed)
-	s.changed = make(chan struct{})
+func newSource(s config.Service) *fleetsource.Source {
+	return fleetsource.New(&control.Snapshot{Config: &config.Config{Services: []config.Service{s}}})
 }
 
 // runner is an upstream that holds each request until the test lets it go.
@@ -187,7 +155,7 @@
 // agent is a handler with its stand-ins.
 type agent struct {
 	handler  *request.Handler
-	source   *source
+	source   *fleetsource.Source
 	upstream *runner
 	tickets  *tickets
 }
--- a/internal/request/outcome_test.go
+++ b/internal/request/outcome_test.go
@@ -78,7 +78,7 @@
 			members = append(members, member.Member{Control: address(port + 1), Service: "exams", State: member.StateReady})
 		}
 		for _, a := range agents {
-			a.source.setAgents(members)
+			a.source.SetAgents(members)
 		}
 
 		jobs := make(chan int)
--- a/internal/request/sibling_test.go
+++ b/internal/request/sibling_test.go
@@ -34,8 +34,8 @@
 			{Control: address(1), Service: "exams", State: member.StateReady},
 			{Control: address(2), Service: "exams", State: member.StateReady},
 		}
-		a.source.setAgents(agents)
-		b.source.setAgents(agents)
+		a.source.SetAgents(agents)
+		b.source.SetAgents(agents)
 	})
 
 	It("run an idempotent request where a slot is free", func() {
