--- /dev/null
+++ b/cmd/saltbendd/packet.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/exit"
+	"github.com/saltbend/saltbend/internal/logging"
+	packet "github.com/saltbend/saltbend/internal/packetface/role"
+	"github.com/saltbend/saltbend/internal/settings"
+	"github.com/saltbend/saltbend/internal/version"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// packetSettings are the flags of the roles of the packet face. What differs
+// from host to host comes from the platform's settings file.
+type packetSettings struct {
+	Settings  string `long:"settings" env:"SALTBEND_SETTINGS" value-name:"PATH" description:"the platform's settings file of this host (default: where the platform says)"`
+	LogFormat string `long:"log-format" env:"SALTBEND_LOG_FORMAT" default:"json" choice:"json" choice:"text" description:"format of the log on standard output"`
+	LogLevel  string `long:"log-level" env:"SALTBEND_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+	CheckOnly bool   `long:"check" env:"SALTBEND_CHECK" description:"check the settings, report all findings and exit"`
+
+	needsUpstream bool
+}
+
+// path returns the path of the settings file.
+func (s *packetSettings) path() string {
+	if s.Settings != "" {
+		return s.Settings
+	}
+	return platform.SettingsPath()
+}
+
+// host reads and checks the settings file.
+func (s *packetSettings) host() (platform.Host, error) {
+	if s.path() == "" {
+		var f settings.Findings
+		f.Add("settings", "no settings file is given", "name the platform's settings file of this host")
+		return platform.Host{}, f
+	}
+	host, err := platform.ReadHost(s.path())
+	if err == nil && s.needsUpstream {
+		err = host.CheckAgent(s.path())
+	}
+	return host, err
+}
+
+func (s *packetSettings) check() settings.Findings {
+	_, err := s.host()
+	if findings := (settings.Findings)(nil); errors.As(err, &findings) {
+		return findings
+	}
+	var f settings.Findings
+	if err != nil {
+		f.Add("settings", err.Error(), "name a file that can be read")
+	}
+	return f
+}
+
+// Bounds of the log on standard output.
+const (
+	// logQueue is the number of lines that wait while nobody reads them.
+	logQueue = 1024
+	// logEndTime bounds the writing of the last lines at the end.
+	logEndTime = 200 * time.Millisecond
+)
+
+// servePacket runs a role of the packet face until it ends or a signal stops it.
+func servePacket(name string, s *packetSettings, run func(packet.Env) error, out std, signals <-chan os.Signal) int {
+	lines := logging.NewBounded(out.out, logQueue)
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(s.LogLevel)) // the parser knows only these
+	logger := logging.New(lines, s.LogFormat, level)
+	daemon := logging.Part(logger, part)
+	code := runPacket(name, s, run, logger, daemon, signals)
+	if dropped := lines.Dropped(); dropped > 0 {
+		daemon.Warn("Log lines were dropped.", "count", dropped)
+	}
+	select {
+	case <-lines.Close():
+	case <-time.After(logEndTime):
+	}
+	return code
+}
+
+func runPacket(name string, s *packetSettings, run func(packet.Env) error, logger, daemon *slog.Logger, signals <-chan os.Signal) int {
+	host, err := s.host()
+	if err != nil {
+		daemon.Error("Settings refused.", "error", err.Error())
+		return exit.Usage
+	}
+	daemon.Info("Starting.", "role", name, "host", host.Name, "version", version.Version(), "pid", os.Getpid(), "first_start", host.FirstStart)
+	stop := make(chan struct{})
+	done := make(chan error, 1)
+	go func() { done <- run(packet.Env{Logger: logger, Host: host, Stop: stop}) }()
+	stopping := false
+	for {
+		select {
+		case err := <-done:
+			return result(err, daemon)
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGHUP:
+				reloadPacket(s, host, daemon)
+			case stopping:
+				daemon.Warn("Second signal, ending at once.", "signal", sig.String())
+				return exit.Forced
+			default:
+				stopping = true
+				daemon.Info("Stop asked for.", "signal", sig.String())
+				close(stop)
+			}
+		}
+	}
+}
+
+// reloadPacket reads the settings again. What a process was started with holds
+// for its life, so a difference is told and takes effect at the next start.
+func reloadPacket(s *packetSettings, running platform.Host, log *slog.Logger) {
+	host, err := s.host()
+	switch {
+	case err != nil:
+		log.Error("Settings not read again.", "error", err.Error())
+	case host != running:
+		log.Warn("Settings differ; they take effect at the next start.", "now", fmt.Sprintf("%+v", host))
+	default:
+		log.Info("Settings read again, nothing differs.")
+	}
+}
--- a/cmd/saltbendd/run.go
+++ b/cmd/saltbendd/run.go
@@ -14,6 +14,7 @@
 	"github.com/saltbend/saltbend/internal/event"
 	"github.com/saltbend/saltbend/internal/exit"
 	"github.com/saltbend/saltbend/internal/logging"
+	packet "github.com/saltbend/saltbend/internal/packetface/role"
 	"github.com/saltbend/saltbend/internal/settings"
 	"github.com/saltbend/saltbend/internal/version"
 )
@@ -25,6 +26,17 @@
 	common      *settings.Common
 	check       func() settings.Findings
 	run         func(context.Context, settings.Env) error
+	// packet runs a role of the packet face, which has settings of its own.
+	packet         func(packet.Env) error
+	packetSettings *packetSettings
+}
+
+// checkOnly reports whether the settings are only to be checked.
+func (r *role) checkOnly() bool {
+	if r.packet != nil {
+		return r.packetSettings.CheckOnly
+	}
+	return r.common.CheckOnly
 }
 
 func roles() []role {
@@ -40,9 +52,15 @@
 			settings: a, common: &a.Common, check: a.Check,
 			run: func(ctx context.Context, env settings.Env) error { return agent.Run(ctx, *a, env) },
 		},
+		packetRole("packet-balancer", "spread the flows of the packet face over its agents", packet.RunBalancer, &packetSettings{}),
+		packetRole("packet-agent", "guard one upstream of the packet face beside it", packet.RunAgent, &packetSettings{needsUpstream: true}),
 	}
 }
 
+func packetRole(name, short string, run func(packet.Env) error, s *packetSettings) role {
+	return role{name: name, short: short, settings: s, check: s.check, packet: run, packetSettings: s}
+}
+
 // run runs the program and returns its exit code.
 func run(args []string, out std, signals <-chan os.Signal) int {
 	chosen, code := parse(args, out)
@@ -53,10 +71,13 @@
 		fmt.Fprintln(out.err, findings.Error())
 		return exit.Usage
 	}
-	if chosen.common.CheckOnly {
+	if chosen.checkOnly() {
 		fmt.Fprintln(out.out, "The settings are valid.")
 		return exit.OK
 	}
+	if chosen.packet != nil {
+		return servePacket(chosen.name, chosen.packetSettings, chosen.packet, out, signals)
+	}
 	return serve(chosen, out, signals)
 }
 
@@ -119,7 +140,7 @@
 	case len(rest) > 0:
 		return errors.Errorf("unexpected argument %q", rest[0])
 	case parser.Active == nil:
-		return errors.New("name a role: balancer or agent")
+		return errors.New("name a role: balancer, agent, packet-balancer or packet-agent")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/packetface/gate/upstream.go
@@ -0,0 +1,160 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Registration is what the store is to list about the agent.
+type Registration struct {
+	// Listed tells whether it is to be listed at all.
+	Listed     bool
+	Upstream   string
+	DataCentre string
+	Slots      int
+}
+
+// Heartbeat takes a heartbeat of the upstream. It is acknowledged unless it is
+// of a life that has ended.
+func (g *Gate) Heartbeat(now time.Duration, beat platform.Heartbeat) (result *Result, ok bool) {
+	g.begin()
+	u := &g.upstream
+	if beat.ID == u.id && beat.Sequence <= u.sequence {
+		return &g.out, true // a late call: what it says is outdated
+	}
+	if beat.ID != u.id {
+		g.newLife(now, beat)
+	}
+	revived := u.down && !u.left
+	u.heard, u.sequence, u.slots, u.down, u.silent = now, beat.Sequence, beat.Slots, false, false
+	u.coldEnd = now + beat.ColdFor
+	if revived {
+		u.whole = false // it was held for gone: it may hold flows
+		g.note(now, Note{Kind: KindUpstream, Reason: "back " + u.id})
+		g.announce(now)
+	}
+	if beat.Draining && !u.draining {
+		u.draining, u.drained = true, now
+		g.note(now, Note{Kind: KindUpstream, Reason: "draining " + u.id})
+		g.announce(now)
+	}
+	return &g.out, true
+}
+
+// newLife takes over a new life of the upstream: flows of the one before are
+// gone.
+func (g *Gate) newLife(now time.Duration, beat platform.Heartbeat) {
+	first := g.upstream.id == ""
+	if !first {
+		g.resetAll(now, "upstream-replaced")
+	}
+	g.upstream = upstream{
+		id: beat.ID,
+		// Every packet of this life went through this process, or the flows of
+		// the life before were told apart by their end.
+		whole: beat.Sequence <= firstHeartbeat || !first,
+	}
+	g.note(now, Note{Kind: KindUpstream, Reason: "ready " + beat.ID})
+	g.announce(now)
+}
+
+// Left takes the upstream's word that it ends.
+func (g *Gate) Left(now time.Duration, id string) (result *Result, ok bool) {
+	g.begin()
+	if id != g.upstream.id {
+		return &g.out, true
+	}
+	g.upstream.left, g.upstream.draining = true, true
+	g.note(now, Note{Kind: KindUpstream, Reason: "left " + id})
+	g.announce(now)
+	return &g.out, true
+}
+
+// Refused notes that no socket took a packet for the upstream.
+func (g *Gate) Refused(now time.Duration) *Result {
+	g.begin()
+	u := &g.upstream
+	if u.refused == 0 {
+		u.refusedAt = now
+	}
+	u.refused++
+	if u.refused >= refusals && now-u.refusedAt >= refusalTime {
+		g.goDown(now, "refuses-packets")
+	}
+	return &g.out
+}
+
+// checkHeartbeats notices an upstream that has fallen silent. It may still
+// live, so its flows are not reset.
+func (g *Gate) checkHeartbeats(now time.Duration) {
+	u := &g.upstream
+	if u.gone() || u.heard == 0 || now-u.heard < missedHeartbeats*g.settings.HeartbeatEvery {
+		return
+	}
+	u.silent = true
+	g.note(now, Note{Kind: KindUpstream, Reason: "silent " + u.id})
+	g.announce(now)
+}
+
+// gone reports whether the upstream must get no new flow.
+func (u *upstream) gone() bool { return u.down || u.silent || u.left }
+
+// goDown notes that the upstream has certainly ended; its flows have, too.
+func (g *Gate) goDown(now time.Duration, reason string) {
+	if g.upstream.down {
+		return
+	}
+	g.upstream.down = true
+	g.note(now, Note{Kind: KindUpstream, Reason: reason + " " + g.upstream.id})
+	g.resetAll(now, reason)
+	g.announce(now)
+}
+
+// resetAll tells the callers of all flows that they are gone, so that they may
+// ask again at once.
+func (g *Gate) resetAll(now time.Duration, reason string) {
+	for id, f := range g.flows {
+		if f.state != flowClosed && !f.probing {
+			g.note(now, Note{Kind: KindReset, Flow: id, Reason: reason})
+			start := len(g.buffer)
+			g.buffer = platform.AppendReset(g.buffer, id, f.acknowledged)
+			g.sendBuffer(ToCaller, g.caller(id), start)
+		}
+		g.forget(id, f)
+	}
+}
+
+// Stop notes that the process has been told to stop: no new flows come, those
+// that are open go on.
+func (g *Gate) Stop(now time.Duration) *Result {
+	g.begin()
+	g.stopping = true
+	g.announce(now)
+	if g.upstream.left {
+		g.goDown(now, "left")
+	}
+	return &g.out
+}
+
+// Finished reports whether a process that was told to stop has nothing left to
+// do for its upstream.
+func (g *Gate) Finished() bool {
+	return g.upstream.down || g.upstream.left || g.running == 0
+}
+
+// Registration returns what the store is to list.
+func (g *Gate) Registration() Registration {
+	u := &g.upstream
+	return Registration{
+		Listed:   u.id != "" && !u.down && !u.left,
+		Upstream: u.id, Slots: u.slots,
+	}
+}
+
+// announce tells all balancers that use this agent of a change at once.
+func (g *Gate) announce(now time.Duration) {
+	for to := range g.balancers {
+		g.sendStatus(now, to)
+	}
+}
--- /dev/null
+++ b/internal/packetface/inner/inner.go
@@ -0,0 +1,303 @@
+// Package inner holds the datagrams that balancers and agents of the packet
+// face send each other. It is pure. All numbers are big-endian; a datagram
+// begins with its kind and, where a packet travels in it, ends with that.
+package inner
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Kind is the first byte of a datagram.
+type Kind uint8
+
+// Kinds of datagrams; their sizes are given without the packet.
+const (
+	// KindOpen carries a packet that opens a flow to an agent (19 bytes).
+	KindOpen Kind = iota + 1
+	// KindForward carries another packet of a flow to an agent (2 bytes).
+	KindForward
+	// KindAsk asks an agent whether its upstream holds a flow (18 bytes).
+	KindAsk
+	// KindPoll asks an agent for its status (10 bytes).
+	KindPoll
+	// KindStatus tells a balancer how an agent and its upstream are (31 bytes).
+	KindStatus
+	// KindReturned gives a packet back to the balancer that sent it (2 bytes).
+	KindReturned
+	// KindAnswer answers KindAsk (14 bytes).
+	KindAnswer
+)
+
+// Flags modify what a balancer asks of an agent.
+type Flags uint8
+
+// The bits of Flags.
+const (
+	// FlagStatus asks for a status in return.
+	FlagStatus Flags = 1 << iota
+	// FlagMust tells that no other agent is left to take the packet.
+	FlagMust
+	// FlagProbe asks to hand the packet to the upstream although the agent does
+	// not know the flow, as only the upstream can tell.
+	FlagProbe
+	// FlagUnlisted tells the agent that the store no longer lists it.
+	FlagUnlisted
+)
+
+// Reason says why an agent returns a packet. No request of the packet has run.
+type Reason uint8
+
+// Reasons for returning a packet.
+const (
+	ReasonService  Reason = iota + 1 // the agent serves another service
+	ReasonDraining                   // the upstream is leaving or the agent stops
+	ReasonDown                       // no upstream is there
+	ReasonBusy                       // all slots are taken
+	ReasonBounced                    // the upstream returned the packet
+	ReasonUnknown                    // the upstream does not hold the flow
+)
+
+var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow"}
+
+// String returns the reason's name in logs and metrics.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "invalid"
+}
+
+// Verdict answers whether an agent's upstream holds a flow.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictHeld says that the upstream holds the flow.
+	VerdictHeld Verdict = iota + 1
+	// VerdictNone says that the upstream certainly does not hold it.
+	VerdictNone
+	// VerdictMaybe says that the agent can't tell: it began after its upstream.
+	VerdictMaybe
+)
+
+// State is that of an agent with its upstream.
+type State uint8
+
+// States of an agent.
+const (
+	StateReady State = iota + 1
+	StateDraining
+	StateDown
+	StateStopping
+)
+
+var stateNames = [...]string{"none", "ready", "draining", "down", "stopping"}
+
+// String returns the state's name in logs and metrics.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// Open is the head of a packet that opens a flow.
+type Open struct {
+	Flags Flags
+	// Hops counts the agents that have returned the packet before.
+	Hops uint8
+	// Service is the ServiceID that the packet is meant for.
+	Service uint64
+	// Version is that of the configuration that the balancer decided by.
+	Version uint64
+}
+
+// Status is how an agent and its upstream are.
+type Status struct {
+	State State
+	// Incarnation is that of the agent's process.
+	Incarnation uint64
+	// Version is the highest version of the configuration that the agent has
+	// heard of.
+	Version uint64
+	// Running counts the requests that the upstream has not answered.
+	Running uint16
+	// Slots is the number of requests that the upstream works on at once.
+	Slots uint16
+	// Flows counts the open flows.
+	Flows uint32
+	// Latency is the mean time of the latest answers, in steps of 1 ms.
+	Latency time.Duration
+	// Cold tells that the upstream has only just started.
+	Cold bool
+}
+
+// ErrDatagram says that a datagram could not be read.
+var ErrDatagram = errors.New("inner: unreadable datagram")
+
+// Sizes of the fixed parts in bytes.
+const (
+	openSize     = 3 + 8 + 8
+	forwardSize  = 2
+	flowSize     = 4 + 4 + 2 + 2
+	askSize      = 2 + flowSize + 4
+	pollSize     = 2 + 8
+	statusSize   = 2 + 8 + 8 + 2 + 2 + 4 + 4 + 1
+	returnedSize = 2
+	answerSize   = 2 + flowSize
+
+	// MaxSize is the size of the largest datagram.
+	MaxSize = openSize + platform.MaxPacketSize
+)
+
+// ServiceID returns the id of a service in datagrams.
+func ServiceID(name string) uint64 { return xxhash.Sum64String(name) }
+
+// KindOf returns the kind of a datagram, 0 for an empty one.
+func KindOf(b []byte) Kind {
+	if len(b) == 0 {
+		return 0
+	}
+	return Kind(b[0])
+}
+
+// AppendOpen appends a datagram of KindOpen.
+func AppendOpen(b []byte, o Open, packet []byte) []byte {
+	b = append(b, byte(KindOpen), byte(o.Flags), o.Hops)
+	b = binary.BigEndian.AppendUint64(b, o.Service)
+	b = binary.BigEndian.AppendUint64(b, o.Version)
+	return append(b, packet...)
+}
+
+// ParseOpen reads a datagram of KindOpen; the packet aliases b.
+func ParseOpen(b []byte) (o Open, packet []byte, err error) {
+	if len(b) < openSize || KindOf(b) != KindOpen {
+		return Open{}, nil, ErrDatagram
+	}
+	o = Open{
+		Flags: Flags(b[1]), Hops: b[2],
+		Service: binary.BigEndian.Uint64(b[3:]), Version: binary.BigEndian.Uint64(b[11:]),
+	}
+	return o, b[openSize:], nil
+}
+
+// AppendForward appends a datagram of KindForward.
+func AppendForward(b []byte, flags Flags, packet []byte) []byte {
+	return append(append(b, byte(KindForward), byte(flags)), packet...)
+}
+
+// ParseForward reads a datagram of KindForward; the packet aliases b.
+func ParseForward(b []byte) (flags Flags, packet []byte, err error) {
+	if len(b) < forwardSize || KindOf(b) != KindForward {
+		return 0, nil, ErrDatagram
+	}
+	return Flags(b[1]), b[forwardSize:], nil
+}
+
+// AppendAsk appends a datagram of KindAsk. The count is what the caller has
+// acknowledged: it tells two answers to copies of one opening packet apart.
+func AppendAsk(b []byte, flags Flags, flow platform.Flow, acknowledged uint32) []byte {
+	b = append(b, byte(KindAsk), byte(flags))
+	b = appendFlow(b, flow)
+	return binary.BigEndian.AppendUint32(b, acknowledged)
+}
+
+// ParseAsk reads a datagram of KindAsk.
+func ParseAsk(b []byte) (flags Flags, flow platform.Flow, acknowledged uint32, err error) {
+	if len(b) != askSize || KindOf(b) != KindAsk {
+		return 0, platform.Flow{}, 0, ErrDatagram
+	}
+	return Flags(b[1]), parseFlow(b[2:]), binary.BigEndian.Uint32(b[2+flowSize:]), nil
+}
+
+// AppendPoll appends a datagram of KindPoll.
+func AppendPoll(b []byte, flags Flags, version uint64) []byte {
+	return binary.BigEndian.AppendUint64(append(b, byte(KindPoll), byte(flags)), version)
+}
+
+// ParsePoll reads a datagram of KindPoll.
+func ParsePoll(b []byte) (flags Flags, version uint64, err error) {
+	if len(b) != pollSize || KindOf(b) != KindPoll {
+		return 0, 0, ErrDatagram
+	}
+	return Flags(b[1]), binary.BigEndian.Uint64(b[2:]), nil
+}
+
+// AppendStatus appends a datagram of KindStatus.
+func AppendStatus(b []byte, s Status) []byte {
+	b = append(b, byte(KindStatus), byte(s.State))
+	b = binary.BigEndian.AppendUint64(b, s.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, s.Version)
+	b = binary.BigEndian.AppendUint16(b, s.Running)
+	b = binary.BigEndian.AppendUint16(b, s.Slots)
+	b = binary.BigEndian.AppendUint32(b, s.Flows)
+	b = binary.BigEndian.AppendUint32(b, uint32(s.Latency/time.Millisecond))
+	cold := byte(0)
+	if s.Cold {
+		cold = 1
+	}
+	return append(b, cold)
+}
+
+// ParseStatus reads a datagram of KindStatus.
+func ParseStatus(b []byte) (Status, error) {
+	if len(b) != statusSize || KindOf(b) != KindStatus {
+		return Status{}, ErrDatagram
+	}
+	return Status{
+		State:       State(b[1]),
+		Incarnation: binary.BigEndian.Uint64(b[2:]),
+		Version:     binary.BigEndian.Uint64(b[10:]),
+		Running:     binary.BigEndian.Uint16(b[18:]),
+		Slots:       binary.BigEndian.Uint16(b[20:]),
+		Flows:       binary.BigEndian.Uint32(b[22:]),
+		Latency:     time.Duration(binary.BigEndian.Uint32(b[26:])) * time.Millisecond,
+		Cold:        b[30] != 0,
+	}, nil
+}
+
+// AppendReturned appends a datagram of KindReturned.
+func AppendReturned(b []byte, reason Reason, packet []byte) []byte {
+	return append(append(b, byte(KindReturned), byte(reason)), packet...)
+}
+
+// ParseReturned reads a datagram of KindReturned; the packet aliases b.
+func ParseReturned(b []byte) (reason Reason, packet []byte, err error) {
+	if len(b) < returnedSize || KindOf(b) != KindReturned {
+		return 0, nil, ErrDatagram
+	}
+	return Reason(b[1]), b[returnedSize:], nil
+}
+
+// AppendAnswer appends a datagram of KindAnswer.
+func AppendAnswer(b []byte, verdict Verdict, flow platform.Flow) []byte {
+	return appendFlow(append(b, byte(KindAnswer), byte(verdict)), flow)
+}
+
+// ParseAnswer reads a datagram of KindAnswer.
+func ParseAnswer(b []byte) (Verdict, platform.Flow, error) {
+	if len(b) != answerSize || KindOf(b) != KindAnswer {
+		return 0, platform.Flow{}, ErrDatagram
+	}
+	return Verdict(b[1]), parseFlow(b[2:]), nil
+}
+
+func appendFlow(b []byte, f platform.Flow) []byte {
+	b = append(b, f.Caller[:]...)
+	b = append(b, f.Face[:]...)
+	b = binary.BigEndian.AppendUint16(b, f.CallerPort)
+	return binary.BigEndian.AppendUint16(b, f.FacePort)
+}
+
+func parseFlow(b []byte) platform.Flow {
+	return platform.Flow{
+		Caller: [4]byte(b), Face: [4]byte(b[4:]),
+		CallerPort: binary.BigEndian.Uint16(b[8:]), FacePort: binary.BigEndian.Uint16(b[10:]),
+	}
+}
--- /dev/null
+++ b/internal/packetface/registry/publish.go
@@ -0,0 +1,138 @@
+package registry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/seed"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Waits between tries while the store does not answer.
+const (
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 1 * time.Second
+)
+
+// Agent keeps the entry of an agent in the store.
+type Agent struct {
+	Store *platform.Store
+	Log   *slog.Logger
+	// Clock returns the time since the start of the process.
+	Clock func() time.Duration
+
+	publisher *Publisher
+	wants     chan *Entry
+	hints     chan struct{}
+	failing   bool
+}
+
+// NewAgent returns the keeper of the entry at the entry's address.
+func NewAgent(s *platform.Store, log *slog.Logger, clock func() time.Duration, self Entry) *Agent {
+	return &Agent{
+		Store: s, Log: log, Clock: clock, publisher: NewPublisher(agentKey(self.Addr)),
+		wants: make(chan *Entry, 1), hints: make(chan struct{}, 1),
+	}
+}
+
+// Want sets the entry that is to be in the store, nil for none.
+func (a *Agent) Want(entry *Entry) {
+	select {
+	case <-a.wants: // the latest counts
+	default:
+	}
+	a.wants <- entry
+}
+
+// Hint tells that the entry may be gone from the store.
+func (a *Agent) Hint() {
+	select {
+	case a.hints <- struct{}{}:
+	default:
+	}
+}
+
+// Run makes the calls that are due until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	backoff := seed.Backoff{Least: retryLeast, Most: retryMost}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for ctx.Err() == nil {
+		wait := a.publisher.Due(a.Clock())
+		if step := a.publisher.Next(a.Clock()); step != StepNone {
+			if err := a.make(ctx, step); err == nil {
+				backoff.Reset()
+				continue
+			}
+			wait = backoff.Next(random)
+		}
+		a.wait(ctx, wait)
+	}
+}
+
+func (a *Agent) wait(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a.hints:
+		a.publisher.Hint(a.Clock())
+	case entry := <-a.wants:
+		if entry == nil {
+			a.publisher.Want(nil)
+			return
+		}
+		a.publisher.Want(entry.encode())
+	}
+}
+
+// make makes one call and tells the publisher its outcome.
+func (a *Agent) make(ctx context.Context, step Step) (err error) {
+	sent := a.Clock()
+	listed := a.publisher.Listed()
+	switch step {
+	case StepGrant:
+		var lease platform.Lease
+		if lease, err = a.Store.Grant(ctx, leaseTTL); err == nil {
+			a.publisher.Granted(lease, sent)
+		}
+	case StepRead:
+		var item platform.Item
+		item, err = a.Store.Get(ctx, a.publisher.key)
+		a.publisher.Read(item, err)
+		if !a.publisher.unsure {
+			err = nil
+		}
+	case StepWrite, StepDelete:
+		var revision uint64
+		w := a.publisher.Write()
+		revision, err = a.Store.Apply(ctx, w)
+		a.publisher.Wrote(w.Value, revision, err)
+	case StepRenew:
+		err = a.Store.Renew(ctx, a.publisher.lease.ID)
+		a.publisher.Renewed(err, sent)
+	}
+	a.tell(step, listed, err)
+	return err
+}
+
+// tell logs each change of the entry, and each loss and return of the store.
+func (a *Agent) tell(step Step, listed bool, err error) {
+	p := a.publisher
+	if err != nil {
+		if !a.failing {
+			a.Log.Warn("Store call failed.", "step", step.String(), "error", err.Error(), "listed", p.Listed())
+		}
+		a.failing = true
+		return
+	}
+	if a.failing {
+		a.failing = false
+		a.Log.Info("Store answers again.", "step", step.String())
+	}
+	if step != StepRenew || listed != p.Listed() {
+		a.Log.Info("Entry kept.", "step", step.String(), "listed", p.Listed(), "revision", p.revision, "lease", p.lease.ID)
+	}
+}
--- /dev/null
+++ b/internal/packetface/registry/publisher.go
@@ -0,0 +1,160 @@
+package registry
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Times of an agent's entry.
+const (
+	// leaseTTL is the lease of an entry. It is long, so that an outage does not
+	// end it: balancers see by themselves that an agent is gone.
+	leaseTTL = 30 * time.Second
+	// renewPart is the part of a lease after which it is renewed.
+	renewPart = 3
+	// recheckEvery bounds how often the entry is looked for on a hint that it
+	// is gone.
+	recheckEvery = 500 * time.Millisecond
+)
+
+// Step is a call of the store that is due.
+type Step uint8
+
+// Steps.
+const (
+	StepNone Step = iota
+	StepGrant
+	StepRead
+	StepWrite
+	StepRenew
+	StepDelete
+)
+
+var stepNames = [...]string{"none", "grant", "read", "write", "renew", "delete"}
+
+// String returns the step's name in logs.
+func (s Step) String() string { return stepNames[s] }
+
+// Publisher decides which call keeps an agent's entry as it is wanted. Times
+// are counted by the steady clock.
+type Publisher struct {
+	key string
+	// wanted is the text that is to be in the store, nil for none.
+	wanted []byte
+	// written is the text that is known to be there, nil for none.
+	written  []byte
+	revision uint64
+	lease    platform.Lease
+	renewed  time.Duration
+	// unsure tells that a write may have been done or undone: read first.
+	unsure  bool
+	checked time.Duration
+}
+
+// NewPublisher returns the Publisher of a process without memory.
+func NewPublisher(key string) *Publisher { return &Publisher{key: key} }
+
+// Want sets the text that is to be in the store, nil for none.
+func (p *Publisher) Want(text []byte) { p.wanted = text }
+
+// Hint tells that the entry may be gone.
+func (p *Publisher) Hint(now time.Duration) {
+	if p.checked == 0 || now-p.checked >= recheckEvery {
+		p.unsure, p.checked = true, now
+	}
+}
+
+// Listed reports whether the entry is in the store as far as is known.
+func (p *Publisher) Listed() bool { return p.written != nil && !p.unsure }
+
+// Next returns the call that is due.
+func (p *Publisher) Next(now time.Duration) Step {
+	if p.wanted == nil {
+		return p.nextWithout()
+	}
+	switch {
+	case p.lease.ID == 0:
+		return StepGrant
+	case p.unsure:
+		return StepRead
+	case !bytes.Equal(p.written, p.wanted):
+		return StepWrite
+	case now-p.renewed >= p.lease.TTL/renewPart:
+		return StepRenew
+	}
+	return StepNone
+}
+
+func (p *Publisher) nextWithout() Step {
+	switch {
+	case p.unsure:
+		return StepRead
+	case p.written != nil:
+		return StepDelete
+	}
+	return StepNone
+}
+
+// Due returns the time until a renewal is due, if nothing else happens.
+func (p *Publisher) Due(now time.Duration) time.Duration {
+	if p.lease.ID == 0 {
+		return leaseTTL
+	}
+	return max(0, p.renewed+p.lease.TTL/renewPart-now)
+}
+
+// Write returns the write of StepWrite or StepDelete.
+func (p *Publisher) Write() platform.Write {
+	return platform.Write{
+		Key: p.key, Expected: p.revision, Value: p.wanted, Lease: p.lease.ID, Delete: p.wanted == nil,
+	}
+}
+
+// Granted takes the answer to StepGrant, whose call was sent at the time.
+func (p *Publisher) Granted(lease platform.Lease, sent time.Duration) {
+	p.lease, p.renewed = lease, sent
+}
+
+// Renewed takes the answer to StepRenew.
+func (p *Publisher) Renewed(err error, sent time.Duration) {
+	switch {
+	case err == nil:
+		p.renewed = sent
+	case errors.Is(err, platform.ErrLeaseEnded):
+		p.lost()
+	}
+}
+
+// lost notes that the lease has ended, and the entry with it.
+func (p *Publisher) lost() {
+	p.lease, p.unsure = platform.Lease{}, true
+}
+
+// Wrote takes the answer to StepWrite or StepDelete.
+func (p *Publisher) Wrote(text []byte, revision uint64, err error) {
+	switch {
+	case err == nil && text == nil:
+		p.written, p.revision = nil, store.Create
+	case err == nil:
+		p.written, p.revision = text, revision
+	case errors.Is(err, platform.ErrLeaseEnded):
+		p.lost()
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrOutcomeUnknown):
+		p.unsure = true
+	}
+}
+
+// Read takes the answer to StepRead.
+func (p *Publisher) Read(item platform.Item, err error) {
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		p.written, p.revision, p.unsure = nil, store.Create, false
+	case err == nil:
+		p.written, p.revision, p.unsure = item.Value, item.Revision, false
+	}
+}
--- /dev/null
+++ b/internal/packetface/role/agent.go
@@ -0,0 +1,270 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/ops"
+	"github.com/saltbend/saltbend/internal/packetface/gate"
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Times of an agent.
+const (
+	// tickAgent is the time between two looks at what is due.
+	tickAgent = 200 * time.Millisecond
+	// idleCheck is the time without a word of any balancer after which the
+	// agent looks whether the store lists it.
+	idleCheck = 2 * time.Second
+	// stopLinger is the least time that an agent carries on with its upstream's
+	// flows, so that balancers have heard that it stops.
+	stopLinger = 200 * time.Millisecond
+	// leaveTime bounds the removal of the entry at the end.
+	leaveTime = 500 * time.Millisecond
+)
+
+// agent is the running role.
+type agent struct {
+	env         Env
+	log         *slog.Logger
+	clock       func() time.Duration
+	incarnation uint64
+
+	balancers, outbound, upstream *net.UDPConn
+	registry                      *registry.Agent
+
+	// mu lets one goroutine at a time own core, notes and wanted.
+	mu     sync.Mutex
+	core   *gate.Gate
+	notes  *notes
+	wanted gate.Registration
+	looked time.Duration
+}
+
+// RunAgent serves until the process is told to stop and has finished.
+func RunAgent(env Env) error {
+	id, err := incarnation()
+	if err != nil {
+		return err
+	}
+	a := &agent{env: env, log: logging.Part(env.Logger, "packet-agent"), clock: newClock(), incarnation: id}
+	a.notes = newNotes(a.log, a.clock)
+	a.core = gate.New(gate.Settings{
+		Service: env.Host.Service, CallerPort: env.Host.Packets.Port(), Incarnation: id,
+		DrainWithin: env.Host.DrainWithin, FlowMaxAge: env.Host.FlowMaxAge, HeartbeatEvery: env.Host.HeartbeatEvery,
+	})
+	if err := a.listen(); err != nil {
+		return err
+	}
+	server, err := ops.Listen(env.Host.Ready)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := a.start(ctx); err != nil {
+		return err
+	}
+	a.log.Info("Started.", "data", env.Host.Packets.String(), "service", env.Host.Service, "dc", env.Host.DataCentre, "incarnation", id)
+	<-env.Stop
+	a.stop()
+	closeOps(server)
+	return nil
+}
+
+// listen binds the sockets towards balancers and the upstream.
+func (a *agent) listen() (err error) {
+	if a.balancers, err = listen(a.env.Host.Packets); err != nil {
+		return err
+	}
+	if a.outbound, err = listen(a.env.Host.FromUpstream); err != nil {
+		return err
+	}
+	// A connected socket is told when no socket takes its packets.
+	a.upstream, err = net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(a.env.Host.ToUpstream))
+	return errors.Wrap(err, "role: socket to the upstream")
+}
+
+func (a *agent) start(ctx context.Context) error {
+	listener, err := net.Listen("tcp4", a.env.Host.Heartbeats.String())
+	if err != nil {
+		return errors.Wrap(err, "role: listen for heartbeats")
+	}
+	a.registry = registry.NewAgent(platform.NewStore(a.env.Host.Store), logging.Part(a.env.Logger, "registry"), a.clock, a.entry())
+	go a.registry.Run(ctx)
+	go http.Serve(listener, platform.HeartbeatHandler(a)) // ends with the process
+	go receive(a.balancers, inner.MaxSize+1, a.fromBalancer)
+	go receive(a.outbound, platform.MaxPacketSize+1, a.fromUpstream)
+	go a.readRefusals()
+	go every(ctx.Done(), tickAgent, a.tick)
+	return nil
+}
+
+// entry returns what the store is to hold.
+func (a *agent) entry() registry.Entry {
+	return registry.Entry{
+		Addr: a.env.Host.Packets, Service: a.env.Host.Service, DataCentre: a.env.Host.DataCentre,
+		Slots: a.wanted.Slots, Upstream: a.wanted.Upstream, Incarnation: a.incarnation,
+	}
+}
+
+func (a *agent) fromBalancer(from netip.AddrPort, datagram []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	result, err := a.core.FromBalancer(a.clock(), from, datagram)
+	if err != nil {
+		a.notes.unreadable("datagram", from, len(datagram), err)
+	}
+	a.do(result)
+	if a.core.TakeUnlisted() {
+		a.registry.Hint()
+	}
+}
+
+func (a *agent) fromUpstream(from netip.AddrPort, datagram []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	result, err := a.core.FromUpstream(a.clock(), datagram)
+	if err != nil {
+		a.notes.unreadable("packet", from, len(datagram), err)
+	}
+	a.do(result)
+}
+
+// do carries out a result. The caller holds mu.
+func (a *agent) do(r *gate.Result) {
+	refused := false
+	for _, action := range r.Actions {
+		switch action.Target {
+		case gate.ToBalancer:
+			send(a.balancers, action.To, action.Bytes)
+		case gate.ToCaller:
+			send(a.outbound, action.To, action.Bytes)
+		case gate.ToUpstream:
+			refused = a.toUpstream(action.Bytes) || refused
+		}
+	}
+	a.notes.agent(r.Notes)
+	if refused {
+		a.refused()
+	}
+}
+
+// toUpstream sends a packet to the upstream; it reports whether the kernel told
+// that no socket takes them.
+func (a *agent) toUpstream(b []byte) (refused bool) {
+	_, err := a.upstream.Write(b)
+	if err == nil {
+		return false
+	}
+	sendErrors.Inc()
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// refused tells the core that no socket takes packets. The caller holds mu.
+func (a *agent) refused() {
+	a.do(a.core.Refused(a.clock()))
+	a.register()
+}
+
+// readRefusals reads the connected socket, on which the upstream never sends:
+// only errors come.
+func (a *agent) readRefusals() {
+	var b [1]byte
+	for {
+		_, err := a.upstream.Read(b[:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.mu.Lock()
+			a.refused()
+			a.mu.Unlock()
+		}
+	}
+}
+
+func (a *agent) tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock()
+	a.do(a.core.Tick(now))
+	a.register()
+	if now-max(a.core.AskedAt(), a.looked) >= idleCheck && a.wanted.Listed {
+		a.looked = now
+		a.registry.Hint()
+	}
+}
+
+// register tells the registry when what the store is to hold has changed. The
+// caller holds mu.
+func (a *agent) register() {
+	wanted := a.core.Registration()
+	if wanted == a.wanted {
+		return
+	}
+	a.wanted = wanted
+	if !wanted.Listed {
+		a.registry.Want(nil)
+		return
+	}
+	entry := a.entry()
+	a.registry.Want(&entry)
+}
+
+// Heartbeat implements platform.UpstreamListener.
+func (a *agent) Heartbeat(beat platform.Heartbeat) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	result, ok := a.core.Heartbeat(a.clock(), beat)
+	a.do(result)
+	a.register()
+	return ok
+}
+
+// Left implements platform.UpstreamListener.
+func (a *agent) Left(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	result, ok := a.core.Left(a.clock(), id)
+	a.do(result)
+	a.register()
+	return ok
+}
+
+// Unusable implements platform.UpstreamListener.
+func (a *agent) Unusable(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.notes.unreadable("heartbeat", netip.AddrPort{}, 0, err)
+}
+
+// stop tells the balancers, lets running requests end, and ends within the
+// grace.
+func (a *agent) stop() {
+	began := a.clock()
+	a.log.Info("Stopping.", "grace_ms", a.env.Host.Grace.Milliseconds())
+	a.mu.Lock()
+	a.do(a.core.Stop(began))
+	a.mu.Unlock()
+	lingerUntil(a.env.Host.Grace-endMargin-leaveTime, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.clock()-began >= stopLinger && a.core.Finished()
+	})
+	_ = a.balancers.Close() // the process ends
+	_ = a.outbound.Close()
+	_ = a.upstream.Close()
+	a.log.Info("Stopped.", "after_ms", (a.clock() - began).Milliseconds())
+}
--- /dev/null
+++ b/internal/packetface/role/balancer.go
@@ -0,0 +1,228 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/ops"
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/internal/packetface/routing"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Times of a balancer.
+const (
+	// tickIdle and tickBusy are the times between two looks at what is due,
+	// without and with flows whose owner is being asked for.
+	tickIdle = 50 * time.Millisecond
+	tickBusy = 5 * time.Millisecond
+	// quietTime is the time without packets after which a balancer that was
+	// told to stop ends: routers notice it after two misses, about 1 s.
+	quietTime = 1200 * time.Millisecond
+	// leastLinger is the least time that it carries on.
+	leastLinger = 1500 * time.Millisecond
+)
+
+// balancer is the running role.
+type balancer struct {
+	env   Env
+	log   *slog.Logger
+	clock func() time.Duration
+
+	callers, agents *net.UDPConn
+	follower        *registry.Follower
+
+	// mu lets one goroutine at a time own core and notes.
+	mu    sync.Mutex
+	core  *steer.Core
+	notes *notes
+
+	// version is that of the configuration in force; the follower's goroutine
+	// writes it.
+	version  uint64
+	revision uint64
+	ready    atomic.Bool
+	stopping atomic.Bool
+	// lastPacket is when a caller's packet came.
+	lastPacket atomic.Int64
+}
+
+// RunBalancer serves until the process is told to stop and has finished.
+func RunBalancer(env Env) error {
+	b := &balancer{env: env, log: logging.Part(env.Logger, "packet-balancer"), clock: newClock()}
+	b.notes = newNotes(b.log, b.clock)
+	b.core = steer.New(steer.Settings{
+		DataCentre: env.Host.DataCentre, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
+	})
+	if err := b.listen(); err != nil {
+		return err
+	}
+	server, err := ops.Listen(env.Host.Ready)
+	if err != nil {
+		return err
+	}
+	server.Handle(platform.ReadyPattern, platform.ReadyHandler(b.isReady))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b.start(ctx)
+	b.log.Info("Started.", "data", env.Host.Packets.String(), "dc", env.Host.DataCentre, "store", env.Host.Store.String())
+	<-env.Stop
+	b.stop()
+	closeOps(server)
+	return nil
+}
+
+// listen binds the sockets towards callers and agents.
+func (b *balancer) listen() (err error) {
+	if b.callers, err = listen(b.env.Host.Packets); err != nil {
+		return err
+	}
+	b.agents, err = listen(netip.AddrPortFrom(b.env.Host.Packets.Addr(), b.env.Host.InnerPorts[0]))
+	return err
+}
+
+func (b *balancer) start(ctx context.Context) {
+	b.follower = registry.NewFollower(platform.NewStore(b.env.Host.Store), logging.Part(b.env.Logger, "registry"))
+	b.follower.Changed = b.changed
+	b.follower.Reached = b.reached
+	go b.follower.Run(ctx)
+	go receive(b.callers, platform.MaxPacketSize+1, b.fromCaller)
+	go receive(b.agents, inner.MaxSize+1, b.fromAgent)
+	go b.tick(ctx)
+}
+
+func (b *balancer) isReady() bool { return b.ready.Load() && !b.stopping.Load() }
+
+func (b *balancer) fromCaller(from netip.AddrPort, datagram []byte) {
+	now := b.clock()
+	b.lastPacket.Store(int64(now))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	result, err := b.core.FromCaller(now, datagram)
+	if err != nil {
+		b.notes.unreadable("packet", from, len(datagram), err)
+	}
+	b.do(result)
+}
+
+func (b *balancer) fromAgent(from netip.AddrPort, datagram []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	result, err := b.core.FromAgent(b.clock(), from, datagram)
+	if err != nil {
+		b.notes.unreadable("datagram", from, len(datagram), err)
+	}
+	b.do(result)
+	if !b.ready.Load() {
+		b.checkReady()
+	}
+}
+
+// do carries out a result.
+func (b *balancer) do(r *steer.Result) {
+	for _, a := range r.Actions {
+		conn := b.agents
+		if a.ToCaller {
+			conn = b.callers
+		}
+		send(conn, a.To, a.Bytes)
+	}
+	for i := range r.Notes {
+		if r.Notes[i].Kind == steer.KindNewer {
+			b.follower.ReadAgain()
+		}
+	}
+	b.notes.balancer(r.Notes)
+}
+
+// checkReady lets the routers send packets once some agent can take them.
+func (b *balancer) checkReady() {
+	if b.version > 0 && b.core.Serving() && !b.ready.Swap(true) {
+		b.log.Info("Ready.", "version", b.version, "after_ms", b.clock().Milliseconds())
+	}
+}
+
+func (b *balancer) tick(ctx context.Context) {
+	timer := time.NewTimer(tickIdle)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			timer.Reset(b.tickOnce())
+		}
+	}
+}
+
+func (b *balancer) tickOnce() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.do(b.core.Tick(b.clock()))
+	if b.core.Waiting() {
+		return tickBusy
+	}
+	return tickIdle
+}
+
+// changed takes over what the store holds.
+func (b *balancer) changed(l *registry.Listing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.adopt(l)
+	b.do(b.core.SetAgents(b.clock(), l.Agents()))
+	b.checkReady()
+}
+
+// adopt puts a configuration in force if its version is higher.
+func (b *balancer) adopt(l *registry.Listing) {
+	if l.ConfigRevision == b.revision {
+		return
+	}
+	b.revision = l.ConfigRevision
+	config, findings, err := platform.ParseConfiguration(l.Config)
+	if err != nil {
+		b.log.Error("Configuration refused.", "revision", l.ConfigRevision, "error", err.Error(), "version", b.version)
+		return
+	}
+	if len(findings) > 0 {
+		b.log.Warn("Routes passed over.", "findings", findings.Error(), "version", config.Version)
+	}
+	if config.Version <= b.version {
+		b.log.Warn("Configuration is not newer.", "offered", config.Version, "version", b.version)
+		return
+	}
+	table := routing.NewTable(config)
+	b.log.Info("Configuration adopted.", "version", config.Version, "before", b.version, "routes", table.Len(), "revision", l.ConfigRevision)
+	b.version = config.Version
+	b.core.SetTable(table, config.IdleLimit)
+}
+
+func (b *balancer) reached(ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.SetTableFresh(ok)
+}
+
+// stop lets the routers turn away, carries on while packets come, and ends
+// within the grace.
+func (b *balancer) stop() {
+	b.stopping.Store(true)
+	began := b.clock()
+	b.log.Info("Stopping.", "grace_ms", b.env.Host.Grace.Milliseconds())
+	lingerUntil(b.env.Host.Grace-endMargin, func() bool {
+		now := b.clock()
+		return now-began >= leastLinger && now-time.Duration(b.lastPacket.Load()) >= quietTime
+	})
+	_ = b.callers.Close() // the process ends
+	_ = b.agents.Close()
+	b.log.Info("Stopped.", "after_ms", (b.clock() - began).Milliseconds())
+}
--- /dev/null
+++ b/internal/packetface/routing/routing.go
@@ -0,0 +1,75 @@
+// Package routing finds the service of a new flow of the packet face. A Table
+// is built from one version of the configuration and never changes. It is pure.
+package routing
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Table holds the routes of one version of the configuration.
+type Table struct {
+	Version uint64
+	routes  map[netip.AddrPort]*Route
+}
+
+// Route is where the new flows of a face go.
+type Route struct {
+	platform.Route
+	// Services are the ids of the services in the order of Shares.
+	Services []uint64
+	total    float64
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(c platform.Configuration) *Table {
+	t := &Table{Version: c.Version, routes: make(map[netip.AddrPort]*Route, len(c.Routes))}
+	for _, configured := range c.Routes {
+		route := &Route{Route: configured}
+		for _, share := range configured.Shares {
+			route.Services = append(route.Services, inner.ServiceID(share.Service))
+			route.total += share.Weight
+		}
+		t.routes[configured.Face] = route
+	}
+	return t
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
+
+// Find returns the route of a flow's face, nil if there is none.
+func (t *Table) Find(flow platform.Flow) *Route { return t.routes[flow.FaceAddr()] }
+
+// Choose returns the id of the service that a new flow goes to: by weight, and
+// the same for every copy of the flow's opening packet at every balancer with
+// this version. ok is false for a route without a service.
+func (r *Route) Choose(flow platform.Flow) (service uint64, ok bool) {
+	if len(r.Services) == 0 {
+		return 0, false
+	}
+	const scale = 1.0 / (1 << 53)
+	point := float64(Hash(flow)>>11) * scale * r.total
+	for i, share := range r.Shares {
+		if point < share.Weight {
+			return r.Services[i], true
+		}
+		point -= share.Weight
+	}
+	return r.Services[len(r.Services)-1], true
+}
+
+// Hash returns 64 bits that depend on both ends of a flow.
+func Hash(flow platform.Flow) uint64 {
+	var b [12]byte
+	copy(b[:], flow.Caller[:])
+	copy(b[4:], flow.Face[:])
+	binary.BigEndian.PutUint16(b[8:], flow.CallerPort)
+	binary.BigEndian.PutUint16(b[10:], flow.FacePort)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/packetface/steer/agents.go
@@ -0,0 +1,215 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+)
+
+// Agent is an agent as the store lists it.
+type Agent struct {
+	Addr       netip.AddrPort
+	Service    uint64
+	DataCentre string
+	Slots      int
+}
+
+// Times of the observation of agents.
+const (
+	// statusAgeOpen and statusAgeCarry are the ages of a status beyond which an
+	// opening packet, or another one, asks for a new one. Each opening packet
+	// does, so that the agent's silence tells that it got none.
+	statusAgeOpen  = 0
+	statusAgeCarry = 250 * time.Millisecond
+	// askAgain is the time after which an unanswered request for a status is
+	// repeated; a slow host answers within some 50 ms.
+	askAgain = 100 * time.Millisecond
+	// askSuspect is the same for an agent that is suspected already.
+	askSuspect = 300 * time.Millisecond
+	// suspectAfter is the silence after which an agent gets no new flows, given
+	// that suspectAsks requests went unanswered.
+	suspectAfter = 250 * time.Millisecond
+	suspectAsks  = 2
+	// goneAfter is the silence after which an agent that the store no longer
+	// lists is forgotten: one whose entry lapsed while the store was away is
+	// back within 2 s.
+	goneAfter = 2 * time.Second
+	// unlistedPoll is the time between two polls of an agent that the store no
+	// longer lists.
+	unlistedPoll = 200 * time.Millisecond
+)
+
+// agent is what the balancer knows of one agent.
+type agent struct {
+	Agent
+	status inner.Status
+	// heard is when the last datagram came from it, 0 for never; statusAt when
+	// the last status came.
+	heard, statusAt time.Duration
+	// waiting is when the first request went out that is not answered yet, 0
+	// for none; unanswered counts those requests, lastAsk is the latest.
+	waiting, lastAsk time.Duration
+	unanswered       int
+	suspected        bool
+	// pending counts the flows placed since the last status.
+	pending int
+	// unlisted is since when the store does not list it, 0 if it does.
+	unlisted time.Duration
+	removed  bool
+}
+
+func (a *agent) asked(now time.Duration) {
+	if a.waiting == 0 {
+		a.waiting = now
+	}
+	a.unanswered++
+	a.lastAsk = now
+}
+
+// hear notes a sign of life; it reports whether the agent was suspected.
+func (a *agent) hear(now time.Duration) bool {
+	was := a.suspected
+	a.heard, a.waiting, a.unanswered, a.suspected = now, 0, 0, false
+	return was
+}
+
+func (a *agent) setStatus(s inner.Status, now time.Duration) {
+	a.status, a.statusAt, a.pending = s, now, 0
+}
+
+// wantStatus reports whether what is known is older than age and no request
+// is on its way.
+func (a *agent) wantStatus(now, age time.Duration) bool {
+	if a.waiting != 0 {
+		return now-a.lastAsk > askAgain
+	}
+	return a.statusAt == 0 || now-a.statusAt >= age
+}
+
+// suspect reports whether the agent has been silent although asked.
+func (a *agent) suspect(now time.Duration) bool {
+	return a.waiting != 0 && now-a.waiting > suspectAfter && a.unanswered >= suspectAsks
+}
+
+// roster holds all agents.
+type roster struct {
+	agents    map[netip.AddrPort]*agent
+	byService map[uint64][]*agent
+	list      []*agent
+	// first is when the first list came, 0 for not yet.
+	first time.Duration
+}
+
+func newRoster() roster {
+	return roster{agents: map[netip.AddrPort]*agent{}, byService: map[uint64][]*agent{}}
+}
+
+func (r *roster) add(a *agent) {
+	r.agents[a.Addr] = a
+	r.byService[a.Service] = append(r.byService[a.Service], a)
+	r.list = append(r.list, a)
+}
+
+func (r *roster) remove(a *agent) {
+	same := func(other *agent) bool { return other == a }
+	a.removed = true
+	delete(r.agents, a.Addr)
+	r.byService[a.Service] = slices.DeleteFunc(r.byService[a.Service], same)
+	r.list = slices.DeleteFunc(r.list, same)
+}
+
+// SetAgents takes over a list of agents as the store has it. An agent that is
+// missing stays while it answers: the list may be wrong, the agent knows.
+func (c *Core) SetAgents(now time.Duration, listed []Agent) *Result {
+	c.begin()
+	if c.roster.first == 0 {
+		c.roster.first = now
+	}
+	seen := make(map[netip.AddrPort]bool, len(listed))
+	for _, entry := range listed {
+		seen[entry.Addr] = true
+		c.list(now, entry)
+	}
+	for _, a := range c.roster.list {
+		if !seen[a.Addr] && a.unlisted == 0 {
+			a.unlisted = now
+			c.note(Note{Kind: KindUnlisted, Agent: a.Addr, Age: now - a.heard})
+		}
+	}
+	return &c.out
+}
+
+// list takes over one entry.
+func (c *Core) list(now time.Duration, entry Agent) {
+	a := c.roster.agents[entry.Addr]
+	if a != nil && a.Service != entry.Service {
+		c.roster.remove(a) // the address belongs to another service now
+		c.note(Note{Kind: KindGone, Agent: a.Addr, Reason: "address-reused"})
+		a = nil
+	}
+	if a == nil {
+		a = &agent{Agent: entry}
+		c.roster.add(a)
+		c.note(Note{Kind: KindListed, Agent: a.Addr, Reason: entry.DataCentre})
+		c.poll(now, a)
+		return
+	}
+	a.Agent, a.unlisted = entry, 0
+}
+
+func (c *Core) poll(now time.Duration, a *agent) {
+	flags := inner.FlagStatus
+	if a.unlisted != 0 {
+		flags |= inner.FlagUnlisted
+	}
+	version := uint64(0)
+	if c.table != nil {
+		version = c.table.Version
+	}
+	a.asked(now)
+	start := len(c.buffer)
+	c.buffer = inner.AppendPoll(c.buffer, flags, version)
+	c.send(a.Addr, start)
+}
+
+// tickAgents polls agents that owe an answer and forgets those that are gone.
+func (c *Core) tickAgents(now time.Duration) {
+	for _, a := range slices.Clone(c.roster.list) {
+		if a.unlisted != 0 && c.gone(a, now) {
+			c.roster.remove(a)
+			c.note(Note{Kind: KindGone, Agent: a.Addr, Age: now - a.heard, Reason: "unlisted"})
+			continue
+		}
+		if !a.suspected && a.suspect(now) {
+			a.suspected = true
+			c.note(Note{Kind: KindSuspected, Agent: a.Addr, Age: now - a.heard, Count: a.unanswered})
+		}
+		if a.due(now) {
+			c.poll(now, a)
+		}
+	}
+}
+
+// gone reports whether an unlisted agent has left: it says so, or is silent.
+func (c *Core) gone(a *agent, now time.Duration) bool {
+	if a.status.State == inner.StateDown && a.statusAt > a.unlisted {
+		return true
+	}
+	return now-a.unlisted > goneAfter && now-a.heard > goneAfter
+}
+
+// due reports whether a poll of the agent is due.
+func (a *agent) due(now time.Duration) bool {
+	since := now - a.lastAsk
+	switch {
+	case a.unlisted != 0:
+		return since > unlistedPoll
+	case a.waiting == 0:
+		return false
+	case a.suspected:
+		return since > askSuspect
+	}
+	return since > askAgain
+}
--- /dev/null
+++ b/internal/packetface/steer/ask.go
@@ -0,0 +1,246 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Limits and times of asking.
+const (
+	// stageTime is how long one group of agents is waited for before the next
+	// is asked; an answer from another data centre takes about 3 ms.
+	stageTime = 8 * time.Millisecond
+	// roundTime is the time after which agents without an answer are asked
+	// again, if the caller has sent again.
+	roundTime = 100 * time.Millisecond
+	// askTime is how long an ask without a new packet is kept.
+	askTime = 2500 * time.Millisecond
+	// maxHeldPackets bounds the packets kept for one flow: a caller has at most
+	// 16 on their way.
+	maxHeldPackets = 16
+	// maxAsks bounds the flows that are asked for at once.
+	maxAsks = 4096
+	// maxAsked bounds the agents that are asked for one flow. With more, a flow
+	// that none of the likely ones holds gets no reset.
+	maxAsked = 256
+)
+
+// Stages of asking: likely agents first.
+const (
+	stageNear  = iota // agents of the route's services in the own data centre
+	stageRoute        // the others of the route's services
+	stageAll          // all others: the route may have had other services
+	stageEnd
+)
+
+// ask is the search for the agent whose upstream holds a flow.
+type ask struct {
+	stage int
+	// staged is when the stage began, round when agents were last asked, last
+	// when the caller's last packet came.
+	staged, round, last time.Duration
+	packets             [][]byte
+	acknowledged        uint32
+	asked               map[*agent]bool
+	none, maybe, probed map[*agent]bool
+}
+
+// ask begins or goes on with the search for a flow's owner.
+func (c *Core) ask(now time.Duration, id platform.Flow, p *platform.Packet, b []byte) {
+	q := c.asks[id]
+	if q == nil {
+		if len(c.asks) >= maxAsks {
+			c.note(Note{Kind: KindDropped, Flow: id, Reason: "too-many-asks"})
+			return
+		}
+		q = &ask{
+			staged: now, round: now,
+			asked: map[*agent]bool{}, none: map[*agent]bool{}, maybe: map[*agent]bool{}, probed: map[*agent]bool{},
+		}
+		c.asks[id] = q
+		c.hold(q, now, p, b)
+		c.askStage(now, id, q)
+		return
+	}
+	c.hold(q, now, p, b)
+	if now-q.round > roundTime {
+		c.askAgain(now, id, q)
+	}
+}
+
+// hold keeps a copy of a packet until the owner is found.
+func (c *Core) hold(q *ask, now time.Duration, p *platform.Packet, b []byte) {
+	q.last, q.acknowledged = now, p.Acknowledge
+	if len(q.packets) < maxHeldPackets {
+		q.packets = append(q.packets, slices.Clone(b))
+	}
+}
+
+// askStage asks the agents of the current stage, or of the next that has any.
+func (c *Core) askStage(now time.Duration, id platform.Flow, q *ask) {
+	for ; q.stage < stageEnd; q.stage++ {
+		sent := 0
+		for _, a := range c.roster.list {
+			if !q.asked[a] && c.stageOf(id, a) == q.stage && len(q.asked) < maxAsked {
+				c.sendAsk(now, id, q, a)
+				sent++
+			}
+		}
+		if sent > 0 {
+			q.staged = now
+			return
+		}
+	}
+}
+
+// stageOf returns the stage in which an agent is asked for a flow.
+func (c *Core) stageOf(id platform.Flow, a *agent) int {
+	route := c.route(id)
+	switch {
+	case route == nil || !slices.Contains(route.Services, a.Service):
+		return stageAll
+	case a.DataCentre == c.settings.DataCentre:
+		return stageNear
+	}
+	return stageRoute
+}
+
+func (c *Core) sendAsk(now time.Duration, id platform.Flow, q *ask, a *agent) {
+	q.asked[a] = true
+	start := len(c.buffer)
+	c.buffer = inner.AppendAsk(c.buffer, 0, id, q.acknowledged)
+	a.asked(now)
+	c.send(a.Addr, start)
+}
+
+// askAgain repeats the question to agents that have not answered, and probes
+// once more those that can't tell.
+func (c *Core) askAgain(now time.Duration, id platform.Flow, q *ask) {
+	q.round = now
+	for _, a := range c.roster.list {
+		if q.asked[a] && !q.none[a] && !q.maybe[a] {
+			c.sendAsk(now, id, q, a)
+		}
+	}
+	clear(q.probed)
+	c.progress(now, id, q)
+}
+
+// answer takes the answer of an agent.
+func (c *Core) answer(now time.Duration, a *agent, b []byte) error {
+	verdict, id, err := inner.ParseAnswer(b)
+	if err != nil {
+		return err
+	}
+	if q := c.asks[id]; q != nil {
+		c.answered(now, id, q, a, verdict)
+	}
+	return nil
+}
+
+func (c *Core) answered(now time.Duration, id platform.Flow, q *ask, a *agent, verdict inner.Verdict) {
+	switch verdict {
+	case inner.VerdictHeld:
+		c.found(now, id, q, a)
+		return
+	case inner.VerdictNone:
+		q.none[a] = true
+		delete(q.maybe, a)
+	case inner.VerdictMaybe:
+		q.maybe[a] = true
+	}
+	c.progress(now, id, q)
+}
+
+// found remembers the owner and sends it the packets that were kept.
+func (c *Core) found(now time.Duration, id platform.Flow, q *ask, a *agent) {
+	c.note(Note{Kind: KindFound, Flow: id, Agent: a.Addr, Count: len(q.asked), Age: now - q.staged})
+	f := c.remember(id, now)
+	f.agent, f.open, f.placed = a, true, now
+	delete(c.asks, id)
+	for _, packet := range q.packets {
+		c.forward(now, a, packet, 0)
+	}
+}
+
+// progress goes on once all agents of a stage have answered.
+func (c *Core) progress(now time.Duration, id platform.Flow, q *ask) {
+	if !c.stageAnswered(q) {
+		return
+	}
+	if q.stage < stageEnd {
+		q.stage++
+		c.askStage(now, id, q)
+	}
+	if q.stage == stageEnd && c.stageAnswered(q) {
+		c.conclude(now, id, q)
+	}
+}
+
+func (c *Core) stageAnswered(q *ask) bool {
+	for _, a := range c.roster.list {
+		if q.asked[a] && !q.none[a] && !q.maybe[a] {
+			return false
+		}
+	}
+	return true
+}
+
+// conclude resets a flow that certainly no upstream holds, and lets upstreams
+// tell whose agents can't.
+func (c *Core) conclude(now time.Duration, id platform.Flow, q *ask) {
+	if len(q.maybe) > 0 {
+		c.probe(now, q)
+		return
+	}
+	if !c.certain(now, q) {
+		return
+	}
+	delete(c.asks, id)
+	c.dead[id] = now + deadTime
+	c.reset(id, q.acknowledged, "held-by-none")
+}
+
+// certain reports whether every agent that may hold a flow has said that it
+// does not.
+func (c *Core) certain(now time.Duration, q *ask) bool {
+	if c.roster.first == 0 || now-c.roster.first < settleTime {
+		return false
+	}
+	for _, a := range c.roster.list {
+		if !q.none[a] {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) probe(now time.Duration, q *ask) {
+	for a := range q.maybe {
+		if q.probed[a] || a.removed {
+			continue
+		}
+		q.probed[a] = true
+		c.forward(now, a, q.packets[0], inner.FlagProbe)
+	}
+}
+
+// tickAsks asks the next agents where some are slow to answer, and ends asks
+// whose caller has given up.
+func (c *Core) tickAsks(now time.Duration) {
+	for id, q := range c.asks {
+		switch {
+		case now-q.last > askTime:
+			delete(c.asks, id)
+			c.note(Note{Kind: KindDropped, Flow: id, Reason: "owner-not-found", Count: len(q.asked) - len(q.none)})
+		case q.stage < stageEnd && now-q.staged > stageTime:
+			q.stage++
+			c.askStage(now, id, q)
+		case q.stage == stageEnd && c.stageAnswered(q):
+			c.conclude(now, id, q)
+		}
+	}
+}
--- /dev/null
+++ b/internal/packetface/steer/steer.go
@@ -0,0 +1,484 @@
+// Package steer decides for a balancer of the packet face where each packet of
+// a caller goes. It is pure: packets, datagrams of agents, lists of agents,
+// routes and the time come in; datagrams and notes on decisions go out. A Core
+// is owned by one caller at a time.
+//
+// A packet that opens a flow goes to the agent that looks best. All others
+// follow the balancer's memory of the flow. Where it has none (it started
+// lately, or the fabric moved the flow) it asks the agents who holds the flow:
+// each agent sees all packets of its upstream. A flow is reset only once every
+// agent has said that its upstream does not hold it.
+package steer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/routing"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Settings of a Core.
+type Settings struct {
+	// DataCentre is that of the balancer's host.
+	DataCentre string
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	// Random breaks ties between agents.
+	Random *rand.Rand
+}
+
+// Action is a datagram to send. Its bytes are valid until the next call.
+type Action struct {
+	To    netip.AddrPort
+	Bytes []byte
+	// ToCaller tells that the datagram is a packet for a caller.
+	ToCaller bool
+}
+
+// Kind names a decision in logs and metrics.
+type Kind string
+
+// Kinds of decisions.
+const (
+	KindPlaced    Kind = "placed"
+	KindMoved     Kind = "placed-again"
+	KindFound     Kind = "owner-found"
+	KindAsked     Kind = "owner-asked"
+	KindReset     Kind = "reset"
+	KindDropped   Kind = "dropped"
+	KindSuspected Kind = "agent-suspected"
+	KindRecovered Kind = "agent-recovered"
+	KindState     Kind = "agent-state"
+	KindListed    Kind = "agent-listed"
+	KindUnlisted  Kind = "agent-unlisted"
+	KindGone      Kind = "agent-gone"
+	KindNewer     Kind = "newer-version-heard"
+)
+
+// Note tells of one decision: its id, its inputs with their age, its outcome.
+type Note struct {
+	Kind   Kind
+	Flow   platform.Flow
+	Agent  netip.AddrPort
+	Reason string
+	// Version is that of the configuration decided by.
+	Version uint64
+	// Age is that of the belief on the agent decided by.
+	Age time.Duration
+	// Count depends on the kind: hops of a placement, agents asked.
+	Count int
+}
+
+// Result holds what a call decided. It is valid until the next call.
+type Result struct {
+	Actions []Action
+	Notes   []Note
+}
+
+// Limits and times of the decisions.
+const (
+	// copyPatience is the silence of an agent after which a copy of an opening
+	// packet goes to another; callers send copies after 200 and 600 ms.
+	copyPatience = 150 * time.Millisecond
+	// maxHops bounds how many agents are tried with one opening packet.
+	maxHops = 8
+	// settleTime is the time after the first list of agents before which the
+	// list is not taken for whole: entries that lapsed may be on their way back.
+	settleTime = 500 * time.Millisecond
+	// deadTime is how long a flow counts as reset without asking again.
+	deadTime = 5 * time.Second
+	// openingTime is how long an opening flow is remembered without an answer.
+	openingTime = 5 * time.Second
+	// sweepEvery is the time between two searches for forgotten flows.
+	sweepEvery = 5 * time.Second
+	// maxFlows bounds the flows that a balancer remembers: four times the
+	// planned 25,000 of a node (docs/CAPACITY.md).
+	maxFlows = 100_000
+	// versionEvery bounds how often a newer version is told of.
+	versionEvery = 200 * time.Millisecond
+)
+
+// flow is what the balancer remembers of a flow.
+type flow struct {
+	agent *agent
+	// placed is when its opening packet was sent to agent, seen when its last
+	// packet came.
+	placed, seen time.Duration
+	// open tells that the caller has gone on from the opening.
+	open bool
+	// tried are agents that have returned the opening packet.
+	tried []*agent
+}
+
+// Core is the state of a balancer's decisions. Times are counted from the
+// start of the process by the steady clock.
+type Core struct {
+	settings Settings
+	table    *routing.Table
+	// tableFresh tells that the configuration has lately been confirmed.
+	tableFresh bool
+	idleLimit  time.Duration
+	roster     roster
+	flows      map[platform.Flow]*flow
+	asks       map[platform.Flow]*ask
+	dead       map[platform.Flow]time.Duration
+	swept      time.Duration
+	toldNewer  time.Duration
+	out        Result
+	buffer     []byte
+}
+
+// New returns a Core without routes and agents.
+func New(s Settings) *Core {
+	return &Core{
+		settings: s,
+		roster:   newRoster(),
+		flows:    make(map[platform.Flow]*flow),
+		asks:     make(map[platform.Flow]*ask),
+		dead:     make(map[platform.Flow]time.Duration),
+	}
+}
+
+// SetTable puts a version of the configuration in force.
+func (c *Core) SetTable(t *routing.Table, idleLimit time.Duration) {
+	c.table, c.idleLimit = t, idleLimit
+}
+
+// SetTableFresh tells whether the configuration is known to be the newest:
+// only then is an unknown face certainly none.
+func (c *Core) SetTableFresh(fresh bool) { c.tableFresh = fresh }
+
+// Counts of what a Core holds.
+type Counts struct {
+	Flows, Asks, Agents, Suspected int
+}
+
+// Counts returns the sizes of the state.
+func (c *Core) Counts(now time.Duration) Counts {
+	n := Counts{Flows: len(c.flows), Asks: len(c.asks), Agents: len(c.roster.list)}
+	for _, a := range c.roster.list {
+		if a.suspect(now) {
+			n.Suspected++
+		}
+	}
+	return n
+}
+
+// Serving reports whether some agent has answered, so that flows can be placed.
+func (c *Core) Serving() bool {
+	for _, a := range c.roster.list {
+		if a.heard > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) begin() {
+	c.out.Actions, c.out.Notes = c.out.Actions[:0], c.out.Notes[:0]
+	c.buffer = c.buffer[:0]
+}
+
+func (c *Core) note(n Note) {
+	if c.table != nil {
+		n.Version = c.table.Version
+	}
+	c.out.Notes = append(c.out.Notes, n)
+}
+
+// send queues the bytes that were appended to the buffer since start.
+func (c *Core) send(to netip.AddrPort, start int) {
+	c.out.Actions = append(c.out.Actions, Action{To: to, Bytes: c.buffer[start:]})
+}
+
+// FromCaller decides on a packet that came from a caller.
+func (c *Core) FromCaller(now time.Duration, b []byte) (*Result, error) {
+	c.begin()
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		return &c.out, err
+	}
+	id := p.FromCaller()
+	if p.IsOpening() {
+		c.open(now, id, b)
+	} else {
+		c.carry(now, id, &p, b)
+	}
+	return &c.out, nil
+}
+
+// open places a flow, or sends a copy of its opening packet after the first.
+func (c *Core) open(now time.Duration, id platform.Flow, b []byte) {
+	route := c.route(id)
+	if route == nil {
+		c.noRoute(id)
+		return
+	}
+	f := c.flows[id]
+	if f == nil {
+		f = c.remember(id, now)
+	}
+	f.seen = now
+	if f.agent != nil && (f.open || !c.unanswered(f, now)) {
+		c.sendOpen(now, f, f.agent, route, id, b, 0)
+		return
+	}
+	if f.agent != nil {
+		f.tried = append(f.tried, f.agent)
+	}
+	c.place(now, id, f, route, b)
+}
+
+// unanswered reports whether the agent has been silent since it got the
+// opening packet, for longer than an answer takes.
+func (c *Core) unanswered(f *flow, now time.Duration) bool {
+	if f.agent.removed {
+		return true
+	}
+	return f.agent.heard < f.placed && now-f.placed > copyPatience
+}
+
+// place sends an opening packet to the best agent that has not returned it.
+func (c *Core) place(now time.Duration, id platform.Flow, f *flow, route *routing.Route, b []byte) {
+	service, ok := route.Choose(id)
+	if !ok {
+		c.reset(id, 0, "no-service")
+		return
+	}
+	best := c.roster.choose(now, service, c.settings, f.tried, route.Repeatable)
+	if best == nil || len(f.tried) >= maxHops {
+		c.placeLast(now, id, f, route, service, b)
+		return
+	}
+	kind := KindPlaced
+	if len(f.tried) > 0 {
+		kind = KindMoved
+	}
+	c.note(Note{Kind: kind, Flow: id, Agent: best.Addr, Age: now - best.heard, Count: len(f.tried)})
+	f.agent, f.placed = best, now
+	best.pending++
+	c.sendOpen(now, f, best, route, id, b, 0)
+}
+
+// placeLast sends an opening packet that every agent has returned to the one
+// that may take it yet, or tells the caller that nobody does.
+func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
+	last := c.roster.last(now, service, c.settings)
+	if last == nil || f.agent == nil || f.hasMust() {
+		delete(c.flows, id)
+		c.reset(id, 0, "no-upstream-takes-it")
+		return
+	}
+	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Reason: "last", Count: len(f.tried)})
+	f.agent, f.placed = last, now
+	f.tried = append(f.tried, nil) // marks the last try
+	c.sendOpen(now, f, last, route, id, b, inner.FlagMust)
+}
+
+// hasMust reports whether the last try was made.
+func (f *flow) hasMust() bool {
+	return len(f.tried) > 0 && f.tried[len(f.tried)-1] == nil
+}
+
+func (c *Core) sendOpen(now time.Duration, f *flow, a *agent, route *routing.Route, id platform.Flow, b []byte, flags inner.Flags) {
+	service, _ := route.Choose(id)
+	start := len(c.buffer)
+	flags |= c.flagsFor(a, now, statusAgeOpen)
+	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
+		Flags: flags, Hops: uint8(len(f.tried)), Service: service, Version: c.table.Version,
+	}, b)
+	c.send(a.Addr, start)
+}
+
+// carry sends a packet of a flow that was opened before.
+func (c *Core) carry(now time.Duration, id platform.Flow, p *platform.Packet, b []byte) {
+	if f := c.flows[id]; f != nil && f.agent != nil && !f.agent.removed {
+		f.seen, f.open = now, true
+		c.forward(now, f.agent, b, 0)
+		return
+	}
+	delete(c.flows, id)
+	if until, ok := c.dead[id]; ok && now < until {
+		c.reset(id, p.Acknowledge, "held-by-none")
+		return
+	}
+	c.ask(now, id, p, b)
+}
+
+func (c *Core) forward(now time.Duration, a *agent, b []byte, flags inner.Flags) {
+	start := len(c.buffer)
+	c.buffer = inner.AppendForward(c.buffer, flags|c.flagsFor(a, now, statusAgeCarry), b)
+	c.send(a.Addr, start)
+}
+
+// flagsFor asks for the agent's status if what is known is older than age.
+func (c *Core) flagsFor(a *agent, now, age time.Duration) inner.Flags {
+	if !a.wantStatus(now, age) {
+		return 0
+	}
+	a.asked(now)
+	return inner.FlagStatus
+}
+
+// reset tells a caller that its flow is not held. No request in the packet
+// that asked has run.
+func (c *Core) reset(id platform.Flow, sequence uint32, reason string) {
+	c.note(Note{Kind: KindReset, Flow: id, Reason: reason})
+	start := len(c.buffer)
+	c.buffer = platform.AppendReset(c.buffer, id, sequence)
+	c.out.Actions = append(c.out.Actions, Action{
+		To:       netip.AddrPortFrom(netip.AddrFrom4(id.Caller), c.settings.CallerPort),
+		Bytes:    c.buffer[start:],
+		ToCaller: true,
+	})
+}
+
+func (c *Core) route(id platform.Flow) *routing.Route {
+	if c.table == nil {
+		return nil
+	}
+	return c.table.Find(id)
+}
+
+// noRoute answers an opening packet for a face without a route.
+func (c *Core) noRoute(id platform.Flow) {
+	if c.table != nil && c.tableFresh {
+		c.reset(id, 0, "no-route")
+		return
+	}
+	c.note(Note{Kind: KindDropped, Flow: id, Reason: "no-route-known"})
+}
+
+// remember makes room for a flow and returns its memory.
+func (c *Core) remember(id platform.Flow, now time.Duration) *flow {
+	if len(c.flows) >= maxFlows {
+		for old := range c.flows { // any: its owner is found again by asking
+			delete(c.flows, old)
+			break
+		}
+	}
+	f := &flow{seen: now}
+	c.flows[id] = f
+	return f
+}
+
+// FromAgent decides on a datagram that came from an agent.
+func (c *Core) FromAgent(now time.Duration, from netip.AddrPort, b []byte) (*Result, error) {
+	c.begin()
+	a := c.roster.agents[from]
+	if a == nil {
+		return &c.out, nil // it has gone, or is not listed yet
+	}
+	if a.hear(now) {
+		c.note(Note{Kind: KindRecovered, Agent: from})
+	}
+	switch inner.KindOf(b) {
+	case inner.KindStatus:
+		return &c.out, c.status(now, a, b)
+	case inner.KindReturned:
+		return &c.out, c.returned(now, a, b)
+	case inner.KindAnswer:
+		return &c.out, c.answer(now, a, b)
+	}
+	return &c.out, inner.ErrDatagram
+}
+
+func (c *Core) status(now time.Duration, a *agent, b []byte) error {
+	s, err := inner.ParseStatus(b)
+	if err != nil {
+		return err
+	}
+	if s.State != a.status.State {
+		c.note(Note{Kind: KindState, Agent: a.Addr, Reason: s.State.String()})
+	}
+	a.setStatus(s, now)
+	if c.table != nil && s.Version > c.table.Version && now-c.toldNewer > versionEvery {
+		c.toldNewer = now
+		c.note(Note{Kind: KindNewer, Agent: a.Addr, Count: int(s.Version)})
+	}
+	return nil
+}
+
+// returned decides on a packet that an agent gave back.
+func (c *Core) returned(now time.Duration, a *agent, b []byte) error {
+	reason, packet, err := inner.ParseReturned(b)
+	if err != nil {
+		return err
+	}
+	p, err := platform.ParsePacket(packet)
+	if err != nil {
+		return err
+	}
+	id := p.FromCaller()
+	if p.IsOpening() {
+		c.placeAgain(now, id, a, reason, packet)
+		return nil
+	}
+	if q := c.asks[id]; q != nil && q.probed[a] {
+		c.answered(now, id, q, a, inner.VerdictNone)
+		return nil
+	}
+	if f := c.flows[id]; f != nil && f.agent == a {
+		delete(c.flows, id)
+	}
+	c.ask(now, id, &p, packet)
+	if q := c.asks[id]; q != nil {
+		c.answered(now, id, q, a, inner.VerdictNone)
+	}
+	return nil
+}
+
+// placeAgain sends an opening packet that an agent returned to another one.
+func (c *Core) placeAgain(now time.Duration, id platform.Flow, a *agent, reason inner.Reason, packet []byte) {
+	route := c.route(id)
+	f := c.flows[id]
+	if route == nil || f == nil || f.open || f.agent != a {
+		return // a later copy has been placed elsewhere, or the route is gone
+	}
+	if reason == inner.ReasonBusy {
+		a.status.Running = max(a.status.Running, a.status.Slots)
+	}
+	if f.hasMust() {
+		delete(c.flows, id)
+		c.reset(id, 0, "all-returned-"+reason.String())
+		return
+	}
+	f.tried = append(f.tried, a)
+	c.place(now, id, f, route, packet)
+}
+
+// Tick does what is due by time alone.
+func (c *Core) Tick(now time.Duration) *Result {
+	c.begin()
+	c.tickAsks(now)
+	c.tickAgents(now)
+	if now-c.swept >= sweepEvery {
+		c.sweep(now)
+	}
+	return &c.out
+}
+
+// Waiting reports whether asks wait for answers, so that ticks are wanted soon.
+func (c *Core) Waiting() bool { return len(c.asks) > 0 }
+
+// sweep forgets flows that are idle or never opened.
+func (c *Core) sweep(now time.Duration) {
+	c.swept = now
+	for id, f := range c.flows {
+		limit := c.idleLimit
+		if !f.open {
+			limit = openingTime
+		}
+		if now-f.seen > limit {
+			delete(c.flows, id)
+		}
+	}
+	for id, until := range c.dead {
+		if now >= until {
+			delete(c.dead, id)
+		}
+	}
+}
