Follow the store with short watches that the fleet shares

A watch was deaf: the store dropped history unheard and only the next watch was told, 10 s later. After a cut, each hint of a newer version cancelled the watch that was about to bring it, for 8 s.

Ruled out: a lost connection (the watch ended by its own time, with 410 on the next), a refused configuration (none in the log).

Change: a watch waits for 0.5 s a balancer, at most 10 s, so that one of them begins in each 0.5 s whatever the size of the fleet, and the others hear of the version by way of the agents. A hint ends only a watch older than 0.3 s and leads to a reading.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -478,7 +478,7 @@
 	s := inner.Status{
 		State: inner.StateReady, Incarnation: g.settings.Incarnation, Version: g.version,
 		Running: uint16(min(g.running, 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
-		Latency: g.latency, Cold: now < u.coldEnd,
+		Latency: g.latency, Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
 	}
 	switch {
 	case u.gone():
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -26,7 +26,7 @@
 	KindAsk
 	// KindPoll asks an agent for its status (10 bytes).
 	KindPoll
-	// KindStatus tells a balancer how an agent and its upstream are (31 bytes).
+	// KindStatus tells a balancer how an agent and its upstream are (33 bytes).
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (2 bytes).
 	KindReturned
@@ -134,6 +134,8 @@
 	Flows uint32
 	// Latency is the mean time of the latest answers, in steps of 1 ms.
 	Latency time.Duration
+	// Balancers counts the balancers that have lately sent anything.
+	Balancers uint16
 	// Cold tells that the upstream has only just started.
 	Cold bool
 }
@@ -148,7 +150,7 @@
 	flowSize     = 4 + 4 + 2 + 2
 	askSize      = 2 + flowSize + 4
 	pollSize     = 2 + 8
-	statusSize   = 2 + 8 + 8 + 2 + 2 + 4 + 4 + 1
+	statusSize   = 2 + 8 + 8 + 2 + 2 + 4 + 4 + 2 + 1
 	returnedSize = 2
 	answerSize   = 2 + flowSize
 
@@ -238,6 +240,7 @@
 	b = binary.BigEndian.AppendUint16(b, s.Slots)
 	b = binary.BigEndian.AppendUint32(b, s.Flows)
 	b = binary.BigEndian.AppendUint32(b, uint32(s.Latency/time.Millisecond))
+	b = binary.BigEndian.AppendUint16(b, s.Balancers)
 	cold := byte(0)
 	if s.Cold {
 		cold = 1
@@ -258,7 +261,8 @@
 		Slots:       binary.BigEndian.Uint16(b[20:]),
 		Flows:       binary.BigEndian.Uint32(b[22:]),
 		Latency:     time.Duration(binary.BigEndian.Uint32(b[26:])) * time.Millisecond,
-		Cold:        b[30] != 0,
+		Balancers:   binary.BigEndian.Uint16(b[30:]),
+		Cold:        b[32] != 0,
 	}, nil
 }
 
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -15,9 +15,18 @@
 
 // Times of following the store.
 const (
-	// watchWait is how long one watch waits. A cut that hides changes ends a
-	// watch at the latest after it.
-	watchWait = 10 * time.Second
+	// watchLeast and watchMost bound how long one watch waits. A watch may be
+	// deaf: the store can drop changes from its history unheard, and only the
+	// next watch is told.
+	watchLeast = 1 * time.Second
+	watchMost  = 10 * time.Second
+	// watchPart is the time that each balancer of the fleet adds to the wait:
+	// one of them begins a watch in each such time, however many they are, and
+	// the others hear of a newer version from it by way of the agents.
+	watchPart = 500 * time.Millisecond
+	// hintAfter is the age of a watch from which on a hint ends it: a younger
+	// one is about to tell the same.
+	hintAfter = 300 * time.Millisecond
 	// watchPause follows each watch that brought changes, so that a storm of
 	// them costs few calls.
 	watchPause = 150 * time.Millisecond
@@ -35,22 +44,24 @@
 	Changed func(*Listing)
 	// Reached is called when the store was lost or answers again.
 	Reached func(bool)
+	// Balancers returns the number of balancers that follow the store.
+	Balancers func() int
 
 	listing  *Listing
 	revision uint64
 	reached  bool
-	again    chan struct{}
+	hints    chan struct{}
 }
 
 // NewFollower returns a Follower; set its callbacks before Run.
 func NewFollower(s *platform.Store, log *slog.Logger) *Follower {
-	return &Follower{Store: s, Log: log, again: make(chan struct{}, 1)}
+	return &Follower{Store: s, Log: log, hints: make(chan struct{}, 1)}
 }
 
-// ReadAgain asks for a new reading, as someone has heard of a newer version.
-func (f *Follower) ReadAgain() {
+// Hint tells that someone has heard of a newer version of the configuration.
+func (f *Follower) Hint() {
 	select {
-	case f.again <- struct{}{}:
+	case f.hints <- struct{}{}:
 	default:
 	}
 }
@@ -75,7 +86,10 @@
 	if f.listing == nil {
 		return f.read(ctx)
 	}
-	changes, revision, err := f.watch(ctx)
+	changes, revision, hinted, err := f.watch(ctx)
+	if hinted {
+		return f.read(ctx)
+	}
 	if errors.Is(err, platform.ErrCompacted) {
 		f.Log.Info("History is gone, reading everything.", "revision", f.revision)
 		return f.read(ctx)
@@ -93,20 +107,35 @@
 	return nil
 }
 
-// watch waits for changes; a request to read again ends it.
-func (f *Follower) watch(ctx context.Context) ([]platform.Item, uint64, error) {
+// watch waits for changes. A hint that comes later than hintAfter ends it.
+func (f *Follower) watch(ctx context.Context) (changes []platform.Item, revision uint64, hinted bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-f.again:
-			cancel()
-		case <-done:
-		}
-	}()
-	return f.Store.Watch(ctx, everything, f.revision, watchWait)
+	ended := make(chan bool, 1)
+	go func() { ended <- f.awaitHint(ctx, cancel) }()
+	changes, revision, err = f.Store.Watch(ctx, everything, f.revision, f.watchWait())
+	cancel()
+	return changes, revision, <-ended && err != nil, err
+}
+
+// awaitHint cancels a watch on a hint; it reports whether it did.
+func (f *Follower) awaitHint(ctx context.Context, cancel context.CancelFunc) bool {
+	if wait.For(ctx, hintAfter) != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-f.hints:
+		cancel()
+		return true
+	}
+}
+
+// watchWait returns how long the next watch waits, spread so that balancers do
+// not fall into step.
+func (f *Follower) watchWait() time.Duration {
+	wait := min(max(time.Duration(f.Balancers())*watchPart, watchLeast), watchMost)
+	return wait*3/4 + rand.N(wait/4)
 }
 
 func (f *Follower) read(ctx context.Context) error {
@@ -117,11 +146,20 @@
 	listing, unreadable := NewListing(all)
 	f.report(unreadable)
 	f.listing, f.revision = listing, revision
+	f.forgetHint()
 	f.Log.Info("Store read.", "revision", revision, "agents", len(listing.agents), "config_revision", listing.ConfigRevision)
 	f.Changed(listing)
 	return nil
 }
 
+// forgetHint drops a hint that came before the reading.
+func (f *Follower) forgetHint() {
+	select {
+	case <-f.hints:
+	default:
+	}
+}
+
 func (f *Follower) report(unreadable []error) {
 	for _, err := range unreadable {
 		f.Log.Warn("Entry passed over.", "error", err.Error())
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -93,6 +93,7 @@
 	b.follower = registry.NewFollower(platform.NewStore(b.env.Host.Store), logging.Part(b.env.Logger, "registry"))
 	b.follower.Changed = b.changed
 	b.follower.Reached = b.reached
+	b.follower.Balancers = b.balancers
 	go b.follower.Run(ctx)
 	go receive(b.callers, platform.MaxPacketSize+1, b.fromCaller)
 	go receive(b.agents, inner.MaxSize+1, b.fromAgent)
@@ -137,7 +138,7 @@
 	}
 	for i := range r.Notes {
 		if r.Notes[i].Kind == steer.KindNewer {
-			b.follower.ReadAgain()
+			b.follower.Hint()
 		}
 	}
 	b.notes.balancer(r.Notes)
@@ -206,6 +207,12 @@
 	b.core.SetTable(table, config.IdleLimit)
 }
 
+func (b *balancer) balancers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Balancers()
+}
+
 func (b *balancer) reached(ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -177,6 +177,15 @@
 	return false
 }
 
+// Balancers returns how many balancers the agents hear of, at least 1.
+func (c *Core) Balancers() int {
+	n := 1
+	for _, a := range c.roster.list {
+		n = max(n, int(a.status.Balancers))
+	}
+	return n
+}
+
 func (c *Core) begin() {
 	c.out.Actions, c.out.Notes = c.out.Actions[:0], c.out.Notes[:0]
 	c.buffer = c.buffer[:0]
