Let requests wait at the agent while all slots are taken

Ruled out: the start of the processes (a balancer is ready 16 ms after it is started), the store (read within 12 ms), too few resets (268 in the first 0.5 s).

Change: the agent counts running requests on the wire and keeps the packets of a request until a slot is free, most urgent route first, then requests on flows that have been answered before (first tries: callers repeat on new flows only), then by age, for 1.5 s at most. A busy upstream gives an opening packet back once, not eight times.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -107,6 +107,9 @@
 	refusalTime = 20 * time.Millisecond
 	// sweepEvery is the time between two searches for forgotten flows.
 	sweepEvery = 2 * time.Second
+	// runningTime is the time after which a request without an answer no longer
+	// counts as running; callers give a request 10 s at most.
+	runningTime = 10 * time.Second
 	// balancerTime is how long a balancer that sends nothing is told of changes.
 	balancerTime = 10 * time.Second
 	// maxFlows bounds the flows that an agent remembers, twice what an upstream
@@ -140,9 +143,18 @@
 	accepted uint32
 	// acknowledged is the caller's last count.
 	acknowledged uint32
+	// sent is the caller's count after the data that the upstream got; sentKnown
+	// tells that any was seen. What a caller repeats is no new request.
+	sent      uint32
+	sentKnown bool
 	// running tells that a request is not answered yet, asked since when.
 	running bool
 	asked   time.Duration
+	// rank orders requests that wait, 0 first; served tells that a request of
+	// the flow has been answered; waiting is the request that waits, if any.
+	rank    uint8
+	served  bool
+	waiting *waiting
 	// callerDone and upstreamDone tell that the end has closed its direction.
 	callerDone, upstreamDone bool
 	// probing tells that the agent has handed on a packet without knowing
@@ -179,6 +191,7 @@
 	settings Settings
 	service  uint64
 	flows    map[platform.Flow]*flow
+	queue    []*waiting
 	upstream upstream
 	version  uint64
 	running  int
@@ -229,17 +242,23 @@
 	g.begin()
 	g.asked = now
 	g.balancers[from] = now
+	err := g.fromBalancer(now, from, b)
+	g.release(now)
+	return &g.out, err
+}
+
+func (g *Gate) fromBalancer(now time.Duration, from netip.AddrPort, b []byte) error {
 	switch inner.KindOf(b) {
 	case inner.KindOpen:
-		return &g.out, g.fromOpen(now, from, b)
+		return g.fromOpen(now, from, b)
 	case inner.KindForward:
-		return &g.out, g.fromForward(now, from, b)
+		return g.fromForward(now, from, b)
 	case inner.KindAsk:
-		return &g.out, g.fromAsk(from, b)
+		return g.fromAsk(from, b)
 	case inner.KindPoll:
-		return &g.out, g.fromPoll(now, from, b)
+		return g.fromPoll(now, from, b)
 	}
-	return &g.out, inner.ErrDatagram
+	return inner.ErrDatagram
 }
 
 func (g *Gate) fromPoll(now time.Duration, from netip.AddrPort, b []byte) error {
@@ -303,7 +322,7 @@
 		return inner.ReasonDraining
 	case g.stopping && !must:
 		return inner.ReasonDraining
-	case !must && g.upstream.slots > 0 && g.running >= g.upstream.slots:
+	case !must && head.Hops == 0 && g.full():
 		return inner.ReasonBusy
 	}
 	return 0
@@ -368,6 +387,7 @@
 	}
 	if state == flowClosed {
 		g.setRunning(f, false)
+		g.drop(f)
 	}
 	f.state = state
 }
@@ -413,12 +433,15 @@
 		f.probing = true
 		g.note(now, Note{Kind: KindProbed, Flow: id, Peer: from})
 	}
-	f.balancer, f.seen, f.acknowledged = from, now, p.Acknowledge
+	f.balancer, f.seen, f.acknowledged, f.rank = from, now, p.Acknowledge, flags.Rank()
 	if !f.probing && f.state == flowOpening {
 		g.setState(f, flowOpen)
 	}
-	g.countRequest(now, f, p)
 	f.callerDone = f.callerDone || p.Flags.Has(platform.FlagFIN)
+	if g.hold(now, id, f, p, packet) {
+		return
+	}
+	g.countRequest(now, f, p)
 	g.closeIfDone(f, p)
 	g.send(ToUpstream, netip.AddrPort{}, packet)
 }
@@ -436,7 +459,11 @@
 
 // countRequest notes that data of a request goes to the upstream.
 func (g *Gate) countRequest(now time.Duration, f *flow, p *platform.Packet) {
-	if p.Length == 0 || f.state != flowOpen {
+	if !f.isNew(p) {
+		return
+	}
+	f.sent, f.sentKnown = p.Sequence+uint32(p.Length), true
+	if f.state != flowOpen {
 		return
 	}
 	if !f.running {
@@ -445,6 +472,12 @@
 	g.setRunning(f, true)
 }
 
+// isNew reports whether a packet brings data that the upstream has not got.
+func (f *flow) isNew(p *platform.Packet) bool {
+	end := p.Sequence + uint32(p.Length)
+	return p.Length > 0 && (!f.sentKnown || int32(end-f.sent) > 0)
+}
+
 func (g *Gate) fromAsk(from netip.AddrPort, b []byte) error {
 	_, id, acknowledged, err := inner.ParseAsk(b)
 	if err != nil {
@@ -477,7 +510,7 @@
 	u := &g.upstream
 	s := inner.Status{
 		State: inner.StateReady, Incarnation: g.settings.Incarnation, Version: g.version,
-		Running: uint16(min(g.running, 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
+		Running: uint16(min(g.running+len(g.queue), 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Latency: g.latency, Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
 	}
 	switch {
@@ -508,9 +541,10 @@
 	if p.Flags.Has(platform.FlagBounced) {
 		platform.ClearBounced(b)
 		g.bounced(now, &p, b)
-		return &g.out, nil
+	} else {
+		g.reply(now, &p, b)
 	}
-	g.reply(now, &p, b)
+	g.release(now)
 	return &g.out, nil
 }
 
@@ -550,9 +584,13 @@
 	}
 	if p.Length > 0 && f.running {
 		g.setRunning(f, false)
+		f.served = true
 		g.addLatency(now - f.asked)
 	}
-	f.upstreamDone = f.upstreamDone || p.Flags.Has(platform.FlagFIN)
+	if p.Flags.Has(platform.FlagFIN) {
+		f.upstreamDone = true
+		g.setRunning(f, false) // nothing more is answered on the flow
+	}
 	g.closeIfDone(f, p)
 	g.send(ToCaller, g.caller(id), b)
 }
@@ -590,6 +628,7 @@
 func (g *Gate) Tick(now time.Duration) *Result {
 	g.begin()
 	g.checkHeartbeats(now)
+	g.release(now)
 	if now-g.swept >= sweepEvery {
 		g.sweep(now)
 	}
@@ -606,6 +645,9 @@
 		}
 	}
 	for id, f := range g.flows {
+		if f.running && now-f.asked > runningTime {
+			g.setRunning(f, false) // its caller has gone, or a packet was lost
+		}
 		limit := g.settings.FlowMaxAge
 		switch f.state {
 		case flowOpening:
@@ -621,10 +663,10 @@
 
 // Counts of what a Gate holds.
 type Counts struct {
-	Flows, Open, Running int
+	Flows, Open, Running, Waiting int
 }
 
 // Counts returns the sizes of the state.
 func (g *Gate) Counts() Counts {
-	return Counts{Flows: len(g.flows), Open: g.open, Running: g.running}
+	return Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: len(g.queue)}
 }
--- /dev/null
+++ b/internal/packetface/gate/queue.go
@@ -0,0 +1,133 @@
+package gate
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/saltbend/saltbend/platform"
+)
+
+// While all slots of the upstream are taken, requests wait here and not in the
+// upstream's queue, which is short, knows no order and refuses what is over.
+//
+// Order: the more urgent route first; then requests on flows that have been
+// answered before, which are first tries, as callers repeat a request on a new
+// flow only: they can still be answered in time while what is repeated is late
+// already; then the one that came first.
+
+const (
+	// maxHold is the time after which a request is handed on in any case. It is
+	// below the shortest time that callers give a request (2 s).
+	maxHold = 1500 * time.Millisecond
+	// maxHeldPackets bounds the packets that wait for one flow: a caller has at
+	// most 16 on their way.
+	maxHeldPackets = 16
+	// maxHeldFlows bounds the flows that wait.
+	maxHeldFlows = 1024
+)
+
+// waiting is a request that waits for a slot.
+type waiting struct {
+	id      platform.Flow
+	flow    *flow
+	since   time.Duration
+	packets [][]byte
+}
+
+// before reports whether w is to run before o.
+func (w *waiting) before(o *waiting) bool {
+	if w.flow.rank != o.flow.rank {
+		return w.flow.rank < o.flow.rank
+	}
+	if w.flow.served != o.flow.served {
+		return w.flow.served
+	}
+	return w.since < o.since
+}
+
+// full reports whether all slots of the upstream are taken. Before the first
+// heartbeat their number is not known.
+func (g *Gate) full() bool {
+	return g.upstream.slots > 0 && g.running >= g.upstream.slots
+}
+
+// hold keeps a packet back if its request has to wait; it reports whether it
+// did.
+func (g *Gate) hold(now time.Duration, id platform.Flow, f *flow, p *platform.Packet, packet []byte) bool {
+	if f.waiting == nil {
+		begins := f.isNew(p) && f.state == flowOpen && !f.running
+		if !begins || !g.full() || len(g.queue) >= maxHeldFlows {
+			return false
+		}
+		f.waiting = &waiting{id: id, flow: f, since: now}
+		g.queue = append(g.queue, f.waiting)
+	}
+	if p.Length == 0 && !p.Flags.Has(platform.FlagFIN) {
+		return false // an acknowledgement carries no work
+	}
+	f.waiting.keep(p, packet)
+	return true
+}
+
+// keep stores a packet once; a caller repeats what is not acknowledged.
+func (w *waiting) keep(p *platform.Packet, packet []byte) {
+	same := func(kept []byte) bool {
+		return binary.BigEndian.Uint32(kept) == p.Sequence && len(kept) == len(packet)
+	}
+	if len(w.packets) < maxHeldPackets && !slices.ContainsFunc(w.packets, same) {
+		w.packets = append(w.packets, slices.Clone(packet))
+	}
+}
+
+// release hands waiting requests to the upstream while it has free slots, and
+// those that have waited for too long.
+func (g *Gate) release(now time.Duration) {
+	for len(g.queue) > 0 {
+		at := g.next(now)
+		if at < 0 {
+			return
+		}
+		w := g.queue[at]
+		g.queue = slices.Delete(g.queue, at, at+1)
+		w.flow.waiting = nil
+		w.flow.asked = now
+		g.setRunning(w.flow, !w.flow.callerDone)
+		for _, packet := range w.packets {
+			g.sendHeld(w.flow, packet)
+		}
+	}
+}
+
+// sendHeld hands on a packet that has waited.
+func (g *Gate) sendHeld(f *flow, packet []byte) {
+	if p, err := platform.ParsePacket(packet); err == nil && f.isNew(&p) { // it was read before
+		f.sent, f.sentKnown = p.Sequence+uint32(p.Length), true
+	}
+	g.send(ToUpstream, netip.AddrPort{}, packet)
+}
+
+// next returns the place of the request that is to run now, -1 for none.
+func (g *Gate) next(now time.Duration) int {
+	best := -1
+	full := g.full()
+	for i, w := range g.queue {
+		if now-w.since >= maxHold || w.flow.callerDone {
+			return i // the upstream ends a flow whose caller has closed it
+		}
+		if !full && (best < 0 || w.before(g.queue[best])) {
+			best = i
+		}
+	}
+	return best
+}
+
+// drop takes a flow that is closed or forgotten out of the queue.
+func (g *Gate) drop(f *flow) {
+	if f.waiting == nil {
+		return
+	}
+	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool { return w == f.waiting })
+	f.waiting = nil
+}
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -48,8 +48,21 @@
 	FlagProbe
 	// FlagUnlisted tells the agent that the store no longer lists it.
 	FlagUnlisted
+
+	// The bits above hold the rank of the packet's route.
+	rankShift = 6
+	maxRank   = 3
 )
 
+// WithRank returns the flags with the rank of the packet's route, 0 for the
+// most urgent; all above 3 are alike.
+func (f Flags) WithRank(rank int) Flags {
+	return f | Flags(min(max(rank, 0), maxRank))<<rankShift
+}
+
+// Rank returns the rank of the packet's route.
+func (f Flags) Rank() uint8 { return uint8(f >> rankShift) }
+
 // Reason says why an agent returns a packet. No request of the packet has run.
 type Reason uint8
 
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -160,9 +160,12 @@
 	c.note(Note{Kind: KindFound, Flow: id, Agent: a.Addr, Count: len(q.asked), Age: now - q.staged})
 	f := c.remember(id, now)
 	f.agent, f.open, f.placed = a, true, now
+	if route := c.route(id); route != nil {
+		f.rank = route.Rank
+	}
 	delete(c.asks, id)
 	for _, packet := range q.packets {
-		c.forward(now, a, packet, 0)
+		c.forward(now, a, packet, inner.Flags(0).WithRank(f.rank))
 	}
 }
 
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -87,7 +87,7 @@
 	maxHops = 8
 	// settleTime is the time after the first list of agents before which the
 	// list is not taken for whole: entries that lapsed may be on their way back.
-	settleTime = 500 * time.Millisecond
+	settleTime = 250 * time.Millisecond
 	// deadTime is how long a flow counts as reset without asking again.
 	deadTime = 5 * time.Second
 	// openingTime is how long an opening flow is remembered without an answer.
@@ -109,6 +109,8 @@
 	placed, seen time.Duration
 	// open tells that the caller has gone on from the opening.
 	open bool
+	// rank is that of the route, 0 for the most urgent.
+	rank int
 	// tried are agents that have returned the opening packet.
 	tried []*agent
 }
@@ -230,7 +232,7 @@
 	if f == nil {
 		f = c.remember(id, now)
 	}
-	f.seen = now
+	f.seen, f.rank = now, route.Rank
 	if f.agent != nil && (f.open || !c.unanswered(f, now)) {
 		c.sendOpen(now, f, f.agent, route, id, b, 0)
 		return
@@ -306,7 +308,7 @@
 func (c *Core) carry(now time.Duration, id platform.Flow, p *platform.Packet, b []byte) {
 	if f := c.flows[id]; f != nil && f.agent != nil && !f.agent.removed {
 		f.seen, f.open = now, true
-		c.forward(now, f.agent, b, 0)
+		c.forward(now, f.agent, b, inner.Flags(0).WithRank(f.rank))
 		return
 	}
 	delete(c.flows, id)
