Reset a flow only on knowledge that is as new as anybody's

Cause: a property test over balancers and agents with a network that loses, doubles and delays found living flows reset: by a balancer whose list of agents was older than another's (the store refused it) and lacked the owner; by an agent whose upstream was replaced, for a flow that a copy of its first packet had opened elsewhere, or that the new life had opened before its first heartbeat; by a balancer that took an upstream with silent heartbeats for gone.

Change: datagrams tell how new the sender's configuration and list of agents are, agents pass on the newest, and a balancer that lags, or an agent that has only just started, makes no reset certain. An agent resets flows only if they are older than the last heartbeat of the life that ended. Silent is a state of its own.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -193,12 +193,14 @@
 	flows    map[platform.Flow]*flow
 	queue    []*waiting
 	upstream upstream
-	version  uint64
+	known    inner.Known
 	running  int
 	open     int
 	latency  time.Duration
 	stopping bool
 	unlisted bool
+	// settled tells that balancers have heard of this process.
+	settled bool
 	// balancers holds when each balancer last sent anything, asked when any did.
 	balancers map[netip.AddrPort]time.Duration
 	asked     time.Duration
@@ -221,7 +223,7 @@
 }
 
 func (g *Gate) note(now time.Duration, n Note) {
-	n.Version, n.Running = g.version, g.running
+	n.Version, n.Running = g.known.Version, g.running
 	if g.upstream.heard > 0 {
 		n.Age = now - g.upstream.heard
 	}
@@ -262,11 +264,11 @@
 }
 
 func (g *Gate) fromPoll(now time.Duration, from netip.AddrPort, b []byte) error {
-	flags, version, err := inner.ParsePoll(b)
+	flags, known, err := inner.ParsePoll(b)
 	if err != nil {
 		return err
 	}
-	g.version = max(g.version, version)
+	g.known = g.known.Max(known)
 	if flags&inner.FlagUnlisted != 0 && !g.unlisted {
 		g.unlisted = true
 		g.note(now, Note{Kind: KindUnlisted, Peer: from})
@@ -295,7 +297,7 @@
 	if err != nil {
 		return err
 	}
-	g.version = max(g.version, head.Version)
+	g.known = g.known.Max(head.Known)
 	id := p.FromCaller()
 	if reason := g.refusal(now, id, head); reason != 0 {
 		g.giveBack(now, from, id, reason, packet)
@@ -314,7 +316,7 @@
 	switch {
 	case head.Service != g.service:
 		return inner.ReasonService
-	case g.upstream.gone():
+	case g.upstream.down || g.upstream.left || g.upstream.silent:
 		return inner.ReasonDown
 	case g.flows[id] != nil && !g.upstream.draining:
 		return 0 // a copy of an opening packet that was let in
@@ -425,7 +427,7 @@
 	id := p.FromCaller()
 	f := g.flows[id]
 	if g.upstream.down || (f == nil && g.upstream.whole) || (f != nil && !g.owns(f, p.Acknowledge)) {
-		g.giveBack(now, from, id, inner.ReasonUnknown, packet)
+		g.giveBack(now, from, id, g.unknown(), packet)
 		return
 	}
 	if f == nil {
@@ -484,38 +486,58 @@
 		return err
 	}
 	start := len(g.buffer)
-	g.buffer = inner.AppendAnswer(g.buffer, g.verdict(id, acknowledged), id)
+	g.buffer = inner.AppendAnswer(g.buffer, g.verdict(id, acknowledged), id, g.known.Listing)
 	g.sendBuffer(ToBalancer, from, start)
 	return nil
 }
 
+// SetSettled tells that the store has listed this process for long enough for
+// balancers to have told it how new their lists are.
+func (g *Gate) SetSettled() { g.settled = true }
+
 // verdict says whether the upstream holds a flow.
 func (g *Gate) verdict(id platform.Flow, acknowledged uint32) inner.Verdict {
 	f := g.flows[id]
 	switch {
-	case g.upstream.down:
-		return inner.VerdictNone
-	case f == nil && g.upstream.whole:
-		return inner.VerdictNone
+	case g.upstream.down, f == nil && g.upstream.whole:
+		return g.none()
 	case f == nil || f.probing:
 		return inner.VerdictMaybe
 	case g.owns(f, acknowledged):
 		return inner.VerdictHeld
 	}
-	return inner.VerdictNone
+	return g.none()
+}
+
+// none returns the verdict on a flow that the upstream does not hold.
+func (g *Gate) none() inner.Verdict {
+	if g.settled {
+		return inner.VerdictNone
+	}
+	return inner.VerdictUnsure
+}
+
+// unknown is none as the reason for returning a packet.
+func (g *Gate) unknown() inner.Reason {
+	if g.settled {
+		return inner.ReasonUnknown
+	}
+	return inner.ReasonUnsure
 }
 
 // Status returns how the agent and its upstream are.
 func (g *Gate) Status(now time.Duration) inner.Status {
 	u := &g.upstream
 	s := inner.Status{
-		State: inner.StateReady, Incarnation: g.settings.Incarnation, Version: g.version,
+		State: inner.StateReady, Incarnation: g.settings.Incarnation, Known: g.known,
 		Running: uint16(min(g.running+len(g.queue), 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Latency: g.latency, Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
 	}
 	switch {
-	case u.gone():
+	case u.down || u.left:
 		s.State = inner.StateDown
+	case u.silent:
+		s.State = inner.StateSilent
 	case u.draining:
 		s.State = inner.StateDraining
 	case g.stopping:
@@ -557,7 +579,7 @@
 		return
 	}
 	g.note(now, Note{Kind: KindBounced, Flow: id, Peer: f.balancer})
-	reason := inner.ReasonUnknown
+	reason := g.unknown()
 	if p.IsOpening() {
 		reason = inner.ReasonBounced
 	}
@@ -608,7 +630,7 @@
 		return
 	}
 	start := len(g.buffer)
-	g.buffer = inner.AppendAnswer(g.buffer, inner.VerdictHeld, id)
+	g.buffer = inner.AppendAnswer(g.buffer, inner.VerdictHeld, id, g.known.Listing)
 	g.sendBuffer(ToBalancer, f.balancer, start)
 }
 
--- a/internal/packetface/gate/upstream.go
+++ b/internal/packetface/gate/upstream.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/saltbend/saltbend/platform"
@@ -42,12 +43,13 @@
 	return &g.out, true
 }
 
-// newLife takes over a new life of the upstream: flows of the one before are
-// gone.
+// newLife takes over a new life of the upstream. Flows that are older than the
+// last heartbeat of the life before are gone with it; those that began since may
+// belong to either, and only the upstream can tell.
 func (g *Gate) newLife(now time.Duration, beat platform.Heartbeat) {
 	first := g.upstream.id == ""
 	if !first {
-		g.resetAll(now, "upstream-replaced")
+		g.resetBefore(now, g.upstream.heard, "upstream-replaced")
 	}
 	g.upstream = upstream{
 		id: beat.ID,
@@ -55,7 +57,7 @@
 		// the life before were told apart by their end.
 		whole: beat.Sequence <= firstHeartbeat || !first,
 	}
-	g.note(now, Note{Kind: KindUpstream, Reason: "ready " + beat.ID})
+	g.note(now, Note{Kind: KindUpstream, Reason: fmt.Sprintf("ready %s heartbeat %d", beat.ID, beat.Sequence)})
 	g.announce(now)
 }
 
@@ -80,7 +82,7 @@
 	}
 	u.refused++
 	if u.refused >= refusals && now-u.refusedAt >= refusalTime {
-		g.goDown(now, "refuses-packets")
+		g.goDown(now, u.refusedAt, "refuses-packets")
 	}
 	return &g.out
 }
@@ -89,7 +91,7 @@
 // live, so its flows are not reset.
 func (g *Gate) checkHeartbeats(now time.Duration) {
 	u := &g.upstream
-	if u.gone() || u.heard == 0 || now-u.heard < missedHeartbeats*g.settings.HeartbeatEvery {
+	if u.down || u.left || u.silent || u.heard == 0 || now-u.heard < missedHeartbeats*g.settings.HeartbeatEvery {
 		return
 	}
 	u.silent = true
@@ -97,25 +99,31 @@
 	g.announce(now)
 }
 
-// gone reports whether the upstream must get no new flow.
-func (u *upstream) gone() bool { return u.down || u.silent || u.left }
-
-// goDown notes that the upstream has certainly ended; its flows have, too.
-func (g *Gate) goDown(now time.Duration, reason string) {
+// goDown notes that the upstream has certainly ended at the time, and its flows
+// with it.
+func (g *Gate) goDown(now, ended time.Duration, reason string) {
 	if g.upstream.down {
 		return
 	}
 	g.upstream.down = true
 	g.note(now, Note{Kind: KindUpstream, Reason: reason + " " + g.upstream.id})
-	g.resetAll(now, reason)
+	g.resetBefore(now, ended, reason)
 	g.announce(now)
 }
 
-// resetAll tells the callers of all flows that they are gone, so that they may
-// ask again at once.
-func (g *Gate) resetAll(now time.Duration, reason string) {
+// resetBefore tells the callers of all flows that began before the time that
+// they are gone, so that they may ask again at once. Of the others the upstream
+// has to tell.
+func (g *Gate) resetBefore(now, ended time.Duration, reason string) {
 	for id, f := range g.flows {
-		if f.state != flowClosed && !f.probing {
+		if f.began >= ended {
+			g.setRunning(f, false)
+			f.probing = true
+			continue
+		}
+		// One that is still opening may have been opened elsewhere by a copy of
+		// its first packet.
+		if f.state == flowOpen && !f.probing {
 			g.note(now, Note{Kind: KindReset, Flow: id, Reason: reason})
 			start := len(g.buffer)
 			g.buffer = platform.AppendReset(g.buffer, id, f.acknowledged)
@@ -132,7 +140,7 @@
 	g.stopping = true
 	g.announce(now)
 	if g.upstream.left {
-		g.goDown(now, "left")
+		g.goDown(now, now, "left")
 	}
 	return &g.out
 }
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -18,19 +18,19 @@
 
 // Kinds of datagrams; their sizes are given without the packet.
 const (
-	// KindOpen carries a packet that opens a flow to an agent (19 bytes).
+	// KindOpen carries a packet that opens a flow to an agent (27 bytes).
 	KindOpen Kind = iota + 1
 	// KindForward carries another packet of a flow to an agent (2 bytes).
 	KindForward
 	// KindAsk asks an agent whether its upstream holds a flow (18 bytes).
 	KindAsk
-	// KindPoll asks an agent for its status (10 bytes).
+	// KindPoll asks an agent for its status (18 bytes).
 	KindPoll
-	// KindStatus tells a balancer how an agent and its upstream are (33 bytes).
+	// KindStatus tells a balancer how an agent and its upstream are (41 bytes).
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (2 bytes).
 	KindReturned
-	// KindAnswer answers KindAsk (14 bytes).
+	// KindAnswer answers KindAsk (22 bytes).
 	KindAnswer
 )
 
@@ -74,9 +74,10 @@
 	ReasonBusy                       // all slots are taken
 	ReasonBounced                    // the upstream returned the packet
 	ReasonUnknown                    // the upstream does not hold the flow
+	ReasonUnsure                     // the same, as VerdictUnsure says it
 )
 
-var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow"}
+var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure"}
 
 // String returns the reason's name in logs and metrics.
 func (r Reason) String() string {
@@ -97,6 +98,10 @@
 	VerdictNone
 	// VerdictMaybe says that the agent can't tell: it began after its upstream.
 	VerdictMaybe
+	// VerdictUnsure says that the upstream does not hold the flow, and that the
+	// agent has only just started: balancers have not told it yet how new their
+	// lists of agents are.
+	VerdictUnsure
 )
 
 // State is that of an agent with its upstream.
@@ -108,9 +113,11 @@
 	StateDraining
 	StateDown
 	StateStopping
+	// StateSilent says that the upstream's heartbeats have stopped: it may live.
+	StateSilent
 )
 
-var stateNames = [...]string{"none", "ready", "draining", "down", "stopping"}
+var stateNames = [...]string{"none", "ready", "draining", "down", "stopping", "silent"}
 
 // String returns the state's name in logs and metrics.
 func (s State) String() string {
@@ -127,8 +134,22 @@
 	Hops uint8
 	// Service is the ServiceID that the packet is meant for.
 	Service uint64
-	// Version is that of the configuration that the balancer decided by.
+	// Known is what the balancer decided by.
+	Known Known
+}
+
+// Known tells how new the beliefs of a process are. Agents pass on the newest
+// that they hear of, so that a balancer learns that it has fallen behind.
+type Known struct {
+	// Version is that of the configuration.
 	Version uint64
+	// Listing is the store's revision of the newest entry of an agent.
+	Listing uint64
+}
+
+// Max returns the newer of both in each part.
+func (k Known) Max(o Known) Known {
+	return Known{Version: max(k.Version, o.Version), Listing: max(k.Listing, o.Listing)}
 }
 
 // Status is how an agent and its upstream are.
@@ -136,9 +157,8 @@
 	State State
 	// Incarnation is that of the agent's process.
 	Incarnation uint64
-	// Version is the highest version of the configuration that the agent has
-	// heard of.
-	Version uint64
+	// Known is the newest that the agent has heard of.
+	Known Known
 	// Running counts the requests that the upstream has not answered.
 	Running uint16
 	// Slots is the number of requests that the upstream works on at once.
@@ -158,14 +178,15 @@
 
 // Sizes of the fixed parts in bytes.
 const (
-	openSize     = 3 + 8 + 8
+	openSize     = 3 + 8 + knownSize
+	knownSize    = 8 + 8
 	forwardSize  = 2
 	flowSize     = 4 + 4 + 2 + 2
 	askSize      = 2 + flowSize + 4
-	pollSize     = 2 + 8
-	statusSize   = 2 + 8 + 8 + 2 + 2 + 4 + 4 + 2 + 1
+	pollSize     = 2 + knownSize
+	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1
 	returnedSize = 2
-	answerSize   = 2 + flowSize
+	answerSize   = 2 + flowSize + 8
 
 	// MaxSize is the size of the largest datagram.
 	MaxSize = openSize + platform.MaxPacketSize
@@ -186,7 +207,7 @@
 func AppendOpen(b []byte, o Open, packet []byte) []byte {
 	b = append(b, byte(KindOpen), byte(o.Flags), o.Hops)
 	b = binary.BigEndian.AppendUint64(b, o.Service)
-	b = binary.BigEndian.AppendUint64(b, o.Version)
+	b = appendKnown(b, o.Known)
 	return append(b, packet...)
 }
 
@@ -197,7 +218,7 @@
 	}
 	o = Open{
 		Flags: Flags(b[1]), Hops: b[2],
-		Service: binary.BigEndian.Uint64(b[3:]), Version: binary.BigEndian.Uint64(b[11:]),
+		Service: binary.BigEndian.Uint64(b[3:]), Known: parseKnown(b[11:]),
 	}
 	return o, b[openSize:], nil
 }
@@ -232,23 +253,23 @@
 }
 
 // AppendPoll appends a datagram of KindPoll.
-func AppendPoll(b []byte, flags Flags, version uint64) []byte {
-	return binary.BigEndian.AppendUint64(append(b, byte(KindPoll), byte(flags)), version)
+func AppendPoll(b []byte, flags Flags, known Known) []byte {
+	return appendKnown(append(b, byte(KindPoll), byte(flags)), known)
 }
 
 // ParsePoll reads a datagram of KindPoll.
-func ParsePoll(b []byte) (flags Flags, version uint64, err error) {
+func ParsePoll(b []byte) (flags Flags, known Known, err error) {
 	if len(b) != pollSize || KindOf(b) != KindPoll {
-		return 0, 0, ErrDatagram
+		return 0, Known{}, ErrDatagram
 	}
-	return Flags(b[1]), binary.BigEndian.Uint64(b[2:]), nil
+	return Flags(b[1]), parseKnown(b[2:]), nil
 }
 
 // AppendStatus appends a datagram of KindStatus.
 func AppendStatus(b []byte, s Status) []byte {
 	b = append(b, byte(KindStatus), byte(s.State))
 	b = binary.BigEndian.AppendUint64(b, s.Incarnation)
-	b = binary.BigEndian.AppendUint64(b, s.Version)
+	b = appendKnown(b, s.Known)
 	b = binary.BigEndian.AppendUint16(b, s.Running)
 	b = binary.BigEndian.AppendUint16(b, s.Slots)
 	b = binary.BigEndian.AppendUint32(b, s.Flows)
@@ -269,13 +290,13 @@
 	return Status{
 		State:       State(b[1]),
 		Incarnation: binary.BigEndian.Uint64(b[2:]),
-		Version:     binary.BigEndian.Uint64(b[10:]),
-		Running:     binary.BigEndian.Uint16(b[18:]),
-		Slots:       binary.BigEndian.Uint16(b[20:]),
-		Flows:       binary.BigEndian.Uint32(b[22:]),
-		Latency:     time.Duration(binary.BigEndian.Uint32(b[26:])) * time.Millisecond,
-		Balancers:   binary.BigEndian.Uint16(b[30:]),
-		Cold:        b[32] != 0,
+		Known:       parseKnown(b[10:]),
+		Running:     binary.BigEndian.Uint16(b[26:]),
+		Slots:       binary.BigEndian.Uint16(b[28:]),
+		Flows:       binary.BigEndian.Uint32(b[30:]),
+		Latency:     time.Duration(binary.BigEndian.Uint32(b[34:])) * time.Millisecond,
+		Balancers:   binary.BigEndian.Uint16(b[38:]),
+		Cold:        b[40] != 0,
 	}, nil
 }
 
@@ -292,17 +313,29 @@
 	return Reason(b[1]), b[returnedSize:], nil
 }
 
-// AppendAnswer appends a datagram of KindAnswer.
-func AppendAnswer(b []byte, verdict Verdict, flow platform.Flow) []byte {
-	return appendFlow(append(b, byte(KindAnswer), byte(verdict)), flow)
+// AppendAnswer appends a datagram of KindAnswer. The listing is the newest that
+// the agent has heard of: a balancer that knows an older one may lack the agent
+// that holds the flow.
+func AppendAnswer(b []byte, verdict Verdict, flow platform.Flow, listing uint64) []byte {
+	b = appendFlow(append(b, byte(KindAnswer), byte(verdict)), flow)
+	return binary.BigEndian.AppendUint64(b, listing)
 }
 
 // ParseAnswer reads a datagram of KindAnswer.
-func ParseAnswer(b []byte) (Verdict, platform.Flow, error) {
+func ParseAnswer(b []byte) (verdict Verdict, flow platform.Flow, listing uint64, err error) {
 	if len(b) != answerSize || KindOf(b) != KindAnswer {
-		return 0, platform.Flow{}, ErrDatagram
+		return 0, platform.Flow{}, 0, ErrDatagram
 	}
-	return Verdict(b[1]), parseFlow(b[2:]), nil
+	return Verdict(b[1]), parseFlow(b[2:]), binary.BigEndian.Uint64(b[2+flowSize:]), nil
+}
+
+func appendKnown(b []byte, k Known) []byte {
+	b = binary.BigEndian.AppendUint64(b, k.Version)
+	return binary.BigEndian.AppendUint64(b, k.Listing)
+}
+
+func parseKnown(b []byte) Known {
+	return Known{Version: binary.BigEndian.Uint64(b), Listing: binary.BigEndian.Uint64(b[8:])}
 }
 
 func appendFlow(b []byte, f platform.Flow) []byte {
--- a/internal/packetface/registry/entry.go
+++ b/internal/packetface/registry/entry.go
@@ -59,6 +59,6 @@
 		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %s", strings.TrimPrefix(key, agentPrefix))
 	}
 	return steer.Agent{
-		Addr: e.Addr, Service: inner.ServiceID(e.Service), DataCentre: e.DataCentre, Slots: max(e.Slots, 0),
+		Addr: e.Addr, Service: inner.ServiceID(e.Service), DataCentre: e.DataCentre, Slots: max(e.Slots, 0), Incarnation: e.Incarnation,
 	}, nil
 }
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -16,6 +16,8 @@
 	// store's revision of it.
 	Config         []byte
 	ConfigRevision uint64
+	// AgentsRevision is the revision of the newest entry of an agent.
+	AgentsRevision uint64
 }
 
 // NewListing returns a Listing of all keys that a reading showed.
@@ -42,6 +44,7 @@
 				continue
 			}
 			l.agents[change.Key] = agent
+			l.AgentsRevision = max(l.AgentsRevision, change.Revision)
 		}
 	}
 	return unreadable
--- a/internal/packetface/registry/publish.go
+++ b/internal/packetface/registry/publish.go
@@ -23,13 +23,17 @@
 	// Clock returns the time since the start of the process.
 	Clock func() time.Duration
 
+	// Listed is called when the store has begun to list the entry.
+	Listed func()
+
 	publisher *Publisher
 	wants     chan *Entry
 	hints     chan struct{}
 	failing   bool
 }
 
-// NewAgent returns the keeper of the entry at the entry's address.
+// NewAgent returns the keeper of the entry at the entry's address; set Listed
+// before Run.
 func NewAgent(s *platform.Store, log *slog.Logger, clock func() time.Duration, self Entry) *Agent {
 	return &Agent{
 		Store: s, Log: log, Clock: clock, publisher: NewPublisher(agentKey(self.Addr)),
@@ -115,6 +119,9 @@
 		a.publisher.Renewed(err, sent)
 	}
 	a.tell(step, listed, err)
+	if !listed && a.publisher.Listed() {
+		a.Listed()
+	}
 	return err
 }
 
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -30,6 +30,10 @@
 	// stopLinger is the least time that an agent carries on with its upstream's
 	// flows, so that balancers have heard that it stops.
 	stopLinger = 200 * time.Millisecond
+	// settleTime is the time after the entry was listed after which balancers
+	// have told the agent how new their lists are: they pause for 150 ms between
+	// watches.
+	settleTime = 250 * time.Millisecond
 	// leaveTime bounds the removal of the entry at the end.
 	leaveTime = 500 * time.Millisecond
 )
@@ -102,6 +106,7 @@
 		return errors.Wrap(err, "role: listen for heartbeats")
 	}
 	a.registry = registry.NewAgent(platform.NewStore(a.env.Host.Store), logging.Part(a.env.Logger, "registry"), a.clock, a.entry())
+	a.registry.Listed = a.listed
 	go a.registry.Run(ctx)
 	go http.Serve(listener, platform.HeartbeatHandler(a)) // ends with the process
 	go receive(a.balancers, inner.MaxSize+1, a.fromBalancer)
@@ -119,6 +124,15 @@
 	}
 }
 
+// listed lets the agent count as settled a little later.
+func (a *agent) listed() {
+	time.AfterFunc(settleTime, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.core.SetSettled()
+	})
+}
+
 func (a *agent) fromBalancer(from netip.AddrPort, datagram []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -14,6 +14,8 @@
 	Service    uint64
 	DataCentre string
 	Slots      int
+	// Incarnation is that of the agent's process.
+	Incarnation uint64
 }
 
 // Times of the observation of agents.
@@ -100,6 +102,9 @@
 	list      []*agent
 	// first is when the first list came, 0 for not yet.
 	first time.Duration
+	// listing is the store's revision of the newest entry, newest the highest
+	// that an agent has told of.
+	listing, newest uint64
 }
 
 func newRoster() roster {
@@ -120,18 +125,24 @@
 	r.list = slices.DeleteFunc(r.list, same)
 }
 
-// SetAgents takes over a list of agents as the store has it. An agent that is
-// missing stays while it answers: the list may be wrong, the agent knows.
-func (c *Core) SetAgents(now time.Duration, listed []Agent) *Result {
+// SetAgents takes over a list of agents as the store has it, with the revision
+// of its newest entry. An agent that is missing stays while it answers: the list
+// may be wrong, the agent knows.
+func (c *Core) SetAgents(now time.Duration, listed []Agent, revision uint64) *Result {
 	c.begin()
+	c.roster.listing = max(c.roster.listing, revision)
 	if c.roster.first == 0 {
 		c.roster.first = now
 	}
 	seen := make(map[netip.AddrPort]bool, len(listed))
+	grown := make(map[uint64]bool)
 	for _, entry := range listed {
 		seen[entry.Addr] = true
-		c.list(now, entry)
+		if c.list(entry) {
+			grown[entry.Service] = true
+		}
 	}
+	c.tellSiblings(now, grown)
 	for _, a := range c.roster.list {
 		if !seen[a.Addr] && a.unlisted == 0 {
 			a.unlisted = now
@@ -141,8 +152,9 @@
 	return &c.out
 }
 
-// list takes over one entry.
-func (c *Core) list(now time.Duration, entry Agent) {
+// list takes over one entry; it reports whether the agent, or its process, is
+// new.
+func (c *Core) list(entry Agent) bool {
 	a := c.roster.agents[entry.Addr]
 	if a != nil && a.Service != entry.Service {
 		c.roster.remove(a) // the address belongs to another service now
@@ -153,10 +165,22 @@
 		a = &agent{Agent: entry}
 		c.roster.add(a)
 		c.note(Note{Kind: KindListed, Agent: a.Addr, Reason: entry.DataCentre})
-		c.poll(now, a)
-		return
+		return true
 	}
+	restarted := a.Incarnation != entry.Incarnation
 	a.Agent, a.unlisted = entry, 0
+	return restarted
+}
+
+// tellSiblings polls all agents of the services that have new ones. They then
+// know of the newer list before the first flow is placed there, and balancers
+// that lack the new agent hear from them that they do.
+func (c *Core) tellSiblings(now time.Duration, grown map[uint64]bool) {
+	for _, a := range c.roster.list {
+		if grown[a.Service] {
+			c.poll(now, a)
+		}
+	}
 }
 
 func (c *Core) poll(now time.Duration, a *agent) {
@@ -164,13 +188,9 @@
 	if a.unlisted != 0 {
 		flags |= inner.FlagUnlisted
 	}
-	version := uint64(0)
-	if c.table != nil {
-		version = c.table.Version
-	}
 	a.asked(now)
 	start := len(c.buffer)
-	c.buffer = inner.AppendPoll(c.buffer, flags, version)
+	c.buffer = inner.AppendPoll(c.buffer, flags, c.known())
 	c.send(a.Addr, start)
 }
 
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -44,6 +44,8 @@
 	staged, round, last time.Duration
 	packets             [][]byte
 	acknowledged        uint32
+	// listing is the newest list of agents that the asked ones know of.
+	listing             uint64
 	asked               map[*agent]bool
 	none, maybe, probed map[*agent]bool
 }
@@ -131,10 +133,11 @@
 
 // answer takes the answer of an agent.
 func (c *Core) answer(now time.Duration, a *agent, b []byte) error {
-	verdict, id, err := inner.ParseAnswer(b)
+	verdict, id, listing, err := inner.ParseAnswer(b)
 	if err != nil {
 		return err
 	}
+	c.hearKnown(now, a, inner.Known{Listing: listing})
 	if q := c.asks[id]; q != nil {
 		c.answered(now, id, q, a, verdict)
 	}
@@ -199,7 +202,7 @@
 		c.probe(now, q)
 		return
 	}
-	if !c.certain(now, q) {
+	if !c.certain(now, id, q) {
 		return
 	}
 	delete(c.asks, id)
@@ -208,9 +211,13 @@
 }
 
 // certain reports whether every agent that may hold a flow has said that it
-// does not.
-func (c *Core) certain(now time.Duration, q *ask) bool {
-	if c.roster.first == 0 || now-c.roster.first < settleTime {
+// does not. A list that is older than one that an agent has heard of may lack
+// the agent that does, and so may one without any agent of the route.
+func (c *Core) certain(now time.Duration, id platform.Flow, q *ask) bool {
+	if c.roster.first == 0 || now-c.roster.first < settleTime || c.roster.newest > c.roster.listing {
+		return false
+	}
+	if route := c.route(id); route != nil && !c.roster.serves(route.Services) {
 		return false
 	}
 	for _, a := range c.roster.list {
@@ -221,6 +228,16 @@
 	return true
 }
 
+// serves reports whether each of the services has an agent.
+func (r *roster) serves(services []uint64) bool {
+	for _, service := range services {
+		if len(r.byService[service]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) probe(now time.Duration, q *ask) {
 	for a := range q.maybe {
 		if q.probed[a] || a.removed {
@@ -244,6 +261,8 @@
 			c.askStage(now, id, q)
 		case q.stage == stageEnd && c.stageAnswered(q):
 			c.conclude(now, id, q)
+		case now-q.round > roundTime:
+			c.askAgain(now, id, q)
 		}
 	}
 }
--- a/internal/packetface/steer/choose.go
+++ b/internal/packetface/steer/choose.go
@@ -44,7 +44,7 @@
 
 // takes reports whether the agent may take new flows at all.
 func (a *agent) takes() bool {
-	return a.status.State != inner.StateDown && a.status.State != inner.StateDraining && a.status.State != inner.StateStopping
+	return a.status.State == inner.StateReady || a.statusAt == 0
 }
 
 // last returns the agent that takes a flow when all have returned it: the
@@ -53,7 +53,7 @@
 	var best *agent
 	least := 0.0
 	for _, a := range r.byService[service] {
-		if a.status.State == inner.StateDown || a.suspect(now) {
+		if a.status.State == inner.StateDown || a.status.State == inner.StateSilent || a.suspect(now) {
 			continue
 		}
 		score := a.score(now, s, false)
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -299,7 +299,7 @@
 	start := len(c.buffer)
 	flags |= c.flagsFor(a, now, statusAgeOpen)
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
-		Flags: flags, Hops: uint8(len(f.tried)), Service: service, Version: c.table.Version,
+		Flags: flags, Hops: uint8(len(f.tried)), Service: service, Known: c.known(),
 	}, b)
 	c.send(a.Addr, start)
 }
@@ -406,13 +406,30 @@
 		c.note(Note{Kind: KindState, Agent: a.Addr, Reason: s.State.String()})
 	}
 	a.setStatus(s, now)
-	if c.table != nil && s.Version > c.table.Version && now-c.toldNewer > versionEvery {
-		c.toldNewer = now
-		c.note(Note{Kind: KindNewer, Agent: a.Addr, Count: int(s.Version)})
-	}
+	c.hearKnown(now, a, s.Known)
 	return nil
 }
 
+// known returns how new the balancer's beliefs are.
+func (c *Core) known() inner.Known {
+	k := inner.Known{Listing: c.roster.listing}
+	if c.table != nil {
+		k.Version = c.table.Version
+	}
+	return k
+}
+
+// hearKnown tells of newer beliefs than the balancer's own.
+func (c *Core) hearKnown(now time.Duration, a *agent, heard inner.Known) {
+	c.roster.newest = max(c.roster.newest, heard.Listing)
+	own := c.known()
+	if heard.Max(own) == own || now-c.toldNewer < versionEvery {
+		return
+	}
+	c.toldNewer = now
+	c.note(Note{Kind: KindNewer, Agent: a.Addr, Count: int(heard.Version)})
+}
+
 // returned decides on a packet that an agent gave back.
 func (c *Core) returned(now time.Duration, a *agent, b []byte) error {
 	reason, packet, err := inner.ParseReturned(b)
@@ -429,16 +446,15 @@
 		return nil
 	}
 	if q := c.asks[id]; q != nil && q.probed[a] {
-		c.answered(now, id, q, a, inner.VerdictNone)
+		if reason == inner.ReasonUnknown {
+			c.answered(now, id, q, a, inner.VerdictNone)
+		}
 		return nil
 	}
 	if f := c.flows[id]; f != nil && f.agent == a {
 		delete(c.flows, id)
 	}
 	c.ask(now, id, &p, packet)
-	if q := c.asks[id]; q != nil {
-		c.answered(now, id, q, a, inner.VerdictNone)
-	}
 	return nil
 }
 
