Ask for flows in batches, and tell absence from idleness

The property test found three more resets of living flows: an agent that was idle counted as absent at its first lost answer, an agent counted as settled before any balancer had told it of a newer list, and a flow that was opened anew in an upstream's next life counted as of the life before.

Ruled out: overload of the hosts' processors (0.9% of a core at most).

Change: questions to one agent travel together, at most every 3 ms, and are repeated after 0.1 to 0.8 s, not to suspected agents. Absence counts from the first unanswered request. An agent is settled once a balancer whose list is as new as the agent's own entry has told it so. A conflict on registering is an answer and waits for nothing. An upstream that announced its end holds nothing 200 ms later. The pause after changes grows with the number of balancers.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -100,6 +100,12 @@
 	// missedHeartbeats is the number of heartbeats after whose absence the
 	// upstream counts as gone.
 	missedHeartbeats = 4
+	// settleTime is the age from which on a process without an entry counts as
+	// settled: balancers that use it have polled it several times.
+	settleTime = time.Second
+	// leaveTime is the time after which an upstream that announced its end has
+	// ended.
+	leaveTime = 200 * time.Millisecond
 	// refusals is the number of packets in a row for which no socket was there
 	// after which the upstream counts as gone, refusalTime the least time that
 	// they span.
@@ -135,7 +141,8 @@
 	state flowState
 	// balancer sent the last packet.
 	balancer netip.AddrPort
-	// began is when the flow was first seen, seen when its last packet came.
+	// began is when the upstream last accepted the opening, or else when the flow
+	// was first seen; seen is when its last packet came.
 	began, seen time.Duration
 	// answered tells that the upstream has accepted the opening; accepted is
 	// the sequence of its answer.
@@ -172,8 +179,9 @@
 	// down tells that it is certainly gone, silent that its heartbeats have
 	// stopped: it gets no new flows, those that are open may live.
 	down, silent bool
-	// left tells that it announced its end.
-	left bool
+	// left tells that it announced its end, leftAt when.
+	left   bool
+	leftAt time.Duration
 	// heard is when the last heartbeat came, 0 for never; sequence is its.
 	heard    time.Duration
 	sequence uint64
@@ -199,14 +207,18 @@
 	latency  time.Duration
 	stopping bool
 	unlisted bool
-	// settled tells that balancers have heard of this process.
-	settled bool
+	// listed is the store's revision of this process's entry, 0 while it has
+	// none; aged tells that the process is not young any more.
+	listed uint64
+	aged   bool
 	// balancers holds when each balancer last sent anything, asked when any did.
 	balancers map[netip.AddrPort]time.Duration
 	asked     time.Duration
 	swept     time.Duration
 	out       Result
 	buffer    []byte
+	// questions is reused from call to call.
+	questions []inner.Question
 }
 
 // New returns the Gate of a process that starts now.
@@ -480,20 +492,32 @@
 	return p.Length > 0 && (!f.sentKnown || int32(end-f.sent) > 0)
 }
 
-func (g *Gate) fromAsk(from netip.AddrPort, b []byte) error {
-	_, id, acknowledged, err := inner.ParseAsk(b)
+func (g *Gate) fromAsk(from netip.AddrPort, b []byte) (err error) {
+	g.questions, err = inner.ParseAsk(g.questions[:0], b)
 	if err != nil {
 		return err
 	}
 	start := len(g.buffer)
-	g.buffer = inner.AppendAnswer(g.buffer, g.verdict(id, acknowledged), id, g.known.Listing)
+	g.buffer = inner.AppendAnswerHead(g.buffer, g.known.Listing)
+	for _, q := range g.questions {
+		g.buffer = inner.AppendAnswer(g.buffer, inner.Answer{Flow: q.Flow, Verdict: g.verdict(q.Flow, q.Acknowledged)})
+	}
 	g.sendBuffer(ToBalancer, from, start)
 	return nil
 }
 
-// SetSettled tells that the store has listed this process for long enough for
-// balancers to have told it how new their lists are.
-func (g *Gate) SetSettled() { g.settled = true }
+// SetListed tells the store's revision of this process's entry.
+func (g *Gate) SetListed(revision uint64) { g.listed = revision }
+
+// settled reports whether a balancer whose list is as new as this process's
+// entry has told of it: the process then knows of every agent that was listed
+// before. One without an entry goes by its age.
+func (g *Gate) settled() bool {
+	if g.listed == 0 {
+		return g.aged && g.known.Listing > 0
+	}
+	return g.known.Listing >= g.listed
+}
 
 // verdict says whether the upstream holds a flow.
 func (g *Gate) verdict(id platform.Flow, acknowledged uint32) inner.Verdict {
@@ -511,7 +535,7 @@
 
 // none returns the verdict on a flow that the upstream does not hold.
 func (g *Gate) none() inner.Verdict {
-	if g.settled {
+	if g.settled() {
 		return inner.VerdictNone
 	}
 	return inner.VerdictUnsure
@@ -519,7 +543,7 @@
 
 // unknown is none as the reason for returning a packet.
 func (g *Gate) unknown() inner.Reason {
-	if g.settled {
+	if g.settled() {
 		return inner.ReasonUnknown
 	}
 	return inner.ReasonUnsure
@@ -602,7 +626,7 @@
 		g.tellHeld(f, id)
 	}
 	if p.Flags.Has(platform.FlagSYN) {
-		f.answered, f.accepted = true, p.Sequence
+		f.answered, f.accepted, f.began = true, p.Sequence, now
 	}
 	if p.Length > 0 && f.running {
 		g.setRunning(f, false)
@@ -630,7 +654,8 @@
 		return
 	}
 	start := len(g.buffer)
-	g.buffer = inner.AppendAnswer(g.buffer, inner.VerdictHeld, id, g.known.Listing)
+	g.buffer = inner.AppendAnswerHead(g.buffer, g.known.Listing)
+	g.buffer = inner.AppendAnswer(g.buffer, inner.Answer{Flow: id, Verdict: inner.VerdictHeld})
 	g.sendBuffer(ToBalancer, f.balancer, start)
 }
 
@@ -649,7 +674,8 @@
 // Tick does what is due by time alone.
 func (g *Gate) Tick(now time.Duration) *Result {
 	g.begin()
-	g.checkHeartbeats(now)
+	g.aged = now >= settleTime
+	g.checkUpstream(now)
 	g.release(now)
 	if now-g.swept >= sweepEvery {
 		g.sweep(now)
--- a/internal/packetface/gate/upstream.go
+++ b/internal/packetface/gate/upstream.go
@@ -67,7 +67,7 @@
 	if id != g.upstream.id {
 		return &g.out, true
 	}
-	g.upstream.left, g.upstream.draining = true, true
+	g.upstream.left, g.upstream.leftAt, g.upstream.draining = true, now, true
 	g.note(now, Note{Kind: KindUpstream, Reason: "left " + id})
 	g.announce(now)
 	return &g.out, true
@@ -87,16 +87,22 @@
 	return &g.out
 }
 
-// checkHeartbeats notices an upstream that has fallen silent. It may still
-// live, so its flows are not reset.
-func (g *Gate) checkHeartbeats(now time.Duration) {
+// checkUpstream notices an upstream that has ended as it announced, and one that
+// has fallen silent. The last may still live, so its flows are not reset.
+func (g *Gate) checkUpstream(now time.Duration) {
 	u := &g.upstream
-	if u.down || u.left || u.silent || u.heard == 0 || now-u.heard < missedHeartbeats*g.settings.HeartbeatEvery {
-		return
+	patience := missedHeartbeats * g.settings.HeartbeatEvery
+	switch {
+	case u.down:
+	case u.left:
+		if now-u.leftAt >= leaveTime {
+			g.goDown(now, u.leftAt, "left")
+		}
+	case !u.silent && u.heard != 0 && now-u.heard >= patience:
+		u.silent = true
+		g.note(now, Note{Kind: KindUpstream, Reason: "silent " + u.id})
+		g.announce(now)
 	}
-	u.silent = true
-	g.note(now, Note{Kind: KindUpstream, Reason: "silent " + u.id})
-	g.announce(now)
 }
 
 // goDown notes that the upstream has certainly ended at the time, and its flows
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -22,7 +22,8 @@
 	KindOpen Kind = iota + 1
 	// KindForward carries another packet of a flow to an agent (2 bytes).
 	KindForward
-	// KindAsk asks an agent whether its upstream holds a flow (18 bytes).
+	// KindAsk asks an agent whether its upstream holds some flows (1 byte and 16
+	// bytes a flow).
 	KindAsk
 	// KindPoll asks an agent for its status (18 bytes).
 	KindPoll
@@ -30,7 +31,7 @@
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (2 bytes).
 	KindReturned
-	// KindAnswer answers KindAsk (22 bytes).
+	// KindAnswer answers KindAsk (9 bytes and 13 bytes a flow).
 	KindAnswer
 )
 
@@ -182,11 +183,15 @@
 	knownSize    = 8 + 8
 	forwardSize  = 2
 	flowSize     = 4 + 4 + 2 + 2
-	askSize      = 2 + flowSize + 4
+	questionSize = flowSize + 4
+	verdictSize  = 1 + flowSize
+	answerHead   = 1 + 8
 	pollSize     = 2 + knownSize
 	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1
 	returnedSize = 2
-	answerSize   = 2 + flowSize + 8
+
+	// MaxQuestions is the most flows that one datagram asks for.
+	MaxQuestions = 70
 
 	// MaxSize is the size of the largest datagram.
 	MaxSize = openSize + platform.MaxPacketSize
@@ -236,20 +241,33 @@
 	return Flags(b[1]), b[forwardSize:], nil
 }
 
-// AppendAsk appends a datagram of KindAsk. The count is what the caller has
-// acknowledged: it tells two answers to copies of one opening packet apart.
-func AppendAsk(b []byte, flags Flags, flow platform.Flow, acknowledged uint32) []byte {
-	b = append(b, byte(KindAsk), byte(flags))
-	b = appendFlow(b, flow)
-	return binary.BigEndian.AppendUint32(b, acknowledged)
+// Question asks whether an upstream holds a flow. Acknowledged is what the
+// caller has acknowledged: it tells two answers to copies of one opening packet
+// apart.
+type Question struct {
+	Flow         platform.Flow
+	Acknowledged uint32
 }
 
-// ParseAsk reads a datagram of KindAsk.
-func ParseAsk(b []byte) (flags Flags, flow platform.Flow, acknowledged uint32, err error) {
-	if len(b) != askSize || KindOf(b) != KindAsk {
-		return 0, platform.Flow{}, 0, ErrDatagram
+// AppendAsk appends a datagram of KindAsk with MaxQuestions at most.
+func AppendAsk(b []byte, questions []Question) []byte {
+	b = append(b, byte(KindAsk))
+	for i := range questions {
+		b = appendFlow(b, questions[i].Flow)
+		b = binary.BigEndian.AppendUint32(b, questions[i].Acknowledged)
+	}
+	return b
+}
+
+// ParseAsk reads a datagram of KindAsk and appends its questions.
+func ParseAsk(questions []Question, b []byte) ([]Question, error) {
+	if KindOf(b) != KindAsk || len(b) == 1 || (len(b)-1)%questionSize != 0 {
+		return questions, ErrDatagram
+	}
+	for b = b[1:]; len(b) > 0; b = b[questionSize:] {
+		questions = append(questions, Question{Flow: parseFlow(b), Acknowledged: binary.BigEndian.Uint32(b[flowSize:])})
 	}
-	return Flags(b[1]), parseFlow(b[2:]), binary.BigEndian.Uint32(b[2+flowSize:]), nil
+	return questions, nil
 }
 
 // AppendPoll appends a datagram of KindPoll.
@@ -313,20 +331,34 @@
 	return Reason(b[1]), b[returnedSize:], nil
 }
 
-// AppendAnswer appends a datagram of KindAnswer. The listing is the newest that
-// the agent has heard of: a balancer that knows an older one may lack the agent
-// that holds the flow.
-func AppendAnswer(b []byte, verdict Verdict, flow platform.Flow, listing uint64) []byte {
-	b = appendFlow(append(b, byte(KindAnswer), byte(verdict)), flow)
-	return binary.BigEndian.AppendUint64(b, listing)
+// Answer is an agent's verdict on a flow.
+type Answer struct {
+	Flow    platform.Flow
+	Verdict Verdict
 }
 
-// ParseAnswer reads a datagram of KindAnswer.
-func ParseAnswer(b []byte) (verdict Verdict, flow platform.Flow, listing uint64, err error) {
-	if len(b) != answerSize || KindOf(b) != KindAnswer {
-		return 0, platform.Flow{}, 0, ErrDatagram
+// AppendAnswerHead appends the head of a datagram of KindAnswer; AppendAnswer
+// appends its answers. The listing is the newest that the agent has heard of: a
+// balancer that knows an older one may lack the agent that holds a flow.
+func AppendAnswerHead(b []byte, listing uint64) []byte {
+	return binary.BigEndian.AppendUint64(append(b, byte(KindAnswer)), listing)
+}
+
+// AppendAnswer appends one answer after AppendAnswerHead.
+func AppendAnswer(b []byte, a Answer) []byte {
+	return appendFlow(append(b, byte(a.Verdict)), a.Flow)
+}
+
+// ParseAnswers reads a datagram of KindAnswer and appends its answers.
+func ParseAnswers(answers []Answer, b []byte) (all []Answer, listing uint64, err error) {
+	if KindOf(b) != KindAnswer || len(b) <= answerHead || (len(b)-answerHead)%verdictSize != 0 {
+		return answers, 0, ErrDatagram
+	}
+	listing = binary.BigEndian.Uint64(b[1:])
+	for b = b[answerHead:]; len(b) > 0; b = b[verdictSize:] {
+		answers = append(answers, Answer{Verdict: Verdict(b[0]), Flow: parseFlow(b[1:])})
 	}
-	return Verdict(b[1]), parseFlow(b[2:]), binary.BigEndian.Uint64(b[2+flowSize:]), nil
+	return answers, listing, nil
 }
 
 func appendKnown(b []byte, k Known) []byte {
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -27,9 +27,12 @@
 	// hintAfter is the age of a watch from which on a hint ends it: a younger
 	// one is about to tell the same.
 	hintAfter = 300 * time.Millisecond
-	// watchPause follows each watch that brought changes, so that a storm of
-	// them costs few calls.
-	watchPause = 150 * time.Millisecond
+	// pausePart is the time that each balancer of the fleet adds to the pause
+	// after a watch that brought changes, within pauseLeast and pauseMost: a
+	// storm of changes costs few calls, whatever the size of the fleet.
+	pausePart  = 40 * time.Millisecond
+	pauseLeast = 150 * time.Millisecond
+	pauseMost  = 800 * time.Millisecond
 )
 
 // everything is the prefix of all keys: one watch serves the configuration and
@@ -103,7 +106,8 @@
 	}
 	f.report(f.listing.Apply(changes))
 	f.Changed(f.listing)
-	_ = wait.For(ctx, watchPause) // the caller's loop sees the end of ctx
+	pause := min(max(time.Duration(f.Balancers())*pausePart, pauseLeast), pauseMost)
+	_ = wait.For(ctx, pause) // the caller's loop sees the end of ctx
 	return nil
 }
 
--- a/internal/packetface/registry/publish.go
+++ b/internal/packetface/registry/publish.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/saltbend/saltbend/internal/seed"
+	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -23,8 +26,9 @@
 	// Clock returns the time since the start of the process.
 	Clock func() time.Duration
 
-	// Listed is called when the store has begun to list the entry.
-	Listed func()
+	// Listed is called with the entry's revision when the store has begun to
+	// list it.
+	Listed func(revision uint64)
 
 	publisher *Publisher
 	wants     chan *Entry
@@ -114,13 +118,16 @@
 		w := a.publisher.Write()
 		revision, err = a.Store.Apply(ctx, w)
 		a.publisher.Wrote(w.Value, revision, err)
+		if errors.Is(err, store.ErrConflict) {
+			err = nil // an answer: the key is to be read
+		}
 	case StepRenew:
 		err = a.Store.Renew(ctx, a.publisher.lease.ID)
 		a.publisher.Renewed(err, sent)
 	}
 	a.tell(step, listed, err)
 	if !listed && a.publisher.Listed() {
-		a.Listed()
+		a.Listed(a.publisher.revision)
 	}
 	return err
 }
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -30,13 +30,6 @@
 	// stopLinger is the least time that an agent carries on with its upstream's
 	// flows, so that balancers have heard that it stops.
 	stopLinger = 200 * time.Millisecond
-	// settleTime is the time after the entry was listed after which balancers
-	// have told the agent how new their lists are: they pause for 150 ms between
-	// watches.
-	settleTime = 250 * time.Millisecond
-	// settleAtLatest is the age at which a process settles that has nothing to
-	// list: balancers that use it poll it several times until then.
-	settleAtLatest = time.Second
 	// leaveTime bounds the removal of the entry at the end.
 	leaveTime = 500 * time.Millisecond
 )
@@ -110,7 +103,6 @@
 	}
 	a.registry = registry.NewAgent(platform.NewStore(a.env.Host.Store), logging.Part(a.env.Logger, "registry"), a.clock, a.entry())
 	a.registry.Listed = a.listed
-	a.settleAfter(settleAtLatest)
 	go a.registry.Run(ctx)
 	go http.Serve(listener, platform.HeartbeatHandler(a)) // ends with the process
 	go receive(a.balancers, inner.MaxSize+1, a.fromBalancer)
@@ -128,15 +120,11 @@
 	}
 }
 
-// listed lets the agent count as settled a little later.
-func (a *agent) listed() { a.settleAfter(settleTime) }
-
-func (a *agent) settleAfter(d time.Duration) {
-	time.AfterFunc(d, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.core.SetSettled()
-	})
+// listed tells the core which revision the entry has.
+func (a *agent) listed(revision uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.SetListed(revision)
 }
 
 func (a *agent) fromBalancer(from netip.AddrPort, datagram []byte) {
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -60,8 +60,6 @@
 	// heard is when the last datagram came from it, 0 for never; statusAt when
 	// the last status came.
 	heard, statusAt time.Duration
-	// listed is when the store first showed it.
-	listed time.Duration
 	// waiting is when the first request went out that is not answered yet, 0
 	// for none; unanswered counts those requests, lastAsk is the latest.
 	waiting, lastAsk time.Duration
@@ -69,6 +67,8 @@
 	suspected        bool
 	// pending counts the flows placed since the last status.
 	pending int
+	// questions are those that wait to be sent.
+	questions []inner.Question
 	// unlisted is since when the store does not list it, 0 if it does.
 	unlisted time.Duration
 	removed  bool
@@ -107,8 +107,8 @@
 	return a.waiting != 0 && now-a.waiting > suspectAfter && a.unanswered >= suspectAsks
 }
 
-// absent reports whether the agent has been silent for so long that its flows
-// stand still.
+// absent reports whether the agent has left requests unanswered for so long that
+// its flows stand still.
 func (a *agent) absent(now, after time.Duration) bool {
 	if after <= 0 || !a.suspect(now) {
 		return false
@@ -116,7 +116,7 @@
 	if a.status.State == inner.StateStopping {
 		after = max(after, restartTime)
 	}
-	return now-max(a.heard, a.listed) > after
+	return now-a.waiting > after
 }
 
 // roster holds all agents.
@@ -162,7 +162,7 @@
 	grown := make(map[uint64]bool)
 	for _, entry := range listed {
 		seen[entry.Addr] = true
-		if c.list(now, entry) {
+		if c.list(entry) {
 			grown[entry.Service] = true
 		}
 	}
@@ -178,7 +178,7 @@
 
 // list takes over one entry; it reports whether the agent, or its process, is
 // new.
-func (c *Core) list(now time.Duration, entry Agent) bool {
+func (c *Core) list(entry Agent) bool {
 	a := c.roster.agents[entry.Addr]
 	if a != nil && a.Service != entry.Service {
 		c.roster.remove(a) // the address belongs to another service now
@@ -186,7 +186,7 @@
 		a = nil
 	}
 	if a == nil {
-		a = &agent{Agent: entry, listed: now}
+		a = &agent{Agent: entry}
 		c.roster.add(a)
 		c.note(Note{Kind: KindListed, Agent: a.Addr, Reason: entry.DataCentre})
 		return true
@@ -252,7 +252,7 @@
 		return since > unlistedPoll
 	case a.waiting == 0:
 		return false
-	case now-max(a.heard, a.listed) > absentPolls:
+	case now-a.waiting > absentPolls:
 		return since > askAbsent
 	}
 	return since > askAgain
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -14,8 +14,11 @@
 	// is asked; an answer from another data centre takes about 3 ms.
 	stageTime = 8 * time.Millisecond
 	// roundTime is the time after which agents without an answer are asked
-	// again, if the caller has sent again.
+	// again; it doubles up to roundMost.
 	roundTime = 100 * time.Millisecond
+	roundMost = 800 * time.Millisecond
+	// flushEvery is the least time between two batches of questions.
+	flushEvery = 3 * time.Millisecond
 	// askTime is how long an ask without a new packet is kept.
 	askTime = 2500 * time.Millisecond
 	// maxHeldPackets bounds the packets kept for one flow: a caller has at most
@@ -42,6 +45,7 @@
 	// staged is when the stage began, round when agents were last asked, last
 	// when the caller's last packet came.
 	staged, round, last time.Duration
+	rounds              int
 	packets             [][]byte
 	acknowledged        uint32
 	// listing is the newest list of agents that the asked ones know of.
@@ -68,7 +72,7 @@
 		return
 	}
 	c.hold(q, now, p, b)
-	if now-q.round > roundTime {
+	if q.roundDue(now) {
 		c.askAgain(now, id, q)
 	}
 }
@@ -87,7 +91,7 @@
 		sent := 0
 		for _, a := range c.roster.list {
 			if !q.asked[a] && c.stageOf(id, a) == q.stage && len(q.asked) < maxAsked {
-				c.sendAsk(now, id, q, a)
+				c.sendAsk(id, q, a)
 				sent++
 			}
 		}
@@ -110,41 +114,71 @@
 	return stageRoute
 }
 
-func (c *Core) sendAsk(now time.Duration, id platform.Flow, q *ask, a *agent) {
+// sendAsk queues a question to an agent.
+func (c *Core) sendAsk(id platform.Flow, q *ask, a *agent) {
 	q.asked[a] = true
-	start := len(c.buffer)
-	c.buffer = inner.AppendAsk(c.buffer, 0, id, q.acknowledged)
-	a.asked(now)
-	c.send(a.Addr, start)
+	if len(a.questions) == 0 {
+		c.questioned = append(c.questioned, a)
+	}
+	a.questions = append(a.questions, inner.Question{Flow: id, Acknowledged: q.acknowledged})
+}
+
+// flushAsks sends all questions, those to one agent together. The first goes at
+// once, what comes soon after it waits a little for more.
+func (c *Core) flushAsks(now time.Duration) {
+	if len(c.questioned) == 0 || now-c.flushed < flushEvery {
+		return
+	}
+	c.flushed = now
+	for _, a := range c.questioned {
+		for part := range slices.Chunk(a.questions, inner.MaxQuestions) {
+			start := len(c.buffer)
+			c.buffer = inner.AppendAsk(c.buffer, part)
+			a.asked(now)
+			c.send(a.Addr, start)
+		}
+		a.questions = a.questions[:0]
+	}
+	c.questioned = c.questioned[:0]
 }
 
 // askAgain repeats the question to agents that have not answered, and probes
-// once more those that can't tell.
+// once more those that can't tell. Each time it waits for longer.
 func (c *Core) askAgain(now time.Duration, id platform.Flow, q *ask) {
 	q.round = now
+	q.rounds++
 	for _, a := range c.roster.list {
-		if q.asked[a] && !q.none[a] && !q.maybe[a] {
-			c.sendAsk(now, id, q, a)
+		if q.asked[a] && !q.none[a] && !q.maybe[a] && !a.suspect(now) {
+			c.sendAsk(id, q, a)
 		}
 	}
 	clear(q.probed)
 	c.progress(now, id, q)
 }
 
-// answer takes the answer of an agent.
-func (c *Core) answer(now time.Duration, a *agent, b []byte) error {
-	verdict, id, listing, err := inner.ParseAnswer(b)
+// roundDue reports whether agents without an answer are to be asked again.
+func (q *ask) roundDue(now time.Duration) bool {
+	return now-q.round > min(roundTime<<q.rounds, roundMost)
+}
+
+// answers takes the answers of an agent.
+func (c *Core) answers(now time.Duration, a *agent, b []byte) error {
+	answers, listing, err := inner.ParseAnswers(c.answered[:0], b)
 	if err != nil {
 		return err
 	}
+	c.answered = answers
 	c.hearKnown(now, a, inner.Known{Listing: listing})
-	if q := c.asks[id]; q != nil {
-		c.answered(now, id, q, a, verdict)
+	for _, answer := range answers {
+		if q := c.asks[answer.Flow]; q != nil {
+			c.take(now, answer.Flow, q, a, answer.Verdict)
+		}
 	}
 	return nil
 }
 
-func (c *Core) answered(now time.Duration, id platform.Flow, q *ask, a *agent, verdict inner.Verdict) {
+// take takes an agent's verdict on a flow.
+func (c *Core) take(now time.Duration, id platform.Flow, q *ask, a *agent, verdict inner.Verdict) {
 	switch verdict {
 	case inner.VerdictHeld:
 		c.found(now, id, q, a)
@@ -234,6 +268,19 @@
 	return absent*absentPart <= len(c.roster.list)
 }
 
+// doubt returns what kept a flow from being reset, for the log.
+func (c *Core) doubt(now time.Duration, id platform.Flow, q *ask) string {
+	switch {
+	case c.roster.newest > c.roster.listing:
+		return "list-outdated"
+	case !c.stageAnswered(now, id, q):
+		return "agents-silent"
+	case len(q.maybe) > 0:
+		return "agents-cannot-tell"
+	}
+	return "agents-unsure"
+}
+
 // mayPassOver reports whether an agent need not be asked, as it is absent: a
 // flow that it may hold stands still, and its caller can repeat its requests.
 func (c *Core) mayPassOver(now time.Duration, id platform.Flow, a *agent) bool {
@@ -268,13 +315,13 @@
 		switch {
 		case now-q.last > askTime:
 			delete(c.asks, id)
-			c.note(Note{Kind: KindDropped, Flow: id, Reason: "owner-not-found", Count: len(q.asked) - len(q.none)})
+			c.note(Note{Kind: KindDropped, Flow: id, Reason: "owner-not-found-" + c.doubt(now, id, q), Count: len(q.asked) - len(q.none)})
 		case q.stage < stageEnd && now-q.staged > stageTime:
 			q.stage++
 			c.askStage(now, id, q)
 		case q.stage == stageEnd && c.stageAnswered(now, id, q):
 			c.conclude(now, id, q)
-		case now-q.round > roundTime:
+		case q.roundDue(now):
 			c.askAgain(now, id, q)
 		}
 	}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -132,8 +132,14 @@
 	dead       map[platform.Flow]time.Duration
 	swept      time.Duration
 	toldNewer  time.Duration
+	// questioned are the agents with questions to be sent, flushed is when the
+	// last were.
+	questioned []*agent
+	flushed    time.Duration
 	out        Result
 	buffer     []byte
+	// answered is reused from call to call.
+	answered []inner.Answer
 }
 
 // New returns a Core without routes and agents.
@@ -221,6 +227,7 @@
 	} else {
 		c.carry(now, id, &p, b)
 	}
+	c.flushAsks(now)
 	return &c.out, nil
 }
 
@@ -389,15 +396,21 @@
 	if a.hear(now) {
 		c.note(Note{Kind: KindRecovered, Agent: from})
 	}
+	err := c.fromAgent(now, a, b)
+	c.flushAsks(now)
+	return &c.out, err
+}
+
+func (c *Core) fromAgent(now time.Duration, a *agent, b []byte) error {
 	switch inner.KindOf(b) {
 	case inner.KindStatus:
-		return &c.out, c.status(now, a, b)
+		return c.status(now, a, b)
 	case inner.KindReturned:
-		return &c.out, c.returned(now, a, b)
+		return c.returned(now, a, b)
 	case inner.KindAnswer:
-		return &c.out, c.answer(now, a, b)
+		return c.answers(now, a, b)
 	}
-	return &c.out, inner.ErrDatagram
+	return inner.ErrDatagram
 }
 
 func (c *Core) status(now time.Duration, a *agent, b []byte) error {
@@ -450,7 +463,7 @@
 	}
 	if q := c.asks[id]; q != nil && q.probed[a] {
 		if reason == inner.ReasonUnknown {
-			c.answered(now, id, q, a, inner.VerdictNone)
+			c.take(now, id, q, a, inner.VerdictNone)
 		}
 		return nil
 	}
@@ -484,6 +497,7 @@
 func (c *Core) Tick(now time.Duration) *Result {
 	c.begin()
 	c.tickAsks(now)
+	c.flushAsks(now)
 	c.tickAgents(now)
 	if now-c.swept >= sweepEvery {
 		c.sweep(now)
