Test the packet face: pure parts, store client, and real processes

Change: test/packetplatform stands in for the platform's store, upstreams and callers on its formats, sharing no code with platform/. A balancer's tick comes soon after a question is queued, not up to 50 ms later.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 test: unit integration ## run every test
 
 unit: ## unit, property and fuzz-seed tests under the race detector
-	$(GO) test -race -timeout 5m $${SKIP:+-skip "$$SKIP"} ./internal/... ./cmd/...
+	$(GO) test -race -timeout 5m $${SKIP:+-skip "$$SKIP"} ./internal/... ./cmd/... ./platform
 
 integration: ## tests of the stand-ins, and with real processes on loopback
 	$(GO) test $${SKIP:+-skip "$$SKIP"} $$($(GO) list ./test/... | grep -v /test/integration)
@@ -46,6 +46,6 @@
 	bash spec/check.sh
 
 lint: ## gofmt, vet and staticcheck
-	@unformatted=$$(gofmt -l cmd internal test); test -z "$$unformatted" || { echo "gofmt: $$unformatted"; exit 1; }
+	@unformatted=$$(gofmt -l cmd internal platform test); test -z "$$unformatted" || { echo "gofmt: $$unformatted"; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/packetface/inner/inner_test.go
@@ -0,0 +1,114 @@
+package inner_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+func drawFlow(t *rapid.T) platform.Flow {
+	return platform.Flow{
+		Caller:     [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "caller")),
+		Face:       [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "face")),
+		CallerPort: rapid.Uint16().Draw(t, "callerPort"), FacePort: rapid.Uint16().Draw(t, "facePort"),
+	}
+}
+
+func drawKnown(t *rapid.T) inner.Known {
+	return inner.Known{Version: rapid.Uint64().Draw(t, "version"), Listing: rapid.Uint64().Draw(t, "listing")}
+}
+
+func TestDatagramsKeepWhatTheyCarry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		packet := rapid.SliceOfN(rapid.Byte(), 0, platform.MaxPacketSize).Draw(t, "packet")
+		flags := inner.Flags(rapid.Byte().Draw(t, "flags"))
+
+		open := inner.Open{Flags: flags, Hops: rapid.Byte().Draw(t, "hops"), Service: rapid.Uint64().Draw(t, "service"), Known: drawKnown(t)}
+		b := inner.AppendOpen(nil, open, packet)
+		g.Expect(len(b)).To(BeNumerically("<=", inner.MaxSize))
+		gotOpen, gotPacket, err := inner.ParseOpen(b)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(gotOpen).To(Equal(open))
+		g.Expect(string(gotPacket)).To(Equal(string(packet)))
+
+		gotFlags, gotPacket, err := inner.ParseForward(inner.AppendForward(nil, flags, packet))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(gotFlags).To(Equal(flags))
+		g.Expect(string(gotPacket)).To(Equal(string(packet)))
+
+		known := drawKnown(t)
+		gotFlags, gotKnown, err := inner.ParsePoll(inner.AppendPoll(nil, flags, known))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(gotFlags).To(Equal(flags))
+		g.Expect(gotKnown).To(Equal(known))
+
+		status := inner.Status{
+			State: inner.State(rapid.Byte().Draw(t, "state")), Incarnation: rapid.Uint64().Draw(t, "incarnation"), Known: known,
+			Running: rapid.Uint16().Draw(t, "running"), Slots: rapid.Uint16().Draw(t, "slots"), Flows: rapid.Uint32().Draw(t, "flows"),
+			Latency:   time.Duration(rapid.Uint32().Draw(t, "latency")) * time.Millisecond,
+			Balancers: rapid.Uint16().Draw(t, "balancers"), Cold: rapid.Bool().Draw(t, "cold"),
+		}
+		gotStatus, err := inner.ParseStatus(inner.AppendStatus(nil, status))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(gotStatus).To(Equal(status))
+
+		reason := inner.Reason(rapid.Byte().Draw(t, "reason"))
+		gotReason, gotPacket, err := inner.ParseReturned(inner.AppendReturned(nil, reason, packet))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(gotReason).To(Equal(reason))
+		g.Expect(string(gotPacket)).To(Equal(string(packet)))
+
+		questions := []inner.Question{{Flow: drawFlow(t), Acknowledged: rapid.Uint32().Draw(t, "acknowledged")}, {Flow: drawFlow(t)}}
+		gotQuestions, err := inner.ParseAsk(nil, inner.AppendAsk(nil, questions))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(gotQuestions).To(Equal(questions))
+
+		answer := inner.Answer{Flow: drawFlow(t), Verdict: inner.VerdictMaybe}
+		answers, listing, err := inner.ParseAnswers(nil, inner.AppendAnswer(inner.AppendAnswerHead(nil, known.Listing), answer))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(listing).To(Equal(known.Listing))
+		g.Expect(answers).To(Equal([]inner.Answer{answer}))
+	})
+}
+
+func TestRank(t *testing.T) {
+	g := NewWithT(t)
+	for rank, want := range map[int]uint8{-1: 0, 0: 0, 1: 1, 2: 2, 3: 3, 9: 3} {
+		flags := inner.FlagMust.WithRank(rank)
+		g.Expect(flags.Rank()).To(Equal(want))
+		g.Expect(flags & inner.FlagMust).To(Equal(inner.FlagMust))
+	}
+}
+
+func TestLargestAskFitsADatagram(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(len(inner.AppendAsk(nil, make([]inner.Question, inner.MaxQuestions)))).To(BeNumerically("<=", inner.MaxSize))
+}
+
+// FuzzParse reads any bytes as every kind of datagram: none may panic.
+func FuzzParse(f *testing.F) {
+	f.Add(inner.AppendOpen(nil, inner.Open{}, []byte{1}))
+	f.Add(inner.AppendAsk(nil, make([]inner.Question, 2)))
+	f.Add(inner.AppendStatus(nil, inner.Status{State: inner.StateReady}))
+	f.Add(inner.AppendAnswer(inner.AppendAnswerHead(nil, 1), inner.Answer{}))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, _, _ = inner.ParseOpen(b)
+		_, _, _ = inner.ParseForward(b)
+		_, _, _ = inner.ParsePoll(b)
+		_, _ = inner.ParseStatus(b)
+		_, _, _ = inner.ParseReturned(b)
+		if questions, err := inner.ParseAsk(nil, b); err == nil && len(questions) == 0 {
+			t.Fatal("an ask without questions was taken")
+		}
+		if answers, _, err := inner.ParseAnswers(nil, b); err == nil && len(answers) == 0 {
+			t.Fatal("an answer without verdicts was taken")
+		}
+	})
+}
--- /dev/null
+++ b/internal/packetface/registry/follow_test.go
@@ -0,0 +1,160 @@
+package registry_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/platform"
+	"github.com/saltbend/saltbend/test/packetplatform"
+)
+
+const patience = 20 * time.Second
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// follower keeps what a Follower reports.
+type follower struct {
+	*registry.Follower
+
+	mu      sync.Mutex
+	agents  int
+	config  string
+	reached []bool
+}
+
+func (f *follower) view() (agents int, config string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents, f.config
+}
+
+func (f *follower) sees(agents int, config string) func() bool {
+	return func() bool {
+		a, c := f.view()
+		return a == agents && c == config
+	}
+}
+
+func (f *follower) reachedNow() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.reached) > 0 && f.reached[len(f.reached)-1]
+}
+
+func follow(t *testing.T, fake *packetplatform.Store, balancers int) *follower {
+	f := &follower{Follower: registry.NewFollower(client(fake), quiet)}
+	f.Changed = func(l *registry.Listing) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.agents, f.config = len(l.Agents()), string(l.Config)
+	}
+	f.Reached = func(ok bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.reached = append(f.reached, ok)
+	}
+	f.Balancers = func() int { return balancers }
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f
+}
+
+func client(fake *packetplatform.Store) *platform.Store {
+	return platform.NewStore(netip.MustParseAddrPort(fake.Address()))
+}
+
+func newStore(t *testing.T) *packetplatform.Store {
+	fake := packetplatform.NewStore()
+	t.Cleanup(fake.Close)
+	return fake
+}
+
+// publish keeps an agent's entry.
+func publish(t *testing.T, fake *packetplatform.Store, addr string) (keeper *registry.Agent, entry *registry.Entry) {
+	started := time.Now()
+	entry = &registry.Entry{Addr: netip.MustParseAddrPort(addr), Service: "s", DataCentre: "a", Slots: 3, Upstream: "u", Incarnation: 1}
+	keeper = registry.NewAgent(client(fake), quiet, func() time.Duration { return time.Since(started) + 1 }, *entry)
+	keeper.Listed = func(uint64) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go keeper.Run(ctx)
+	keeper.Want(entry)
+	return keeper, entry
+}
+
+func TestFollowerSeesAgentsAndConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put("op/config", []byte("1"))
+	fake.Put("saltbend/agents/garbage", []byte("{"))
+	fake.Put("servers/other", nil)
+	f := follow(t, fake, 20)
+	keeper, _ := publish(t, fake, "10.0.0.1:1")
+	g.Eventually(f.sees(1, "1"), patience).Should(BeTrue())
+	fake.Put("op/config", []byte("2"))
+	g.Eventually(f.sees(1, "2"), patience).Should(BeTrue())
+	keeper.Want(nil)
+	g.Eventually(f.sees(0, "2"), patience).Should(BeTrue())
+}
+
+func TestFollowerAfterAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	keeper, _ := publish(t, fake, "10.0.0.1:1")
+	f := follow(t, fake, 20)
+	g.Eventually(f.sees(1, ""), patience).Should(BeTrue())
+	fake.Fail(http.StatusServiceUnavailable)
+	g.Eventually(f.reachedNow, patience).Should(BeFalse())
+	fake.Lapse() // the leases run out while nobody reaches the store
+	fake.Put("op/config", []byte("2"))
+	fake.Fail(0)
+	g.Eventually(f.sees(0, "2"), patience).Should(BeTrue())
+	keeper.Hint() // a balancer that misses the entry tells the agent
+	g.Eventually(f.sees(1, "2"), patience).Should(BeTrue())
+	g.Expect(f.reachedNow()).To(BeTrue())
+}
+
+func TestFollowerAfterTheHistoryIsGone(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	f := follow(t, fake, 1)
+	g.Eventually(f.reachedNow, patience).Should(BeTrue())
+	fake.Compact()
+	fake.Put("op/config", []byte("2"))
+	fake.Compact()
+	g.Eventually(f.sees(0, "2"), patience).Should(BeTrue())
+}
+
+// A hint ends a watch that waits, so that a deaf one does no harm, and hints in
+// a row do not keep it from being read.
+func TestFollowerTakesHints(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	f := follow(t, fake, 20) // watches wait for 10 s
+	g.Eventually(f.reachedNow, patience).Should(BeTrue())
+	before := fake.Calls("/kv-range")
+	g.Eventually(func() bool {
+		f.Hint()
+		return fake.Calls("/kv-range") >= before+2
+	}, patience).Should(BeTrue())
+}
+
+func TestAgentIsListedAgainAfterALostAnswer(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.LoseAnswers(1)
+	publish(t, fake, "10.0.0.1:1")
+	g.Eventually(func() []string { return fake.Keys("saltbend/") }, patience).Should(Equal([]string{"saltbend/agents/10.0.0.1:1"}))
+	f := follow(t, fake, 1)
+	g.Eventually(f.sees(1, ""), patience).Should(BeTrue())
+}
--- /dev/null
+++ b/internal/packetface/registry/publisher_test.go
@@ -0,0 +1,100 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/platform"
+)
+
+var entryText = []byte("entry")
+
+// written returns a publisher whose entry is in the store.
+func written(g *WithT) *Publisher {
+	p := NewPublisher("k")
+	p.Want(entryText)
+	g.Expect(p.Next(0)).To(Equal(StepGrant))
+	p.Granted(platform.Lease{ID: 7, TTL: leaseTTL}, 0)
+	g.Expect(p.Next(0)).To(Equal(StepWrite))
+	g.Expect(p.Write()).To(Equal(platform.Write{Key: "k", Value: entryText, Lease: 7}))
+	p.Wrote(entryText, 3, nil)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+	g.Expect(p.Listed()).To(BeTrue())
+	return p
+}
+
+func TestPublisherKeepsItsEntry(t *testing.T) {
+	g := NewWithT(t)
+	p := written(g)
+	g.Expect(p.Due(0)).To(Equal(leaseTTL / renewPart))
+	g.Expect(p.Next(leaseTTL / renewPart)).To(Equal(StepRenew))
+	p.Renewed(nil, leaseTTL/renewPart)
+	g.Expect(p.Next(leaseTTL / renewPart)).To(Equal(StepNone))
+
+	p.Want([]byte("other"))
+	g.Expect(p.Next(0)).To(Equal(StepWrite))
+	g.Expect(p.Write().Expected).To(BeEquivalentTo(3))
+	p.Wrote([]byte("other"), 4, nil)
+	p.Want(nil)
+	g.Expect(p.Next(0)).To(Equal(StepDelete))
+	g.Expect(p.Write()).To(Equal(platform.Write{Key: "k", Expected: 4, Lease: 7, Delete: true}))
+	p.Wrote(nil, 5, nil)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+	g.Expect(p.Listed()).To(BeFalse())
+}
+
+// After whatever may have changed the entry, it is read before it is written.
+func TestPublisherReadsWhenItIsNotSure(t *testing.T) {
+	cases := map[string]func(*Publisher){
+		"another wrote":        func(p *Publisher) { p.Wrote(entryText, 0, errors.Wrap(store.ErrConflict, "apply")) },
+		"the answer was lost":  func(p *Publisher) { p.Wrote(entryText, 0, errors.Wrap(store.ErrOutcomeUnknown, "apply")) },
+		"a hint that it lacks": func(p *Publisher) { p.Hint(time.Second) },
+	}
+	for name, happens := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := written(g)
+			happens(p)
+			g.Expect(p.Listed()).To(BeFalse())
+			g.Expect(p.Next(0)).To(Equal(StepRead))
+			p.Read(platform.Item{}, store.ErrUnavailable)
+			g.Expect(p.Next(0)).To(Equal(StepRead))
+			p.Read(platform.Item{}, errors.Wrap(store.ErrNotFound, "get"))
+			g.Expect(p.Next(0)).To(Equal(StepWrite))
+			g.Expect(p.Write().Expected).To(Equal(store.Create))
+		})
+	}
+}
+
+func TestPublisherTakesOverAnEarlierEntry(t *testing.T) {
+	g := NewWithT(t)
+	p := written(g)
+	p.Wrote(entryText, 0, store.ErrConflict)
+	p.Read(platform.Item{Entry: store.Entry{Key: "k", Value: []byte("old"), Revision: 9}}, nil)
+	g.Expect(p.Next(0)).To(Equal(StepWrite))
+	g.Expect(p.Write().Expected).To(BeEquivalentTo(9))
+}
+
+func TestPublisherBeginsAnewWhenItsLeaseHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	p := written(g)
+	p.Renewed(errors.Wrap(platform.ErrLeaseEnded, "renew"), 0)
+	g.Expect(p.Next(0)).To(Equal(StepGrant))
+	p.Granted(platform.Lease{ID: 8, TTL: leaseTTL}, 0)
+	g.Expect(p.Next(0)).To(Equal(StepRead))
+	p.Read(platform.Item{}, store.ErrNotFound)
+	g.Expect(p.Write().Lease).To(BeEquivalentTo(8))
+}
+
+func TestPublisherKeepsAnEntryThroughAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	p := written(g)
+	p.Renewed(store.ErrUnavailable, time.Minute)
+	g.Expect(p.Next(time.Minute)).To(Equal(StepRenew))
+	p.Renewed(nil, time.Minute)
+	g.Expect(p.Next(time.Minute)).To(Equal(StepNone))
+}
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -125,6 +125,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.SetListed(revision)
+	a.log.Info("Ready.", "revision", revision, "after_ms", a.clock().Milliseconds())
 }
 
 func (a *agent) fromBalancer(from netip.AddrPort, datagram []byte) {
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -49,6 +49,9 @@
 	// writes it.
 	version  uint64
 	revision uint64
+	// soon asks for a tick soon, busy tells that ticks are frequent already.
+	soon     chan struct{}
+	busy     bool
 	ready    atomic.Bool
 	stopping atomic.Bool
 	// lastPacket is when a caller's packet came.
@@ -57,7 +60,7 @@
 
 // RunBalancer serves until the process is told to stop and has finished.
 func RunBalancer(env Env) error {
-	b := &balancer{env: env, log: logging.Part(env.Logger, "packet-balancer"), clock: newClock()}
+	b := &balancer{env: env, log: logging.Part(env.Logger, "packet-balancer"), clock: newClock(), soon: make(chan struct{}, 1)}
 	b.notes = newNotes(b.log, b.clock)
 	b.core = steer.New(steer.Settings{
 		DataCentre: env.Host.DataCentre, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
@@ -143,6 +146,13 @@
 		}
 	}
 	b.notes.balancer(r.Notes)
+	if !b.busy && b.core.Waiting() {
+		b.busy = true
+		select {
+		case b.soon <- struct{}{}:
+		default: // it has been asked already
+		}
+	}
 }
 
 // checkReady lets the routers send packets once some agent can take them.
@@ -159,6 +169,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-b.soon:
+			timer.Reset(tickBusy)
 		case <-timer.C:
 			timer.Reset(b.tickOnce())
 		}
@@ -169,7 +181,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.do(b.core.Tick(b.clock()))
-	if b.core.Waiting() {
+	b.busy = b.core.Waiting()
+	if b.busy {
 		return tickBusy
 	}
 	return tickIdle
--- /dev/null
+++ b/internal/packetface/steer/steer_test.go
@@ -0,0 +1,335 @@
+package steer_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// bench drives one balancer's decisions.
+type bench struct {
+	*WithT
+	core *steer.Core
+	now  time.Duration
+	last *steer.Result
+}
+
+func caller(n int) platform.Flow {
+	return platform.Flow{Caller: [4]byte{100, 64, 0, 1}, CallerPort: uint16(n), Face: [4]byte{198, 18, 0, 1}, FacePort: 443}
+}
+
+func newBench(t *testing.T, agents ...steer.Agent) *bench {
+	b := &bench{WithT: NewWithT(t), now: time.Second}
+	b.core = steer.New(steer.Settings{
+		DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2)), AbsentAfter: steer.DefaultAbsentAfter,
+	})
+	b.core.SetTable(table(), time.Minute)
+	b.core.SetTableFresh(true)
+	b.last = b.core.SetAgents(b.now, agents, 1)
+	return b
+}
+
+// at returns an agent of the service in a data centre.
+func at(n int, dataCentre string) steer.Agent {
+	return steer.Agent{Addr: address(n, 1), Service: inner.ServiceID(service), DataCentre: dataCentre, Slots: 4, Incarnation: 1}
+}
+
+func (b *bench) status(n int, s inner.Status) {
+	if s.State == 0 {
+		s.State = inner.StateReady
+	}
+	s.Slots = 4
+	b.fromAgent(n, inner.AppendStatus(nil, s))
+}
+
+func (b *bench) fromAgent(n int, datagram []byte) {
+	r, err := b.core.FromAgent(b.now, address(n, 1), datagram)
+	b.Expect(err).NotTo(HaveOccurred())
+	b.last = r
+}
+
+func (b *bench) callerSends(id platform.Flow, flags platform.Flags, size int) {
+	r, err := b.core.FromCaller(b.now, packet(id, 1, 77, flags, size))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.last = r
+}
+
+func (b *bench) answer(n int, id platform.Flow, verdict inner.Verdict, listing uint64) {
+	b.fromAgent(n, inner.AppendAnswer(inner.AppendAnswerHead(nil, listing), inner.Answer{Flow: id, Verdict: verdict}))
+}
+
+// sent returns the agents that got a datagram of the kind.
+func (b *bench) sent(kind inner.Kind) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range b.last.Actions {
+		if !a.ToCaller && inner.KindOf(a.Bytes) == kind {
+			out = append(out, a.To)
+		}
+	}
+	return out
+}
+
+func (b *bench) resets() int {
+	n := 0
+	for _, a := range b.last.Actions {
+		if a.ToCaller {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *bench) wait(d time.Duration) {
+	for end := b.now + d; b.now < end; b.now += 5 * time.Millisecond {
+		b.last = b.core.Tick(b.now)
+	}
+}
+
+func TestNewFlowsGoToTheLeastLoadedNearby(t *testing.T) {
+	cases := []struct {
+		name string
+		one  inner.Status
+		two  inner.Status
+		far  inner.Status
+		want int
+	}{
+		{"nearby though a little busier", inner.Status{Running: 1}, inner.Status{Running: 4}, inner.Status{}, 101},
+		{"less busy", inner.Status{Running: 3}, inner.Status{Running: 1}, inner.Status{Running: 3}, 102},
+		{"far, as all nearby are full", inner.Status{Running: 4}, inner.Status{Running: 4}, inner.Status{}, 103},
+		{"warm", inner.Status{Cold: true}, inner.Status{Running: 1}, inner.Status{Running: 4}, 102},
+		{"ready", inner.Status{State: inner.StateDraining}, inner.Status{Running: 3}, inner.Status{State: inner.StateStopping}, 102},
+		{"ready, not silent", inner.Status{State: inner.StateSilent}, inner.Status{State: inner.StateDown}, inner.Status{Running: 4}, 103},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, at(101, "a"), at(102, "a"), at(103, "b"))
+			b.status(101, c.one)
+			b.status(102, c.two)
+			b.status(103, c.far)
+			b.callerSends(caller(1), platform.FlagSYN, 0)
+			b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(c.want, 1)}))
+		})
+	}
+}
+
+func TestAReturnedOpeningGoesToAnother(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "b"))
+	b.status(101, inner.Status{})
+	b.status(102, inner.Status{})
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(101, 1)}))
+	opening := packet(caller(1), 1, 77, platform.FlagSYN, 0)
+	b.fromAgent(101, inner.AppendReturned(nil, inner.ReasonDraining, opening))
+	b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(102, 1)}))
+	b.fromAgent(102, inner.AppendReturned(nil, inner.ReasonBusy, opening))
+	b.Expect(b.sent(inner.KindOpen)).To(HaveLen(1)) // the last try
+	head, _, err := inner.ParseOpen(b.last.Actions[0].Bytes)
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(head.Flags & inner.FlagMust).NotTo(BeZero())
+	last := 101
+	if b.sent(inner.KindOpen)[0] == address(102, 1) {
+		last = 102
+	}
+	b.fromAgent(last, inner.AppendReturned(nil, inner.ReasonBounced, opening))
+	b.Expect(b.resets()).To(Equal(1)) // at once, and true: it has not run
+}
+
+func TestACopyGoesElsewhereOnlyIfTheAgentIsSilent(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "b"))
+	b.status(101, inner.Status{})
+	b.status(102, inner.Status{})
+	b.now += time.Millisecond
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.now += 200 * time.Millisecond
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(102, 1)}))
+	b.status(102, inner.Status{})
+	b.now += 400 * time.Millisecond
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(102, 1)}))
+}
+
+func TestUnknownFacesAreResetOnlyOnFreshKnowledge(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	id := caller(1)
+	id.FacePort = 80
+	b.callerSends(id, platform.FlagSYN, 0)
+	b.Expect(b.resets()).To(Equal(1))
+	b.core.SetTableFresh(false)
+	b.callerSends(id, platform.FlagSYN, 0)
+	b.Expect(b.resets()).To(BeZero())
+}
+
+func TestTheOwnerOfAnUnknownFlowIsAskedFor(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "b"))
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindAsk)).To(Equal([]netip.AddrPort{address(101, 1)})) // the likely one first
+	b.now += 5 * time.Millisecond
+	b.answer(101, caller(1), inner.VerdictNone, 1)
+	b.Expect(b.sent(inner.KindAsk)).To(Equal([]netip.AddrPort{address(102, 1)}))
+	b.answer(102, caller(1), inner.VerdictHeld, 1)
+	b.Expect(b.sent(inner.KindForward)).To(Equal([]netip.AddrPort{address(102, 1)}))
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindForward)).To(Equal([]netip.AddrPort{address(102, 1)}))
+	b.Expect(b.sent(inner.KindAsk)).To(BeEmpty())
+}
+
+func TestASlowAgentDoesNotHoldUpTheSearch(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "b"))
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.now += 10 * time.Millisecond
+	b.last = b.core.Tick(b.now)
+	b.Expect(b.sent(inner.KindAsk)).To(Equal([]netip.AddrPort{address(102, 1)}))
+}
+
+func TestQuestionsToOneAgentTravelTogether(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindAsk)).To(HaveLen(1))
+	b.callerSends(caller(2), platform.FlagACK, 30)
+	b.callerSends(caller(3), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindAsk)).To(BeEmpty())
+	b.now += 5 * time.Millisecond
+	b.last = b.core.Tick(b.now)
+	b.Expect(b.sent(inner.KindAsk)).To(HaveLen(1))
+	questions, err := inner.ParseAsk(nil, b.last.Actions[0].Bytes)
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(questions).To(HaveLen(2))
+}
+
+func TestAFlowThatNobodyHoldsIsReset(t *testing.T) {
+	cases := []struct {
+		name    string
+		verdict inner.Verdict
+		listing uint64
+		age     time.Duration
+		want    int
+	}{
+		{"all say no", inner.VerdictNone, 1, time.Second, 1},
+		{"the balancer has only just started", inner.VerdictNone, 1, 0, 0},
+		{"an agent knows of a newer list", inner.VerdictNone, 2, time.Second, 0},
+		{"an agent has only just started", inner.VerdictUnsure, 1, time.Second, 0},
+		{"an agent can't tell", inner.VerdictMaybe, 1, time.Second, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, at(101, "a"))
+			b.status(101, inner.Status{})
+			b.now += c.age
+			b.callerSends(caller(1), platform.FlagACK, 30)
+			b.answer(101, caller(1), c.verdict, c.listing)
+			b.Expect(b.resets()).To(Equal(c.want))
+			if c.want == 1 { // its sequence is what the caller acknowledged last
+				p, err := platform.ParsePacket(b.last.Actions[0].Bytes)
+				b.Expect(err).NotTo(HaveOccurred())
+				b.Expect(p.Sequence).To(BeEquivalentTo(77))
+				b.callerSends(caller(1), platform.FlagACK, 30)
+				b.Expect(b.resets()).To(Equal(1)) // without asking again
+			}
+		})
+	}
+}
+
+func TestAnAgentThatCannotTellIsProbed(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	b.now += time.Second
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.answer(101, caller(1), inner.VerdictMaybe, 1)
+	b.Expect(b.sent(inner.KindForward)).To(HaveLen(1))
+	b.fromAgent(101, inner.AppendReturned(nil, inner.ReasonUnknown, packet(caller(1), 1, 77, platform.FlagACK, 30)))
+	b.Expect(b.resets()).To(Equal(1))
+}
+
+func TestAnAbsentAgentIsPassedOver(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "a"), at(103, "a"), at(104, "b"))
+	for n := 101; n <= 104; n++ {
+		b.status(n, inner.Status{})
+	}
+	b.now += time.Second
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	for n := 101; n <= 103; n++ {
+		b.answer(n, caller(1), inner.VerdictNone, 1)
+	}
+	b.wait(20 * time.Millisecond)
+	resets := 0
+	for range 300 { // 104 says nothing
+		b.last = b.core.Tick(b.now)
+		resets += b.resets()
+		b.now += 5 * time.Millisecond
+	}
+	b.Expect(resets).To(Equal(1))
+}
+
+func TestFlowsOfAnAbsentAgentGoElsewhere(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "b"), at(103, "b"))
+	for n := 101; n <= 103; n++ {
+		b.status(n, inner.Status{})
+	}
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.status(101, inner.Status{})
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.now += 300 * time.Millisecond
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindForward)).To(Equal([]netip.AddrPort{address(101, 1)}))
+	b.wait(1200 * time.Millisecond) // 101 says nothing
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindForward)).To(BeEmpty())
+	b.wait(20 * time.Millisecond)
+	b.answer(102, caller(1), inner.VerdictNone, 1)
+	b.answer(103, caller(1), inner.VerdictNone, 1)
+	b.Expect(b.resets()).To(Equal(1))
+}
+
+func TestAListedAgentThatAnswersStays(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	b.last = b.core.SetAgents(b.now, nil, 1)
+	for range 20 {
+		b.wait(200 * time.Millisecond)
+		b.status(101, inner.Status{})
+	}
+	b.Expect(b.core.Counts(b.now).Agents).To(Equal(1))
+	b.wait(2500 * time.Millisecond)
+	b.Expect(b.core.Counts(b.now).Agents).To(BeZero())
+}
+
+func TestAReusedAddressIsAnotherAgent(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	reused := at(101, "a")
+	reused.Service = inner.ServiceID("other")
+	b.last = b.core.SetAgents(b.now, []steer.Agent{reused}, 2)
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.Expect(b.sent(inner.KindForward)).To(BeEmpty())
+}
+
+func TestBadPacketsAreRefused(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	_, err := b.core.FromCaller(b.now, []byte("short"))
+	b.Expect(err).To(HaveOccurred())
+	for _, datagram := range [][]byte{nil, {99}, {byte(inner.KindStatus)}, inner.AppendReturned(nil, 1, []byte("short"))} {
+		_, err := b.core.FromAgent(b.now, address(101, 1), datagram)
+		b.Expect(err).To(HaveOccurred())
+	}
+}
+
+func FuzzFromCaller(f *testing.F) {
+	f.Add(packet(caller(1), 1, 0, platform.FlagSYN, 0))
+	f.Add(packet(caller(1), 1, 0, platform.FlagACK, 30))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2))})
+		c.SetTable(table(), time.Minute)
+		_, _ = c.FromCaller(time.Second, b)
+		_, _ = c.FromAgent(time.Second, address(1, 1), b)
+	})
+}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -28,7 +28,8 @@
 // Process is one running process of the fleet.
 type Process struct {
 	Name string
-	// LogPath is the file with what the process wrote to standard error.
+	// LogPath is the file with what the process wrote to standard error and
+	// standard output.
 	LogPath string
 
 	cmd   *exec.Cmd
@@ -50,10 +51,11 @@
 	// Its own group, so that signals reach no other process; the kernel ends
 	// it with the harness.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	stderr, err := p.cmd.StderrPipe()
+	output, writer, err := os.Pipe()
 	if err != nil {
-		return nil, errors.Wrap(err, "open standard error")
+		return nil, errors.Wrap(err, "open output")
 	}
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
 	log, err := os.Create(p.LogPath)
 	if err != nil {
 		return nil, errors.Wrap(err, "create log")
@@ -62,7 +64,8 @@
 		log.Close()
 		return nil, errors.Wrapf(err, "start %s", name)
 	}
-	go p.follow(stderr, log)
+	_ = writer.Close() // the process has its own
+	go p.follow(output, log)
 	if err := p.awaitReady(ctx); err != nil {
 		p.Kill()
 		return nil, err
@@ -87,10 +90,11 @@
 
 // follow copies the log to its file, reports the ready line and reaps the
 // process.
-func (p *Process) follow(stderr io.Reader, log *os.File) {
+func (p *Process) follow(output io.ReadCloser, log *os.File) {
 	defer close(p.done)
 	defer log.Close()
-	lines := bufio.NewScanner(io.TeeReader(stderr, log))
+	defer output.Close()
+	lines := bufio.NewScanner(io.TeeReader(output, log))
 	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
 		var attrs map[string]any
--- /dev/null
+++ b/test/packetplatform/upstream.go
@@ -0,0 +1,192 @@
+package packetplatform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Upstream stands in for a back end that speaks the platform's packets.
+type Upstream struct {
+	ID   string
+	host *Host
+	app  *net.UDPConn
+	out  *net.UDPAddr
+	stop chan struct{}
+
+	mu       sync.Mutex
+	flows    map[end]*served
+	runs     map[string]int
+	strays   int
+	sequence int
+	draining bool
+	work     time.Duration
+}
+
+// served is a flow that the upstream holds.
+type served struct {
+	seq  uint32
+	open bool
+	got  uint32
+}
+
+// heartbeatEvery is the time between two heartbeats, shorter than on the
+// platform so that tests are quick.
+const heartbeatEvery = 200 * time.Millisecond
+
+// StartUpstream starts an upstream on an agent's host.
+func StartUpstream(h *Host) (*Upstream, error) {
+	app, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(h.IP), Port: h.AppPort})
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{
+		ID: fmt.Sprintf("i-%08x", rand.Uint32()), host: h, app: app,
+		out:  &net.UDPAddr{IP: net.ParseIP(h.IP), Port: h.OutboundPort},
+		stop: make(chan struct{}), flows: map[end]*served{}, runs: map[string]int{},
+	}
+	go u.receive()
+	go u.report()
+	return u, nil
+}
+
+// Kill ends the upstream without a word.
+func (u *Upstream) Kill() {
+	close(u.stop)
+	u.app.Close()
+}
+
+// Drain lets the upstream report that it leaves.
+func (u *Upstream) Drain() {
+	u.mu.Lock()
+	u.draining = true
+	u.mu.Unlock()
+	u.beat()
+}
+
+// SetWork sets how long a request runs.
+func (u *Upstream) SetWork(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = d
+}
+
+// Runs returns how often each request has run.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make(map[string]int, len(u.runs))
+	for id, n := range u.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// Strays returns the number of packets that were returned.
+func (u *Upstream) Strays() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.strays
+}
+
+func (u *Upstream) receive() {
+	b := make([]byte, 2048)
+	for {
+		n, _, err := u.app.ReadFromUDP(b)
+		if err != nil {
+			return
+		}
+		if p, ok := decode(b[:n]); ok {
+			u.take(&p, append([]byte(nil), b[:n]...))
+		}
+	}
+}
+
+// take handles one packet of a caller.
+func (u *Upstream) take(p *packet, raw []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f := u.flows[p.from]
+	if p.flags&syn != 0 {
+		if f == nil {
+			f = &served{seq: rand.Uint32()}
+			u.flows[p.from] = f
+		}
+		u.send(&packet{from: p.to, to: p.from, seq: f.seq, flags: syn | ack})
+		return
+	}
+	if f == nil || (!f.open && p.ack != f.seq+1) {
+		u.strays++
+		raw[30] |= bounced
+		_, _ = u.app.WriteToUDP(raw, u.out)
+		return
+	}
+	f.open = true
+	switch {
+	case p.flags&rst != 0:
+		delete(u.flows, p.from)
+	case p.flags&fin != 0:
+		u.send(&packet{from: p.to, to: p.from, seq: f.seq + 1, ack: p.seq, flags: ack | fin})
+	case len(p.data) > 0:
+		u.run(f, p)
+	}
+}
+
+// run answers a request once; a repeated packet is answered again.
+func (u *Upstream) run(f *served, p *packet) {
+	answer := &packet{
+		from: p.to, to: p.from, seq: f.seq + 1, ack: p.seq + uint32(len(p.data)), flags: ack,
+		data: []byte("from " + u.ID + " to " + string(p.data)),
+	}
+	if p.seq+uint32(len(p.data)) == f.got {
+		u.send(answer)
+		return
+	}
+	f.got = p.seq + uint32(len(p.data))
+	u.runs[string(p.data)]++
+	time.AfterFunc(u.work, func() { u.send(answer) })
+}
+
+func (u *Upstream) send(p *packet) { _, _ = u.app.WriteToUDP(p.encode(), u.out) }
+
+// report sends heartbeats until the upstream ends.
+func (u *Upstream) report() {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		u.beat()
+		select {
+		case <-u.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (u *Upstream) beat() {
+	u.mu.Lock()
+	u.sequence++
+	state := "ready"
+	if u.draining {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"service": u.host.Service, "address": "x", "zone": u.host.Zone, "version": "v1",
+		"slots": Slots, "state": state, "coldLeftMs": 0, "seq": u.sequence,
+	})
+	u.mu.Unlock()
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Post(fmt.Sprintf("http://%s:%d/backends/%s/heartbeat", u.host.IP, u.host.ControlPort, u.ID),
+		"application/json", bytes.NewReader(body))
+	if err == nil {
+		resp.Body.Close()
+	}
+}
+
+// Slots is the number of requests that an upstream works on at once.
+const Slots = 4
