--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -85,6 +85,9 @@
 type Result struct {
 	Actions []Action
 	Notes   []Note
+	// Answered holds the times from requests to their answers, Waited those that
+	// requests have waited for a slot.
+	Answered, Waited []time.Duration
 }
 
 // Limits and times of the decisions.
@@ -202,6 +205,8 @@
 	queue    []*waiting
 	upstream upstream
 	known    inner.Known
+	// source is the host of the balancer that told of the newest.
+	source   [4]byte
 	running  int
 	open     int
 	latency  time.Duration
@@ -231,6 +236,7 @@
 
 func (g *Gate) begin() {
 	g.out.Actions, g.out.Notes = g.out.Actions[:0], g.out.Notes[:0]
+	g.out.Answered, g.out.Waited = g.out.Answered[:0], g.out.Waited[:0]
 	g.buffer = g.buffer[:0]
 }
 
@@ -280,7 +286,7 @@
 	if err != nil {
 		return err
 	}
-	g.known = g.known.Max(known)
+	g.hearKnown(from, known)
 	if flags&inner.FlagUnlisted != 0 && !g.unlisted {
 		g.unlisted = true
 		g.note(now, Note{Kind: KindUnlisted, Peer: from})
@@ -289,6 +295,14 @@
 	return nil
 }
 
+// hearKnown notes how new a balancer's beliefs are.
+func (g *Gate) hearKnown(from netip.AddrPort, known inner.Known) {
+	if known.Max(g.known) == known && from.Addr().Is4() {
+		g.source = from.Addr().As4()
+	}
+	g.known = g.known.Max(known)
+}
+
 // TakeUnlisted reports whether a balancer has told since the last call that
 // the store does not list this agent.
 func (g *Gate) TakeUnlisted() bool {
@@ -309,7 +323,7 @@
 	if err != nil {
 		return err
 	}
-	g.known = g.known.Max(head.Known)
+	g.hearKnown(from, head.Known)
 	id := p.FromCaller()
 	if reason := g.refusal(now, id, head); reason != 0 {
 		g.giveBack(now, from, id, reason, packet)
@@ -553,7 +567,7 @@
 func (g *Gate) Status(now time.Duration) inner.Status {
 	u := &g.upstream
 	s := inner.Status{
-		State: inner.StateReady, Incarnation: g.settings.Incarnation, Known: g.known,
+		State: inner.StateReady, Incarnation: g.settings.Incarnation, Known: g.known, Source: g.source,
 		Running: uint16(min(g.running+len(g.queue), 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Latency: g.latency, Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
 	}
@@ -660,6 +674,7 @@
 }
 
 func (g *Gate) addLatency(latency time.Duration) {
+	g.out.Answered = append(g.out.Answered, latency)
 	if g.latency == 0 {
 		g.latency = latency
 		return
@@ -711,10 +726,16 @@
 
 // Counts of what a Gate holds.
 type Counts struct {
+	// HeartbeatAge is the time since the upstream's last heartbeat, 0 for none.
+	HeartbeatAge                  time.Duration
 	Flows, Open, Running, Waiting int
 }
 
 // Counts returns the sizes of the state.
-func (g *Gate) Counts() Counts {
-	return Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: len(g.queue)}
+func (g *Gate) Counts(now time.Duration) Counts {
+	c := Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: len(g.queue)}
+	if g.upstream.heard > 0 {
+		c.HeartbeatAge = now - g.upstream.heard
+	}
+	return c
 }
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -93,6 +93,7 @@
 		g.queue = slices.Delete(g.queue, at, at+1)
 		w.flow.waiting = nil
 		w.flow.asked = now
+		g.out.Waited = append(g.out.Waited, now-w.since)
 		g.setRunning(w.flow, !w.flow.callerDone)
 		for _, packet := range w.packets {
 			g.sendHeld(w.flow, packet)
--- a/internal/packetface/gate/queue_test.go
+++ b/internal/packetface/gate/queue_test.go
@@ -50,7 +50,7 @@
 	b.request(5, 2, ordinary)
 	b.request(4, 2, ordinary)
 	b.request(6, 2, urgent)
-	b.Expect(b.gate.Counts().Waiting).To(Equal(3))
+	b.Expect(b.gate.Counts(b.now).Waiting).To(Equal(3))
 	b.answer(flow(0))
 	b.Expect(b.ran()).To(Equal([]uint16{6}))
 	b.request(0, 62, ordinary) // a first try: its flow was served before
@@ -85,7 +85,7 @@
 	b.answer(flow(2))
 	b.answer(flow(1))
 	b.request(2, 2, ordinary)
-	b.Expect(b.gate.Counts().Running).To(BeZero())
+	b.Expect(b.gate.Counts(b.now).Running).To(BeZero())
 }
 
 // A flow that either end has closed runs nothing more.
@@ -94,18 +94,18 @@
 	b.request(2, 2, ordinary)
 	b.send(flow(2), 32, platform.FlagACK|platform.FlagFIN, 0) // the caller has given up
 	b.Expect(b.ran()).To(Equal([]uint16{2, 2}))
-	b.Expect(b.gate.Counts().Running).To(Equal(slots))
+	b.Expect(b.gate.Counts(b.now).Running).To(Equal(slots))
 	for n := range slots {
 		b.upstreamSends(fromUpstream(flow(n), 101, 50, platform.FlagACK|platform.FlagFIN, 0))
 	}
-	b.Expect(b.gate.Counts().Running).To(BeZero())
+	b.Expect(b.gate.Counts(b.now).Running).To(BeZero())
 }
 
 func TestAResetDropsWhatWaits(t *testing.T) {
 	b := filled(t, 3)
 	b.request(2, 2, ordinary)
 	b.send(flow(2), 32, platform.FlagRST, 0)
-	b.Expect(b.gate.Counts().Waiting).To(BeZero())
+	b.Expect(b.gate.Counts(b.now).Waiting).To(BeZero())
 }
 
 func TestAcknowledgementsDoNotWait(t *testing.T) {
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -27,7 +27,7 @@
 	KindAsk
 	// KindPoll asks an agent for its status (18 bytes).
 	KindPoll
-	// KindStatus tells a balancer how an agent and its upstream are (41 bytes).
+	// KindStatus tells a balancer how an agent and its upstream are (45 bytes).
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (2 bytes).
 	KindReturned
@@ -168,6 +168,8 @@
 	Flows uint32
 	// Latency is the mean time of the latest answers, in steps of 1 ms.
 	Latency time.Duration
+	// Source is the host of a balancer that knows what Known tells, zero for none.
+	Source [4]byte
 	// Balancers counts the balancers that have lately sent anything.
 	Balancers uint16
 	// Cold tells that the upstream has only just started.
@@ -187,7 +189,7 @@
 	verdictSize  = 1 + flowSize
 	answerHead   = 1 + 8
 	pollSize     = 2 + knownSize
-	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1
+	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4
 	returnedSize = 2
 
 	// MaxQuestions is the most flows that one datagram asks for.
@@ -297,7 +299,8 @@
 	if s.Cold {
 		cold = 1
 	}
-	return append(b, cold)
+	b = append(b, cold)
+	return append(b, s.Source[:]...)
 }
 
 // ParseStatus reads a datagram of KindStatus.
@@ -315,6 +318,7 @@
 		Latency:     time.Duration(binary.BigEndian.Uint32(b[34:])) * time.Millisecond,
 		Balancers:   binary.BigEndian.Uint16(b[38:]),
 		Cold:        b[40] != 0,
+		Source:      [4]byte(b[41:]),
 	}, nil
 }
 
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -4,11 +4,15 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/seed"
+	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -47,6 +51,8 @@
 	Changed func(*Listing)
 	// Reached is called when the store was lost or answers again.
 	Reached func(bool)
+	// Heard is called whenever the store has answered.
+	Heard func()
 	// Balancers returns the number of balancers that follow the store.
 	Balancers func() int
 
@@ -54,6 +60,11 @@
 	revision uint64
 	reached  bool
 	hints    chan struct{}
+	// shared is the newest listing, for peers; peer is a balancer that knows
+	// more than this one.
+	shared atomic.Pointer[[]store.Entry]
+	peer   atomic.Pointer[netip.AddrPort]
+	peers  http.Client
 }
 
 // NewFollower returns a Follower; set its callbacks before Run.
@@ -61,8 +72,12 @@
 	return &Follower{Store: s, Log: log, hints: make(chan struct{}, 1)}
 }
 
-// Hint tells that someone has heard of a newer version of the configuration.
-func (f *Follower) Hint() {
+// Hint tells that someone has heard of a newer version of the configuration or
+// of the agents, and which balancer knows it, if that is known.
+func (f *Follower) Hint(peer netip.AddrPort) {
+	if peer.IsValid() {
+		f.peer.Store(&peer)
+	}
 	select {
 	case f.hints <- struct{}{}:
 	default:
@@ -80,6 +95,9 @@
 			backoff.Reset()
 			continue
 		}
+		if f.takeHint() {
+			f.learn(ctx)
+		}
 		_ = wait.For(ctx, backoff.Next(random)) // the loop sees the end of ctx
 	}
 }
@@ -91,7 +109,11 @@
 	}
 	changes, revision, hinted, err := f.watch(ctx)
 	if hinted {
-		return f.read(ctx)
+		if err := f.read(ctx); err != nil {
+			f.learn(ctx)
+			return err
+		}
+		return nil
 	}
 	if errors.Is(err, platform.ErrCompacted) {
 		f.Log.Info("History is gone, reading everything.", "revision", f.revision)
@@ -105,7 +127,7 @@
 		return nil
 	}
 	f.report(f.listing.Apply(changes))
-	f.Changed(f.listing)
+	f.changed()
 	pause := min(max(time.Duration(f.Balancers())*pausePart, pauseLeast), pauseMost)
 	_ = wait.For(ctx, pause) // the caller's loop sees the end of ctx
 	return nil
@@ -150,17 +172,26 @@
 	listing, unreadable := NewListing(all)
 	f.report(unreadable)
 	f.listing, f.revision = listing, revision
-	f.forgetHint()
+	f.takeHint()
 	f.Log.Info("Store read.", "revision", revision, "agents", len(listing.agents), "config_revision", listing.ConfigRevision)
-	f.Changed(listing)
+	f.changed()
 	return nil
 }
 
-// forgetHint drops a hint that came before the reading.
-func (f *Follower) forgetHint() {
+// changed hands on the newest listing.
+func (f *Follower) changed() {
+	entries := f.listing.Entries()
+	f.shared.Store(&entries)
+	f.Changed(f.listing)
+}
+
+// takeHint takes a hint that came before now; it reports whether one did.
+func (f *Follower) takeHint() bool {
 	select {
 	case <-f.hints:
+		return true
 	default:
+		return false
 	}
 }
 
@@ -173,6 +204,9 @@
 // tell logs and reports each loss and return of the store.
 func (f *Follower) tell(err error) {
 	reached := err == nil
+	if reached {
+		f.Heard()
+	}
 	if reached == f.reached {
 		return
 	}
--- a/internal/packetface/registry/follow_test.go
+++ b/internal/packetface/registry/follow_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -62,6 +63,7 @@
 		defer f.mu.Unlock()
 		f.reached = append(f.reached, ok)
 	}
+	f.Heard = func() {}
 	f.Balancers = func() int { return balancers }
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -144,7 +146,7 @@
 	g.Eventually(f.reachedNow, patience).Should(BeTrue())
 	before := fake.Calls("/kv-range")
 	g.Eventually(func() bool {
-		f.Hint()
+		f.Hint(netip.AddrPort{})
 		return fake.Calls("/kv-range") >= before+2
 	}, patience).Should(BeTrue())
 }
@@ -158,3 +160,28 @@
 	f := follow(t, fake, 1)
 	g.Eventually(f.sees(1, ""), patience).Should(BeTrue())
 }
+
+// A balancer that the store turns away learns from one that it serves.
+func TestFollowerLearnsFromAPeer(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put("op/config", []byte("1"))
+	served := follow(t, fake, 20)
+	mux := http.NewServeMux()
+	mux.Handle(registry.ListingPattern, served)
+	peer := httptest.NewServer(mux)
+	t.Cleanup(peer.Close)
+
+	cut := newStore(t) // the same store as another host sees it
+	cut.Put("op/config", []byte("1"))
+	refused := follow(t, cut, 20)
+	g.Eventually(refused.sees(0, "1"), patience).Should(BeTrue())
+	cut.Fail(http.StatusServiceUnavailable)
+	fake.Put("op/config", []byte("2"))
+	publish(t, fake, "10.0.0.1:1")
+	g.Eventually(served.sees(1, "2"), patience).Should(BeTrue())
+	g.Eventually(func() bool {
+		refused.Hint(netip.MustParseAddrPort(peer.Listener.Addr().String()))
+		return refused.sees(1, "2")()
+	}, patience).Should(BeTrue())
+}
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -2,16 +2,20 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
 	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
 )
 
 // Listing is a balancer's copy of what the store holds.
 type Listing struct {
 	agents map[string]steer.Agent
+	// entries are the configuration and the agents as the store has them.
+	entries map[string]store.Entry
 	// Config is the text of the newest configuration, ConfigRevision the
 	// store's revision of it.
 	Config         []byte
@@ -22,7 +26,7 @@
 
 // NewListing returns a Listing of all keys that a reading showed.
 func NewListing(items []platform.Item) (*Listing, []error) {
-	l := &Listing{agents: make(map[string]steer.Agent)}
+	l := &Listing{agents: make(map[string]steer.Agent), entries: make(map[string]store.Entry)}
 	return l, l.Apply(items)
 }
 
@@ -30,12 +34,17 @@
 // not be read; they count as missing.
 func (l *Listing) Apply(changes []platform.Item) (unreadable []error) {
 	for _, change := range changes {
+		if change.Revision < l.entries[change.Key].Revision {
+			continue // a peer has told of a newer one
+		}
 		switch {
 		case change.Key == platform.ConfigKey && !change.Removed:
 			l.Config, l.ConfigRevision = change.Value, change.Revision
+			l.entries[change.Key] = change.Entry
 		case !strings.HasPrefix(change.Key, agentPrefix):
 		case change.Removed:
 			delete(l.agents, change.Key)
+			delete(l.entries, change.Key)
 		default:
 			agent, err := parseEntry(change.Key, change.Value)
 			if err != nil {
@@ -44,12 +53,31 @@
 				continue
 			}
 			l.agents[change.Key] = agent
+			l.entries[change.Key] = change.Entry
 			l.AgentsRevision = max(l.AgentsRevision, change.Revision)
 		}
 	}
 	return unreadable
 }
 
+// Entries returns the configuration and the agents as the store has them.
+func (l *Listing) Entries() []store.Entry {
+	return slices.SortedFunc(maps.Values(l.entries), func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// Merge takes over what is newer in another's listing. Nothing is removed: what
+// the other lacks may be newer than its listing. It reports whether anything
+// was newer.
+func (l *Listing) Merge(entries []store.Entry) (changed bool, unreadable []error) {
+	var newer []platform.Item
+	for _, entry := range entries {
+		if entry.Revision > l.entries[entry.Key].Revision {
+			newer = append(newer, platform.Item{Entry: entry})
+		}
+	}
+	return len(newer) > 0, l.Apply(newer)
+}
+
 // Agents returns all agents in the order of their addresses.
 func (l *Listing) Agents() []steer.Agent {
 	out := make([]steer.Agent, 0, len(l.agents))
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -103,6 +103,7 @@
 	}
 	a.registry = registry.NewAgent(platform.NewStore(a.env.Host.Store), logging.Part(a.env.Logger, "registry"), a.clock, a.entry())
 	a.registry.Listed = a.listed
+	a.gauges()
 	go a.registry.Run(ctx)
 	go http.Serve(listener, platform.HeartbeatHandler(a)) // ends with the process
 	go receive(a.balancers, inner.MaxSize+1, a.fromBalancer)
@@ -164,6 +165,7 @@
 			refused = a.toUpstream(action.Bytes) || refused
 		}
 	}
+	observe(r)
 	a.notes.agent(r.Notes)
 	if refused {
 		a.refused()
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -54,6 +54,8 @@
 	busy     bool
 	ready    atomic.Bool
 	stopping atomic.Bool
+	// storeHeard is when the store last answered the follower.
+	storeHeard atomic.Int64
 	// lastPacket is when a caller's packet came.
 	lastPacket atomic.Int64
 }
@@ -77,6 +79,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b.start(ctx)
+	server.Handle(registry.ListingPattern, b.follower)
 	b.log.Info("Started.", "data", env.Host.Packets.String(), "dc", env.Host.DataCentre, "store", env.Host.Store.String())
 	<-env.Stop
 	b.stop()
@@ -98,6 +101,8 @@
 	b.follower.Changed = b.changed
 	b.follower.Reached = b.reached
 	b.follower.Balancers = b.balancers
+	b.follower.Heard = func() { b.storeHeard.Store(int64(b.clock())) }
+	b.gauges()
 	go b.follower.Run(ctx)
 	go receive(b.callers, platform.MaxPacketSize+1, b.fromCaller)
 	go receive(b.agents, inner.MaxSize+1, b.fromAgent)
@@ -141,8 +146,11 @@
 		send(conn, a.To, a.Bytes)
 	}
 	for i := range r.Notes {
-		if r.Notes[i].Kind == steer.KindNewer {
-			b.follower.Hint()
+		switch r.Notes[i].Kind {
+		case steer.KindNewer:
+			b.follower.Hint(b.peerAt(r.Notes[i].Source))
+		case steer.KindFound:
+			searchSeconds.Update(r.Notes[i].Age.Seconds())
 		}
 	}
 	b.notes.balancer(r.Notes)
@@ -155,6 +163,15 @@
 	}
 }
 
+// peerAt returns where the balancer of a host serves its listing: all hosts have
+// the same ports.
+func (b *balancer) peerAt(host netip.Addr) netip.AddrPort {
+	if !host.IsValid() || host == b.env.Host.Packets.Addr() {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(host, b.env.Host.Ready.Port())
+}
+
 // checkReady lets the routers send packets once some agent can take them.
 func (b *balancer) checkReady() {
 	if b.version > 0 && b.core.Serving() && !b.ready.Swap(true) {
--- /dev/null
+++ b/internal/packetface/role/metrics.go
@@ -0,0 +1,65 @@
+package role
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/saltbend/saltbend/internal/packetface/gate"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+)
+
+var (
+	answerSeconds = metrics.NewHistogram("saltbend_packet_answer_seconds")
+	waitSeconds   = metrics.NewHistogram("saltbend_packet_slot_wait_seconds")
+	searchSeconds = metrics.NewHistogram("saltbend_packet_owner_search_seconds")
+)
+
+// observe adds the times that an agent's decisions took note of.
+func observe(r *gate.Result) {
+	for _, d := range r.Answered {
+		answerSeconds.Update(d.Seconds())
+	}
+	for _, d := range r.Waited {
+		waitSeconds.Update(d.Seconds())
+	}
+}
+
+// gauges shows what a balancer holds and believes.
+func (b *balancer) gauges() {
+	count := func(pick func(steer.Counts) int) func() float64 {
+		return func() float64 {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return float64(pick(b.core.Counts(b.clock())))
+		}
+	}
+	metrics.GetOrCreateGauge("saltbend_packet_flows", count(func(c steer.Counts) int { return c.Flows }))
+	metrics.GetOrCreateGauge("saltbend_packet_owner_searches", count(func(c steer.Counts) int { return c.Asks }))
+	metrics.GetOrCreateGauge("saltbend_packet_agents", count(func(c steer.Counts) int { return c.Agents }))
+	metrics.GetOrCreateGauge("saltbend_packet_agents_suspected", count(func(c steer.Counts) int { return c.Suspected }))
+	metrics.GetOrCreateGauge("saltbend_packet_config_version", func() float64 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return float64(b.version)
+	})
+	metrics.GetOrCreateGauge("saltbend_packet_store_age_seconds", func() float64 {
+		return (b.clock() - time.Duration(b.storeHeard.Load())).Seconds()
+	})
+}
+
+// gauges shows what an agent holds and believes.
+func (a *agent) gauges() {
+	count := func(pick func(gate.Counts) float64) func() float64 {
+		return func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return pick(a.core.Counts(a.clock()))
+		}
+	}
+	metrics.GetOrCreateGauge("saltbend_packet_flows", count(func(c gate.Counts) float64 { return float64(c.Flows) }))
+	metrics.GetOrCreateGauge("saltbend_packet_flows_open", count(func(c gate.Counts) float64 { return float64(c.Open) }))
+	metrics.GetOrCreateGauge("saltbend_packet_requests_running", count(func(c gate.Counts) float64 { return float64(c.Running) }))
+	metrics.GetOrCreateGauge("saltbend_packet_requests_waiting", count(func(c gate.Counts) float64 { return float64(c.Waiting) }))
+	metrics.GetOrCreateGauge("saltbend_packet_heartbeat_age_seconds", count(func(c gate.Counts) float64 { return c.HeartbeatAge.Seconds() }))
+}
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -42,12 +42,13 @@
 // ask is the search for the agent whose upstream holds a flow.
 type ask struct {
 	stage int
-	// staged is when the stage began, round when agents were last asked, last
+	// began is when the search began, staged when the stage did, round when
+	// agents were last asked, last
 	// when the caller's last packet came.
-	staged, round, last time.Duration
-	rounds              int
-	packets             [][]byte
-	acknowledged        uint32
+	began, staged, round, last time.Duration
+	rounds                     int
+	packets                    [][]byte
+	acknowledged               uint32
 	// listing is the newest list of agents that the asked ones know of.
 	listing             uint64
 	asked               map[*agent]bool
@@ -63,7 +64,7 @@
 			return
 		}
 		q = &ask{
-			staged: now, round: now,
+			began: now, staged: now, round: now,
 			asked: map[*agent]bool{}, none: map[*agent]bool{}, maybe: map[*agent]bool{}, probed: map[*agent]bool{},
 		}
 		c.asks[id] = q
@@ -168,7 +169,7 @@
 		return err
 	}
 	c.answered = answers
-	c.hearKnown(now, a, inner.Known{Listing: listing})
+	c.hearKnown(now, a, inner.Known{Listing: listing}, [4]byte{})
 	for _, answer := range answers {
 		if q := c.asks[answer.Flow]; q != nil {
 			c.take(now, answer.Flow, q, a, answer.Verdict)
@@ -194,7 +195,7 @@
 
 // found remembers the owner and sends it the packets that were kept.
 func (c *Core) found(now time.Duration, id platform.Flow, q *ask, a *agent) {
-	c.note(Note{Kind: KindFound, Flow: id, Agent: a.Addr, Count: len(q.asked), Age: now - q.staged})
+	c.note(Note{Kind: KindFound, Flow: id, Agent: a.Addr, Count: len(q.asked), Age: now - q.began})
 	f := c.remember(id, now)
 	f.agent, f.open, f.placed = a, true, now
 	if route := c.route(id); route != nil {
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -49,7 +49,6 @@
 	KindPlaced    Kind = "placed"
 	KindMoved     Kind = "placed-again"
 	KindFound     Kind = "owner-found"
-	KindAsked     Kind = "owner-asked"
 	KindReset     Kind = "reset"
 	KindDropped   Kind = "dropped"
 	KindSuspected Kind = "agent-suspected"
@@ -71,6 +70,8 @@
 	Version uint64
 	// Age is that of the belief on the agent decided by.
 	Age time.Duration
+	// Source is the host of a balancer that knows a newer version.
+	Source netip.Addr
 	// Count depends on the kind: hops of a placement, agents asked.
 	Count int
 }
@@ -422,7 +423,7 @@
 		c.note(Note{Kind: KindState, Agent: a.Addr, Reason: s.State.String()})
 	}
 	a.setStatus(s, now)
-	c.hearKnown(now, a, s.Known)
+	c.hearKnown(now, a, s.Known, s.Source)
 	return nil
 }
 
@@ -436,14 +437,18 @@
 }
 
 // hearKnown tells of newer beliefs than the balancer's own.
-func (c *Core) hearKnown(now time.Duration, a *agent, heard inner.Known) {
+func (c *Core) hearKnown(now time.Duration, a *agent, heard inner.Known, source [4]byte) {
 	c.roster.newest = max(c.roster.newest, heard.Listing)
 	own := c.known()
 	if heard.Max(own) == own || now-c.toldNewer < versionEvery {
 		return
 	}
 	c.toldNewer = now
-	c.note(Note{Kind: KindNewer, Agent: a.Addr, Count: int(heard.Version)})
+	n := Note{Kind: KindNewer, Agent: a.Addr, Count: int(heard.Version)}
+	if source != ([4]byte{}) {
+		n.Source = netip.AddrFrom4(source)
+	}
+	c.note(n)
 }
 
 // returned decides on a packet that an agent gave back.
--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -20,7 +20,7 @@
 // What operators meet: names of metrics and kinds of events.
 var (
 	metric = regexp.MustCompile(`\b(saltbend_[a-z_]+)`)
-	kind   = regexp.MustCompile(`event\.Kind\s*=\s*"([^"]+)"`)
+	kind   = regexp.MustCompile(`(?:event\.Kind|\bKind[A-Z]\w*\s+Kind)\s*=\s*"([^"]+)"`)
 )
 
 // kindForm is the form of all kinds of events.
@@ -49,7 +49,7 @@
 	program := func(path string) bool {
 		return strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go")
 	}
-	code := read(t, root+"/internal", program) + read(t, root+"/cmd", program)
+	code := read(t, root+"/internal", program) + read(t, root+"/cmd", program) + read(t, root+"/platform", program)
 	for _, name := range found(t, metric, code) {
 		if !strings.Contains(documented, name) {
 			t.Errorf("%q is on no page of docs/operations", name)
