--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,53 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/explain"
+)
+
+const (
+	balancerLog = `{"time":"2026-03-10T15:00:00Z","level":"INFO","msg":"Starting.","part":"daemon","host":"front-1"}
+{"time":"2026-03-10T15:00:01.5Z","msg":"agent-suspected","part":"packet-balancer","agent":"10.0.0.2:1","age_ms":260}
+{"time":"2026-03-10T15:00:02Z","msg":"placed","part":"packet-balancer","flow":"100.64.0.1:5>198.18.0.1:443","agent":"10.0.0.2:1","version":7}
+{"time":"2026-03-10T15:00:02Z","msg":"placed","part":"packet-balancer","flow":"100.64.0.1:6>198.18.0.1:443","agent":"10.0.0.3:1","version":7}
+{"time":"2026-03-10T15:00:09Z","msg":"reset","part":"packet-balancer","flow":"100.64.0.1:5>198.18.0.1:443","reason":"held-by-none"}
+{"time":"2026-03-10T15:30:00Z","msg":"agent-state","part":"packet-balancer","agent":"10.0.0.2:1","reason":"ready"}
+no JSON`
+	agentLog = `  0.1 side-2 {"time":"2026-03-10T15:00:00Z","msg":"Started.","part":"packet-agent","data":"10.0.0.2:1"}
+  1.9 side-2 {"time":"2026-03-10T15:00:01.9Z","msg":"opened","part":"packet-agent","flow":"100.64.0.1:5>198.18.0.1:443","balancer":"10.0.0.1:1"}
+  8.0 side-2 {"time":"2026-03-10T15:00:08Z","msg":"upstream","part":"packet-agent","reason":"left i-1"}`
+)
+
+func read(g *WithT, text, name string) []explain.Line {
+	lines, _, err := explain.Read(strings.NewReader(text), name)
+	g.Expect(err).NotTo(HaveOccurred())
+	return lines
+}
+
+func TestTellsOneFlowInOneOrder(t *testing.T) {
+	g := NewWithT(t)
+	_, skipped, err := explain.Read(strings.NewReader(balancerLog), "a.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(skipped).To(Equal(1))
+	all := append(read(g, balancerLog, "a.log"), read(g, agentLog, "b.log")...)
+	story := explain.Tell(all, "100.64.0.1:5>", 3*time.Second)
+	var told []string
+	for _, line := range story.Lines {
+		told = append(told, line.Host+" "+line.Message)
+	}
+	g.Expect(told).To(Equal([]string{
+		"front-1 Starting.", "side-2 Started.", "front-1 agent-suspected", "side-2 opened", "front-1 placed", "side-2 upstream", "front-1 reset",
+	}))
+	g.Expect(story.Lines[2].Rest).To(Equal("age_ms=260"))
+	g.Expect(story.Skews).To(Equal([]explain.Skew{{Behind: "side-2", Ahead: "front-1", Least: 100 * time.Millisecond}}))
+}
+
+func TestTellsNothingOfAFlowThatIsNotThere(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(explain.Tell(read(g, balancerLog, "a"), "9.9.9.9:9", time.Second).Lines).To(BeEmpty())
+}
