--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -60,14 +60,19 @@
 	lastPacket atomic.Int64
 }
 
-// RunBalancer serves until the process is told to stop and has finished.
-func RunBalancer(env Env) error {
+func newBalancer(env Env) *balancer {
 	b := &balancer{env: env, log: logging.Part(env.Logger, "packet-balancer"), clock: newClock(), soon: make(chan struct{}, 1)}
 	b.notes = newNotes(b.log, b.clock)
 	b.core = steer.New(steer.Settings{
 		DataCentre: env.Host.DataCentre, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
 		AbsentAfter: steer.DefaultAbsentAfter,
 	})
+	return b
+}
+
+// RunBalancer serves until the process is told to stop and has finished.
+func RunBalancer(env Env) error {
+	b := newBalancer(env)
 	if err := b.listen(); err != nil {
 		return err
 	}
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -90,8 +90,8 @@
 func (c *Core) askStage(now time.Duration, id platform.Flow, q *ask) {
 	for ; q.stage < stageEnd; q.stage++ {
 		sent := 0
-		for _, a := range c.roster.list {
-			if !q.asked[a] && c.stageOf(id, a) == q.stage && len(q.asked) < maxAsked {
+		for _, a := range c.likely(id, q.stage) {
+			if !q.asked[a] && c.inStage(q.stage, a) && len(q.asked) < maxAsked {
 				c.sendAsk(id, q, a)
 				sent++
 			}
@@ -103,16 +103,28 @@
 	}
 }
 
-// stageOf returns the stage in which an agent is asked for a flow.
-func (c *Core) stageOf(id platform.Flow, a *agent) int {
+// likely returns the agents among which those of a stage are. Only the last
+// stage looks at all of a large fleet.
+func (c *Core) likely(id platform.Flow, stage int) []*agent {
 	route := c.route(id)
 	switch {
-	case route == nil || !slices.Contains(route.Services, a.Service):
-		return stageAll
-	case a.DataCentre == c.settings.DataCentre:
-		return stageNear
+	case stage == stageAll:
+		return c.roster.list
+	case route == nil:
+		return nil
+	case len(route.Services) == 1:
+		return c.roster.byService[route.Services[0]]
 	}
-	return stageRoute
+	var all []*agent
+	for _, service := range route.Services {
+		all = append(all, c.roster.byService[service]...)
+	}
+	return all
+}
+
+// inStage reports whether an agent that is likely in a stage is asked in it.
+func (c *Core) inStage(stage int, a *agent) bool {
+	return stage != stageNear || a.DataCentre == c.settings.DataCentre
 }
 
 // sendAsk queues a question to an agent.
@@ -148,8 +160,8 @@
 func (c *Core) askAgain(now time.Duration, id platform.Flow, q *ask) {
 	q.round = now
 	q.rounds++
-	for _, a := range c.roster.list {
-		if q.asked[a] && !q.none[a] && !q.maybe[a] && !a.suspect(now) {
+	for _, a := range unanswered(q) {
+		if !a.suspect(now) {
 			c.sendAsk(id, q, a)
 		}
 	}
@@ -221,15 +233,30 @@
 	}
 }
 
+// stageAnswered reports whether all that were asked have answered, but for those
+// that may be passed over.
 func (c *Core) stageAnswered(now time.Duration, id platform.Flow, q *ask) bool {
-	for _, a := range c.roster.list {
-		if q.asked[a] && !q.none[a] && !q.maybe[a] && !c.mayPassOver(now, id, a) {
+	for _, a := range unanswered(q) {
+		if !c.mayPassOver(now, id, a) {
 			return false
 		}
 	}
 	return true
 }
 
+// unanswered returns the agents that were asked and have not answered, in the
+// order of their addresses.
+func unanswered(q *ask) []*agent {
+	var out []*agent
+	for a := range q.asked {
+		if !a.removed && !q.none[a] && !q.maybe[a] {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b *agent) int { return a.Addr.Compare(b.Addr) })
+	return out
+}
+
 // conclude resets a flow that certainly no upstream holds, and lets upstreams
 // tell whose agents can't.
 func (c *Core) conclude(now time.Duration, id platform.Flow, q *ask) {
--- a/internal/packetface/steer/bench_test.go
+++ b/internal/packetface/steer/bench_test.go
@@ -1,7 +1,9 @@
 package steer_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -52,3 +54,70 @@
 		_, _ = c.FromAgent(time.Second, from, inner.AppendReturned(nil, inner.ReasonUnknown, p))
 	}
 }
+
+// Sizes of fleets for docs/CAPACITY.md: agents of services with seven each.
+var capacitySizes = []int{700, 2100, 4200, 6300}
+
+func fleet(size int) []steer.Agent {
+	agents := make([]steer.Agent, size)
+	for n := range agents {
+		agents[n] = at(n, "a")
+		agents[n].Service = inner.ServiceID(fmt.Sprintf("s-%d", n/7))
+	}
+	return agents
+}
+
+func BenchmarkCapacityPacketList(b *testing.B) {
+	for _, size := range capacitySizes {
+		b.Run(fmt.Sprintf("agents=%d", size), func(b *testing.B) {
+			agents := fleet(size)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2))})
+			c.SetTable(table(), time.Minute)
+			c.SetAgents(time.Second, agents, 1)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				c.SetAgents(time.Second, agents, 1)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+		})
+	}
+}
+
+func BenchmarkCapacityPacketTick(b *testing.B) {
+	for _, size := range capacitySizes {
+		b.Run(fmt.Sprintf("agents=%d", size), func(b *testing.B) {
+			c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2))})
+			c.SetAgents(time.Second, fleet(size), 1)
+			for n := range size {
+				_, _ = c.FromAgent(time.Second, address(n, 1), inner.AppendStatus(nil, inner.Status{State: inner.StateReady}))
+			}
+			for b.Loop() {
+				c.Tick(time.Second)
+			}
+		})
+	}
+}
+
+func BenchmarkCapacityPacketFlows(b *testing.B) {
+	for _, size := range []int{1000, 5000, 25000} {
+		b.Run(fmt.Sprintf("flows=%d", size), func(b *testing.B) {
+			c := prepared()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for n := range size {
+				_, _ = c.FromCaller(time.Second, packet(caller(n), 1, 0, platform.FlagSYN, 0))
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				c.Tick(time.Second)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+		})
+	}
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -244,7 +244,7 @@
 		f = c.remember(id, now)
 	}
 	f.seen, f.rank = now, route.Rank
-	if f.agent != nil && (f.open || !c.unanswered(f, now)) {
+	if f.agent != nil && (f.open || !unheard(f, now)) {
 		c.sendOpen(now, f, f.agent, route, id, b, 0)
 		return
 	}
@@ -254,9 +254,9 @@
 	c.place(now, id, f, route, b)
 }
 
-// unanswered reports whether the agent has been silent since it got the
-// opening packet, for longer than an answer takes.
-func (c *Core) unanswered(f *flow, now time.Duration) bool {
+// unheard reports whether the agent has been silent since it got the opening
+// packet, for longer than an answer takes.
+func unheard(f *flow, now time.Duration) bool {
 	if f.agent.removed {
 		return true
 	}
