Log long waits and slow answers; ask cheaply while idle; poll all when one is silent

A request that was late had no line that told why. Agents that no balancer called read their entry every 2 s at the full price, and logged Ready each time. A flow of a silent agent was reset 2 s after the cut, as other silent agents were idle and were first asked when it was searched for.

Change: lines for waits of 100 ms and answers of 500 ms and more; an idle agent renews its lease, and reads every 20 s; where one agent is suspected, those that were not heard lately are polled.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -65,6 +65,8 @@
 	KindUpstream Kind = "upstream"
 	KindUnlisted Kind = "unlisted"
 	KindDropped  Kind = "dropped"
+	KindWaited   Kind = "waited"
+	KindSlow     Kind = "slow-answer"
 )
 
 // Note tells of one decision: its id, its inputs with their age, its outcome.
@@ -79,6 +81,8 @@
 	Running int
 	// Age is that of the upstream's last heartbeat.
 	Age time.Duration
+	// Took is how long a request waited for a slot or for its answer.
+	Took time.Duration
 }
 
 // Result holds what a call decided. It is valid until the next call.
@@ -109,6 +113,10 @@
 	// leaveTime is the time after which an upstream that announced its end has
 	// ended.
 	leaveTime = 200 * time.Millisecond
+	// longWait and slowAnswer are the times from which on a request's wait for a
+	// slot, or its answer, has a line of its own in the log.
+	longWait   = 100 * time.Millisecond
+	slowAnswer = 500 * time.Millisecond
 	// refusals is the number of packets in a row for which no socket was there
 	// after which the upstream counts as gone, refusalTime the least time that
 	// they span.
@@ -646,6 +654,9 @@
 		g.setRunning(f, false)
 		f.served = true
 		g.addLatency(now - f.asked)
+		if now-f.asked >= slowAnswer {
+			g.note(now, Note{Kind: KindSlow, Flow: id, Took: now - f.asked})
+		}
 	}
 	if p.Flags.Has(platform.FlagFIN) {
 		f.upstreamDone = true
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -94,6 +94,9 @@
 		w.flow.waiting = nil
 		w.flow.asked = now
 		g.out.Waited = append(g.out.Waited, now-w.since)
+		if now-w.since >= longWait {
+			g.note(now, Note{Kind: KindWaited, Flow: w.id, Took: now - w.since})
+		}
 		g.setRunning(w.flow, !w.flow.callerDone)
 		for _, packet := range w.packets {
 			g.sendHeld(w.flow, packet)
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -78,10 +78,7 @@
 	if peer.IsValid() {
 		f.peer.Store(&peer)
 	}
-	select {
-	case f.hints <- struct{}{}:
-	default:
-	}
+	ring(f.hints)
 }
 
 // Run follows the store until ctx ends.
--- a/internal/packetface/registry/publish.go
+++ b/internal/packetface/registry/publish.go
@@ -33,6 +33,7 @@
 	publisher *Publisher
 	wants     chan *Entry
 	hints     chan struct{}
+	idles     chan struct{}
 	failing   bool
 }
 
@@ -41,7 +42,7 @@
 func NewAgent(s *platform.Store, log *slog.Logger, clock func() time.Duration, self Entry) *Agent {
 	return &Agent{
 		Store: s, Log: log, Clock: clock, publisher: NewPublisher(agentKey(self.Addr)),
-		wants: make(chan *Entry, 1), hints: make(chan struct{}, 1),
+		wants: make(chan *Entry, 1), hints: make(chan struct{}, 1), idles: make(chan struct{}, 1),
 	}
 }
 
@@ -54,10 +55,16 @@
 	a.wants <- entry
 }
 
-// Hint tells that the entry may be gone from the store.
-func (a *Agent) Hint() {
+// Hint tells that the entry is gone from the store, as a balancer says.
+func (a *Agent) Hint() { ring(a.hints) }
+
+// Idle tells that no balancer has called for a while.
+func (a *Agent) Idle() { ring(a.idles) }
+
+// ring leaves word in a channel that holds one.
+func ring(bell chan<- struct{}) {
 	select {
-	case a.hints <- struct{}{}:
+	case bell <- struct{}{}:
 	default:
 	}
 }
@@ -87,6 +94,8 @@
 	case <-timer.C:
 	case <-a.hints:
 		a.publisher.Hint(a.Clock())
+	case <-a.idles:
+		a.publisher.Idle(a.Clock())
 	case entry := <-a.wants:
 		if entry == nil {
 			a.publisher.Want(nil)
--- a/internal/packetface/registry/publisher.go
+++ b/internal/packetface/registry/publisher.go
@@ -20,6 +20,8 @@
 	// recheckEvery bounds how often the entry is looked for on a hint that it
 	// is gone.
 	recheckEvery = 500 * time.Millisecond
+	// idleRead is the same for an agent that no balancer calls.
+	idleRead = 20 * time.Second
 )
 
 // Step is a call of the store that is due.
@@ -51,6 +53,8 @@
 	revision uint64
 	lease    platform.Lease
 	renewed  time.Duration
+	// renewSoon asks for a renewal before its time.
+	renewSoon bool
 	// unsure tells that a write may have been done or undone: read first.
 	unsure  bool
 	checked time.Duration
@@ -69,6 +73,17 @@
 	}
 }
 
+// Idle tells that no balancer has called for a while: the entry may be gone. A
+// renewal is the cheapest call that tells whether the lease lives; the entry
+// itself is looked for more rarely.
+func (p *Publisher) Idle(now time.Duration) {
+	if now-p.checked >= idleRead {
+		p.Hint(now)
+		return
+	}
+	p.renewSoon = true
+}
+
 // Listed reports whether the entry is in the store as far as is known.
 func (p *Publisher) Listed() bool { return p.written != nil && !p.unsure }
 
@@ -84,7 +99,7 @@
 		return StepRead
 	case !bytes.Equal(p.written, p.wanted):
 		return StepWrite
-	case now-p.renewed >= p.lease.TTL/renewPart:
+	case p.renewSoon || now-p.renewed >= p.lease.TTL/renewPart:
 		return StepRenew
 	}
 	return StepNone
@@ -122,6 +137,7 @@
 
 // Renewed takes the answer to StepRenew.
 func (p *Publisher) Renewed(err error, sent time.Duration) {
+	p.renewSoon = false
 	switch {
 	case err == nil:
 		p.renewed = sent
--- a/internal/packetface/registry/publisher_test.go
+++ b/internal/packetface/registry/publisher_test.go
@@ -98,3 +98,18 @@
 	p.Renewed(nil, time.Minute)
 	g.Expect(p.Next(time.Minute)).To(Equal(StepNone))
 }
+
+// An agent that no balancer calls asks cheaply, and reads only now and then.
+func TestPublisherThatIsIdleRenews(t *testing.T) {
+	g := NewWithT(t)
+	p := written(g)
+	p.Idle(2 * time.Second)
+	g.Expect(p.Next(2 * time.Second)).To(Equal(StepRenew))
+	p.Renewed(nil, 2*time.Second)
+	g.Expect(p.Next(2 * time.Second)).To(Equal(StepNone))
+	p.Idle(idleRead)
+	g.Expect(p.Next(idleRead)).To(Equal(StepRead))
+	p.Idle(idleRead + time.Second)
+	p.Renewed(platform.ErrLeaseEnded, idleRead)
+	g.Expect(p.Next(idleRead)).To(Equal(StepGrant))
+}
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -50,6 +50,8 @@
 	notes  *notes
 	wanted gate.Registration
 	looked time.Duration
+	// ready tells that the store has listed the agent once.
+	ready bool
 }
 
 // RunAgent serves until the process is told to stop and has finished.
@@ -126,7 +128,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.SetListed(revision)
-	a.log.Info("Ready.", "revision", revision, "after_ms", a.clock().Milliseconds())
+	if !a.ready {
+		a.ready = true
+		a.log.Info("Ready.", "revision", revision, "after_ms", a.clock().Milliseconds())
+	}
 }
 
 func (a *agent) fromBalancer(from netip.AddrPort, datagram []byte) {
@@ -214,7 +219,7 @@
 	a.register()
 	if now-max(a.core.AskedAt(), a.looked) >= idleCheck && a.wanted.Listed {
 		a.looked = now
-		a.registry.Hint()
+		a.registry.Idle()
 	}
 }
 
--- a/internal/packetface/role/notes.go
+++ b/internal/packetface/role/notes.go
@@ -102,6 +102,9 @@
 		if note.Age > 0 {
 			attrs = append(attrs, slog.Int64("heartbeat_age_ms", note.Age.Milliseconds()))
 		}
+		if note.Took > 0 {
+			attrs = append(attrs, slog.Int64("took_ms", note.Took.Milliseconds()))
+		}
 		n.log.LogAttrs(context.Background(), slog.LevelInfo, string(note.Kind), attrs...)
 	}
 }
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -229,6 +229,7 @@
 		if !a.suspected && a.suspect(now) {
 			a.suspected = true
 			c.note(Note{Kind: KindSuspected, Agent: a.Addr, Age: now - a.heard, Count: a.unanswered})
+			c.pollIdle(now)
 		}
 		if a.due(now) {
 			c.poll(now, a)
@@ -236,6 +237,20 @@
 	}
 }
 
+// pollIdle polls agents that have not been heard lately. Where one is silent,
+// others may be, and whether they are is wanted to know before their flows are
+// searched for.
+func (c *Core) pollIdle(now time.Duration) {
+	if len(c.roster.list) > maxAsked {
+		return // a flow that none of so many holds is not reset in any case
+	}
+	for _, a := range c.roster.list {
+		if a.waiting == 0 && now-a.heard > statusAgeCarry {
+			c.poll(now, a)
+		}
+	}
+}
+
 // gone reports whether an unlisted agent has left: it says so, or is silent.
 func (c *Core) gone(a *agent, now time.Duration) bool {
 	if a.status.State == inner.StateDown && a.statusAt > a.unlisted {
