Explain three kinds of failed request with the documented command, as processes

Cause: nothing showed that the logs and saltbend explain lead from an id to the cause.

Change: three specs with real processes: the upstream died, none would take it, it waited for a slot; each finds the cause in the output of saltbend explain.

--- /dev/null
+++ b/test/integration/explain_test.go
@@ -0,0 +1,96 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/test/packetplatform"
+)
+
+// explain runs the documented command on the logs of all processes.
+func (f *packetFleet) explain(ctx context.Context, id string) string {
+	args := []string{"explain", id}
+	for _, n := range append(f.balancers, f.agents...) {
+		args = append(args, n.process.LogPath)
+	}
+	out, err := exec.CommandContext(ctx, bin+"/saltbend", args...).CombinedOutput()
+	if err != nil {
+		return err.Error()
+	}
+	return string(out)
+}
+
+// told waits until the command tells something of a flow: log lines are written
+// a little after what they tell of.
+func (f *packetFleet) told(ctx context.Context, id string, words ...string) {
+	defer func() { GinkgoWriter.Println(f.explain(ctx, id)) }()
+	for _, word := range words {
+		Eventually(func() string { return f.explain(ctx, id) }, patience).Should(ContainSubstring(word))
+	}
+}
+
+// containsLine reports whether one line has all the words.
+func containsLine(text string, words ...string) bool {
+	for line := range strings.Lines(text) {
+		if !slices.ContainsFunc(words, func(word string) bool { return !strings.Contains(line, word) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// The three kinds of failed request of docs/OPERATIONS.md, each found from the
+// id of its flow by the command there alone.
+var _ = Describe("a failed request is explained by saltbend explain", func() {
+	It("when its upstream died", func(ctx SpecContext) {
+		f := startPackets(ctx, 1, results)
+		flow := f.openFlows(1)[0]
+		a := f.agents[0]
+		a.upstream.Kill()
+		var err error
+		a.upstream, err = packetplatform.StartUpstream(a.host)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = flow.Request("second")
+		Expect(err).To(MatchError(packetplatform.ErrReset))
+		f.told(ctx, flow.ID(), "placed", "upstream", "reset", "ready "+a.upstream.ID)
+	}, SpecTimeout(specTimeout))
+
+	It("when no upstream would take it", func(ctx SpecContext) {
+		f := startPackets(ctx, 1, results, results)
+		f.openFlows(1)
+		for _, a := range f.agents {
+			a.upstream.Kill()
+		}
+		var refused *packetplatform.Flow
+		Eventually(func() error {
+			var err error
+			refused, err = f.caller.Open(packetFace)
+			return err
+		}, patience).Should(MatchError(packetplatform.ErrReset))
+		f.told(ctx, refused.ID(), "reset", "refuses-packets")
+	}, SpecTimeout(specTimeout))
+
+	It("when it waited for a slot", func(ctx SpecContext) {
+		f := startPackets(ctx, 1, results)
+		flows := f.openFlows(2 * packetplatform.Slots)
+		f.agents[0].upstream.SetWork(300 * time.Millisecond)
+		f.requestOnAll(flows, "second")
+		waited := 0
+		Eventually(func() int {
+			waited = 0
+			for _, flow := range flows {
+				if containsLine(f.explain(ctx, flow.ID()), "waited", flow.ID(), "took_ms=") {
+					waited++
+				}
+			}
+			return waited
+		}, patience).Should(BeNumerically(">=", packetplatform.Slots/2), fmt.Sprint(waited))
+	}, SpecTimeout(specTimeout))
+})
--- a/test/packetplatform/caller.go
+++ b/test/packetplatform/caller.go
@@ -102,7 +102,14 @@
 	_, _ = c.conn.WriteToUDPAddrPort(p.encode(), to)
 }
 
-// Open opens a flow to a face.
+// ID returns the flow's id as logs have it.
+func (f *Flow) ID() string {
+	return netip.AddrPortFrom(netip.AddrFrom4(f.caller.ip), f.local).String() + ">" +
+		netip.AddrPortFrom(netip.AddrFrom4(f.face.ip), f.face.port).String()
+}
+
+// Open opens a flow to a face. The flow is returned also where that fails, for
+// its id.
 func (c *Caller) Open(face netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
 	c.next++
@@ -118,7 +125,7 @@
 		return f.packet(syn, f.seq, copies-1, nil)
 	}, func(p *packet) bool { return p.flags&syn != 0 })
 	if err != nil {
-		return nil, err
+		return f, err
 	}
 	f.ack = answer.seq + 1
 	f.seq++
--- a/test/packetplatform/upstream.go
+++ b/test/packetplatform/upstream.go
@@ -18,6 +18,7 @@
 	app  *net.UDPConn
 	out  *net.UDPAddr
 	stop chan struct{}
+	once sync.Once
 
 	mu       sync.Mutex
 	flows    map[end]*served
@@ -57,8 +58,10 @@
 
 // Kill ends the upstream without a word.
 func (u *Upstream) Kill() {
-	close(u.stop)
-	u.app.Close()
+	u.once.Do(func() {
+		close(u.stop)
+		u.app.Close()
+	})
 }
 
 // Drain lets the upstream report that it leaves.
