steer: repeat probes without a further packet of the caller

A search whose agents had all answered was concluded again and again and never began another round, so a probe that came back unsure was not repeated.

Ruled out: agents that did not answer, an outdated list.

Change: a round that is due comes first. TestAProbeIsRepeatedByItself failed before.

--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -347,10 +347,10 @@
 		case q.stage < stageEnd && now-q.staged > stageTime:
 			q.stage++
 			c.askStage(now, id, q)
-		case q.stage == stageEnd && c.stageAnswered(now, id, q):
-			c.conclude(now, id, q)
 		case q.roundDue(now):
 			c.askAgain(now, id, q)
+		case q.stage == stageEnd && c.stageAnswered(now, id, q):
+			c.conclude(now, id, q)
 		}
 	}
 }
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -333,3 +333,23 @@
 		_, _ = c.FromAgent(time.Second, address(1, 1), b)
 	})
 }
+
+// An agent that can't tell and has only just started returns a probe unsure; it
+// is probed again without a further packet of the caller.
+func TestAProbeIsRepeatedByItself(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	b.now += time.Second
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.answer(101, caller(1), inner.VerdictMaybe, 1)
+	b.fromAgent(101, inner.AppendReturned(nil, inner.ReasonUnsure, packet(caller(1), 1, 77, platform.FlagACK, 30)))
+	probes := 0
+	for range 60 {
+		b.now += 5 * time.Millisecond
+		b.last = b.core.Tick(b.now)
+		probes += len(b.sent(inner.KindForward))
+	}
+	b.Expect(probes).To(Equal(1))
+	b.fromAgent(101, inner.AppendReturned(nil, inner.ReasonUnknown, packet(caller(1), 1, 77, platform.FlagACK, 30)))
+	b.Expect(b.resets()).To(Equal(1))
+}
