Split the longest files of the packet face by job

Change: moves only: flows, admission, answers and replies of the gate; placing and carrying of the balancer.

--- /dev/null
+++ b/internal/packetface/gate/admit.go
@@ -0,0 +1,112 @@
+package gate
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+func (g *Gate) fromOpen(now time.Duration, from netip.AddrPort, b []byte) error {
+	head, packet, err := inner.ParseOpen(b)
+	if err != nil {
+		return err
+	}
+	p, err := platform.ParsePacket(packet)
+	if err != nil {
+		return err
+	}
+	g.hearKnown(from, head.Known)
+	id := p.FromCaller()
+	if reason := g.refusal(now, id, head); reason != 0 {
+		g.giveBack(now, from, id, reason, packet)
+	} else {
+		g.admit(now, from, id, packet)
+	}
+	if head.Flags&inner.FlagStatus != 0 {
+		g.sendStatus(now, from)
+	}
+	return nil
+}
+
+// refusal returns why the upstream must not get an opening packet, 0 if it may.
+func (g *Gate) refusal(now time.Duration, id platform.Flow, head inner.Open) inner.Reason {
+	must := head.Flags&inner.FlagMust != 0
+	switch {
+	case head.Service != g.service:
+		return inner.ReasonService
+	case g.upstream.down || g.upstream.left || g.upstream.silent:
+		return inner.ReasonDown
+	case g.flows[id] != nil && !g.upstream.draining:
+		return 0 // a copy of an opening packet that was let in
+	case g.upstream.draining && (!must || now-g.upstream.drained > g.settings.DrainWithin-drainMargin):
+		return inner.ReasonDraining
+	case g.stopping && !must:
+		return inner.ReasonDraining
+	case !must && head.Hops == 0 && g.full():
+		return inner.ReasonBusy
+	}
+	return 0
+}
+
+// giveBack returns a packet to the balancer that sent it.
+func (g *Gate) giveBack(now time.Duration, to netip.AddrPort, id platform.Flow, reason inner.Reason, packet []byte) {
+	g.note(now, Note{Kind: KindReturned, Flow: id, Peer: to, Reason: reason.String()})
+	start := len(g.buffer)
+	g.buffer = inner.AppendReturned(g.buffer, reason, packet)
+	g.sendBuffer(ToBalancer, to, start)
+}
+
+// admit hands an opening packet to the upstream.
+func (g *Gate) admit(now time.Duration, from netip.AddrPort, id platform.Flow, packet []byte) {
+	f := g.flows[id]
+	if f == nil {
+		f = g.remember(id, now, flowOpening)
+		g.note(now, Note{Kind: KindOpened, Flow: id, Peer: from})
+	}
+	f.balancer, f.seen = from, now
+	g.send(ToUpstream, netip.AddrPort{}, packet)
+}
+
+func (g *Gate) fromForward(now time.Duration, from netip.AddrPort, b []byte) error {
+	flags, packet, err := inner.ParseForward(b)
+	if err != nil {
+		return err
+	}
+	p, err := platform.ParsePacket(packet)
+	if err != nil {
+		return err
+	}
+	g.carry(now, from, flags, &p, packet)
+	if flags&inner.FlagStatus != 0 {
+		g.sendStatus(now, from)
+	}
+	return nil
+}
+
+// carry hands a packet of a flow to the upstream if it may hold the flow.
+func (g *Gate) carry(now time.Duration, from netip.AddrPort, flags inner.Flags, p *platform.Packet, packet []byte) {
+	id := p.FromCaller()
+	f := g.flows[id]
+	if g.upstream.down || (f == nil && g.upstream.whole) || (f != nil && !g.owns(f, p.Acknowledge)) {
+		g.giveBack(now, from, id, g.unknown(), packet)
+		return
+	}
+	if f == nil {
+		f = g.remember(id, now, flowOpening)
+		f.probing = true
+		g.note(now, Note{Kind: KindProbed, Flow: id, Peer: from})
+	}
+	f.balancer, f.seen, f.acknowledged, f.rank = from, now, p.Acknowledge, flags.Rank()
+	if !f.probing && f.state == flowOpening {
+		g.setState(f, flowOpen)
+	}
+	f.callerDone = f.callerDone || p.Flags.Has(platform.FlagFIN)
+	if g.hold(now, id, f, p, packet) {
+		return
+	}
+	g.countRequest(now, f, p)
+	g.closeIfDone(f, p)
+	g.send(ToUpstream, netip.AddrPort{}, packet)
+}
--- /dev/null
+++ b/internal/packetface/gate/answer.go
@@ -0,0 +1,126 @@
+package gate
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+func (g *Gate) fromPoll(now time.Duration, from netip.AddrPort, b []byte) error {
+	flags, known, err := inner.ParsePoll(b)
+	if err != nil {
+		return err
+	}
+	g.hearKnown(from, known)
+	if flags&inner.FlagUnlisted != 0 && !g.unlisted {
+		g.unlisted = true
+		g.note(now, Note{Kind: KindUnlisted, Peer: from})
+	}
+	g.sendStatus(now, from)
+	return nil
+}
+
+// hearKnown notes how new a balancer's beliefs are.
+func (g *Gate) hearKnown(from netip.AddrPort, known inner.Known) {
+	if known.Max(g.known) == known && from.Addr().Is4() {
+		g.source = from.Addr().As4()
+	}
+	g.known = g.known.Max(known)
+}
+
+// TakeUnlisted reports whether a balancer has told since the last call that
+// the store does not list this agent.
+func (g *Gate) TakeUnlisted() bool {
+	told := g.unlisted
+	g.unlisted = false
+	return told
+}
+
+// AskedAt returns when a balancer last sent anything.
+func (g *Gate) AskedAt() time.Duration { return g.asked }
+
+func (g *Gate) fromAsk(from netip.AddrPort, b []byte) (err error) {
+	g.questions, err = inner.ParseAsk(g.questions[:0], b)
+	if err != nil {
+		return err
+	}
+	start := len(g.buffer)
+	g.buffer = inner.AppendAnswerHead(g.buffer, g.known.Listing)
+	for _, q := range g.questions {
+		g.buffer = inner.AppendAnswer(g.buffer, inner.Answer{Flow: q.Flow, Verdict: g.verdict(q.Flow, q.Acknowledged)})
+	}
+	g.sendBuffer(ToBalancer, from, start)
+	return nil
+}
+
+// SetListed tells the store's revision of this process's entry.
+func (g *Gate) SetListed(revision uint64) { g.listed = revision }
+
+// settled reports whether a balancer whose list is as new as this process's
+// entry has told of it: the process then knows of every agent that was listed
+// before. One without an entry goes by its age.
+func (g *Gate) settled() bool {
+	if g.listed == 0 {
+		return g.aged && g.known.Listing > 0
+	}
+	return g.known.Listing >= g.listed
+}
+
+// verdict says whether the upstream holds a flow.
+func (g *Gate) verdict(id platform.Flow, acknowledged uint32) inner.Verdict {
+	f := g.flows[id]
+	switch {
+	case g.upstream.down, f == nil && g.upstream.whole:
+		return g.none()
+	case f == nil || f.probing:
+		return inner.VerdictMaybe
+	case g.owns(f, acknowledged):
+		return inner.VerdictHeld
+	}
+	return g.none()
+}
+
+// none returns the verdict on a flow that the upstream does not hold.
+func (g *Gate) none() inner.Verdict {
+	if g.settled() {
+		return inner.VerdictNone
+	}
+	return inner.VerdictUnsure
+}
+
+// unknown is none as the reason for returning a packet.
+func (g *Gate) unknown() inner.Reason {
+	if g.settled() {
+		return inner.ReasonUnknown
+	}
+	return inner.ReasonUnsure
+}
+
+// Status returns how the agent and its upstream are.
+func (g *Gate) Status(now time.Duration) inner.Status {
+	u := &g.upstream
+	s := inner.Status{
+		State: inner.StateReady, Incarnation: g.settings.Incarnation, Known: g.known, Source: g.source,
+		Running: uint16(min(g.running+len(g.queue), 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
+		Latency: g.latency, Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
+	}
+	switch {
+	case u.down || u.left:
+		s.State = inner.StateDown
+	case u.silent:
+		s.State = inner.StateSilent
+	case u.draining:
+		s.State = inner.StateDraining
+	case g.stopping:
+		s.State = inner.StateStopping
+	}
+	return s
+}
+
+func (g *Gate) sendStatus(now time.Duration, to netip.AddrPort) {
+	start := len(g.buffer)
+	g.buffer = inner.AppendStatus(g.buffer, g.Status(now))
+	g.sendBuffer(ToBalancer, to, start)
+}
--- /dev/null
+++ b/internal/packetface/gate/reply.go
@@ -0,0 +1,101 @@
+package gate
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// FromUpstream decides on a packet that the upstream sent or returned.
+func (g *Gate) FromUpstream(now time.Duration, b []byte) (*Result, error) {
+	g.begin()
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		return &g.out, err
+	}
+	g.upstream.refused = 0
+	if p.Flags.Has(platform.FlagBounced) {
+		platform.ClearBounced(b)
+		g.bounced(now, &p, b)
+	} else {
+		g.reply(now, &p, b)
+	}
+	g.release(now)
+	return &g.out, nil
+}
+
+// bounced gives a packet that the upstream does not take back to the balancer.
+func (g *Gate) bounced(now time.Duration, p *platform.Packet, b []byte) {
+	id := p.FromCaller()
+	f := g.flows[id]
+	if f == nil {
+		g.note(now, Note{Kind: KindDropped, Flow: id, Reason: "bounced-without-sender"})
+		return
+	}
+	g.note(now, Note{Kind: KindBounced, Flow: id, Peer: f.balancer})
+	reason := g.unknown()
+	if p.IsOpening() {
+		reason = inner.ReasonBounced
+	}
+	balancer := f.balancer
+	g.forget(id, f)
+	g.giveBack(now, balancer, id, reason, b)
+}
+
+// reply sends a packet of the upstream to its caller.
+func (g *Gate) reply(now time.Duration, p *platform.Packet, b []byte) {
+	id := p.FromUpstream()
+	f := g.flows[id]
+	if f == nil {
+		f = g.remember(id, now, flowOpen) // the flow is older than the agent
+	}
+	f.seen = now
+	if f.probing {
+		f.probing = false
+		g.setState(f, flowOpen)
+		g.tellHeld(f, id)
+	}
+	if p.Flags.Has(platform.FlagSYN) {
+		f.answered, f.accepted, f.began = true, p.Sequence, now
+	}
+	if p.Length > 0 && f.running {
+		g.setRunning(f, false)
+		f.served = true
+		g.addLatency(now - f.asked)
+		if now-f.asked >= slowAnswer {
+			g.note(now, Note{Kind: KindSlow, Flow: id, Took: now - f.asked})
+		}
+	}
+	if p.Flags.Has(platform.FlagFIN) {
+		f.upstreamDone = true
+		g.setRunning(f, false) // nothing more is answered on the flow
+	}
+	g.closeIfDone(f, p)
+	g.send(ToCaller, g.caller(id), b)
+}
+
+// tellHeld tells the balancer that asked that its flow is held here.
+func (g *Gate) tellHeld(f *flow, id platform.Flow) {
+	if !f.balancer.IsValid() {
+		return
+	}
+	start := len(g.buffer)
+	g.buffer = inner.AppendAnswerHead(g.buffer, g.known.Listing)
+	g.buffer = inner.AppendAnswer(g.buffer, inner.Answer{Flow: id, Verdict: inner.VerdictHeld})
+	g.sendBuffer(ToBalancer, f.balancer, start)
+}
+
+func (g *Gate) addLatency(latency time.Duration) {
+	g.out.Answered = append(g.out.Answered, latency)
+	if g.latency == 0 {
+		g.latency = latency
+		return
+	}
+	g.latency += time.Duration(latencyShare * float64(latency-g.latency))
+}
+
+func (g *Gate) caller(id platform.Flow) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(id.Caller), g.settings.CallerPort)
+}
--- /dev/null
+++ b/internal/packetface/steer/carry.go
@@ -0,0 +1,98 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// flow is what the balancer remembers of a flow.
+type flow struct {
+	agent *agent
+	// placed is when its opening packet was sent to agent, seen when its last
+	// packet came.
+	placed, seen time.Duration
+	// open tells that the caller has gone on from the opening.
+	open bool
+	// rank is that of the route, 0 for the most urgent.
+	rank int
+	// tried are agents that have returned the opening packet.
+	tried []*agent
+}
+
+// carry sends a packet of a flow that was opened before.
+func (c *Core) carry(now time.Duration, id platform.Flow, p *platform.Packet, b []byte) {
+	if f := c.flows[id]; f != nil && f.agent != nil && !f.agent.removed && !c.mayPassOver(now, id, f.agent) {
+		f.seen, f.open = now, true
+		c.forward(now, f.agent, b, inner.Flags(0).WithRank(f.rank))
+		return
+	}
+	delete(c.flows, id)
+	if until, ok := c.dead[id]; ok && now < until {
+		c.reset(id, p.Acknowledge, "held-by-none")
+		return
+	}
+	c.ask(now, id, p, b)
+}
+
+func (c *Core) forward(now time.Duration, a *agent, b []byte, flags inner.Flags) {
+	start := len(c.buffer)
+	c.buffer = inner.AppendForward(c.buffer, flags|c.flagsFor(a, now, statusAgeCarry), b)
+	c.send(a.Addr, start)
+}
+
+// flagsFor asks for the agent's status if what is known is older than age.
+func (c *Core) flagsFor(a *agent, now, age time.Duration) inner.Flags {
+	if !a.wantStatus(now, age) {
+		return 0
+	}
+	a.asked(now)
+	return inner.FlagStatus
+}
+
+// reset tells a caller that its flow is not held. No request in the packet
+// that asked has run.
+func (c *Core) reset(id platform.Flow, sequence uint32, reason string) {
+	c.note(Note{Kind: KindReset, Flow: id, Reason: reason})
+	start := len(c.buffer)
+	c.buffer = platform.AppendReset(c.buffer, id, sequence)
+	c.out.Actions = append(c.out.Actions, Action{
+		To:       netip.AddrPortFrom(netip.AddrFrom4(id.Caller), c.settings.CallerPort),
+		Bytes:    c.buffer[start:],
+		ToCaller: true,
+	})
+}
+
+// remember makes room for a flow and returns its memory.
+func (c *Core) remember(id platform.Flow, now time.Duration) *flow {
+	if len(c.flows) >= maxFlows {
+		for old := range c.flows { // any: its owner is found again by asking
+			delete(c.flows, old)
+			break
+		}
+	}
+	f := &flow{seen: now}
+	c.flows[id] = f
+	return f
+}
+
+// sweep forgets flows that are idle or never opened.
+func (c *Core) sweep(now time.Duration) {
+	c.swept = now
+	for id, f := range c.flows {
+		limit := c.idleLimit
+		if !f.open {
+			limit = openingTime
+		}
+		if now-f.seen > limit {
+			delete(c.flows, id)
+		}
+	}
+	for id, until := range c.dead {
+		if now >= until {
+			delete(c.dead, id)
+		}
+	}
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -105,20 +105,6 @@
 	versionEvery = 200 * time.Millisecond
 )
 
-// flow is what the balancer remembers of a flow.
-type flow struct {
-	agent *agent
-	// placed is when its opening packet was sent to agent, seen when its last
-	// packet came.
-	placed, seen time.Duration
-	// open tells that the caller has gone on from the opening.
-	open bool
-	// rank is that of the route, 0 for the most urgent.
-	rank int
-	// tried are agents that have returned the opening packet.
-	tried []*agent
-}
-
 // Core is the state of a balancer's decisions. Times are counted from the
 // start of the process by the steady clock.
 type Core struct {
@@ -232,132 +218,6 @@
 	return &c.out, nil
 }
 
-// open places a flow, or sends a copy of its opening packet after the first.
-func (c *Core) open(now time.Duration, id platform.Flow, b []byte) {
-	route := c.route(id)
-	if route == nil {
-		c.noRoute(id)
-		return
-	}
-	f := c.flows[id]
-	if f == nil {
-		f = c.remember(id, now)
-	}
-	f.seen, f.rank = now, route.Rank
-	if f.agent != nil && (f.open || !unheard(f, now)) {
-		c.sendOpen(now, f, f.agent, route, id, b, 0)
-		return
-	}
-	if f.agent != nil {
-		f.tried = append(f.tried, f.agent)
-	}
-	c.place(now, id, f, route, b)
-}
-
-// unheard reports whether the agent has been silent since it got the opening
-// packet, for longer than an answer takes.
-func unheard(f *flow, now time.Duration) bool {
-	if f.agent.removed {
-		return true
-	}
-	return f.agent.heard < f.placed && now-f.placed > copyPatience
-}
-
-// place sends an opening packet to the best agent that has not returned it.
-func (c *Core) place(now time.Duration, id platform.Flow, f *flow, route *routing.Route, b []byte) {
-	service, ok := route.Choose(id)
-	if !ok {
-		c.reset(id, 0, "no-service")
-		return
-	}
-	best := c.roster.choose(now, service, c.settings, f.tried, route.Repeatable)
-	if best == nil || len(f.tried) >= maxHops {
-		c.placeLast(now, id, f, route, service, b)
-		return
-	}
-	kind := KindPlaced
-	if len(f.tried) > 0 {
-		kind = KindMoved
-	}
-	c.note(Note{Kind: kind, Flow: id, Agent: best.Addr, Age: now - best.heard, Count: len(f.tried)})
-	f.agent, f.placed = best, now
-	best.pending++
-	c.sendOpen(now, f, best, route, id, b, 0)
-}
-
-// placeLast sends an opening packet that every agent has returned to the one
-// that may take it yet, or tells the caller that nobody does.
-func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
-	last := c.roster.last(now, service, c.settings)
-	if last == nil || f.agent == nil || f.hasMust() {
-		delete(c.flows, id)
-		c.reset(id, 0, "no-upstream-takes-it")
-		return
-	}
-	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Reason: "last", Count: len(f.tried)})
-	f.agent, f.placed = last, now
-	f.tried = append(f.tried, nil) // marks the last try
-	c.sendOpen(now, f, last, route, id, b, inner.FlagMust)
-}
-
-// hasMust reports whether the last try was made.
-func (f *flow) hasMust() bool {
-	return len(f.tried) > 0 && f.tried[len(f.tried)-1] == nil
-}
-
-func (c *Core) sendOpen(now time.Duration, f *flow, a *agent, route *routing.Route, id platform.Flow, b []byte, flags inner.Flags) {
-	service, _ := route.Choose(id)
-	start := len(c.buffer)
-	flags |= c.flagsFor(a, now, statusAgeOpen)
-	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
-		Flags: flags, Hops: uint8(len(f.tried)), Service: service, Known: c.known(),
-	}, b)
-	c.send(a.Addr, start)
-}
-
-// carry sends a packet of a flow that was opened before.
-func (c *Core) carry(now time.Duration, id platform.Flow, p *platform.Packet, b []byte) {
-	if f := c.flows[id]; f != nil && f.agent != nil && !f.agent.removed && !c.mayPassOver(now, id, f.agent) {
-		f.seen, f.open = now, true
-		c.forward(now, f.agent, b, inner.Flags(0).WithRank(f.rank))
-		return
-	}
-	delete(c.flows, id)
-	if until, ok := c.dead[id]; ok && now < until {
-		c.reset(id, p.Acknowledge, "held-by-none")
-		return
-	}
-	c.ask(now, id, p, b)
-}
-
-func (c *Core) forward(now time.Duration, a *agent, b []byte, flags inner.Flags) {
-	start := len(c.buffer)
-	c.buffer = inner.AppendForward(c.buffer, flags|c.flagsFor(a, now, statusAgeCarry), b)
-	c.send(a.Addr, start)
-}
-
-// flagsFor asks for the agent's status if what is known is older than age.
-func (c *Core) flagsFor(a *agent, now, age time.Duration) inner.Flags {
-	if !a.wantStatus(now, age) {
-		return 0
-	}
-	a.asked(now)
-	return inner.FlagStatus
-}
-
-// reset tells a caller that its flow is not held. No request in the packet
-// that asked has run.
-func (c *Core) reset(id platform.Flow, sequence uint32, reason string) {
-	c.note(Note{Kind: KindReset, Flow: id, Reason: reason})
-	start := len(c.buffer)
-	c.buffer = platform.AppendReset(c.buffer, id, sequence)
-	c.out.Actions = append(c.out.Actions, Action{
-		To:       netip.AddrPortFrom(netip.AddrFrom4(id.Caller), c.settings.CallerPort),
-		Bytes:    c.buffer[start:],
-		ToCaller: true,
-	})
-}
-
 func (c *Core) route(id platform.Flow) *routing.Route {
 	if c.table == nil {
 		return nil
@@ -365,28 +225,6 @@
 	return c.table.Find(id)
 }
 
-// noRoute answers an opening packet for a face without a route.
-func (c *Core) noRoute(id platform.Flow) {
-	if c.table != nil && c.tableFresh {
-		c.reset(id, 0, "no-route")
-		return
-	}
-	c.note(Note{Kind: KindDropped, Flow: id, Reason: "no-route-known"})
-}
-
-// remember makes room for a flow and returns its memory.
-func (c *Core) remember(id platform.Flow, now time.Duration) *flow {
-	if len(c.flows) >= maxFlows {
-		for old := range c.flows { // any: its owner is found again by asking
-			delete(c.flows, old)
-			break
-		}
-	}
-	f := &flow{seen: now}
-	c.flows[id] = f
-	return f
-}
-
 // FromAgent decides on a datagram that came from an agent.
 func (c *Core) FromAgent(now time.Duration, from netip.AddrPort, b []byte) (*Result, error) {
 	c.begin()
@@ -479,25 +317,6 @@
 	return nil
 }
 
-// placeAgain sends an opening packet that an agent returned to another one.
-func (c *Core) placeAgain(now time.Duration, id platform.Flow, a *agent, reason inner.Reason, packet []byte) {
-	route := c.route(id)
-	f := c.flows[id]
-	if route == nil || f == nil || f.open || f.agent != a {
-		return // a later copy has been placed elsewhere, or the route is gone
-	}
-	if reason == inner.ReasonBusy {
-		a.status.Running = max(a.status.Running, a.status.Slots)
-	}
-	if f.hasMust() {
-		delete(c.flows, id)
-		c.reset(id, 0, "all-returned-"+reason.String())
-		return
-	}
-	f.tried = append(f.tried, a)
-	c.place(now, id, f, route, packet)
-}
-
 // Tick does what is due by time alone.
 func (c *Core) Tick(now time.Duration) *Result {
 	c.begin()
@@ -512,22 +331,3 @@
 
 // Waiting reports whether asks wait for answers, so that ticks are wanted soon.
 func (c *Core) Waiting() bool { return len(c.asks) > 0 }
-
-// sweep forgets flows that are idle or never opened.
-func (c *Core) sweep(now time.Duration) {
-	c.swept = now
-	for id, f := range c.flows {
-		limit := c.idleLimit
-		if !f.open {
-			limit = openingTime
-		}
-		if now-f.seen > limit {
-			delete(c.flows, id)
-		}
-	}
-	for id, until := range c.dead {
-		if now >= until {
-			delete(c.dead, id)
-		}
-	}
-}
