steer: ask agents that are listed during a search; tidy the search's record

Cause: a search knew only the agents that were listed when its last stage began, so a flow was not reset while one was added.

Change: each round asks those that were not asked. A field that nothing used is gone. TestAnAgentListedMeanwhileIsAsked.

--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -41,18 +41,20 @@
 
 // ask is the search for the agent whose upstream holds a flow.
 type ask struct {
-	stage int
-	// began is when the search began, staged when the stage did, round when
-	// agents were last asked, last
-	// when the caller's last packet came.
-	began, staged, round, last time.Duration
-	rounds                     int
-	packets                    [][]byte
-	acknowledged               uint32
-	// listing is the newest list of agents that the asked ones know of.
-	listing             uint64
-	asked               map[*agent]bool
-	none, maybe, probed map[*agent]bool
+	// stage is the group of agents that is asked now, staged since when.
+	stage  int
+	staged time.Duration
+	// began is when the search began, last when the caller's last packet came.
+	began, last time.Duration
+	// round is when agents were last asked, rounds how often again.
+	round  time.Duration
+	rounds int
+	// packets are kept for the owner; acknowledged is the caller's last count.
+	packets      [][]byte
+	acknowledged uint32
+	// asked are all agents asked; none have said that they do not hold the flow,
+	// maybe that they can't tell; probed were handed a packet to find out.
+	asked, none, maybe, probed map[*agent]bool
 }
 
 // ask begins or goes on with the search for a flow's owner.
@@ -155,8 +157,9 @@
 	c.questioned = c.questioned[:0]
 }
 
-// askAgain repeats the question to agents that have not answered, and probes
-// once more those that can't tell. Each time it waits for longer.
+// askAgain repeats the question to agents that have not answered, asks those that
+// are new, and probes once more those that can't tell. Each time it waits for
+// longer.
 func (c *Core) askAgain(now time.Duration, id platform.Flow, q *ask) {
 	q.round = now
 	q.rounds++
@@ -166,6 +169,8 @@
 		}
 	}
 	clear(q.probed)
+	q.stage = stageNear // agents that were listed meanwhile
+	c.askStage(now, id, q)
 	c.progress(now, id, q)
 }
 
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -353,3 +353,23 @@
 	b.fromAgent(101, inner.AppendReturned(nil, inner.ReasonUnknown, packet(caller(1), 1, 77, platform.FlagACK, 30)))
 	b.Expect(b.resets()).To(Equal(1))
 }
+
+// An agent that is listed while a flow's owner is searched for is asked, too.
+func TestAnAgentListedMeanwhileIsAsked(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	b.now += time.Second
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a"), at(102, "a")}, 2)
+	b.answer(101, caller(1), inner.VerdictNone, 2)
+	b.Expect(b.resets()).To(BeZero())
+	var asked []netip.AddrPort
+	for range 30 {
+		b.now += 5 * time.Millisecond
+		b.last = b.core.Tick(b.now)
+		asked = append(asked, b.sent(inner.KindAsk)...)
+	}
+	b.Expect(asked).To(ContainElement(address(102, 1)))
+	b.answer(102, caller(1), inner.VerdictNone, 2)
+	b.Expect(b.resets()).To(Equal(1))
+}
