--- a/internal/packetface/registry/follow_test.go
+++ b/internal/packetface/registry/follow_test.go
@@ -97,13 +97,13 @@
 func TestFollowerSeesAgentsAndConfiguration(t *testing.T) {
 	g := NewWithT(t)
 	fake := newStore(t)
-	fake.Put("op/config", []byte("1"))
+	fake.Put(platform.ConfigKey, []byte("1"))
 	fake.Put("saltbend/agents/garbage", []byte("{"))
 	fake.Put("servers/other", nil)
 	f := follow(t, fake, 20)
 	keeper, _ := publish(t, fake, "10.0.0.1:1")
 	g.Eventually(f.sees(1, "1"), patience).Should(BeTrue())
-	fake.Put("op/config", []byte("2"))
+	fake.Put(platform.ConfigKey, []byte("2"))
 	g.Eventually(f.sees(1, "2"), patience).Should(BeTrue())
 	keeper.Want(nil)
 	g.Eventually(f.sees(0, "2"), patience).Should(BeTrue())
@@ -118,7 +118,7 @@
 	fake.Fail(http.StatusServiceUnavailable)
 	g.Eventually(f.reachedNow, patience).Should(BeFalse())
 	fake.Lapse() // the leases run out while nobody reaches the store
-	fake.Put("op/config", []byte("2"))
+	fake.Put(platform.ConfigKey, []byte("2"))
 	fake.Fail(0)
 	g.Eventually(f.sees(0, "2"), patience).Should(BeTrue())
 	keeper.Hint() // a balancer that misses the entry tells the agent
@@ -132,7 +132,7 @@
 	f := follow(t, fake, 1)
 	g.Eventually(f.reachedNow, patience).Should(BeTrue())
 	fake.Compact()
-	fake.Put("op/config", []byte("2"))
+	fake.Put(platform.ConfigKey, []byte("2"))
 	fake.Compact()
 	g.Eventually(f.sees(0, "2"), patience).Should(BeTrue())
 }
@@ -144,10 +144,10 @@
 	fake := newStore(t)
 	f := follow(t, fake, 20) // watches wait for 10 s
 	g.Eventually(f.reachedNow, patience).Should(BeTrue())
-	before := fake.Calls("/kv-range")
+	before := fake.Readings()
 	g.Eventually(func() bool {
 		f.Hint(netip.AddrPort{})
-		return fake.Calls("/kv-range") >= before+2
+		return fake.Readings() >= before+2
 	}, patience).Should(BeTrue())
 }
 
@@ -165,7 +165,7 @@
 func TestFollowerLearnsFromAPeer(t *testing.T) {
 	g := NewWithT(t)
 	fake := newStore(t)
-	fake.Put("op/config", []byte("1"))
+	fake.Put(platform.ConfigKey, []byte("1"))
 	served := follow(t, fake, 20)
 	mux := http.NewServeMux()
 	mux.Handle(registry.ListingPattern, served)
@@ -173,11 +173,11 @@
 	t.Cleanup(peer.Close)
 
 	cut := newStore(t) // the same store as another host sees it
-	cut.Put("op/config", []byte("1"))
+	cut.Put(platform.ConfigKey, []byte("1"))
 	refused := follow(t, cut, 20)
 	g.Eventually(refused.sees(0, "1"), patience).Should(BeTrue())
 	cut.Fail(http.StatusServiceUnavailable)
-	fake.Put("op/config", []byte("2"))
+	fake.Put(platform.ConfigKey, []byte("2"))
 	publish(t, fake, "10.0.0.1:1")
 	g.Eventually(served.sees(1, "2"), patience).Should(BeTrue())
 	g.Eventually(func() bool {
--- /dev/null
+++ b/internal/packetface/steer/world_test.go
@@ -0,0 +1,364 @@
+package steer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/packetface/gate"
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/routing"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/platform"
+)
+
+const (
+	service    = "results"
+	callerPort = 9000
+	maxLate    = 400 * time.Millisecond
+)
+
+var face = netip.MustParseAddrPort("198.18.0.1:443")
+
+// letter is a datagram on its way.
+type letter struct {
+	due      time.Duration
+	from, to netip.AddrPort
+	bytes    []byte
+}
+
+// site is an agent with its upstream.
+type site struct {
+	addr        netip.AddrPort
+	gate        *gate.Gate
+	life        int
+	sequence    uint64
+	incarnation uint64
+	// due is when the process, started anew, is listed; 0 when that is past.
+	due time.Duration
+	// held are the flows that the upstream holds: true once they are open.
+	held map[platform.Flow]bool
+}
+
+// answer returns the count of the upstream's answer to an opening packet.
+func (s *site) answer() uint32 { return uint32(s.addr.Addr().As4()[3])*1_000_000 + uint32(s.life)*1000 }
+
+// balancer is a balancer at its address.
+type balancer struct {
+	addr netip.AddrPort
+	core *steer.Core
+	// refused tells that the store turns the balancer away.
+	refused bool
+}
+
+// world is a small fleet with a network that loses, doubles and delays.
+type world struct {
+	t         *rapid.T
+	random    *rand.Rand
+	now       time.Duration
+	balancers []*balancer
+	sites     []*site
+	letters   []letter
+	flows     []platform.Flow
+	nextPort  uint16
+	told      []string
+	// accepted holds what callers acknowledge: the answer that they go on with.
+	accepted map[platform.Flow]uint32
+	loss     float64
+	// absentAfter is the setting of all balancers.
+	absentAfter time.Duration
+	revision    uint64
+}
+
+func address(host, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(host >> 8), byte(host)}), uint16(port))
+}
+
+func table() *routing.Table {
+	return routing.NewTable(platform.Configuration{Version: 1, Routes: []platform.Route{
+		{Name: "r", Face: face, Shares: []platform.Share{{Service: service, Weight: 1}}, Repeatable: true},
+	}})
+}
+
+func newWorld(t *rapid.T, mostLoss float64, absentAfter time.Duration) *world {
+	w := &world{
+		t: t, now: time.Millisecond, absentAfter: absentAfter, revision: 1, accepted: map[platform.Flow]uint32{},
+		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		loss:   rapid.Float64Range(0, mostLoss).Draw(t, "loss"),
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "agents") {
+		w.addSite()
+	}
+	for i := range rapid.IntRange(1, 3).Draw(t, "balancers") {
+		w.balancers = append(w.balancers, &balancer{addr: address(i+1, 2)})
+		w.startBalancer(w.balancers[i])
+	}
+	return w
+}
+
+func (w *world) addSite() {
+	s := &site{addr: address(100+len(w.sites), 1), held: map[platform.Flow]bool{}}
+	w.sites = append(w.sites, s)
+	w.startAgent(s)
+	w.heartbeat(s)
+	w.listed(s)
+}
+
+// listed writes a site's entry; balancers that the store serves are told.
+func (w *world) listed(s *site) {
+	w.revision++
+	s.due = 0
+	s.gate.SetListed(w.revision)
+	for _, b := range w.balancers {
+		if !b.refused {
+			w.list(b, nil)
+		}
+	}
+}
+
+func (w *world) startBalancer(b *balancer) {
+	c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: w.random, AbsentAfter: w.absentAfter})
+	c.SetTable(table(), time.Minute)
+	c.SetTableFresh(true)
+	b.core = c
+	w.list(b, nil)
+}
+
+// list gives a balancer the list of agents without one.
+func (w *world) list(b *balancer, without *site) {
+	var agents []steer.Agent
+	for _, s := range w.sites {
+		if s != without && (s.due == 0 || s.incarnation > 1) {
+			agents = append(agents, steer.Agent{Addr: s.addr, Service: inner.ServiceID(service), DataCentre: "a", Slots: 2, Incarnation: s.incarnation})
+		}
+	}
+	w.fromBalancer(b.addr, b.core.SetAgents(w.now, agents, w.revision))
+}
+
+func (w *world) startAgent(s *site) {
+	s.incarnation++
+	s.due = w.now + time.Duration(w.random.Int64N(int64(50*time.Millisecond)))
+	s.gate = gate.New(gate.Settings{
+		Service: service, CallerPort: callerPort, DrainWithin: 3 * time.Second,
+		FlowMaxAge: time.Minute, HeartbeatEvery: 1200 * time.Millisecond,
+	})
+}
+
+func (w *world) heartbeat(s *site) {
+	s.sequence++
+	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{ID: fmt.Sprintf("%s-%d", s.addr, s.life), Slots: 2, Sequence: s.sequence})
+	w.fromAgent(s, r)
+}
+
+// replace ends the upstream; a new life begins and reports.
+func (w *world) replace(s *site, late bool) {
+	s.life++
+	s.sequence = 0
+	s.held = map[platform.Flow]bool{}
+	if !late {
+		w.heartbeat(s)
+	}
+}
+
+func (w *world) post(from, to netip.AddrPort, b []byte) {
+	copies := 1
+	if w.random.Float64() < w.loss {
+		copies = 0
+	}
+	if w.random.Float64() < w.loss/2 {
+		copies++
+	}
+	for range copies {
+		late := time.Duration(w.random.Int64N(int64(4 * time.Millisecond)))
+		if w.random.Float64() < w.loss/4 {
+			late = time.Duration(w.random.Int64N(int64(maxLate)))
+		}
+		w.letters = append(w.letters, letter{due: w.now + late, from: from, to: to, bytes: append([]byte(nil), b...)})
+	}
+}
+
+func (w *world) fromBalancer(addr netip.AddrPort, r *steer.Result) {
+	for _, n := range r.Notes {
+		w.tell("balancer %s %s %s agent %s %s", addr, n.Kind, n.Flow, n.Agent, n.Reason)
+	}
+	for _, a := range r.Actions {
+		if a.ToCaller {
+			w.checkReset(a.Bytes, "balancer "+addr.String())
+			continue
+		}
+		w.post(addr, a.To, a.Bytes)
+	}
+}
+
+func (w *world) fromAgent(s *site, r *gate.Result) {
+	for _, n := range r.Notes {
+		w.tell("agent %s %s %s balancer %s %s", s.addr, n.Kind, n.Flow, n.Peer, n.Reason)
+	}
+	actions := append([]gate.Action(nil), r.Actions...)
+	for i := range actions { // the upstream's reply comes before all are done
+		actions[i].Bytes = append([]byte(nil), actions[i].Bytes...)
+	}
+	for _, a := range actions {
+		b := a.Bytes
+		switch a.Target {
+		case gate.ToBalancer:
+			w.post(s.addr, a.To, b)
+		case gate.ToUpstream:
+			w.upstream(s, b)
+		case gate.ToCaller:
+			w.toCaller(s, b)
+		}
+	}
+}
+
+// toCaller takes what an agent sends a caller, who goes on with the first answer
+// to its opening packets.
+func (w *world) toCaller(s *site, b []byte) {
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		w.t.Fatalf("caller got %x: %v", b, err)
+	}
+	if p.Flags == platform.FlagRST {
+		w.checkReset(b, "agent "+s.addr.String())
+	}
+	id := p.FromUpstream()
+	if _, known := w.accepted[id]; p.Flags.Has(platform.FlagSYN) && !known && w.random.Float64() >= w.loss {
+		w.accepted[id] = p.Sequence + 1
+	}
+}
+
+// upstream is the upstream's side: it holds what was opened there, bounces the
+// rest, and answers data.
+func (w *world) upstream(s *site, b []byte) {
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		w.t.Fatalf("upstream got %x: %v", b, err)
+	}
+	id := p.FromCaller()
+	open, held := s.held[id]
+	switch {
+	case p.IsOpening():
+		if !held {
+			s.held[id] = false
+		}
+		w.reply(s, packet(reversed(id), s.answer(), 0, platform.FlagSYN|platform.FlagACK, 0))
+	case !held || (!open && p.Acknowledge != s.answer()+1):
+		b[30] |= byte(platform.FlagBounced)
+		w.reply(s, b)
+	default:
+		if !open {
+			w.tell("upstream of %s opened %s", s.addr, id)
+		}
+		s.held[id] = true
+		if p.Length > 0 {
+			w.reply(s, packet(reversed(id), 100, p.Sequence+uint32(p.Length), platform.FlagACK, 20))
+		}
+	}
+}
+
+func (w *world) reply(s *site, b []byte) {
+	r, err := s.gate.FromUpstream(w.now, b)
+	if err != nil {
+		w.t.Fatalf("agent refused a packet of its upstream: %v", err)
+	}
+	w.fromAgent(s, r)
+}
+
+// checkReset fails if the flow of a reset is open at an upstream.
+func (w *world) checkReset(b []byte, by string) {
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		w.t.Fatalf("%s sent a caller %x: %v", by, b, err)
+	}
+	id := p.FromUpstream()
+	const window = 76_800 // a reset further from the caller's count is ignored
+	for _, s := range w.sites {
+		if s.held[id] && p.Sequence-w.accepted[id]+window <= 2*window {
+			w.t.Fatalf("at %s %s reset %s, which is open at %s\n%s", w.now, by, id, s.addr, w.story(id))
+		}
+	}
+	// A caller goes on with another flow.
+	w.flows = slices.DeleteFunc(w.flows, func(f platform.Flow) bool { return f == id })
+}
+
+// tell keeps what happened, for the report of a failure.
+func (w *world) tell(format string, args ...any) {
+	w.told = append(w.told, fmt.Sprintf("%s ", w.now)+fmt.Sprintf(format, args...))
+}
+
+// story returns what happened to a flow, and to no flow.
+func (w *world) story(id platform.Flow) string {
+	kept := slices.DeleteFunc(slices.Clone(w.told), func(line string) bool {
+		return strings.Contains(line, ">198.18") && !strings.Contains(line, id.String())
+	})
+	return strings.Join(kept[max(0, len(kept)-60):], "\n")
+}
+
+// run lets time pass and delivers what is due.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += time.Millisecond {
+		due := w.letters
+		w.letters = nil
+		for _, l := range due {
+			if l.due > w.now {
+				w.letters = append(w.letters, l)
+				continue
+			}
+			w.deliver(l)
+		}
+		if w.now%(5*time.Millisecond) == 0 {
+			for _, b := range w.balancers {
+				w.fromBalancer(b.addr, b.core.Tick(w.now))
+			}
+			for _, s := range w.sites {
+				w.fromAgent(s, s.gate.Tick(w.now))
+				w.register(s)
+			}
+		}
+	}
+}
+
+// register lets a process be listed in its time.
+func (w *world) register(s *site) {
+	if s.due != 0 && w.now >= s.due {
+		w.listed(s)
+	}
+}
+
+func (w *world) deliver(l letter) {
+	for _, b := range w.balancers {
+		if b.addr == l.to {
+			r, err := b.core.FromAgent(w.now, l.from, l.bytes)
+			if err != nil {
+				w.t.Fatalf("balancer refused %x: %v", l.bytes, err)
+			}
+			w.fromBalancer(l.to, r)
+		}
+	}
+	for _, s := range w.sites {
+		if s.addr == l.to {
+			r, err := s.gate.FromBalancer(w.now, l.from, l.bytes)
+			if err != nil {
+				w.t.Fatalf("agent refused %x: %v", l.bytes, err)
+			}
+			w.fromAgent(s, r)
+		}
+	}
+}
+
+// callerSends sends a packet of a flow through any balancer.
+func (w *world) callerSends(id platform.Flow, flags platform.Flags, ack uint32, size int) {
+	b := w.anyBalancer()
+	r, err := b.core.FromCaller(w.now, packet(id, 1, ack, flags, size))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.fromBalancer(b.addr, r)
+}
+
+func (w *world) anyBalancer() *balancer { return w.balancers[w.random.IntN(len(w.balancers))] }
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -126,11 +126,11 @@
 	return out
 }
 
-// Calls returns how often a path was called.
-func (s *Store) Calls(path string) int {
+// Readings returns how often everything was read.
+func (s *Store) Readings() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls[path]
+	return s.calls["/kv-range"]
 }
 
 // guard counts calls and refuses them while the store is to fail.
