steer: prefer the own data centre more, by how long a flow stays

Ruled out: flows that follow their owner across (the fabric keeps callers in their own data centre).

Change: a flow of one request goes elsewhere only when the nearby upstream is 0.7 of its slots busier, as it waits only where none is free; one that stays at 1.5 requests, and 0.3 of the slots at least.

--- a/internal/packetface/steer/choose.go
+++ b/internal/packetface/steer/choose.go
@@ -9,9 +9,14 @@
 
 // Weights of the choice, in parts of an upstream's slots.
 const (
-	// weightFar is the extra load that an agent in the own data centre may have
-	// before one elsewhere is preferred.
-	weightFar = 0.3
+	// weightFar and weightFarLong are the extra load that an agent in the own
+	// data centre may have before one elsewhere is preferred: more for a flow of
+	// one request, which waits only where no slot is free, less for a flow that
+	// stays. farRequests is the least for the latter in requests, for upstreams
+	// with few slots.
+	weightFar     = 0.7
+	weightFarLong = 0.3
+	farRequests   = 1.5
 	// weightCold is the load that a cold upstream counts for.
 	weightCold = 0.5
 	// weightFlow is the load that an open flow stands for while it is idle.
@@ -67,6 +72,14 @@
 	return best
 }
 
+// farness returns what distance counts for, in parts of an upstream's slots.
+func farness(slots float64, long bool) float64 {
+	if long {
+		return max(weightFarLong, farRequests/slots)
+	}
+	return weightFar
+}
+
 // score returns how loaded an agent looks; less is better.
 func (a *agent) score(now time.Duration, s Settings, long bool) float64 {
 	slots := float64(max(int(a.status.Slots), a.Slots, 1))
@@ -75,7 +88,7 @@
 		load += weightFlow * (float64(a.status.Flows) + float64(a.pending)) / slots
 	}
 	if a.DataCentre != s.DataCentre {
-		load += weightFar
+		load += farness(slots, long)
 	}
 	if a.status.Cold {
 		load += weightCold
