--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -34,9 +34,9 @@
 	// pausePart is the time that each balancer of the fleet adds to the pause
 	// after a watch that brought changes, within pauseLeast and pauseMost: a
 	// storm of changes costs few calls, whatever the size of the fleet.
-	pausePart  = 40 * time.Millisecond
+	pausePart  = 50 * time.Millisecond
 	pauseLeast = 150 * time.Millisecond
-	pauseMost  = 800 * time.Millisecond
+	pauseMost  = 1200 * time.Millisecond
 )
 
 // everything is the prefix of all keys: one watch serves the configuration and
