--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -123,6 +123,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
+	f.takeHint() // one that came before is of these changes
 	f.report(f.listing.Apply(changes))
 	f.changed()
 	pause := min(max(time.Duration(f.Balancers())*pausePart, pauseLeast), pauseMost)
