steer: say that the last try was made, not mark it in a list

Cause: reading the change as a newcomer, a nil in the list of tried agents stood for the last try.

Change: a field of its own; a comment that was wrong.

--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -30,7 +30,7 @@
 	// stopLinger is the least time that an agent carries on with its upstream's
 	// flows, so that balancers have heard that it stops.
 	stopLinger = 200 * time.Millisecond
-	// leaveTime bounds the removal of the entry at the end.
+	// leaveTime is kept free at the end for calls of the store on their way.
 	leaveTime = 500 * time.Millisecond
 )
 
--- a/internal/packetface/steer/carry.go
+++ b/internal/packetface/steer/carry.go
@@ -18,8 +18,10 @@
 	open bool
 	// rank is that of the route, 0 for the most urgent.
 	rank int
-	// tried are agents that have returned the opening packet.
-	tried []*agent
+	// tried are agents that have returned the opening packet or were silent;
+	// lastTry tells that all were tried, and the best once more.
+	tried   []*agent
+	lastTry bool
 }
 
 // carry sends a packet of a flow that was opened before.
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -65,28 +65,22 @@
 // that may take it yet, or tells the caller that nobody does.
 func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
 	last := c.roster.last(now, service, c.settings)
-	if last == nil || f.agent == nil || f.hasMust() {
+	if last == nil || f.agent == nil || f.lastTry {
 		delete(c.flows, id)
 		c.reset(id, 0, "no-upstream-takes-it")
 		return
 	}
 	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Reason: "last", Count: len(f.tried)})
-	f.agent, f.placed = last, now
-	f.tried = append(f.tried, nil) // marks the last try
+	f.agent, f.placed, f.lastTry = last, now, true
 	c.sendOpen(now, f, last, route, id, b, inner.FlagMust)
 }
 
-// hasMust reports whether the last try was made.
-func (f *flow) hasMust() bool {
-	return len(f.tried) > 0 && f.tried[len(f.tried)-1] == nil
-}
-
 func (c *Core) sendOpen(now time.Duration, f *flow, a *agent, route *routing.Route, id platform.Flow, b []byte, flags inner.Flags) {
 	service, _ := route.Choose(id)
 	start := len(c.buffer)
 	flags |= c.flagsFor(a, now, statusAgeOpen)
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
-		Flags: flags, Hops: uint8(len(f.tried)), Service: service, Known: c.known(),
+		Flags: flags, Hops: uint8(min(len(f.tried), maxHops)), Service: service, Known: c.known(),
 	}, b)
 	c.send(a.Addr, start)
 }
@@ -110,7 +104,7 @@
 	if reason == inner.ReasonBusy {
 		a.status.Running = max(a.status.Running, a.status.Slots)
 	}
-	if f.hasMust() {
+	if f.lastTry {
 		delete(c.flows, id)
 		c.reset(id, 0, "all-returned-"+reason.String())
 		return
