--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -37,7 +37,9 @@
 	leases   map[uint64]time.Duration
 	last     uint64
 	changed  chan struct{}
-	calls    map[string]int
+	// cut is closed when watches that wait are to be cut.
+	cut   chan struct{}
+	calls map[string]int
 	// status is what calls are answered with while it is not 0; refused are
 	// the hosts that are, all if empty.
 	status  int
@@ -50,7 +52,7 @@
 func NewStore() *Store {
 	s := &Store{
 		items: map[string]Item{}, leases: map[uint64]time.Duration{}, calls: map[string]int{},
-		changed: make(chan struct{}), revision: 1,
+		changed: make(chan struct{}), cut: make(chan struct{}), revision: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.get)
@@ -74,12 +76,14 @@
 }
 
 // Fail answers all calls, or those of the hosts, with the status; 0 ends that.
-// Watches that wait are cut.
+// Watches that wait are cut. Connections that are idle stay, so that no call
+// meets one that is being closed.
 func (s *Store) Fail(status int, hosts ...string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.status, s.refused = status, hosts
-	s.mu.Unlock()
-	s.server.CloseClientConnections()
+	close(s.cut)
+	s.cut = make(chan struct{})
 }
 
 // LoseAnswers lets the next n writes be done without an answer.
@@ -213,7 +217,7 @@
 			return
 		}
 		events := s.since(after, query.Get("prefix"))
-		changed, revision := s.changed, s.revision
+		changed, cut, revision := s.changed, s.cut, s.revision
 		s.mu.Unlock()
 		if len(events) > 0 {
 			reply(w, map[string]any{"events": events, "asOf": revision})
@@ -221,6 +225,8 @@
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			panic(http.ErrAbortHandler) // the connection ends without an answer
 		case <-r.Context().Done():
 			return
 		case <-timeout:
