gate: the end of a flow that overtakes its answer counts as the answer

Cause: on one host the packets of an answer change places; where the FIN came before the data, the request counted as ended without an answer. Ruled out: answers that never came (each caller got its answer). Change: the first packet of data or the end of the flow, whichever comes first, is the answer. The test failed first.

--- a/internal/packetface/gate/gate_test.go
+++ b/internal/packetface/gate/gate_test.go
@@ -336,3 +336,18 @@
 	_, err := b.gate.FromUpstream(b.now, []byte("short"))
 	b.Expect(err).To(HaveOccurred())
 }
+
+// The packets of an answer may change places: where the end of the flow comes first,
+// it is the answer that the upstream's pace is measured by, once.
+func TestTheEndOfAFlowThatOvertakesItsAnswerCountsAsTheAnswer(t *testing.T) {
+	b := newBench(t)
+	b.begin("i-1")
+	b.open(flow(1))
+	b.send(flow(1), 2, platform.FlagACK, 30)
+	b.now += 30 * time.Millisecond
+	b.upstreamSends(fromUpstream(flow(1), 901, 50, platform.FlagACK|platform.FlagFIN, 0))
+	b.Expect(b.last.Answered).To(Equal([]time.Duration{30 * time.Millisecond}))
+	b.upstreamSends(fromUpstream(flow(1), 101, 50, platform.FlagACK, 800))
+	b.Expect(b.last.Answered).To(BeEmpty())
+	b.Expect(b.gate.Counts(b.now).Running).To(BeZero())
+}
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -60,22 +60,27 @@
 	if p.Flags.Has(platform.FlagSYN) {
 		f.answered, f.accepted, f.began = true, p.Sequence, now
 	}
-	if p.Length > 0 && f.running {
-		g.setRunning(f, false)
-		f.served = true
-		g.addLatency(now - f.asked)
-		if now-f.asked >= slowAnswer {
-			g.note(now, Note{Kind: KindSlow, Flow: id, Took: now - f.asked})
-		}
+	// The end of a flow may overtake the answer before it on the way to this socket.
+	if f.running && (p.Length > 0 || p.Flags.Has(platform.FlagFIN)) {
+		g.answered(now, id, f)
 	}
 	if p.Flags.Has(platform.FlagFIN) {
 		f.upstreamDone = true
-		g.setRunning(f, false) // nothing more is answered on the flow
 	}
 	g.closeIfDone(f, p)
 	g.send(ToCaller, g.caller(id), b)
 }
 
+// answered notes that the upstream answers the request that runs on a flow.
+func (g *Gate) answered(now time.Duration, id platform.Flow, f *flow) {
+	g.setRunning(f, false)
+	f.served = true
+	g.addLatency(now - f.asked)
+	if now-f.asked >= slowAnswer {
+		g.note(now, Note{Kind: KindSlow, Flow: id, Took: now - f.asked})
+	}
+}
+
 // tellHeld tells the balancer that asked that its flow is held here.
 func (g *Gate) tellHeld(f *flow, id platform.Flow) {
 	if !f.balancer.IsValid() {
