steer: a flow that finds all slots taken waits where the fewest do

Cause: in the rush after a common power loss three agents return an opening packet as busy and the fourth takes it. Change: a returned packet tells the agent's load; after three returns for want of a slot a flow goes to the least loaded agent of all. The test replays the load and shows the choice without the policy.

--- a/cmd/saltbendd/packet.go
+++ b/cmd/saltbendd/packet.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/saltbend/saltbend/internal/exit"
 	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/ops"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	packet "github.com/saltbend/saltbend/internal/packetface/role"
 	"github.com/saltbend/saltbend/internal/settings"
 	"github.com/saltbend/saltbend/internal/version"
@@ -21,11 +24,12 @@
 // packetSettings are the flags of the roles of the packet face. What differs
 // from host to host comes from the platform's settings file.
 type packetSettings struct {
-	Settings  string `long:"settings" env:"SALTBEND_SETTINGS" value-name:"PATH" description:"the platform's settings file of this host (default: where the platform says)"`
-	LogFormat string `long:"log-format" env:"SALTBEND_LOG_FORMAT" default:"json" choice:"json" choice:"text" description:"format of the log on standard output"`
-	LogLevel  string `long:"log-level" env:"SALTBEND_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
-	Metrics   uint16 `long:"metrics-port" env:"SALTBEND_METRICS_PORT" value-name:"PORT" default:"0" description:"port for metrics at the host's address, beside the one for readiness (0: none)"`
-	CheckOnly bool   `long:"check" env:"SALTBEND_CHECK" description:"check the settings, report all findings and exit"`
+	Settings  string   `long:"settings" env:"SALTBEND_SETTINGS" value-name:"PATH" description:"the platform's settings file of this host (default: where the platform says)"`
+	LogFormat string   `long:"log-format" env:"SALTBEND_LOG_FORMAT" default:"json" choice:"json" choice:"text" description:"format of the log on standard output"`
+	LogLevel  string   `long:"log-level" env:"SALTBEND_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+	Metrics   uint16   `long:"metrics-port" env:"SALTBEND_METRICS_PORT" value-name:"PORT" default:"0" description:"port for metrics at the host's address, beside the one for readiness (0: none)"`
+	Without   []string `long:"without" env:"SALTBEND_WITHOUT" env-delim:"," value-name:"POLICY" description:"switch a decision off, to measure what it is worth; may be given several times"`
+	CheckOnly bool     `long:"check" env:"SALTBEND_CHECK" description:"check the settings, report all findings and exit"`
 
 	needsUpstream bool
 }
@@ -66,14 +70,17 @@
 }
 
 func (s *packetSettings) check() settings.Findings {
-	_, err := s.host()
-	if findings := (settings.Findings)(nil); errors.As(err, &findings) {
-		return findings
-	}
 	var f settings.Findings
-	if err != nil {
+	_, err := s.host()
+	if found := (settings.Findings)(nil); errors.As(err, &found) {
+		f = found
+	} else if err != nil {
 		f.Add("settings", err.Error(), "name a file that can be read")
 	}
+	_, unknown := policy.Without(s.Without)
+	for _, name := range unknown {
+		f.Add("without", fmt.Sprintf("%q is no decision that can be switched off", name), "name one of "+strings.Join(policy.Names(), ", "))
+	}
 	return f
 }
 
@@ -117,16 +124,19 @@
 
 func runPacket(name string, s *packetSettings, run func(packet.Env) error, logger, daemon *slog.Logger, signals <-chan os.Signal) int {
 	host, err := s.host()
+	policies, _ := policy.Without(s.Without) // check has found names that there are none of
 	if err != nil {
 		daemon.Error("Settings refused.", "error", err.Error())
 		return exit.Usage
 	}
-	daemon.Info("Starting.", "role", name, "host", host.Name, "version", version.Version(), "pid", os.Getpid(), "first_start", host.FirstStart)
+	daemon.Info("Starting.", "role", name, "host", host.Name, "version", version.Version(), "pid", os.Getpid(), "first_start", host.FirstStart, "without", policies.Off())
 	s.serveMetrics(host, daemon)
 	stop := make(chan struct{})
 	done := make(chan error, 1)
 	watched := newWatchedSettings(s, host, daemon)
-	go func() { done <- run(packet.Env{Logger: logger, Host: host, Stop: stop, Changes: watched.changes}) }()
+	go func() {
+		done <- run(packet.Env{Logger: logger, Host: host, Stop: stop, Changes: watched.changes, Policies: policies})
+	}()
 	poll := time.NewTicker(settingsPoll)
 	defer poll.Stop()
 	stopping := false
--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -46,7 +46,7 @@
 		return inner.ReasonDraining
 	case g.stopping && !must:
 		return inner.ReasonDraining
-	case !must && head.Hops < maxBusyHops && g.full():
+	case !must && head.Hops < inner.MaxBusyHops && g.full():
 		return inner.ReasonBusy
 	}
 	return 0
@@ -68,7 +68,7 @@
 func (g *Gate) giveBack(now time.Duration, to netip.AddrPort, id platform.Flow, reason inner.Reason, packet []byte) {
 	g.note(now, Note{Kind: KindReturned, Flow: id, Peer: to, Reason: reason.String()})
 	start := len(g.buffer)
-	g.buffer = inner.AppendReturned(g.buffer, inner.Returned{Reason: reason, Listing: g.known.Listing}, packet)
+	g.buffer = inner.AppendReturned(g.buffer, inner.Returned{Reason: reason, Listing: g.known.Listing, Running: g.load()}, packet)
 	g.sendBuffer(ToBalancer, to, start)
 }
 
--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -109,11 +110,16 @@
 	u := &g.upstream
 	return inner.Status{
 		State: g.state(), StateFor: now - g.stateSince, Incarnation: g.settings.Incarnation, Known: g.known, Source: g.source,
-		Running: uint16(min(g.running+len(g.queue), 1<<16-1)), Slots: uint16(u.slots), Flows: uint32(g.open),
+		Running: g.load(), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
 	}
 }
 
+// load returns how many requests the upstream works on, with those that wait.
+func (g *Gate) load() uint16 {
+	return uint16(min(g.running+len(g.queue), math.MaxUint16))
+}
+
 // state returns whether the upstream takes flows.
 func (g *Gate) state() inner.State {
 	u := &g.upstream
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -122,9 +122,6 @@
 	// leaveTime is the time after which an upstream that announced its end has
 	// ended.
 	leaveTime = 200 * time.Millisecond
-	// maxBusyHops is how many agents may give an opening packet back as all slots
-	// are taken: 3 gave shorter waits than 1 or 2 in steer's BenchmarkChoices.
-	maxBusyHops = 3
 	// longWait and slowAnswer are the times from which on a request's wait for a
 	// slot, or its answer, has a line of its own in the log.
 	longWait   = 100 * time.Millisecond
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -29,7 +29,7 @@
 	KindPoll
 	// KindStatus tells a balancer how an agent and its upstream are (45 bytes).
 	KindStatus
-	// KindReturned gives a packet back to the balancer that sent it (10 bytes).
+	// KindReturned gives a packet back to the balancer that sent it (12 bytes).
 	KindReturned
 	// KindAnswer answers KindAsk (9 bytes and 13 bytes a flow).
 	KindAnswer
@@ -147,7 +147,8 @@
 	Incarnation uint64
 	// Known is the newest that the agent has heard of.
 	Known Known
-	// Running counts the requests that the upstream has not answered.
+	// Running counts the requests that the upstream works on, and those that wait
+	// at the agent.
 	Running uint16
 	// Slots is the number of requests that the upstream works on at once.
 	Slots uint16
@@ -177,7 +178,11 @@
 	answerHead   = 1 + 8
 	pollSize     = 2 + knownSize
 	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4
-	returnedSize = 2 + 8
+	returnedSize = 2 + 8 + 2
+
+	// MaxBusyHops is how many agents may give an opening packet back as all slots
+	// are taken: 3 gave shorter waits than 1 or 2 in steer's BenchmarkChoices.
+	MaxBusyHops = 3
 
 	// MaxQuestions is the most flows that one datagram asks for.
 	MaxQuestions = 70
@@ -302,12 +307,15 @@
 	// Listing is the newest that the agent has heard of: a balancer that knows an
 	// older one may lack the agent that holds the flow.
 	Listing uint64
+	// Running is the same as in Status, at the time of the return.
+	Running uint16
 }
 
 // AppendReturned appends a datagram of KindReturned.
 func AppendReturned(b []byte, head Returned, packet []byte) []byte {
 	b = append(b, byte(KindReturned), byte(head.Reason))
 	b = binary.BigEndian.AppendUint64(b, head.Listing)
+	b = binary.BigEndian.AppendUint16(b, head.Running)
 	return append(b, packet...)
 }
 
@@ -316,7 +324,8 @@
 	if len(b) < returnedSize || KindOf(b) != KindReturned {
 		return Returned{}, nil, ErrDatagram
 	}
-	return Returned{Reason: Reason(b[1]), Listing: binary.BigEndian.Uint64(b[2:])}, b[returnedSize:], nil
+	head = Returned{Reason: Reason(b[1]), Listing: binary.BigEndian.Uint64(b[2:]), Running: binary.BigEndian.Uint16(b[10:])}
+	return head, b[returnedSize:], nil
 }
 
 // Answer is an agent's verdict on a flow.
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -63,7 +63,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(gotStatus).To(Equal(status))
 
-		returned := inner.Returned{Reason: inner.Reason(rapid.Byte().Draw(t, "reason")), Listing: rapid.Uint64().Draw(t, "returned listing")}
+		returned := inner.Returned{Reason: inner.Reason(rapid.Byte().Draw(t, "reason")), Listing: rapid.Uint64().Draw(t, "returned listing"), Running: rapid.Uint16().Draw(t, "returned running")}
 		gotReturned, gotPacket, err := inner.ParseReturned(inner.AppendReturned(nil, returned, packet))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(gotReturned).To(Equal(returned))
--- /dev/null
+++ b/internal/packetface/policy/policy.go
@@ -0,0 +1,60 @@
+// Package policy names the decisions of the packet face that can be switched off
+// one at a time, so that what each is worth can be measured (docs/design/measures.md).
+// Nothing but such a measurement switches one off. It is pure.
+package policy
+
+import (
+	"slices"
+	"strings"
+)
+
+// Name is a decision that can be switched off.
+type Name string
+
+// Names of the decisions; the package in brackets explains each.
+const (
+	// ShortestQueue sends a flow that finds all slots taken to the upstream where
+	// the fewest requests wait (steer).
+	ShortestQueue Name = "shortest-queue"
+)
+
+// names are all that can be switched off.
+var names = []Name{ShortestQueue}
+
+// Set holds the decisions that are switched off; the zero value has all on.
+type Set struct{ off []Name }
+
+// On reports whether a decision is to be made.
+func (s Set) On(n Name) bool { return !slices.Contains(s.off, n) }
+
+// Off returns the names of what is switched off, joined by commas.
+func (s Set) Off() string {
+	var all []string
+	for _, n := range s.off {
+		all = append(all, string(n))
+	}
+	return strings.Join(all, ",")
+}
+
+// Without returns the set in which the named decisions are switched off, and the
+// names that there are none of.
+func Without(off []string) (s Set, unknown []string) {
+	for _, text := range off {
+		n := Name(strings.TrimSpace(text))
+		if !slices.Contains(names, n) {
+			unknown = append(unknown, text)
+			continue
+		}
+		s.off = append(s.off, n)
+	}
+	return s, unknown
+}
+
+// Names returns all names.
+func Names() []string {
+	var all []string
+	for _, n := range names {
+		all = append(all, string(n))
+	}
+	return all
+}
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -73,6 +73,7 @@
 	b.core = steer.New(steer.Settings{
 		DataCentre: env.Host.DataCentre, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
 		AbsentAfter: steer.DefaultAbsentAfter, AwaitPeers: true, FlowMaxAge: env.Host.FlowMaxAge,
+		Policies: env.Policies,
 	})
 	return b
 }
--- a/internal/packetface/role/common.go
+++ b/internal/packetface/role/common.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/ops"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -29,6 +30,8 @@
 	Stop <-chan struct{}
 	// Changes brings settings that have changed, nil for never.
 	Changes <-chan platform.Changeable
+	// Policies tells which decisions are made.
+	Policies policy.Set
 }
 
 // follow calls take with settings that have changed until the process is told
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -98,6 +98,11 @@
 	a.status, a.statusAt, a.pending = s, now, 0
 }
 
+// tellLoad takes over the load that an agent told with a packet that it returned.
+func (a *agent) tellLoad(now time.Duration, running uint16) {
+	a.status.Running, a.statusAt, a.pending = max(running, a.status.Slots), now, 0
+}
+
 // wantStatus reports whether what is known is older than age and no request
 // is on its way.
 func (a *agent) wantStatus(now, age time.Duration) bool {
--- a/internal/packetface/steer/carry.go
+++ b/internal/packetface/steer/carry.go
@@ -18,10 +18,11 @@
 	open bool
 	// terms are those of the route.
 	terms inner.Terms
-	// tried are agents that have returned the opening packet or were silent;
-	// lastTry tells that all were tried, and the best once more.
-	tried   []*agent
-	lastTry bool
+	// tried are agents that have returned the opening packet or were silent, busy
+	// those that returned it as all their slots are taken; lastTry tells that all
+	// were tried, and the best once more.
+	tried, busy []*agent
+	lastTry     bool
 }
 
 // carry sends a packet of a flow that was opened before.
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -1,9 +1,11 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/routing"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -30,6 +32,20 @@
 	c.place(now, id, f, route, b)
 }
 
+// hops returns how many agents have had the opening packet and not taken it.
+func (f *flow) hops() int { return len(f.tried) + len(f.busy) }
+
+// excluded returns the agents that a flow does not go to. In a rush all slots of all
+// upstreams are taken: a flow that was returned for that by as many agents as may
+// do so has to wait, and best where the fewest wait, which may be at one that had it
+// before. To leave those out would send the flow to the upstreams that look worst.
+func (c *Core) excluded(f *flow) []*agent {
+	if len(f.busy) >= inner.MaxBusyHops && c.settings.Policies.On(policy.ShortestQueue) {
+		return f.tried
+	}
+	return slices.Concat(f.tried, f.busy)
+}
+
 // unheard reports whether the agent has been silent since it got the opening
 // packet, for longer than an answer takes.
 func unheard(f *flow, now time.Duration) bool {
@@ -46,13 +62,13 @@
 		c.reset(id, 0, "no-service")
 		return
 	}
-	best := c.roster.choose(now, service, c.settings, f.tried, route.Repeatable)
-	if best == nil || len(f.tried) >= maxHops {
+	best := c.roster.choose(now, service, c.settings, c.excluded(f), route.Repeatable)
+	if best == nil || f.hops() >= maxHops {
 		c.placeLast(now, id, f, route, service, b)
 		return
 	}
-	note := Note{Kind: KindPlaced, Flow: id, Agent: best.Addr, Age: now - best.heard, Count: len(f.tried)}
-	if len(f.tried) > 0 {
+	note := Note{Kind: KindPlaced, Flow: id, Agent: best.Addr, Age: now - best.heard, Count: f.hops()}
+	if f.hops() > 0 {
 		note.Kind, note.Took = KindMoved, now-f.placed
 	}
 	c.note(note)
@@ -70,7 +86,7 @@
 		c.reset(id, 0, "no-upstream-takes-it")
 		return
 	}
-	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Took: now - f.placed, Reason: "last", Count: len(f.tried)})
+	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Took: now - f.placed, Reason: "last", Count: f.hops()})
 	f.agent, f.placed, f.lastTry = last, now, true
 	c.sendOpen(now, f, last, route, id, b, inner.FlagMust)
 }
@@ -80,7 +96,7 @@
 	start := len(c.buffer)
 	flags |= c.flagsFor(a, now, statusAgeOpen)
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
-		Flags: flags, Hops: uint8(min(len(f.tried), maxHops)), Service: service, Known: c.known(),
+		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Known: c.known(),
 	}, b)
 	c.send(a.Addr, start)
 }
@@ -95,20 +111,22 @@
 }
 
 // placeAgain sends an opening packet that an agent returned to another one.
-func (c *Core) placeAgain(now time.Duration, id platform.Flow, a *agent, reason inner.Reason, packet []byte) {
+func (c *Core) placeAgain(now time.Duration, id platform.Flow, a *agent, head inner.Returned, packet []byte) {
 	route := c.route(id)
 	f := c.flows[id]
 	if route == nil || f == nil || f.open || f.agent != a {
 		return // a later copy has been placed elsewhere, or the route is gone
 	}
-	if reason == inner.ReasonBusy {
-		a.status.Running = max(a.status.Running, a.status.Slots)
-	}
 	if f.lastTry {
 		delete(c.flows, id)
-		c.reset(id, 0, "all-returned-"+reason.String())
+		c.reset(id, 0, "all-returned-"+head.Reason.String())
 		return
 	}
-	f.tried = append(f.tried, a)
+	if head.Reason == inner.ReasonBusy {
+		a.tellLoad(now, head.Running)
+		f.busy = append(f.busy, a)
+	} else {
+		f.tried = append(f.tried, a)
+	}
 	c.place(now, id, f, route, packet)
 }
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/routing"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -33,6 +34,8 @@
 	FlowMaxAge time.Duration
 	// AwaitPeers tells that no flow is reset until SetPeersAsked is called.
 	AwaitPeers bool
+	// Policies tells which decisions are made.
+	Policies policy.Set
 	// Random breaks ties between agents.
 	Random *rand.Rand
 }
@@ -340,7 +343,7 @@
 	c.hearKnown(now, a, inner.Known{Listing: head.Listing}, [4]byte{})
 	id := p.FromCaller()
 	if p.IsOpening() {
-		c.placeAgain(now, id, a, head.Reason, packet)
+		c.placeAgain(now, id, a, head, packet)
 		return nil
 	}
 	if q := c.asks[id]; q != nil && q.probed[a] {
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/routing"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/platform"
@@ -27,8 +28,16 @@
 }
 
 func newBench(t *testing.T, agents ...steer.Agent) *bench {
+	return newBenchWithout(t, nil, agents...)
+}
+
+// newBenchWithout returns a bench whose balancer does not make some decisions.
+func newBenchWithout(t *testing.T, off []string, agents ...steer.Agent) *bench {
 	b := &bench{WithT: NewWithT(t), now: time.Second}
+	policies, unknown := policy.Without(off)
+	b.Expect(unknown).To(BeEmpty())
 	b.core = steer.New(steer.Settings{
+		Policies:   policies,
 		DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2)), AbsentAfter: steer.DefaultAbsentAfter,
 	})
 	b.core.SetTable(b.now, table(), time.Minute)
@@ -158,6 +167,41 @@
 	b.Expect(b.resets()).To(Equal(1)) // at once, and true: it has not run
 }
 
+// In a rush every agent has more to do than slots. The load: three agents return a
+// flow as busy, with 9, 5 and 12 requests there; a fourth has 20. The flow waits
+// where the fewest do, and not at the fourth because it has not returned it yet.
+func TestAFlowThatFindsAllSlotsTakenWaitsWhereTheFewestDo(t *testing.T) {
+	cases := []struct {
+		name string
+		off  []string
+		want netip.AddrPort
+	}{
+		{"with the policy", nil, address(102, 1)},
+		{"without it", []string{string(policy.ShortestQueue)}, address(104, 1)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBenchWithout(t, c.off, at(101, "a"), at(102, "a"), at(103, "a"), at(104, "a"))
+			for n, running := range map[int]uint16{101: 3, 102: 3, 103: 3, 104: 20} {
+				b.status(n, inner.Status{Running: running})
+			}
+			loads := map[netip.AddrPort]uint16{address(101, 1): 9, address(102, 1): 5, address(103, 1): 12}
+			opening := packet(caller(1), 1, 77, platform.FlagSYN, 0)
+			b.callerSends(caller(1), platform.FlagSYN, 0)
+			for range inner.MaxBusyHops {
+				to := b.sent(inner.KindOpen)[0]
+				b.Expect(loads).To(HaveKey(to))
+				head := inner.Returned{Reason: inner.ReasonBusy, Running: loads[to]}
+				b.fromAgent(int(to.Addr().As4()[3]), inner.AppendReturned(nil, head, opening))
+			}
+			b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{c.want}))
+			head, _, err := inner.ParseOpen(b.last.Actions[0].Bytes)
+			b.Expect(err).NotTo(HaveOccurred())
+			b.Expect(head.Hops).To(BeEquivalentTo(inner.MaxBusyHops)) // it is not returned for that again
+		})
+	}
+}
+
 func TestACopyGoesElsewhereOnlyIfTheAgentIsSilent(t *testing.T) {
 	b := newBench(t, at(101, "a"), at(102, "b"))
 	b.status(101, inner.Status{})
