admission: late requests run just in time, flows right after a start count as repetitions

Cause: after a common power loss what is past its aim ran last until its callers had gone. Change: package admission holds the order, pure: what can be in its aim first, what can't as late as its deadline allows, that before late requests of more urgent routes but not before those in time; nothing that its caller gives up before the answer. Flows that began between 0.2 s before and 1.05 s after the start of the agent may be repetitions and are ordered by the earlier deadline. Tests: the queue tests of gate now begin 10 s after the start of the process, as their subject is a settled one; all that they assert is as before.

--- /dev/null
+++ b/internal/packetface/admission/queue.go
@@ -0,0 +1,137 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Queue holds the requests that wait for an upstream, each with what its owner
+// keeps of it. The zero value is empty. It has one owner at a time.
+type Queue[T comparable] struct {
+	// LateLast switches the care for deadlines off: what is past its aim runs last.
+	LateLast bool
+	waiting  []waiting[T]
+	// late is reused from call to call.
+	late []lateRequest
+}
+
+type waiting[T comparable] struct {
+	Request
+	item T
+}
+
+// lateRequest is a request past its aim: its place in the queue and its deadline.
+type lateRequest struct {
+	at       int
+	deadline time.Duration
+}
+
+// Len returns the number of requests that wait.
+func (q *Queue[T]) Len() int { return len(q.waiting) }
+
+// Add lets a request wait.
+func (q *Queue[T]) Add(r Request, item T) {
+	q.waiting = append(q.waiting, waiting[T]{r, item})
+}
+
+// Remove takes a request out; it reports whether it was there.
+func (q *Queue[T]) Remove(item T) bool {
+	at := slices.IndexFunc(q.waiting, func(w waiting[T]) bool { return w.item == item })
+	if at < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	return true
+}
+
+// Overdue returns a request that is to be handed on though no slot is free.
+func (q *Queue[T]) Overdue(now time.Duration) (item T, ok bool) {
+	for i := range q.waiting {
+		if q.waiting[i].overdue(now) {
+			return q.waiting[i].item, true
+		}
+	}
+	return item, false
+}
+
+// Next returns the request that is to run in a slot that is free.
+func (q *Queue[T]) Next(now time.Duration, p Pace) (item T, ok bool) {
+	if len(q.waiting) == 0 {
+		return item, false
+	}
+	best := 0
+	for i := range q.waiting {
+		if q.before(now, p, &q.waiting[i].Request, &q.waiting[best].Request) {
+			best = i
+		}
+	}
+	if at := q.pressing(now, p); at >= 0 && !q.outranks(now, p, best, at) {
+		best = at
+	}
+	return q.waiting[best].item, true
+}
+
+// outranks reports whether the first choice goes before a request that presses: it
+// does if its route is more urgent and it can still be answered within its aim. One
+// that cannot loses nothing by waiting a little longer.
+func (q *Queue[T]) outranks(now time.Duration, p Pace, first, pressing int) bool {
+	f := &q.waiting[first].Request
+	return f.Rank < q.waiting[pressing].Rank && !f.late(now, p)
+}
+
+// pressing returns the place of the request that has to run now so that none that
+// is past its aim misses its deadline, -1 for none. What is past its aim runs in the
+// order of deadlines, which loses the fewest; the k-th begins once the k before have
+// passed through the slots. Slack is what is left until it has to begin.
+func (q *Queue[T]) pressing(now time.Duration, p Pace) int {
+	if q.LateLast || p.Slots == 0 {
+		return -1
+	}
+	q.collectLate(now, p)
+	if len(q.late) == 0 {
+		return -1
+	}
+	spare := spareAnswers*p.Answer + wayTime
+	each := time.Duration(float64(p.Answer) / (slotShare * float64(p.Slots)))
+	for k, l := range q.late {
+		slack := l.deadline - now - spare - time.Duration(k)*each
+		if slack <= 0 {
+			return q.late[0].at
+		}
+	}
+	return -1
+}
+
+// collectLate gathers the requests that are past their aim and may still be
+// answered, in the order of their deadlines.
+func (q *Queue[T]) collectLate(now time.Duration, p Pace) {
+	q.late = q.late[:0]
+	for i := range q.waiting {
+		r := &q.waiting[i].Request
+		if r.Timeout == 0 || r.hopeless(now, p) || !r.late(now, p) {
+			continue
+		}
+		q.late = append(q.late, lateRequest{at: i, deadline: r.deadline(now)})
+	}
+	slices.SortStableFunc(q.late, func(a, b lateRequest) int { return cmp.Compare(a.deadline, b.deadline) })
+}
+
+// before reports whether a is to run before b while nothing presses: the more
+// urgent route first; then what can still be answered within its aim; then what can
+// be answered at all; then first tries; then what came first.
+func (q *Queue[T]) before(now time.Duration, p Pace, a, b *Request) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	if late := a.late(now, p); late != b.late(now, p) {
+		return !late
+	}
+	if hopeless := a.hopeless(now, p); !q.LateLast && hopeless != b.hopeless(now, p) {
+		return !hopeless
+	}
+	if a.FirstTry != b.FirstTry {
+		return a.FirstTry
+	}
+	return a.Arrived < b.Arrived
+}
--- /dev/null
+++ b/internal/packetface/admission/queue_test.go
@@ -0,0 +1,98 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/admission"
+)
+
+const ms = time.Millisecond
+
+// since returns a request that was asked for some time ago, with an aim of 150 ms and
+// a timeout of 2.5 s.
+func since(age time.Duration, rank uint8) admission.Request {
+	return admission.Request{Rank: rank, Arrived: now - age, Asked: now - age, Suspected: now - age, Aim: 150 * ms, Timeout: 2500 * ms}
+}
+
+const now = 100 * time.Second
+
+var pace = admission.Pace{Slots: 4, Answer: 30 * ms}
+
+func TestOrder(t *testing.T) {
+	suspected := since(700*ms, 2)
+	suspected.Suspected -= 1650 * ms
+	endless := since(10*time.Second, 2)
+	endless.Timeout = 0
+	cases := []struct {
+		name    string
+		waiting map[string]admission.Request
+		want    string
+	}{
+		{"the urgent route first", map[string]admission.Request{"urgent": since(10*ms, 1), "other": since(50*ms, 2)}, "urgent"},
+		{"what can be in its aim first", map[string]admission.Request{"late": since(500*ms, 2), "in time": since(10*ms, 2)}, "in time"},
+		{"what is late, once it has to begin", map[string]admission.Request{"late": since(2320*ms, 2), "in time": since(10*ms, 2)}, "late"},
+		{"of two that are late the earlier deadline", map[string]admission.Request{"late": since(2330*ms, 2), "later": since(2320*ms, 2)}, "late"},
+		{"not what its caller gives up before the answer", map[string]admission.Request{"hopeless": since(2490*ms, 2), "late": since(500*ms, 2)}, "late"},
+		{"what may have been asked for long ago", map[string]admission.Request{"suspected": suspected, "in time": since(10*ms, 2)}, "suspected"},
+		{"an urgent one in its aim before what presses", map[string]admission.Request{"late": since(2320*ms, 2), "urgent": since(10*ms, 1)}, "urgent"},
+		{"what presses before an urgent one that is late", map[string]admission.Request{"late": since(2320*ms, 2), "urgent": since(500*ms, 1)}, "late"},
+		{"nothing presses whose timeout is not known", map[string]admission.Request{"endless": endless, "in time": since(10*ms, 2)}, "in time"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var q admission.Queue[string]
+			for name, r := range c.waiting {
+				q.Add(r, name)
+			}
+			got, ok := q.Next(now, pace)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(got).To(Equal(c.want))
+		})
+	}
+}
+
+// Many that are late press earlier than one: the last of them has to wait for all
+// others.
+func TestManyPressEarlier(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[int]
+	q.Add(since(10*ms, 2), -1)
+	for n := range 80 { // four slots pass 80 of 30 ms in 0.6 s, and three quarters of them in 0.8
+		q.Add(since(1600*ms, 2), n)
+	}
+	got, _ := q.Next(now, pace)
+	g.Expect(got).To(Equal(0))
+	for n := 40; n < 80; n++ {
+		g.Expect(q.Remove(n)).To(BeTrue())
+	}
+	got, _ = q.Next(now, pace)
+	g.Expect(got).To(Equal(-1))
+}
+
+func TestAnEmptyQueueHasNoNext(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	_, ok := q.Next(now, pace)
+	g.Expect(ok).To(BeFalse())
+	_, ok = q.Overdue(now)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(q.Remove("none")).To(BeFalse())
+}
+
+func TestNothingWaitsBeyondItsTimeout(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(since(2400*ms, 2), "kept")
+	_, ok := q.Overdue(now)
+	g.Expect(ok).To(BeFalse())
+	unknown := since(admission.MaxHold, 2)
+	unknown.Timeout = 0
+	q.Add(unknown, "overdue")
+	got, ok := q.Overdue(now)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(got).To(Equal("overdue"))
+}
--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -4,7 +4,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -64,6 +66,15 @@
 	return secondCopy
 }
 
+// repeatedAfter returns how long before a flow that began at the time its caller may
+// have begun another one for the same request.
+func (g *Gate) repeatedAfter(began time.Duration) time.Duration {
+	if !g.settings.Policies.On(policy.Repetition) {
+		return 0
+	}
+	return admission.RepeatedAfter(began)
+}
+
 // giveBack returns a packet to the balancer that sent it.
 func (g *Gate) giveBack(now time.Duration, to netip.AddrPort, id platform.Flow, reason inner.Reason, packet []byte) {
 	g.note(now, Note{Kind: KindReturned, Flow: id, Peer: to, Reason: reason.String()})
@@ -77,7 +88,7 @@
 	f := g.flows[id]
 	if f == nil {
 		f = g.remember(id, now, flowOpening)
-		f.openedLate = late
+		f.openedLate, f.repeatedAfter = late, g.repeatedAfter(now-late)
 		g.note(now, Note{Kind: KindOpened, Flow: id, Peer: from})
 	}
 	f.balancer, f.seen = from, now
--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -117,7 +117,7 @@
 
 // load returns how many requests the upstream works on, with those that wait.
 func (g *Gate) load() uint16 {
-	return uint16(min(g.running+len(g.queue), math.MaxUint16))
+	return uint16(min(g.running+g.queue.Len(), math.MaxUint16))
 }
 
 // state returns whether the upstream takes flows.
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -25,8 +25,9 @@
 	// began is when the upstream last accepted the opening, or else when the flow
 	// was first seen; seen is when its last packet came.
 	began, seen time.Duration
-	// openedLate is the age of the opening packet that was let in.
-	openedLate time.Duration
+	// openedLate is the age of the opening packet that was let in; repeatedAfter is
+	// how long before the caller may have opened another flow for the same request.
+	openedLate, repeatedAfter time.Duration
 	// answered tells that the upstream has accepted the opening; accepted is
 	// the sequence of its answer.
 	answered bool
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -14,7 +14,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -25,6 +27,8 @@
 	CallerPort uint16
 	// Incarnation is that of the process.
 	Incarnation uint64
+	// Policies tells which decisions are made.
+	Policies policy.Set
 	Times
 }
 
@@ -179,7 +183,7 @@
 	settings Settings
 	service  uint64
 	flows    map[platform.Flow]*flow
-	queue    []*waiting
+	queue    admission.Queue[*waiting]
 	upstream upstream
 	// ended are lives that have ended, claim is one that is not believed in yet.
 	ended []string
@@ -215,6 +219,7 @@
 	return &Gate{
 		settings: s, service: inner.ServiceID(s.Service),
 		flows: make(map[platform.Flow]*flow), balancers: make(map[netip.AddrPort]time.Duration),
+		queue: admission.Queue[*waiting]{LateLast: !s.Policies.On(policy.LeastSlack)},
 	}
 }
 
@@ -289,7 +294,7 @@
 
 // Counts returns the sizes of the state.
 func (g *Gate) Counts(now time.Duration) Counts {
-	c := Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: len(g.queue)}
+	c := Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: g.queue.Len()}
 	if g.upstream.heard > 0 {
 		c.HeartbeatAge = now - g.upstream.heard
 	}
--- a/internal/packetface/gate/gate_test.go
+++ b/internal/packetface/gate/gate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/saltbend/saltbend/internal/packetface/gate"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -30,10 +31,16 @@
 	beat uint64
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T) *bench { return newBenchWithout(t, nil) }
+
+// newBenchWithout returns a bench whose agent does not make some decisions.
+func newBenchWithout(t *testing.T, off []string) *bench {
 	b := &bench{WithT: NewWithT(t), now: time.Millisecond}
+	policies, unknown := policy.Without(off)
+	b.Expect(unknown).To(BeEmpty())
 	b.gate = gate.New(gate.Settings{
-		Service: service, CallerPort: 9000, Incarnation: 5, Times: gate.Times{DrainWithin: 3 * second, FlowMaxAge: time.Minute, HeartbeatEvery: second},
+		Policies: policies,
+		Service:  service, CallerPort: 9000, Incarnation: 5, Times: gate.Times{DrainWithin: 3 * second, FlowMaxAge: time.Minute, HeartbeatEvery: second},
 	})
 	return b
 }
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -6,29 +6,15 @@
 	"slices"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/platform"
 )
 
 // While all slots of the upstream are taken, requests wait here and not in the
 // upstream's queue, which is short, knows no order and refuses what is over.
-//
-// Order: the more urgent route first; then those that can still be answered in
-// time before those that have waited for too long; then requests on flows that
-// have been answered before, which are first tries, as callers repeat a request
-// on a new flow only; then the one that came first. After an outage this answers
-// what comes now in time, and works off what is late already besides it.
+// Package admission has the order.
 
 const (
-	// maxHold is the time after which a request is handed on in any case, where the
-	// route does not name its callers' timeout. It is below the shortest time that
-	// callers are known to give a request (2 s).
-	maxHold = 1500 * time.Millisecond
-	// lateAfter is the wait from which on a request counts as late where the route
-	// names no aim; wayTime is the time on the way, both directions, that is kept
-	// free of the aim, and leastPatience the least wait that counts.
-	lateAfter     = 120 * time.Millisecond
-	wayTime       = 15 * time.Millisecond
-	leastPatience = 20 * time.Millisecond
 	// maxHeldPackets bounds the packets that wait for one flow: a caller has at
 	// most 16 on their way.
 	maxHeldPackets = 16
@@ -44,42 +30,19 @@
 	packets [][]byte
 }
 
-// late reports whether a request can hardly be answered in time any more, given
-// the time that answers take. One on a new flow is at least as old as the copy of
-// the opening packet that was let in.
-func (w *waiting) late(now, answer time.Duration) bool {
-	age := now - w.since
-	if !w.flow.served {
-		age += w.flow.openedLate
+// request returns what the order goes by. The first request of a flow is at least
+// as old as the copy of the opening packet that was let in.
+func (w *waiting) request() admission.Request {
+	f := w.flow
+	r := admission.Request{
+		Rank: f.terms.Rank, Arrived: w.since, Asked: w.since, Suspected: w.since,
+		Aim: f.terms.Aim, Timeout: f.terms.Timeout, FirstTry: f.served,
 	}
-	if w.flow.terms.Aim == 0 {
-		return age > lateAfter
+	if !f.served {
+		r.Asked -= f.openedLate
+		r.Suspected = r.Asked - f.repeatedAfter
 	}
-	return age > max(w.flow.terms.Aim-answer-wayTime, leastPatience)
-}
-
-// holdLimit returns the time after which the request is handed on in any case: the
-// upstream refuses what it can't take, and requests that are handed on all at
-// once after an outage push out those that can still be answered in time.
-func (w *waiting) holdLimit() time.Duration {
-	if w.flow.terms.Timeout == 0 {
-		return maxHold
-	}
-	return w.flow.terms.Timeout
-}
-
-// before reports whether w is to run before o, given the time that answers take.
-func (w *waiting) before(now, answer time.Duration, o *waiting) bool {
-	if w.flow.terms.Rank != o.flow.terms.Rank {
-		return w.flow.terms.Rank < o.flow.terms.Rank
-	}
-	if late := w.late(now, answer); late != o.late(now, answer) {
-		return !late
-	}
-	if w.flow.served != o.flow.served {
-		return w.flow.served
-	}
-	return w.since < o.since
+	return r
 }
 
 // full reports whether all slots of the upstream are taken. Before the first
@@ -93,16 +56,19 @@
 func (g *Gate) hold(now time.Duration, id platform.Flow, f *flow, p *platform.Packet, packet []byte) bool {
 	if f.waiting == nil {
 		begins := f.isNew(p) && f.state == flowOpen && !f.running
-		if !begins || !g.full() || len(g.queue) >= maxHeldFlows {
+		if !begins || !g.full() || g.queue.Len() >= maxHeldFlows {
 			return false
 		}
 		f.waiting = &waiting{id: id, flow: f, since: now}
-		g.queue = append(g.queue, f.waiting)
+		g.queue.Add(f.waiting.request(), f.waiting)
 	}
 	if p.Length == 0 && !p.Flags.Has(platform.FlagFIN) {
 		return false // an acknowledgement carries no work
 	}
 	f.waiting.keep(p, packet)
+	if f.callerDone {
+		g.handOn(now, f.waiting) // the upstream ends a flow whose caller has closed it
+	}
 	return true
 }
 
@@ -119,23 +85,38 @@
 // release hands waiting requests to the upstream while it has free slots, and
 // those that have waited for too long.
 func (g *Gate) release(now time.Duration) {
-	for len(g.queue) > 0 {
-		at := g.next(now)
-		if at < 0 {
+	for g.queue.Len() > 0 {
+		w, ok := g.next(now)
+		if !ok {
 			return
 		}
-		w := g.queue[at]
-		g.queue = slices.Delete(g.queue, at, at+1)
-		w.flow.waiting = nil
-		w.flow.asked = now
-		g.out.Waited = append(g.out.Waited, now-w.since)
-		if now-w.since >= longWait {
-			g.note(now, Note{Kind: KindWaited, Flow: w.id, Took: now - w.since})
-		}
-		g.setRunning(w.flow, !w.flow.callerDone)
-		for _, packet := range w.packets {
-			g.sendHeld(w.flow, packet)
-		}
+		g.handOn(now, w)
+	}
+}
+
+// next returns the request that is to run now.
+func (g *Gate) next(now time.Duration) (w *waiting, ok bool) {
+	if w, ok = g.queue.Overdue(now); ok || g.full() {
+		return w, ok
+	}
+	return g.queue.Next(now, g.pace())
+}
+
+func (g *Gate) pace() admission.Pace {
+	return admission.Pace{Slots: g.upstream.slots, Answer: g.latency}
+}
+
+// handOn hands a request that has waited to the upstream.
+func (g *Gate) handOn(now time.Duration, w *waiting) {
+	g.drop(w.flow)
+	w.flow.asked = now
+	g.out.Waited = append(g.out.Waited, now-w.since)
+	if now-w.since >= longWait {
+		g.note(now, Note{Kind: KindWaited, Flow: w.id, Took: now - w.since})
+	}
+	g.setRunning(w.flow, !w.flow.callerDone)
+	for _, packet := range w.packets {
+		g.sendHeld(w.flow, packet)
 	}
 }
 
@@ -147,26 +128,11 @@
 	g.send(ToUpstream, netip.AddrPort{}, packet)
 }
 
-// next returns the place of the request that is to run now, -1 for none.
-func (g *Gate) next(now time.Duration) int {
-	best := -1
-	full := g.full()
-	for i, w := range g.queue {
-		if now-w.since >= w.holdLimit() || w.flow.callerDone {
-			return i // the upstream ends a flow whose caller has closed it
-		}
-		if !full && (best < 0 || w.before(now, g.latency, g.queue[best])) {
-			best = i
-		}
-	}
-	return best
-}
-
 // drop takes a flow that is closed or forgotten out of the queue.
 func (g *Gate) drop(f *flow) {
 	if f.waiting == nil {
 		return
 	}
-	g.queue = slices.DeleteFunc(g.queue, func(w *waiting) bool { return w == f.waiting })
+	g.queue.Remove(f.waiting)
 	f.waiting = nil
 }
--- a/internal/packetface/gate/queue_test.go
+++ b/internal/packetface/gate/queue_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/saltbend/saltbend/internal/packetface/gate"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -23,9 +24,19 @@
 	b.balancerSends(inner.AppendForward(nil, inner.Forward{Terms: terms}, fromCaller(flow(n), seq, 101, platform.FlagACK, 30)))
 }
 
-// filled returns a bench with open flows, whose first ones take all slots.
+// settledAfter is an age of a process from which on flows count for first tries.
+const settledAfter = 10 * second
+
+// filled returns a bench with open flows, whose first ones take all slots. The
+// process has run for a while.
 func filled(t *testing.T, flows int) *bench {
 	b := newBench(t)
+	b.now = settledAfter
+	return b.fill(flows)
+}
+
+// fill opens flows, whose first ones take all slots.
+func (b *bench) fill(flows int) *bench {
 	b.begin("i-1")
 	for n := range flows {
 		b.open(flow(n))
@@ -37,6 +48,13 @@
 	return b
 }
 
+// openLate opens a flow by a copy of its opening packet, though all slots are taken.
+func (b *bench) openLate(id platform.Flow, copies uint32) {
+	head := inner.Open{Service: inner.ServiceID(service), Hops: inner.MaxBusyHops}
+	b.balancerSends(inner.AppendOpen(nil, head, fromCaller(id, 1, copies, platform.FlagSYN, 0)))
+	b.upstreamSends(fromUpstream(id, 100, 2, platform.FlagSYN|platform.FlagACK, 0))
+}
+
 // ran returns the flows whose packets went to the upstream at last.
 func (b *bench) ran() []uint16 {
 	var out []uint16
@@ -162,12 +180,8 @@
 // A flow that was opened by a late copy is for a request that has waited already.
 func TestARequestIsAsOldAsItsOpeningPacket(t *testing.T) {
 	b := filled(t, 2)
-	for n, copies := range []uint32{2, 0} {
-		id := flow(2 + n)
-		head := inner.Open{Service: inner.ServiceID(service), Hops: 3}
-		b.balancerSends(inner.AppendOpen(nil, head, fromCaller(id, 1, copies, platform.FlagSYN, 0)))
-		b.upstreamSends(fromUpstream(id, 100, 2, platform.FlagSYN|platform.FlagACK, 0))
-	}
+	b.openLate(flow(2), 2)
+	b.openLate(flow(3), 0)
 	terms := inner.Terms{Aim: 250 * time.Millisecond}
 	b.requestOn(2, 2, terms)
 	b.requestOn(3, 2, terms)
@@ -186,3 +200,35 @@
 	b.last = b.gate.Tick(b.now)
 	b.Expect(b.ran()).To(Equal([]uint16{2}))
 }
+
+// A process that has just started takes a flow for a repetition: its request runs
+// before one that looks as old and began later, though both are late.
+func TestFlowsThatBeginRightAfterAStartHaveLessTimeLeft(t *testing.T) {
+	cases := []struct {
+		name string
+		off  []string
+		want uint16
+	}{
+		{"with the policy", nil, 4},
+		{"without it", []string{string(policy.Repetition)}, 2},
+	}
+	terms := inner.Terms{Aim: 152 * time.Millisecond, Timeout: 2496 * time.Millisecond}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBenchWithout(t, c.off)
+			b.fill(2)
+			b.openLate(flow(2), 2) // its caller's attempt began 0.6 s before the start
+			b.requestOn(2, 2, terms)
+			b.openLate(flow(3), 0) // it may have asked first 1.65 s ago
+			b.requestOn(3, 2, terms)
+			b.now += 30 * time.Millisecond
+			b.answer(flow(0))
+			b.Expect(b.ran()).To(Equal([]uint16{3})) // it can be in its aim
+			b.openLate(flow(4), 0)
+			b.requestOn(4, 2, terms)
+			b.now += 700 * time.Millisecond
+			b.answer(flow(1))
+			b.Expect(b.ran()).To(Equal([]uint16{c.want}))
+		})
+	}
+}
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -13,13 +13,19 @@
 
 // Names of the decisions; the package in brackets explains each.
 const (
+	// LeastSlack runs a request that is late already just in time for its caller's
+	// deadline, instead of after all others (admission).
+	LeastSlack Name = "least-slack"
+	// Repetition takes flows that begin right after a start for repetitions, which
+	// have less time left than they seem to have (admission).
+	Repetition Name = "repetition"
 	// ShortestQueue sends a flow that finds all slots taken to the upstream where
 	// the fewest requests wait (steer).
 	ShortestQueue Name = "shortest-queue"
 )
 
 // names are all that can be switched off.
-var names = []Name{ShortestQueue}
+var names = []Name{LeastSlack, Repetition, ShortestQueue}
 
 // Set holds the decisions that are switched off; the zero value has all on.
 type Set struct{ off []Name }
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -65,7 +65,7 @@
 	a.notes = newNotes(a.log, a.clock)
 	a.core = gate.New(gate.Settings{
 		Service: env.Host.Service, CallerPort: env.Host.Packets.Port(), Incarnation: id,
-		Times: times(env.Host.Changeable),
+		Policies: env.Policies, Times: times(env.Host.Changeable),
 	})
 	if err := a.listen(); err != nil {
 		return err
