gate: slots are known before the first heartbeat

Change: opening packets tell the number of slots that the store lists, or siblings report; the heartbeat goes before it.

--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -20,6 +20,7 @@
 		return err
 	}
 	g.hearKnown(from, head.Known)
+	g.listedSlots = max(int(head.Slots), g.listedSlots)
 	id := p.FromCaller()
 	reason := g.refusal(now, id, head)
 	if reason == 0 {
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -190,12 +190,14 @@
 	claim claim
 	known inner.Known
 	// source is the host of the balancer that told of the newest.
-	source   [4]byte
-	running  int
-	open     int
-	latency  time.Duration
-	stopping bool
-	unlisted bool
+	source  [4]byte
+	running int
+	open    int
+	latency time.Duration
+	// listedSlots is the number of slots as balancers last told it, 0 for not.
+	listedSlots int
+	stopping    bool
+	unlisted    bool
 	// listed is the store's revision of this process's entry, 0 while it has
 	// none; aged tells that the process is not young any more.
 	listed uint64
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/admission"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -45,10 +46,19 @@
 	return r
 }
 
-// full reports whether all slots of the upstream are taken. Before the first
-// heartbeat their number is not known.
+// slots returns how many slots the upstream has, 0 where that is not known. Before its
+// first heartbeat the balancers' word is taken: after a common loss of power a rush
+// comes before the heartbeats, and an upstream refuses what goes beyond its queue.
+func (g *Gate) slots() int {
+	if g.upstream.slots > 0 || !g.settings.Policies.On(policy.ListedSlots) {
+		return g.upstream.slots
+	}
+	return g.listedSlots
+}
+
+// full reports whether all slots of the upstream are taken.
 func (g *Gate) full() bool {
-	return g.upstream.slots > 0 && g.running >= g.upstream.slots
+	return g.slots() > 0 && g.running >= g.slots()
 }
 
 // hold keeps a packet back if its request has to wait; it reports whether it
@@ -103,7 +113,7 @@
 }
 
 func (g *Gate) pace() admission.Pace {
-	return admission.Pace{Slots: g.upstream.slots, Answer: g.latency}
+	return admission.Pace{Slots: g.slots(), Answer: g.latency}
 }
 
 // handOn hands a request that has waited to the upstream.
--- a/internal/packetface/gate/queue_test.go
+++ b/internal/packetface/gate/queue_test.go
@@ -232,3 +232,29 @@
 		})
 	}
 }
+
+// A rush comes before the first heartbeat: the upstream gets as many requests as the
+// store lists slots for it, and the others wait.
+func TestRequestsWaitBeforeTheFirstHeartbeat(t *testing.T) {
+	cases := []struct {
+		name string
+		off  []string
+		want int
+	}{
+		{"with the policy", nil, 3},
+		{"without it", []string{string(policy.ListedSlots)}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBenchWithout(t, c.off)
+			for n := range 5 {
+				b.opening(flow(n), inner.Open{Slots: slots, Hops: inner.MaxBusyHops})
+				b.upstreamSends(fromUpstream(flow(n), 100, 2, platform.FlagSYN|platform.FlagACK, 0))
+				b.request(n, 2, ordinary)
+			}
+			b.Expect(b.gate.Counts(b.now).Waiting).To(Equal(c.want))
+			b.begin("i-1") // the upstream's own word goes before
+			b.Expect(b.gate.Counts(b.now).Waiting).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -18,7 +18,7 @@
 
 // Kinds of datagrams; their sizes are given without the packet.
 const (
-	// KindOpen carries a packet that opens a flow to an agent (27 bytes).
+	// KindOpen carries a packet that opens a flow to an agent (29 bytes).
 	KindOpen Kind = iota + 1
 	// KindForward carries another packet of a flow to an agent (5 bytes).
 	KindForward
@@ -122,6 +122,9 @@
 	Hops uint8
 	// Service is the ServiceID that the packet is meant for.
 	Service uint64
+	// Slots is the number of the upstream's slots as it was last known, 0 for not:
+	// an agent that has just started learns it before the first heartbeat.
+	Slots uint16
 	// Known is what the balancer decided by.
 	Known Known
 }
@@ -169,7 +172,7 @@
 
 // Sizes of the fixed parts in bytes.
 const (
-	openSize     = 3 + 8 + knownSize
+	openSize     = 3 + 8 + 2 + knownSize
 	knownSize    = 8 + 8
 	forwardSize  = 5
 	flowSize     = 4 + 4 + 2 + 2
@@ -206,6 +209,7 @@
 func AppendOpen(b []byte, o Open, packet []byte) []byte {
 	b = append(b, byte(KindOpen), byte(o.Flags), o.Hops)
 	b = binary.BigEndian.AppendUint64(b, o.Service)
+	b = binary.BigEndian.AppendUint16(b, o.Slots)
 	b = appendKnown(b, o.Known)
 	return append(b, packet...)
 }
@@ -217,7 +221,7 @@
 	}
 	o = Open{
 		Flags: Flags(b[1]), Hops: b[2],
-		Service: binary.BigEndian.Uint64(b[3:]), Known: parseKnown(b[11:]),
+		Service: binary.BigEndian.Uint64(b[3:]), Slots: binary.BigEndian.Uint16(b[11:]), Known: parseKnown(b[13:]),
 	}
 	return o, b[openSize:], nil
 }
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -16,6 +16,9 @@
 	// LeastSlack runs a request that is late already just in time for its caller's
 	// deadline, instead of after all others (admission).
 	LeastSlack Name = "least-slack"
+	// ListedSlots takes the balancers' word for the slots of an upstream that has not
+	// reported yet (gate).
+	ListedSlots Name = "listed-slots"
 	// Repetition takes flows that begin right after a start for repetitions, which
 	// have less time left than they seem to have (admission).
 	Repetition Name = "repetition"
@@ -25,7 +28,7 @@
 )
 
 // names are all that can be switched off.
-var names = []Name{LeastSlack, Repetition, ShortestQueue}
+var names = []Name{LeastSlack, ListedSlots, Repetition, ShortestQueue}
 
 // Set holds the decisions that are switched off; the zero value has all on.
 type Set struct{ off []Name }
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -103,6 +104,19 @@
 	a.status.Running, a.statusAt, a.pending = max(running, a.status.Slots), now, 0
 }
 
+// slots returns how many slots the agent's upstream has, as far as is known: the store
+// keeps what the life before reported, and the upstreams of a service are alike.
+func (r *roster) slots(a *agent) uint16 {
+	known := max(int(a.status.Slots), a.Slots)
+	for _, sibling := range r.byService[a.Service] {
+		if known > 0 {
+			break
+		}
+		known = max(int(sibling.status.Slots), sibling.Slots)
+	}
+	return uint16(min(known, math.MaxUint16))
+}
+
 // wantStatus reports whether what is known is older than age and no request
 // is on its way.
 func (a *agent) wantStatus(now, age time.Duration) bool {
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -96,7 +96,7 @@
 	start := len(c.buffer)
 	flags |= c.flagsFor(a, now, statusAgeOpen)
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
-		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Known: c.known(),
+		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Slots: c.roster.slots(a), Known: c.known(),
 	}, b)
 	c.send(a.Addr, start)
 }
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -202,6 +202,20 @@
 	}
 }
 
+// An agent that has just started hears from balancers how many slots its upstream
+// has; where the store lists none for it, those of another of the service count.
+func TestAnOpeningTellsTheListedSlots(t *testing.T) {
+	unknown := at(101, "a")
+	unknown.Slots = 0
+	for _, agents := range [][]steer.Agent{{at(101, "a")}, {unknown, at(102, "b")}} {
+		b := newBench(t, agents...)
+		b.callerSends(caller(1), platform.FlagSYN, 0)
+		head, _, err := inner.ParseOpen(b.last.Actions[0].Bytes)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(head.Slots).To(BeEquivalentTo(4))
+	}
+}
+
 func TestACopyGoesElsewhereOnlyIfTheAgentIsSilent(t *testing.T) {
 	b := newBench(t, at(101, "a"), at(102, "b"))
 	b.status(101, inner.Status{})
