outcome: upstreams are judged by what becomes of their flows

Cause: an upstream that returns opening packets, resets what it accepts or answers at once with a failure is done with each request in a millisecond and looks idle. Ruled out: placement (the failing ones are truly the least loaded), heartbeats (they go on), callers' bytes (not read; sizes, times, flags and addresses are enough). Change: package outcome, pure, judges an upstream at its agent: two failures of eight outcomes from different callers (resets, answers in a sixth of the usual time), two opening packets returned in a row, one where nothing was heard since the start, three swallowed for 80 ms; what was swallowed goes back. It is shut out for 0.4 s, twice as long each time again, and comes back by four successes, one flow at a time. States unproven, probation and failing tell balancers; where more of a service fail than not, all are used. Switch outcomes. A caller alone shuts nobody out.

--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/admission"
@@ -49,6 +50,8 @@
 		return inner.ReasonDraining
 	case g.stopping && !must:
 		return inner.ReasonDraining
+	case !must && g.refusedByVerdict(now):
+		return inner.ReasonFailing
 	case !must && head.Hops < inner.MaxBusyHops && g.full():
 		return inner.ReasonBusy
 	}
@@ -93,6 +96,10 @@
 		g.note(now, Note{Kind: KindOpened, Flow: id, Peer: from})
 	}
 	f.balancer, f.seen = from, now
+	if !f.answered {
+		f.opening = slices.Clone(packet)
+		g.letIn(now)
+	}
 	g.send(ToUpstream, netip.AddrPort{}, packet)
 }
 
--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/outcome"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -109,7 +110,7 @@
 func (g *Gate) Status(now time.Duration) inner.Status {
 	u := &g.upstream
 	return inner.Status{
-		State: g.state(), StateFor: now - g.stateSince, Incarnation: g.settings.Incarnation, Known: g.known, Source: g.source,
+		State: g.state(now), StateFor: now - g.stateSince, Incarnation: g.settings.Incarnation, Known: g.known, Source: g.source,
 		Running: g.load(), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
 	}
@@ -121,7 +122,7 @@
 }
 
 // state returns whether the upstream takes flows.
-func (g *Gate) state() inner.State {
+func (g *Gate) state(now time.Duration) inner.State {
 	u := &g.upstream
 	switch {
 	case u.down || u.left:
@@ -133,6 +134,14 @@
 	case g.stopping:
 		return inner.StateStopping
 	}
+	switch g.upstreamVerdict(now) {
+	case outcome.Shut:
+		return inner.StateFailing
+	case outcome.Probation:
+		return inner.StateProbation
+	case outcome.Unproven:
+		return inner.StateUnproven
+	}
 	return inner.StateReady
 }
 
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -28,6 +28,8 @@
 	// openedLate is the age of the opening packet that was let in; repeatedAfter is
 	// how long before the caller may have opened another flow for the same request.
 	openedLate, repeatedAfter time.Duration
+	// opening is the opening packet, until it is answered.
+	opening []byte
 	// answered tells that the upstream has accepted the opening; accepted is
 	// the sequence of its answer.
 	answered bool
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -16,6 +16,7 @@
 
 	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/outcome"
 	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -76,6 +77,7 @@
 	KindDropped  Kind = "dropped"
 	KindWaited   Kind = "waited"
 	KindSlow     Kind = "slow-answer"
+	KindVerdict  Kind = "verdict"
 )
 
 // Note tells of one decision: its id, its inputs with their age, its outcome.
@@ -190,7 +192,14 @@
 	claim claim
 	known inner.Known
 	// source is the host of the balancer that told of the newest.
-	source  [4]byte
+	source [4]byte
+	// judge judges the upstream, trial is when a flow was let in to try it, 0 for
+	// none, swallowed are opening packets without an answer.
+	judge     outcome.Judge
+	trial     time.Duration
+	swallowed swallowed
+	// called is when the Gate was last called, 0 for not yet.
+	called  time.Duration
 	running int
 	open    int
 	latency time.Duration
@@ -256,6 +265,7 @@
 	g.begin()
 	g.asked = now
 	g.balancers[from] = now
+	g.checkVerdict(now)
 	err := g.fromBalancer(now, from, b)
 	g.release(now)
 	return &g.out, err
@@ -280,6 +290,7 @@
 	g.begin()
 	g.aged = now >= settleTime
 	g.checkUpstream(now)
+	g.checkVerdict(now)
 	g.release(now)
 	if now-g.swept >= sweepEvery {
 		g.sweep(now)
--- a/internal/packetface/gate/life.go
+++ b/internal/packetface/gate/life.go
@@ -115,6 +115,7 @@
 		whole:     beat.Sequence <= firstHeartbeat,
 		confirmed: beat.Sequence <= firstHeartbeat,
 	}
+	g.judge.Begin(now)
 	g.note(now, Note{Kind: KindUpstream, Reason: fmt.Sprintf("ready %s heartbeat %d", beat.ID, beat.Sequence)})
 	g.announce(now)
 }
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return &g.out, err
 	}
-	g.upstream.refused = 0
+	g.upstream.refused, g.swallowed = 0, swallowed{}
 	if p.Flags.Has(platform.FlagBounced) {
 		platform.ClearBounced(b)
 		g.bounced(now, &p, b)
@@ -38,6 +38,8 @@
 	reason := g.unknown()
 	if p.IsOpening() {
 		reason = inner.ReasonBounced
+		change, changed := g.judge.ReturnedOpening(now, f.began)
+		g.judged(now, change, changed)
 	}
 	balancer := f.balancer
 	g.forget(id, f)
@@ -58,7 +60,11 @@
 		g.tellHeld(f, id)
 	}
 	if p.Flags.Has(platform.FlagSYN) {
-		f.answered, f.accepted, f.began = true, p.Sequence, now
+		f.answered, f.accepted, f.began, f.opening = true, p.Sequence, now, nil
+		g.judge.Heard(now)
+	}
+	if p.Flags.Has(platform.FlagRST) {
+		g.resetByUpstream(now, id, f)
 	}
 	// The end of a flow may overtake the answer before it on the way to this socket.
 	if f.running && (p.Length > 0 || p.Flags.Has(platform.FlagFIN)) {
@@ -76,6 +82,8 @@
 	g.setRunning(f, false)
 	f.served = true
 	g.addLatency(now - f.asked)
+	change, changed := g.judge.Answered(now, f.asked, now-f.asked, id.Caller)
+	g.judged(now, change, changed)
 	if now-f.asked >= slowAnswer {
 		g.note(now, Note{Kind: KindSlow, Flow: id, Took: now - f.asked})
 	}
--- a/internal/packetface/gate/upstream.go
+++ b/internal/packetface/gate/upstream.go
@@ -37,6 +37,7 @@
 	if u.heard != 0 && now-u.heard >= g.settings.HeartbeatEvery/confirmPart {
 		u.confirmed = true
 	}
+	g.judge.Heard(now)
 	revived, heardAgain := u.down && !u.left, u.silent
 	u.heard, u.sequence, u.slots, u.down, u.silent = now, beat.Sequence, beat.Slots, false, false
 	u.coldEnd = now + beat.ColdFor
@@ -164,7 +165,7 @@
 
 // announce tells all balancers that use this agent of a change at once.
 func (g *Gate) announce(now time.Duration) {
-	if state := g.state(); state != g.announced {
+	if state := g.state(now); state != g.announced {
 		g.announced, g.stateSince = state, now
 	}
 	for to := range g.balancers {
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -63,9 +63,10 @@
 	ReasonBounced                    // the upstream returned the packet
 	ReasonUnknown                    // the upstream does not hold the flow
 	ReasonUnsure                     // the same, as VerdictUnsure says it
+	ReasonFailing                    // the upstream fails what it gets
 )
 
-var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure"}
+var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing"}
 
 // String returns the reason's name in logs and metrics.
 func (r Reason) String() string {
@@ -103,9 +104,15 @@
 	StateStopping
 	// StateSilent says that the upstream's heartbeats have stopped: it may live.
 	StateSilent
+	// StateUnproven says that the agent has not heard of its upstream since its own
+	// start, StateProbation that the upstream has failed and is tried again with one
+	// flow at a time, StateFailing that it fails what it gets.
+	StateUnproven
+	StateProbation
+	StateFailing
 )
 
-var stateNames = [...]string{"none", "ready", "draining", "down", "stopping", "silent"}
+var stateNames = [...]string{"none", "ready", "draining", "down", "stopping", "silent", "unproven", "probation", "failing"}
 
 // String returns the state's name in logs and metrics.
 func (s State) String() string {
--- /dev/null
+++ b/internal/packetface/outcome/recent.go
@@ -0,0 +1,38 @@
+package outcome
+
+// recent holds the last outcomes.
+type recent struct {
+	failed [window]bool
+	caller [window][4]byte
+	next   int
+	// returned counts opening packets that were given back in a row.
+	returned int
+}
+
+func (r *recent) clear() { *r = recent{} }
+
+func (r *recent) add(failed bool, caller [4]byte) {
+	r.failed[r.next], r.caller[r.next] = failed, caller
+	r.next = (r.next + 1) % window
+}
+
+// callers returns how many different callers met a failure.
+func (r *recent) callers() int {
+	n := 0
+	for i := range r.failed {
+		if r.failed[i] && !r.metBefore(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// metBefore reports whether the caller of a failure stands at an earlier place.
+func (r *recent) metBefore(at int) bool {
+	for i := range at {
+		if r.failed[i] && r.caller[i] == r.caller[at] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -19,6 +19,8 @@
 	// ListedSlots takes the balancers' word for the slots of an upstream that has not
 	// reported yet (gate).
 	ListedSlots Name = "listed-slots"
+	// Outcomes judges upstreams by what becomes of flows and requests (outcome).
+	Outcomes Name = "outcomes"
 	// Repetition takes flows that begin right after a start for repetitions, which
 	// have less time left than they seem to have (admission).
 	Repetition Name = "repetition"
@@ -28,7 +30,7 @@
 )
 
 // names are all that can be switched off.
-var names = []Name{LeastSlack, ListedSlots, Repetition, ShortestQueue}
+var names = []Name{LeastSlack, ListedSlots, Outcomes, Repetition, ShortestQueue}
 
 // Set holds the decisions that are switched off; the zero value has all on.
 type Set struct{ off []Name }
--- a/internal/packetface/steer/choose.go
+++ b/internal/packetface/steer/choose.go
@@ -22,6 +22,13 @@
 	weightCold = 0.5
 	// weightFlow is the load that an open flow stands for while it is idle.
 	weightFlow = 0.04
+	// weightUnproven and weightProbation are the extra load of an agent that has not
+	// heard of its upstream since its start, or whose upstream is tried again: it gets
+	// flows where others have half of their slots taken.
+	weightUnproven  = 0.5
+	weightProbation = 0.5
+	// weightFailing is that of an agent whose upstream fails, where it may be used.
+	weightFailing = 10
 	// weightRandom breaks ties, so that balancers do not all choose alike.
 	weightRandom = 0.05
 	// statusTrust is the age at which a status tells a third of what the average
@@ -39,9 +46,9 @@
 // take it.
 func (r *roster) choose(now time.Duration, service uint64, s Settings, tried []*agent, long bool) *agent {
 	var best *agent
-	least, mean := 0.0, r.meanRunning(service)
+	least, mean, panicking := 0.0, r.meanRunning(service), r.panicking(service)
 	for _, a := range r.byService[service] {
-		if !a.takes() || slices.Contains(tried, a) {
+		if !a.takes() && !(panicking && a.fails()) || slices.Contains(tried, a) {
 			continue
 		}
 		score := a.score(now, s, long, mean)
@@ -54,7 +61,30 @@
 
 // takes reports whether the agent may take new flows at all.
 func (a *agent) takes() bool {
-	return a.status.State == inner.StateReady || a.statusAt == 0
+	switch a.status.State {
+	case inner.StateReady, inner.StateUnproven, inner.StateProbation:
+		return true
+	}
+	return a.statusAt == 0
+}
+
+// fails reports whether the agent's upstream fails what it gets.
+func (a *agent) fails() bool { return a.status.State == inner.StateFailing }
+
+// panicking reports whether so many upstreams of a service fail that more likely the
+// service does, or what is asked of it: then they are used, too, so that the others
+// are not overrun.
+func (r *roster) panicking(service uint64) bool {
+	take, fail := 0, 0
+	for _, a := range r.byService[service] {
+		switch {
+		case a.fails():
+			fail++
+		case a.takes():
+			take++
+		}
+	}
+	return fail > take
 }
 
 // last returns the agent that takes a flow when all have returned it: the
@@ -122,6 +152,14 @@
 	if a.status.Cold {
 		load += weightCold
 	}
+	switch a.status.State {
+	case inner.StateUnproven:
+		load += weightUnproven
+	case inner.StateProbation:
+		load += weightProbation
+	case inner.StateFailing:
+		load += weightFailing
+	}
 	if a.heard == 0 {
 		load += weightUnheard
 	}
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -74,7 +74,11 @@
 	c.note(note)
 	f.agent, f.placed = best, now
 	best.pending++
-	c.sendOpen(now, f, best, route, id, b, 0)
+	flags := inner.Flags(0)
+	if best.fails() {
+		flags = inner.FlagMust
+	}
+	c.sendOpen(now, f, best, route, id, b, flags)
 }
 
 // placeLast sends an opening packet that every agent has returned to the one
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -131,6 +131,9 @@
 		{"far, as all nearby are full", inner.Status{Running: 4}, inner.Status{Running: 4}, inner.Status{}, 103},
 		{"warm", inner.Status{Cold: true}, inner.Status{Running: 1}, inner.Status{Running: 4}, 102},
 		{"ready", inner.Status{State: inner.StateDraining}, inner.Status{Running: 3}, inner.Status{State: inner.StateStopping}, 102},
+		{"not failing, though idle", inner.Status{State: inner.StateFailing}, inner.Status{Running: 3}, inner.Status{Running: 4}, 102},
+		{"proven, though a little busier", inner.Status{State: inner.StateUnproven}, inner.Status{Running: 1}, inner.Status{Running: 4}, 102},
+		{"on probation, as others are full", inner.Status{State: inner.StateProbation}, inner.Status{Running: 4}, inner.Status{Running: 4}, 101},
 		{"ready, not silent", inner.Status{State: inner.StateSilent}, inner.Status{State: inner.StateDown}, inner.Status{Running: 4}, 103},
 	}
 	for _, c := range cases {
@@ -202,6 +205,24 @@
 	}
 }
 
+// Where more of a service fail than not, it is the service that does, or what is asked
+// of it: then all are used, and told that they must take it.
+func TestAFailingServiceIsNotShutOut(t *testing.T) {
+	b := newBench(t, at(101, "a"), at(102, "a"), at(103, "a"))
+	b.status(101, inner.Status{State: inner.StateFailing})
+	b.status(102, inner.Status{Running: 60})
+	b.status(103, inner.Status{Running: 60})
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)[0]).NotTo(Equal(address(101, 1))) // one of three
+	b.status(102, inner.Status{State: inner.StateFailing, Running: 60})
+	b.status(103, inner.Status{Running: 60})
+	b.callerSends(caller(2), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(101, 1)}))
+	head, _, err := inner.ParseOpen(b.last.Actions[0].Bytes)
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(head.Flags & inner.FlagMust).NotTo(BeZero())
+}
+
 // An agent that has just started hears from balancers how many slots its upstream
 // has; where the store lists none for it, those of another of the service count.
 func TestAnOpeningTellsTheListedSlots(t *testing.T) {
