steer: opening packets that come before the first list are kept

Cause: a balancer has routes and agents 20 to 40 ms after its start; after a common power loss packets come from the first millisecond on. Ruled out: readiness (where no host of a data centre is ready, routers use them all). Change: up to 512 opening packets of the last 0.2 s are kept until the first list and placed then. Switch early-openings; two tests, the first fails with the switch. Conclusion: kept: an opening that is dropped costs its caller a repetition.

--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -13,6 +13,9 @@
 
 // Names of the decisions; the package in brackets explains each.
 const (
+	// EarlyOpenings keeps opening packets until a balancer that has just started knows
+	// routes and agents (steer).
+	EarlyOpenings Name = "early-openings"
 	// LeastSlack runs a request that is late already just in time for its caller's
 	// deadline, instead of after all others (admission).
 	LeastSlack Name = "least-slack"
@@ -30,7 +33,7 @@
 )
 
 // names are all that can be switched off.
-var names = []Name{LeastSlack, ListedSlots, Outcomes, Repetition, ShortestQueue}
+var names = []Name{EarlyOpenings, LeastSlack, ListedSlots, Outcomes, Repetition, ShortestQueue}
 
 // Set holds the decisions that are switched off; the zero value has all on.
 type Set struct{ off []Name }
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -222,6 +222,7 @@
 			c.note(Note{Kind: KindUnlisted, Agent: a.Addr, Age: now - a.heard})
 		}
 	}
+	c.openEarly(now)
 	return &c.out
 }
 
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -14,7 +14,9 @@
 func (c *Core) open(now time.Duration, id platform.Flow, b []byte) {
 	route := c.route(id)
 	if route == nil {
-		c.noRoute(id)
+		if !c.settings.Policies.On(policy.EarlyOpenings) || !c.keepEarly(now, id, b) {
+			c.noRoute(id)
+		}
 		return
 	}
 	f := c.flows[id]
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -141,8 +141,10 @@
 	// peersAsked tells that other balancers have told which agents they know.
 	peersAsked bool
 	flushed    time.Duration
-	out        Result
-	buffer     []byte
+	// early are opening packets that came before the first list.
+	early  []early
+	out    Result
+	buffer []byte
 	// answered is reused from call to call.
 	answered []inner.Answer
 }
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -223,6 +223,51 @@
 	b.Expect(head.Flags & inner.FlagMust).NotTo(BeZero())
 }
 
+// After a common loss of power opening packets come before the balancer has read the
+// store. They are kept, and placed with the first list.
+func TestOpeningsBeforeTheFirstListAreKept(t *testing.T) {
+	cases := []struct {
+		name string
+		off  []string
+		want int
+	}{
+		{"with the policy", nil, 2},
+		{"without it", []string{string(policy.EarlyOpenings)}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := &bench{WithT: NewWithT(t), now: time.Millisecond}
+			policies, _ := policy.Without(c.off)
+			b.core = steer.New(steer.Settings{Policies: policies, DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2))})
+			for n := range 2 {
+				b.callerSends(caller(n), platform.FlagSYN, 0)
+				b.Expect(b.last.Actions).To(BeEmpty())
+			}
+			b.now += 30 * time.Millisecond
+			b.core.SetTable(b.now, table(), time.Minute)
+			b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a")}, listAge(1))
+			b.Expect(b.sent(inner.KindOpen)).To(HaveLen(c.want))
+			b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a")}, listAge(2))
+			b.Expect(b.sent(inner.KindOpen)).To(BeEmpty()) // once
+		})
+	}
+}
+
+// What is older than the callers' next copy is not placed, and the number is bounded.
+func TestFewOpeningsAreKeptForLong(t *testing.T) {
+	b := &bench{WithT: NewWithT(t), now: time.Millisecond}
+	b.core = steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2))})
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.now += 250 * time.Millisecond
+	for n := range 2000 {
+		b.callerSends(caller(n), platform.FlagSYN, 0)
+	}
+	b.Expect(b.notes(steer.KindDropped)).To(HaveLen(1))
+	b.core.SetTable(b.now, table(), time.Minute)
+	b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a")}, listAge(1))
+	b.Expect(b.sent(inner.KindOpen)).To(HaveLen(511))
+}
+
 // An agent that has just started hears from balancers how many slots its upstream
 // has; where the store lists none for it, those of another of the service count.
 func TestAnOpeningTellsTheListedSlots(t *testing.T) {
