steer: a flow passes many agents without an upstream; copies try again while the list may lack agents

Cause: by reading: eight tries were all that an opening packet got, whatever it was returned for, and a reset was sent although the list of agents was a few milliseconds old. Callers have two repetitions; either burns one within milliseconds. Change: 24 tries, of which three may be returns for want of a slot. A flow that nobody takes is reset at once where the list is whole (settled, not outdated, seeds asked) or no further copy comes, which is true, as nothing has run; else the next copy is the next try. What counts as whole is shared with the search for an owner.

--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -282,10 +282,7 @@
 // the agent that does, and so may one without any agent of the route. A few
 // agents may be passed over as absent.
 func (c *Core) certain(now time.Duration, id platform.Flow, q *ask) bool {
-	if c.settings.AwaitPeers && !c.peersAsked {
-		return false
-	}
-	if c.roster.first == 0 || now-c.roster.first < settleTime || c.roster.outdated() {
+	if !c.listWhole(now) {
 		return false
 	}
 	if route := c.route(id); route != nil && !c.roster.serves(route.Services) {
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -97,8 +97,7 @@
 func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
 	last := c.roster.last(now, service, c.settings)
 	if last == nil || f.agent == nil || f.lastTry {
-		delete(c.flows, id)
-		c.reset(id, 0, "no-upstream-takes-it")
+		c.turnAway(now, id, "no-upstream-takes-it", b)
 		return
 	}
 	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Took: now - f.placed, Reason: "last", Count: f.hops()})
@@ -106,6 +105,28 @@
 	c.sendOpen(now, f, last, route, id, b, inner.FlagMust)
 }
 
+// turnAway resets a flow that nobody takes, so that its caller knows at once; nothing
+// of it has run. While the list of agents may lack some, the caller's next copy is
+// another try, and costs it none of its repetitions.
+func (c *Core) turnAway(now time.Duration, id platform.Flow, reason string, b []byte) {
+	delete(c.flows, id)
+	p, err := platform.ParsePacket(b)
+	if err == nil && !c.listWhole(now) && !p.IsLastCopy() {
+		c.note(Note{Kind: KindDropped, Flow: id, Reason: "next-copy-tries-again", Age: now - c.roster.first})
+		return
+	}
+	c.reset(id, 0, reason)
+}
+
+// listWhole reports whether every agent that the store or other balancers know of is
+// in the list.
+func (c *Core) listWhole(now time.Duration) bool {
+	if c.settings.AwaitPeers && !c.peersAsked {
+		return false
+	}
+	return c.roster.first != 0 && now-c.roster.first >= settleTime && !c.roster.outdated()
+}
+
 func (c *Core) sendOpen(now time.Duration, f *flow, a *agent, route *routing.Route, id platform.Flow, b []byte, flags inner.Flags) {
 	service, _ := route.Choose(id)
 	start := len(c.buffer)
@@ -136,8 +157,7 @@
 		return // a later copy has been placed elsewhere, or the route is gone
 	}
 	if f.lastTry {
-		delete(c.flows, id)
-		c.reset(id, 0, "all-returned-"+head.Reason.String())
+		c.turnAway(now, id, "all-returned-"+head.Reason.String(), packet)
 		return
 	}
 	if head.Reason == inner.ReasonBusy {
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -97,8 +97,11 @@
 	// copyPatience is the silence of an agent after which a copy of an opening
 	// packet goes to another; callers send copies after 200 and 600 ms.
 	copyPatience = 150 * time.Millisecond
-	// maxHops bounds how many agents are tried with one opening packet.
-	maxHops = 8
+	// maxHops bounds how many agents are tried with one opening packet. Three may return
+	// it for want of a slot, the others for want of an upstream: many at once where hosts
+	// start beside upstreams that are gone. 24 take some 70 ms, less than the time to
+	// the caller's next copy.
+	maxHops = 24
 	// settleTime is the time after the first list of agents before which the
 	// list is not taken for whole: entries that lapsed may be on their way back.
 	settleTime = 250 * time.Millisecond
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -296,6 +296,59 @@
 	}
 }
 
+// A flow that all agents return is reset at once, as its caller may ask elsewhere; while
+// the list may lack agents, the next copy tries again and no repetition is burnt.
+func TestNobodyTakesIt(t *testing.T) {
+	cases := []struct {
+		name   string
+		age    time.Duration
+		copies uint32
+		resets int
+	}{
+		{"the list has only just come", 50 * time.Millisecond, 0, 0},
+		{"no further copy comes", 50 * time.Millisecond, 2, 1},
+		{"the list is whole", 300 * time.Millisecond, 0, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, at(101, "a"))
+			b.now += c.age
+			opening := packet(caller(1), 1, c.copies, platform.FlagSYN, 0)
+			_, err := b.core.FromCaller(b.now, opening)
+			b.Expect(err).NotTo(HaveOccurred())
+			for range 2 { // the first and the last try
+				b.fromAgent(101, inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonBounced}, opening))
+			}
+			b.Expect(b.resets()).To(Equal(c.resets))
+			b.Expect(b.notes(steer.KindDropped)).To(HaveLen(1 - c.resets))
+			r, err := b.core.FromCaller(b.now, packet(caller(1), 1, 1, platform.FlagSYN, 0))
+			b.Expect(err).NotTo(HaveOccurred())
+			b.last = r
+			b.Expect(b.sent(inner.KindOpen)).To(HaveLen(1)) // the next copy begins anew
+		})
+	}
+}
+
+// Many agents start beside upstreams that are gone: a flow finds the one that lives
+// behind more of them than may return it for want of a slot.
+func TestAFlowPassesManyAgentsWithoutAnUpstream(t *testing.T) {
+	agents := []steer.Agent{at(120, "b")}
+	for n := range 15 {
+		agents = append(agents, at(101+n, "a"))
+	}
+	b := newBench(t, agents...)
+	b.now += 300 * time.Millisecond
+	opening := packet(caller(1), 1, 0, platform.FlagSYN, 0)
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	for range 15 {
+		to := b.sent(inner.KindOpen)[0]
+		b.Expect(to).NotTo(Equal(address(120, 1)))
+		b.fromAgent(int(to.Addr().As4()[3]), inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonBounced}, opening))
+	}
+	b.Expect(b.sent(inner.KindOpen)).To(Equal([]netip.AddrPort{address(120, 1)}))
+	b.Expect(b.resets()).To(BeZero())
+}
+
 // An agent that has just started hears from balancers how many slots its upstream
 // has; where the store lists none for it, those of another of the service count.
 func TestAnOpeningTellsTheListedSlots(t *testing.T) {
