--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -82,7 +82,7 @@
 	g.setRunning(f, false)
 	f.served = true
 	g.addLatency(now - f.asked)
-	change, changed := g.judge.Answered(now, f.asked, now-f.asked, id.Caller)
+	change, changed := g.judge.Answered(now, f.asked, now-f.asked, id)
 	g.judged(now, change, changed)
 	if now-f.asked >= slowAnswer {
 		g.note(now, Note{Kind: KindSlow, Flow: id, Took: now - f.asked})
--- a/internal/packetface/gate/verdict.go
+++ b/internal/packetface/gate/verdict.go
@@ -107,6 +107,6 @@
 	if !f.running {
 		return // nothing was asked of it
 	}
-	change, changed := g.judge.ResetBy(now, f.asked, id.Caller)
+	change, changed := g.judge.ResetBy(now, f.asked, id)
 	g.judged(now, change, changed)
 }
--- a/internal/packetface/outcome/outcome.go
+++ b/internal/packetface/outcome/outcome.go
@@ -14,7 +14,12 @@
 // from different callers, so that none can make an upstream look bad by itself.
 package outcome
 
-import "time"
+import (
+	"net/netip"
+	"time"
+
+	"github.com/saltbend/saltbend/platform"
+)
 
 // Verdict says what an upstream is to get.
 type Verdict uint8
@@ -97,8 +102,10 @@
 	// passed counts successes in a row during the probation.
 	passed int
 	recent recent
-	pace   pace
-	cause  Failure
+	// paces are those of the faces whose requests the upstream answers: requests of
+	// one service may take 1 ms on one face and 40 ms on another.
+	paces map[netip.AddrPort]*pace
+	cause Failure
 }
 
 // Change tells that a verdict has changed, for the log.
@@ -139,19 +146,17 @@
 	}
 }
 
-// Answered notes an answer, the time that it took, and when its flow was let in. It
-// reports whether the verdict has changed.
-func (j *Judge) Answered(now, admitted, took time.Duration, caller [4]byte) (Change, bool) {
-	fast := j.pace.fast(took)
-	j.pace.add(took)
-	if fast {
-		return j.failed(now, admitted, Fast, caller)
+// Answered notes an answer on a flow, the time that it took, and when its request was
+// let in. It reports whether the verdict has changed.
+func (j *Judge) Answered(now, admitted, took time.Duration, flow platform.Flow) (Change, bool) {
+	if j.fast(flow.FaceAddr(), took) {
+		return j.failed(now, admitted, Fast, flow.Caller)
 	}
 	verdict := j.Verdict(now)
 	if admitted < j.since {
 		return Change{}, false
 	}
-	j.recent.add(false, caller)
+	j.recent.add(false, flow.Caller)
 	if verdict != Probation {
 		return Change{}, false
 	}
@@ -162,10 +167,9 @@
 	return Change{Verdict: Takes, Cause: j.cause}, true
 }
 
-// ResetBy notes that the upstream reset a flow of a caller whose request it had not
-// answered.
-func (j *Judge) ResetBy(now, admitted time.Duration, caller [4]byte) (Change, bool) {
-	return j.failed(now, admitted, Reset, caller)
+// ResetBy notes that the upstream reset a flow whose request it had not answered.
+func (j *Judge) ResetBy(now, admitted time.Duration, flow platform.Flow) (Change, bool) {
+	return j.failed(now, admitted, Reset, flow.Caller)
 }
 
 // ReturnedOpening notes that the upstream gave an opening packet back.
--- a/internal/packetface/outcome/outcome_test.go
+++ b/internal/packetface/outcome/outcome_test.go
@@ -9,11 +9,15 @@
 	"pgregory.net/rapid"
 
 	"github.com/saltbend/saltbend/internal/packetface/outcome"
+	"github.com/saltbend/saltbend/platform"
 )
 
 const ms = time.Millisecond
 
-func caller(n int) [4]byte { return [4]byte{100, 64, byte(n >> 8), byte(n)} }
+// caller returns a flow of one of many callers at one face.
+func caller(n int) platform.Flow {
+	return platform.Flow{Caller: [4]byte{100, 64, byte(n >> 8), byte(n)}, Face: [4]byte{198, 18, 0, 1}, FacePort: 443}
+}
 
 // upstream drives a Judge with outcomes in steps of 10 ms.
 type upstream struct {
@@ -29,14 +33,14 @@
 }
 
 // answer notes an answer of a flow that was let in just before.
-func (u *upstream) answer(took time.Duration, caller [4]byte) {
+func (u *upstream) answer(took time.Duration, flow platform.Flow) {
 	u.now += 10 * ms
-	u.judge.Answered(u.now, u.now, took, caller)
+	u.judge.Answered(u.now, u.now, took, flow)
 }
 
-func (u *upstream) reset(caller [4]byte) {
+func (u *upstream) reset(flow platform.Flow) {
 	u.now += 10 * ms
-	u.judge.ResetBy(u.now, u.now, caller)
+	u.judge.ResetBy(u.now, u.now, flow)
 }
 
 func (u *upstream) verdict() outcome.Verdict { return u.judge.Verdict(u.now) }
@@ -161,6 +165,35 @@
 	u.Expect(u.verdict()).To(Equal(outcome.Probation))
 }
 
+// A service may stand behind several faces, with requests that take 1 ms on one and 30
+// ms on another. Seen on the own day kigali-1, where an upstream was shut out for
+// that in the middle of a burst.
+func TestEachFaceHasItsOwnPace(t *testing.T) {
+	u := newUpstream(t)
+	u.learn()
+	for n := range 300 {
+		quick := caller(n)
+		quick.FacePort = 80
+		u.answer(ms, quick)
+		u.answer(30*ms, caller(n))
+		u.Expect(u.verdict()).To(Equal(outcome.Takes))
+	}
+}
+
+// Callers can't make an agent learn of faces without bound.
+func TestFacesAreBounded(t *testing.T) {
+	u := newUpstream(t)
+	for n := range 10_000 {
+		f := caller(n)
+		f.FacePort = uint16(n)
+		u.answer(30*ms, f)
+	}
+	u.learn() // one more, which is not learned
+	u.answer(ms, caller(1))
+	u.answer(ms, caller(2))
+	u.Expect(u.verdict()).To(Equal(outcome.Takes))
+}
+
 // Answers that are fast by the nature of the service say nothing.
 func TestAServiceMayHaveFastAnswers(t *testing.T) {
 	u := newUpstream(t)
--- a/internal/packetface/outcome/pace.go
+++ b/internal/packetface/outcome/pace.go
@@ -1,6 +1,9 @@
 package outcome
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// fastPart is the part of the usual time below which an answer counts as fast:
@@ -15,9 +18,30 @@
 	remembered = 4096
 	// usualWeight is the part of a new answer in the usual time, as one in so many.
 	usualWeight = 32
+	// maxFaces bounds the faces whose pace is learned; an answer on any other is never
+	// fast. A service stands behind a few.
+	maxFaces = 64
 )
 
-// pace is how long the upstream's answers usually take.
+// fast learns from an answer and reports whether it took too little time to be one.
+func (j *Judge) fast(face netip.AddrPort, took time.Duration) bool {
+	p := j.paces[face]
+	if p == nil {
+		if len(j.paces) >= maxFaces {
+			return false
+		}
+		if j.paces == nil {
+			j.paces = make(map[netip.AddrPort]*pace)
+		}
+		p = &pace{}
+		j.paces[face] = p
+	}
+	fast := p.fast(took)
+	p.add(took)
+	return fast
+}
+
+// pace is how long the upstream's answers on one face usually take.
 type pace struct {
 	usual          time.Duration
 	answers, quick int
