--- a/internal/packetface/admission/admission.go
+++ b/internal/packetface/admission/admission.go
@@ -35,6 +35,11 @@
 	// slower while an upstream is cold. 0.5 and 0.35 lose as many in the bed, and
 	// fewer of the others are in time.
 	slotShare = 0.75
+	// savablePart is the least part of its timeout that a repetition must have left
+	// when it is let in to be looked for. With a quarter (requests of 2 s) the rush is
+	// longer than that: ras-live saved 0.3% of its requests and made 1% late. Without
+	// the search at a third (2.25 s) umurongo-kgl lost 0.9 and 1.2% instead of 0.3%.
+	savablePart = 0.3
 )
 
 // Request is what is known of a request that waits.
@@ -73,9 +78,13 @@
 }
 
 // deadline returns when the caller gives up: as early as may be until that time
-// has passed, as then the caller would have ended its flow.
+// has passed, as then the caller would have ended its flow. What would have little
+// time left as a repetition counts as a first try: most of it would be lost anyway,
+// and all that comes meanwhile late.
 func (r *Request) deadline(now time.Duration) time.Duration {
-	if early := r.Suspected + r.Timeout; now < early {
+	early := r.Suspected + r.Timeout
+	savable := early-r.Asked >= time.Duration(savablePart*float64(r.Timeout))
+	if savable && now < early {
 		return early
 	}
 	return r.Asked + r.Timeout
