--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # SKIP and SKIP_SPECS in the environment are regular expressions of tests and
 # integration specs to pass over; .ci/run fills them from KNOWN-RED.txt.
 
-.PHONY: help build test unit integration demo soak bench bench-capacity bench-fleet model lint
+.PHONY: help build test unit integration demo soak bed ablation bench bench-capacity bench-fleet model lint
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -28,6 +28,12 @@
 soak: ## faults of SEED (and COUNT - 1 more seeds) on the packet face for the time FOR each
 	$(GO) run ./test/cmd/soak --seed $(or $(SEED),1) --count $(or $(COUNT),1) --for $(or $(FOR),20s)
 
+bed: ## lost requests and worth of the orders and choices under replayed loads
+	$(GO) test -run '^$$' -bench 'Rush|Choices' -benchtime 1x ./internal/packetface/admission ./internal/packetface/steer
+
+ablation: ## the same with one policy of the order switched off at a time
+	$(GO) test -run '^$$' -bench 'Rush/.*/(late-last|least-slack|programs)$$' -benchtime 1x ./internal/packetface/admission
+
 bench: ## benchmarks in benchstat format
 	$(GO) test -run '^$$' -bench . -benchmem -benchtime 300ms ./internal/...
 
--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -49,19 +49,36 @@
 }
 
 // Overdue returns a request that is to be handed on though no slot is free.
-func (q *Queue[T]) Overdue(now time.Duration) (item T, ok bool) {
+func (q *Queue[T]) Overdue(now time.Duration) (item T, why Choice) {
 	for i := range q.waiting {
 		if q.waiting[i].overdue(now) {
-			return q.waiting[i].item, true
+			return q.waiting[i].item, Overdue
 		}
 	}
-	return item, false
+	return item, None
 }
 
-// Next returns the request that is to run in a slot that is free.
-func (q *Queue[T]) Next(now time.Duration, p Pace) (item T, ok bool) {
+// Choice says why a request is to run next.
+type Choice string
+
+// Choices, by names for the log.
+const (
+	// None: nothing waits.
+	None Choice = ""
+	// InTime: it can be answered within its aim.
+	InTime Choice = "in-time"
+	// Pressing: it would miss its deadline otherwise.
+	Pressing Choice = "pressing"
+	// Late: nothing in time waits.
+	Late Choice = "late"
+	// Overdue: its time is over, though no slot is free.
+	Overdue Choice = "overdue"
+)
+
+// Next returns the request that is to run in a slot that is free, and why.
+func (q *Queue[T]) Next(now time.Duration, p Pace) (item T, why Choice) {
 	if len(q.waiting) == 0 {
-		return item, false
+		return item, None
 	}
 	best := 0
 	for i := range q.waiting {
@@ -70,9 +87,12 @@
 		}
 	}
 	if at := q.pressing(now, p); at >= 0 {
-		best = at
+		return q.waiting[at].item, Pressing
+	}
+	if q.waiting[best].late(now, p) {
+		return q.waiting[best].item, Late
 	}
-	return q.waiting[best].item, true
+	return q.waiting[best].item, InTime
 }
 
 // pressing returns the place of the request that has to run now so that none that
--- a/internal/packetface/admission/queue_test.go
+++ b/internal/packetface/admission/queue_test.go
@@ -53,8 +53,8 @@
 			for name, r := range c.waiting {
 				q.Add(r, name)
 			}
-			got, ok := q.Next(now, pace)
-			g.Expect(ok).To(BeTrue())
+			got, why := q.Next(now, pace)
+			g.Expect(why).NotTo(Equal(admission.None))
 			g.Expect(got).To(Equal(c.want))
 		})
 	}
@@ -69,22 +69,24 @@
 	for n := range 80 { // four slots pass 80 of 30 ms in 0.6 s, and three quarters of them in 0.8
 		q.Add(since(1600*ms, 2), n)
 	}
-	got, _ := q.Next(now, pace)
+	got, why := q.Next(now, pace)
 	g.Expect(got).To(Equal(0))
+	g.Expect(why).To(Equal(admission.Pressing))
 	for n := 40; n < 80; n++ {
 		g.Expect(q.Remove(n)).To(BeTrue())
 	}
-	got, _ = q.Next(now, pace)
+	got, why = q.Next(now, pace)
 	g.Expect(got).To(Equal(-1))
+	g.Expect(why).To(Equal(admission.InTime))
 }
 
 func TestAnEmptyQueueHasNoNext(t *testing.T) {
 	g := NewWithT(t)
 	var q admission.Queue[string]
-	_, ok := q.Next(now, pace)
-	g.Expect(ok).To(BeFalse())
-	_, ok = q.Overdue(now)
-	g.Expect(ok).To(BeFalse())
+	_, why := q.Next(now, pace)
+	g.Expect(why).To(Equal(admission.None))
+	_, why = q.Overdue(now)
+	g.Expect(why).To(Equal(admission.None))
 	g.Expect(q.Remove("none")).To(BeFalse())
 }
 
@@ -92,12 +94,12 @@
 	g := NewWithT(t)
 	var q admission.Queue[string]
 	q.Add(since(2400*ms, 2), "kept")
-	_, ok := q.Overdue(now)
-	g.Expect(ok).To(BeFalse())
+	_, why := q.Overdue(now)
+	g.Expect(why).To(Equal(admission.None))
 	unknown := since(admission.MaxHold, 2)
 	unknown.Timeout = 0
 	q.Add(unknown, "overdue")
-	got, ok := q.Overdue(now)
-	g.Expect(ok).To(BeTrue())
+	got, why := q.Overdue(now)
+	g.Expect(why).To(Equal(admission.Overdue))
 	g.Expect(got).To(Equal("overdue"))
 }
--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -123,6 +123,9 @@
 	if !f.probing && f.state == flowOpening {
 		g.setState(f, flowOpen)
 	}
+	if f.waiting != nil && (p.Flags.Has(platform.FlagFIN) || p.Flags.Has(platform.FlagRST)) {
+		g.abandoned(now, id, f)
+	}
 	f.callerDone = f.callerDone || p.Flags.Has(platform.FlagFIN)
 	if g.hold(now, id, f, p, packet) {
 		return
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -78,6 +78,8 @@
 	KindWaited   Kind = "waited"
 	KindSlow     Kind = "slow-answer"
 	KindVerdict  Kind = "verdict"
+	// KindAbandoned tells of a request whose caller gave up while it waited.
+	KindAbandoned Kind = "abandoned"
 )
 
 // Note tells of one decision: its id, its inputs with their age, its outcome.
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -21,6 +21,8 @@
 	maxHeldPackets = 16
 	// maxHeldFlows bounds the flows that wait.
 	maxHeldFlows = 1024
+	// callerClosed is why the end of a flow is handed on whose request has not run.
+	callerClosed admission.Choice = "caller-closed"
 )
 
 // waiting is a request that waits for a slot.
@@ -56,6 +58,16 @@
 	return g.listedSlots
 }
 
+// abandoned notes that a caller gave up while its request waited. What it asked has
+// not run.
+func (g *Gate) abandoned(now time.Duration, id platform.Flow, f *flow) {
+	reason := "first-try"
+	if f.repeatedAfter > 0 {
+		reason = "may-be-repetition"
+	}
+	g.note(now, Note{Kind: KindAbandoned, Flow: id, Reason: reason, Took: now - f.waiting.since})
+}
+
 // full reports whether all slots of the upstream are taken.
 func (g *Gate) full() bool {
 	return g.slots() > 0 && g.running >= g.slots()
@@ -77,7 +89,7 @@
 	}
 	f.waiting.keep(p, packet)
 	if f.callerDone {
-		g.handOn(now, f.waiting) // the upstream ends a flow whose caller has closed it
+		g.handOn(now, f.waiting, callerClosed) // the upstream ends such a flow
 	}
 	return true
 }
@@ -96,18 +108,18 @@
 // those that have waited for too long.
 func (g *Gate) release(now time.Duration) {
 	for g.queue.Len() > 0 {
-		w, ok := g.next(now)
-		if !ok {
+		w, why := g.next(now)
+		if why == admission.None {
 			return
 		}
-		g.handOn(now, w)
+		g.handOn(now, w, why)
 	}
 }
 
-// next returns the request that is to run now.
-func (g *Gate) next(now time.Duration) (w *waiting, ok bool) {
-	if w, ok = g.queue.Overdue(now); ok || g.full() {
-		return w, ok
+// next returns the request that is to run now, and why.
+func (g *Gate) next(now time.Duration) (w *waiting, why admission.Choice) {
+	if w, why = g.queue.Overdue(now); why != admission.None || g.full() {
+		return w, why
 	}
 	return g.queue.Next(now, g.pace())
 }
@@ -117,12 +129,12 @@
 }
 
 // handOn hands a request that has waited to the upstream.
-func (g *Gate) handOn(now time.Duration, w *waiting) {
+func (g *Gate) handOn(now time.Duration, w *waiting, why admission.Choice) {
 	g.drop(w.flow)
 	w.flow.asked = now
 	g.out.Waited = append(g.out.Waited, now-w.since)
 	if now-w.since >= longWait {
-		g.note(now, Note{Kind: KindWaited, Flow: w.id, Took: now - w.since})
+		g.note(now, Note{Kind: KindWaited, Flow: w.id, Reason: string(why), Took: now - w.since})
 	}
 	g.setRunning(w.flow, !w.flow.callerDone)
 	for _, packet := range w.packets {
--- a/internal/packetface/gate/queue_test.go
+++ b/internal/packetface/gate/queue_test.go
@@ -97,6 +97,7 @@
 	b.now += 200 * time.Millisecond
 	b.last = b.gate.Tick(b.now)
 	b.Expect(b.ran()).To(Equal([]uint16{2}))
+	b.Expect(b.last.Notes).To(ContainElement(And(HaveField("Kind", gate.KindWaited), HaveField("Reason", "overdue"))))
 }
 
 // A caller repeats what is not acknowledged: that is no second request, neither
@@ -129,8 +130,12 @@
 func TestAResetDropsWhatWaits(t *testing.T) {
 	b := filled(t, 3)
 	b.request(2, 2, ordinary)
+	b.now += 300 * time.Millisecond
 	b.send(flow(2), 32, platform.FlagRST, 0)
 	b.Expect(b.gate.Counts(b.now).Waiting).To(BeZero())
+	b.Expect(b.last.Notes).To(ContainElement(And(
+		HaveField("Kind", gate.KindAbandoned), HaveField("Reason", "first-try"), HaveField("Took", 300*time.Millisecond),
+	)))
 }
 
 func TestAcknowledgementsDoNotWait(t *testing.T) {
--- a/internal/packetface/steer/choices_test.go
+++ b/internal/packetface/steer/choices_test.go
@@ -151,7 +151,7 @@
 	}
 	reply(inner.AppendStatus(nil, inner.Status{State: inner.StateReady, Slots: simSlots, Running: uint16(s.load(n))}))
 	if full {
-		reply(inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonBusy}, packet))
+		reply(inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonBusy, Running: uint16(s.load(n))}, packet))
 	}
 }
 
