--- a/internal/packetface/admission/queue_test.go
+++ b/internal/packetface/admission/queue_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,3 +104,20 @@
 	g.Expect(why).To(Equal(admission.Overdue))
 	g.Expect(got).To(Equal("overdue"))
 }
+
+// BenchmarkCapacityPacketOrder measures a choice among requests that wait, most of
+// them past their aim, as in a rush; the choice is made for each request once.
+func BenchmarkCapacityPacketOrder(b *testing.B) {
+	for _, size := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("waiting=%d", size), func(b *testing.B) {
+			var q admission.Queue[int]
+			for n := range size {
+				q.Add(since(time.Duration(n%2000)*ms, 1+uint8(n%2)), n)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Next(now, pace)
+			}
+		})
+	}
+}
--- a/internal/packetface/outcome/outcome_test.go
+++ b/internal/packetface/outcome/outcome_test.go
@@ -302,3 +302,12 @@
 		g.Expect(j.Verdict(now)).To(Equal(outcome.Takes))
 	})
 }
+
+// BenchmarkAnswered measures the judgement of an answer.
+func BenchmarkAnswered(b *testing.B) {
+	var j outcome.Judge
+	b.ReportAllocs()
+	for b.Loop() {
+		j.Answered(time.Second, time.Second, 30*ms, caller(1))
+	}
+}
