--- a/internal/packetface/admission/rush_test.go
+++ b/internal/packetface/admission/rush_test.go
@@ -1,7 +1,6 @@
 package admission_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/saltbend/saltbend/internal/packetface/admission"
+	"github.com/saltbend/saltbend/test/simclock"
 )
 
 // The load that the order answers, in simulated time: all hosts of a service are
@@ -197,22 +197,6 @@
 	}
 }
 
-type simEvent struct {
-	at time.Duration
-	do func()
-}
-type simQueue []simEvent
-
-func (q simQueue) Len() int           { return len(q) }
-func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // server is one upstream with its agent.
 type server struct {
 	order   ordering
@@ -222,15 +206,12 @@
 
 type simulation struct {
 	rush
-	now     time.Duration
-	events  simQueue
+	simclock.Clock
 	servers []*server
 	all     []*asked
 	random  *rand.Rand
 }
 
-func (s *simulation) at(t time.Duration, do func()) { heap.Push(&s.events, simEvent{t, do}) }
-
 // run plays a rush. The hosts are lost at lostAt.
 func run(r rush, seed uint64, newOrder func(started time.Duration) ordering) outcome {
 	const lostAt, after = time.Second, 6 * time.Second
@@ -243,11 +224,7 @@
 	for t := lostAt; t < back+after; t += time.Duration(s.random.ExpFloat64() / r.perSecond * float64(time.Second)) {
 		s.ask(t, back)
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
-	}
+	s.Run()
 	return s.outcome(lostAt)
 }
 
@@ -268,7 +245,7 @@
 				continue
 			}
 			a.began, a.copy = began, age
-			s.at(began+age+4*time.Millisecond, func() { s.arrive(a) })
+			s.At(began+age+4*time.Millisecond, func() { s.arrive(a) })
 			return
 		}
 		began += attempt + time.Duration(s.random.Float64()*float64(pauseMost))
@@ -278,28 +255,28 @@
 // arrive places a request at the upstream with the least load.
 func (s *simulation) arrive(a *asked) {
 	best := slices.MinFunc(s.servers, func(x, y *server) int { return x.running + x.order.length() - y.running - y.order.length() })
-	best.order.add(a, s.now)
-	s.at(a.deadline(), func() { best.order.remove(a) })
+	best.order.add(a, s.Now)
+	s.At(a.deadline(), func() { best.order.remove(a) })
 	s.fill(best)
 }
 
 func (s *simulation) fill(v *server) {
 	for v.running < s.slots && v.order.length() > 0 {
-		a := v.order.next(s.now, admission.Pace{Slots: s.slots, Answer: v.answer})
+		a := v.order.next(s.Now, admission.Pace{Slots: s.slots, Answer: v.answer})
 		v.order.remove(a)
 		took := a.work
-		if s.now < time.Second+s.away+s.cold {
+		if s.Now < time.Second+s.away+s.cold {
 			took = time.Duration(float64(took) * s.coldTimes)
 		}
 		v.running++
-		began := s.now
-		s.at(s.now+took, func() {
-			a.end = s.now
+		began := s.Now
+		s.At(s.Now+took, func() {
+			a.end = s.Now
 			v.running--
 			if v.answer == 0 {
-				v.answer = s.now - began
+				v.answer = s.Now - began
 			}
-			v.answer += (s.now - began - v.answer) / 10
+			v.answer += (s.Now - began - v.answer) / 10
 			s.fill(v)
 		})
 	}
--- a/internal/packetface/steer/choices_test.go
+++ b/internal/packetface/steer/choices_test.go
@@ -1,7 +1,6 @@
 package steer_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -11,6 +10,7 @@
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/platform"
+	"github.com/saltbend/saltbend/test/simclock"
 )
 
 // The choice of an upstream beside others, in simulated time: four balancers,
@@ -26,37 +26,15 @@
 	simRequests                       = 20000
 )
 
-type simEvent struct {
-	at time.Duration
-	do func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int           { return len(q) }
-func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simulation runs requests against upstreams and keeps their waits.
 type simulation struct {
-	now     time.Duration
-	events  simQueue
+	simclock.Clock
 	random  *rand.Rand
 	running [simAgents]int
 	queues  [simAgents][]time.Duration
 	waits   []time.Duration
 }
 
-func (s *simulation) after(d time.Duration, do func()) {
-	heap.Push(&s.events, simEvent{at: s.now + d, do: do})
-}
-
 // arrive lets a request that was sent at the time begin or wait at an upstream.
 func (s *simulation) arrive(n int, sent time.Duration) {
 	if s.running[n] >= simSlots {
@@ -64,8 +42,8 @@
 		return
 	}
 	s.running[n]++
-	s.waits = append(s.waits, s.now-sent)
-	s.after(time.Duration(s.random.ExpFloat64()*float64(simWork)), func() {
+	s.waits = append(s.waits, s.Now-sent)
+	s.After(time.Duration(s.random.ExpFloat64()*float64(simWork)), func() {
 		s.running[n]--
 		if len(s.queues[n]) > 0 {
 			next := s.queues[n][0]
@@ -85,14 +63,10 @@
 			return
 		}
 		send()
-		s.after(time.Duration(s.random.ExpFloat64()*every), next)
-	}
-	s.after(0, next)
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
+		s.After(time.Duration(s.random.ExpFloat64()*every), next)
 	}
+	s.After(0, next)
+	s.Run()
 	slices.Sort(s.waits)
 }
 
@@ -122,7 +96,7 @@
 				continue
 			}
 			b := slices.Clone(a.Bytes)
-			s.after(simWay, func() { s.open(c, a.To, b, began, deliver) })
+			s.After(simWay, func() { s.open(c, a.To, b, began, deliver) })
 		}
 	}
 	return func() {
@@ -130,8 +104,8 @@
 		sent++
 		id := caller(sent)
 		id.Caller[2] = byte(sent >> 16)
-		r, _ := c.FromCaller(s.now+time.Millisecond, packet(id, 1, 0, platform.FlagSYN, 0))
-		deliver(c, r, s.now)
+		r, _ := c.FromCaller(s.Now+time.Millisecond, packet(id, 1, 0, platform.FlagSYN, 0))
+		deliver(c, r, s.Now)
 	}
 }
 
@@ -140,8 +114,8 @@
 	n := int(to.Addr().As4()[3])
 	head, packet, _ := inner.ParseOpen(b)
 	reply := func(datagram []byte) {
-		s.after(simWay, func() {
-			r, _ := c.FromAgent(s.now+time.Millisecond, to, datagram)
+		s.After(simWay, func() {
+			r, _ := c.FromAgent(s.Now+time.Millisecond, to, datagram)
 			deliver(c, r, began)
 		})
 	}
@@ -158,15 +132,15 @@
 func BenchmarkChoices(b *testing.B) {
 	choices := map[string]func(s *simulation) func(){
 		"hash": func(s *simulation) func() { // of a flow: as good as random
-			return func() { n, sent := s.random.IntN(simAgents), s.now; s.after(simWay, func() { s.arrive(n, sent) }) }
+			return func() { n, sent := s.random.IntN(simAgents), s.Now; s.After(simWay, func() { s.arrive(n, sent) }) }
 		},
 		"two-exact": func(s *simulation) func() { // the less loaded of two, known exactly
 			return func() {
-				n, m, sent := s.random.IntN(simAgents), s.random.IntN(simAgents), s.now
+				n, m, sent := s.random.IntN(simAgents), s.random.IntN(simAgents), s.Now
 				if s.load(m) < s.load(n) {
 					n = m
 				}
-				s.after(simWay, func() { s.arrive(n, sent) })
+				s.After(simWay, func() { s.arrive(n, sent) })
 			}
 		},
 		"balancers": (*simulation).real,
@@ -178,7 +152,7 @@
 						best = n
 					}
 				}
-				s.arrive(best, s.now)
+				s.arrive(best, s.Now)
 			}
 		},
 	}
@@ -187,7 +161,7 @@
 			b.Run(name+map[float64]string{0.5: "/load=50", 0.85: "/load=85"}[load], func(b *testing.B) {
 				var s *simulation
 				for b.Loop() {
-					s = &simulation{random: rand.New(rand.NewPCG(7, 7)), now: time.Second}
+					s = &simulation{random: rand.New(rand.NewPCG(7, 7)), Clock: simclock.Clock{Now: time.Second}}
 					s.run(load, choices[name](s))
 				}
 				b.ReportMetric(float64(s.waits[len(s.waits)/2].Microseconds())/1000, "p50-ms")
--- a/internal/packetface/steer/former.go
+++ b/internal/packetface/steer/former.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// setKeep takes over how long a former service is remembered. What a shorter time has
+// forgotten is missing for a longer one, so the memory begins anew.
+func (f *formerServices) setKeep(now, keep time.Duration) {
+	if keep > f.keep && f.since > 0 {
+		f.since = now
+	}
+	f.keep = keep
+}
+
 // known reports whether all services are known that a flow may be of.
 func (f *formerServices) known(now time.Duration) bool {
 	return f.keep > 0 && f.since > 0 && now-f.since > f.keep
--- a/internal/packetface/steer/former_test.go
+++ b/internal/packetface/steer/former_test.go
@@ -54,6 +54,16 @@
 	return asked
 }
 
+// What was forgotten after a shorter life of flows may hold flows of a longer one.
+func TestALongerLifeOfFlowsBeginsTheMemoryAnew(t *testing.T) {
+	b := newOldBench(t, 20*time.Minute)
+	b.core.SetTable(b.now, leadsTo(2, service), time.Minute)
+	b.now += 4 * time.Minute
+	b.last = b.core.Tick(b.now) // the former service is forgotten
+	b.core.SetFlowMaxAge(5 * time.Minute)
+	b.Expect(b.askedFor(caller(1))).To(ContainElement(address(102, 1)))
+}
+
 func TestAYoungBalancerAsksAllAgents(t *testing.T) {
 	b := newOldBench(t, time.Minute)
 	b.core.SetTable(b.now, leadsTo(2, service), time.Minute)
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -171,7 +171,7 @@
 }
 
 // SetFlowMaxAge takes over a bound that has changed.
-func (c *Core) SetFlowMaxAge(d time.Duration) { c.former.keep = formerLives * d }
+func (c *Core) SetFlowMaxAge(d time.Duration) { c.former.setKeep(c.called, formerLives*d) }
 
 // SetTableFresh tells whether the configuration is known to be the newest:
 // only then is an unknown face certainly none.
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -98,11 +98,11 @@
 	loadCtx, endLoad := context.WithCancel(ctx)
 	defer endLoad()
 	var load sync.WaitGroup
+	r.judge.began = time.Now() // nobody else has the judge yet
 	for i := range o.Callers {
 		load.Go(func() { (&worker{id: i, caller: r.caller, judge: r.judge}).run(loadCtx) })
 	}
 	load.Go(func() { r.followReady(loadCtx) })
-	r.judge.began = time.Now()
 	r.play(ctx, plan)
 	recovery := r.recover(ctx)
 	endLoad()
