outcome: returned and swallowed openings count by different callers; any packet proves an upstream

An agent that restarts beside a living upstream stayed "unproven" until a flow opened, though packets of old flows pass. Change: openings count once a caller; any packet of the upstream proves it; only an accepted flow ends a row of returned ones. An upstream that was never heard is still shut by the first that comes back, until its first heartbeat. Tests: a caller with nine openings, returned or unanswered, shuts nobody out; a packet of an old flow proves.

--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -85,7 +85,7 @@
 	f.balancer, f.seen = from, now
 	if !f.answered {
 		f.opening = slices.Clone(packet)
-		g.letIn(now)
+		g.letIn(now, id.Caller)
 	}
 	g.send(ToUpstream, netip.AddrPort{}, packet)
 }
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -38,7 +38,7 @@
 	reason := g.unknown()
 	if p.IsOpening() {
 		reason = inner.ReasonBounced
-		change, changed := g.judge.ReturnedOpening(now, f.began)
+		change, changed := g.judge.ReturnedOpening(now, f.began, id)
 		g.judged(now, change, changed)
 	}
 	balancer := f.balancer
@@ -54,6 +54,7 @@
 		f = g.remember(id, now, flowOpen) // the flow is older than the agent
 	}
 	f.seen = now
+	g.judge.Heard(now)
 	if f.probing {
 		f.probing = false
 		g.setState(f, flowOpen)
@@ -61,7 +62,7 @@
 	}
 	if p.Flags.Has(platform.FlagSYN) {
 		f.answered, f.accepted, f.began, f.opening = true, p.Sequence, now, nil
-		g.judge.Heard(now)
+		g.judge.Accepted(now)
 	}
 	if p.Flags.Has(platform.FlagRST) {
 		g.resetByUpstream(now, id, f)
--- a/internal/packetface/gate/verdict.go
+++ b/internal/packetface/gate/verdict.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
@@ -22,16 +23,34 @@
 	pauseTime = 400 * time.Millisecond
 )
 
-// swallowed counts opening packets that the upstream got since its last packet, from
-// the time since on.
+// swallowed holds the callers whose opening packets the upstream has got since its
+// last packet, the first at the time since.
 type swallowed struct {
-	count int
-	since time.Duration
+	callers [outcome.SilentOpenings][4]byte
+	count   int
+	since   time.Duration
+}
+
+// add notes an opening packet.
+func (s *swallowed) add(now time.Duration, caller [4]byte) {
+	if s.count == 0 {
+		s.since = now
+	}
+	if s.count < len(s.callers) && !slices.Contains(s.callers[:s.count], caller) {
+		s.callers[s.count] = caller
+		s.count++
+	}
+}
+
+// silent reports whether so many callers have waited for so long that the upstream
+// is silent.
+func (s *swallowed) silent(now time.Duration) bool {
+	return s.count >= outcome.SilentOpenings && now-s.since >= outcome.SilentFor
 }
 
 func (g *Gate) judges() bool { return g.settings.Policies.On(policy.Outcomes) }
 
-// verdict returns the verdict on the upstream.
+// upstreamVerdict returns the verdict on the upstream.
 func (g *Gate) upstreamVerdict(now time.Duration) outcome.Verdict {
 	if !g.judges() {
 		return outcome.Takes
@@ -51,14 +70,11 @@
 }
 
 // letIn notes that the upstream gets an opening packet.
-func (g *Gate) letIn(now time.Duration) {
+func (g *Gate) letIn(now time.Duration, caller [4]byte) {
 	if g.upstreamVerdict(now) == outcome.Probation {
 		g.trial = now
 	}
-	if g.swallowed.count == 0 {
-		g.swallowed.since = now
-	}
-	g.swallowed.count++
+	g.swallowed.add(now, caller)
 }
 
 // judged puts a change of the verdict into effect. Every outcome ends a trial.
@@ -78,7 +94,7 @@
 		g.swallowed = swallowed{}
 	}
 	g.called = now
-	if g.swallowed.count >= outcome.SilentOpenings && now-g.swallowed.since >= outcome.SilentFor && g.judges() {
+	if g.swallowed.silent(now) && g.judges() {
 		g.giveUpOpenings(now)
 	}
 	if g.state(now) != g.announced && g.announced != 0 {
--- a/internal/packetface/gate/verdict_test.go
+++ b/internal/packetface/gate/verdict_test.go
@@ -150,6 +150,26 @@
 	b.Expect(b.state()).To(Equal(inner.StateReady))
 }
 
+// An agent that restarts beside a living upstream hears of it by the flows that are
+// open there.
+func TestAPacketOfAnOldFlowProvesTheUpstream(t *testing.T) {
+	b := newBench(t)
+	b.upstreamSends(fromUpstream(flow(1), 500, 60, platform.FlagACK, 20))
+	b.Expect(b.state()).To(Equal(inner.StateReady))
+}
+
+// An upstream does not answer an opening packet with a wrong sum.
+func TestOneCallersUnansweredOpeningsShutNobodyOut(t *testing.T) {
+	b := newBench(t)
+	b.begin("i-1")
+	for n := range 9 {
+		b.opening(flow(n), inner.Open{}) // one address, many ports
+		b.now += 20 * time.Millisecond
+	}
+	b.last = b.gate.Tick(b.now)
+	b.Expect(b.state()).To(Equal(inner.StateReady))
+}
+
 // One caller, whatever it sends, does not make an upstream look bad.
 func TestOneCallerShutsNobodyOut(t *testing.T) {
 	b := newBench(t)
--- a/internal/packetface/outcome/outcome.go
+++ b/internal/packetface/outcome/outcome.go
@@ -82,9 +82,9 @@
 	// forgiveAfter is the time without being shut out after which the next one is
 	// as short as the first: longer than an upstream takes to go down and up by turns.
 	forgiveAfter = 20 * time.Second
-	// SilentOpenings is the number of opening packets without any sign of the
-	// upstream, and SilentFor the time since the first of them, after which it counts
-	// as silent. A living one answers within a
+	// SilentOpenings is the number of different callers whose opening packets met no
+	// sign of the upstream, and SilentFor the time since the first of them, after which
+	// it counts as silent: one caller may send packets that no upstream answers. A living one answers within a
 	// millisecond; a host whose share of the processor is used up for the moment goes on
 	// within a tenth of a second.
 	SilentOpenings = 3
@@ -137,10 +137,15 @@
 	j.recent.clear()
 }
 
-// Heard notes a sign of life that is no answer to a request: a heartbeat, or an
-// accepted flow. It proves that the upstream is there, not that it works.
+// Accepted notes that the upstream accepted a flow.
+func (j *Judge) Accepted(now time.Duration) {
+	j.recent.returned = returned{}
+	j.Heard(now)
+}
+
+// Heard notes any sign of life. It proves that the upstream is there, not that it
+// works.
 func (j *Judge) Heard(now time.Duration) {
-	j.recent.returned = 0
 	if j.verdict == Unproven {
 		j.verdict, j.since = Takes, now
 	}
@@ -173,12 +178,12 @@
 }
 
 // ReturnedOpening notes that the upstream gave an opening packet back.
-func (j *Judge) ReturnedOpening(now, admitted time.Duration) (Change, bool) {
+func (j *Judge) ReturnedOpening(now, admitted time.Duration, flow platform.Flow) (Change, bool) {
 	if j.Verdict(now) == Shut || admitted < j.since {
 		return Change{}, false
 	}
-	j.recent.returned++
-	if j.verdict == Takes && j.recent.returned < failures {
+	enough := j.recent.returned.by(flow.Caller)
+	if j.verdict == Takes && !enough {
 		return Change{}, false
 	}
 	return j.shutOut(now, Returned), true
--- a/internal/packetface/outcome/recent.go
+++ b/internal/packetface/outcome/recent.go
@@ -2,11 +2,27 @@
 
 // recent holds the last outcomes.
 type recent struct {
-	failed [window]bool
-	caller [window][4]byte
-	next   int
-	// returned counts opening packets that were given back in a row.
-	returned int
+	failed   [window]bool
+	caller   [window][4]byte
+	next     int
+	returned returned
+}
+
+// returned holds the caller of an opening packet that was given back since one was
+// accepted.
+type returned struct {
+	any    bool
+	caller [4]byte
+}
+
+// by notes an opening packet of a caller that was given back; it reports whether one
+// of another caller was before.
+func (r *returned) by(caller [4]byte) bool {
+	if r.any {
+		return r.caller != caller
+	}
+	*r = returned{any: true, caller: caller}
+	return false
 }
 
 func (r *recent) clear() { *r = recent{} }
