gate: a late answer to a swallowed opening holds no flow

Cause: found by reading: an opening packet that an upstream swallows goes to another one, and the agent forgot the flow; if the upstream woke and answered, the agent took the flow for one older than itself, and would tell balancers that its upstream holds it. Their packets would then reach the wrong upstream. Change: the flow stays as one that is opening, and a flow whose opening is answered is never taken for open, also by an agent that started meanwhile. The test failed first, for both.

--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -51,7 +51,7 @@
 	id := p.FromUpstream()
 	f := g.flows[id]
 	if f == nil {
-		f = g.remember(id, now, flowOpen) // the flow is older than the agent
+		f = g.remember(id, now, stateOfUnknown(p))
 	}
 	f.seen = now
 	g.judge.Heard(now)
@@ -78,6 +78,15 @@
 	g.send(ToCaller, g.caller(id), b)
 }
 
+// stateOfUnknown returns the state of a flow that is older than the agent. One whose
+// opening is only answered now may be opened elsewhere by a copy.
+func stateOfUnknown(p *platform.Packet) flowState {
+	if p.Flags.Has(platform.FlagSYN) {
+		return flowOpening
+	}
+	return flowOpen
+}
+
 // answered notes that the upstream answers the request that runs on a flow.
 func (g *Gate) answered(now time.Duration, id platform.Flow, f *flow) {
 	g.setRunning(f, false)
--- a/internal/packetface/gate/verdict.go
+++ b/internal/packetface/gate/verdict.go
@@ -112,9 +112,11 @@
 		if f.state != flowOpening || f.answered || f.opening == nil {
 			continue
 		}
-		packet, balancer := f.opening, f.balancer
-		g.forget(id, f)
-		g.giveBack(now, balancer, id, inner.ReasonFailing, packet)
+		// The flow stays: the upstream may wake and answer, though its caller goes on
+		// with another by then.
+		packet := f.opening
+		f.opening = nil
+		g.giveBack(now, f.balancer, id, inner.ReasonFailing, packet)
 	}
 }
 
--- a/internal/packetface/gate/verdict_test.go
+++ b/internal/packetface/gate/verdict_test.go
@@ -137,6 +137,28 @@
 	b.Expect(returned).To(Equal(3))
 }
 
+// An upstream that wakes answers what it had swallowed, while the callers have gone on
+// with others: it does not hold their flows.
+func TestALateAnswerToASwallowedOpeningHoldsNoFlow(t *testing.T) {
+	for _, started := range []bool{false, true} { // the agent may have started meanwhile
+		b := newBench(t)
+		b.begin("i-1")
+		if !started {
+			for n := range 3 {
+				b.opening(callerAt(n), inner.Open{})
+			}
+			b.now += 100 * time.Millisecond
+			b.last = b.gate.Tick(b.now)
+			b.Expect(b.returned()).To(Equal(inner.ReasonFailing))
+		}
+		b.upstreamSends(fromUpstream(callerAt(0), 100, 2, platform.FlagSYN|platform.FlagACK, 0))
+		b.balancerSends(inner.AppendAsk(nil, []inner.Question{{Flow: callerAt(0), Acknowledged: 1 << 30}}))
+		answers, _, err := inner.ParseAnswers(nil, b.last.Actions[0].Bytes)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(answers[0].Verdict).NotTo(Equal(inner.VerdictHeld))
+	}
+}
+
 // Answers that came while the process was paused have not been read yet.
 func TestAPausedAgentHoldsNoUpstreamForDark(t *testing.T) {
 	b := newBench(t)
