--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -80,15 +80,15 @@
 	if len(q.waiting) == 0 {
 		return item, None
 	}
+	if at := q.pressing(now, p); at >= 0 {
+		return q.waiting[at].item, Pressing
+	}
 	best := 0
 	for i := range q.waiting {
 		if q.before(now, p, &q.waiting[i].Request, &q.waiting[best].Request) {
 			best = i
 		}
 	}
-	if at := q.pressing(now, p); at >= 0 {
-		return q.waiting[at].item, Pressing
-	}
 	if q.waiting[best].late(now, p) {
 		return q.waiting[best].item, Late
 	}
--- a/internal/packetface/admission/repetition.go
+++ b/internal/packetface/admission/repetition.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/saltbend/saltbend/platform"
+)
 
 // A caller whose opening packet is not answered sends copies of it, gives up after a
 // while and begins anew with another flow, which looks as young as a first one. When
@@ -18,8 +22,6 @@
 	longestPause = 250 * time.Millisecond
 	// attemptTime is the time after which an attempt without an answer ends.
 	attemptTime = 1400 * time.Millisecond
-	// lastCopy is the age of the last copy of an opening packet that a caller sends.
-	lastCopy = 600 * time.Millisecond
 	// beyond is how much longer than an attempt hosts may have been away. Repetitions
 	// begin that long before they are back; flows that began earlier count as first
 	// tries. Lost in the bed's busy, long and wider rushes: 22, 185 and 127 with 0.2 s,
@@ -33,5 +35,5 @@
 // the beginning of the flow, negative for one that began before. Repetitions end once
 // the callers are served whose last copy found the balancer back.
 func MayRepeat(began time.Duration) bool {
-	return began >= -beyond && began <= attemptTime+longestPause-lastCopy
+	return began >= -beyond && began <= attemptTime+longestPause-platform.LastCopyAge
 }
--- a/internal/packetface/outcome/outcome.go
+++ b/internal/packetface/outcome/outcome.go
@@ -126,9 +126,6 @@
 	return j.verdict
 }
 
-// Cause returns the failure for which the upstream was last shut out.
-func (j *Judge) Cause() Failure { return j.cause }
-
 // Begin trusts a new life of the upstream, which is not to be judged by the one
 // before. How often that had failed is kept: an upstream that goes down and up by
 // turns begins a life each time.
