search: an account of answers that costs the same at 7 and at 700 agents asked

Cause: after a common loss of power 2,500 feeds of the large site waited until their callers gave up. A search for a flow's owner walked over all asked agents and sorted them at each answer (142 answers x a sort of 142), on balancers of 0.061 of a core; agents that had left stayed in its list of those that cannot tell and held up every reset of the fleet (a line at each search that was given up: 48 of 1,391 at one data centre had 136 of 142 proofs, none missing, 18 rounds; more had agents that were stopping).

Ruled out: want of packets or of answers; agents answered each poll.

Change: package search keeps one state an agent asked and counts by state. An answer is a look-up and a count. Agents that are gone are forgotten in all searches. Packets that are handed to agents for their upstreams to tell are bounded between ticks, likely owners first; questions go out in larger batches where the process's own ticks come late.

The lost feeds have another cause: agents that are unsure.

--- /dev/null
+++ b/internal/packetface/search/search_test.go
@@ -0,0 +1,161 @@
+package search_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/search"
+)
+
+// asked returns a search in which the agents were asked in their order.
+func asked(ids ...search.ID) *search.Search {
+	s := search.New(time.Second)
+	for _, id := range ids {
+		s.Ask(id)
+	}
+	return s
+}
+
+func TestAnswersAreCounted(t *testing.T) {
+	w := NewWithT(t)
+	s := asked(5, 2, 9, 7)
+	w.Expect(s.Ask(2)).To(BeFalse())
+	s.Take(5, inner.VerdictNone)
+	s.Take(2, inner.VerdictMaybe)
+	s.Take(9, inner.VerdictUnsure)
+	s.Take(44, inner.VerdictNone) // was not asked
+	w.Expect(s.Count(search.None)).To(Equal(1))
+	w.Expect(s.Count(search.Untold)).To(Equal(1))
+	w.Expect(slices.Collect(s.In(search.Waiting))).To(Equal([]search.ID{9, 7}))
+	w.Expect(s.Proved(5)).To(BeTrue())
+	w.Expect(s.Proved(44)).To(BeFalse())
+}
+
+// What was proved once stays proved: a late answer of an agent that was unsure when
+// it gave it takes nothing back.
+func TestAProofStays(t *testing.T) {
+	w := NewWithT(t)
+	s := asked(1)
+	s.Take(1, inner.VerdictNone)
+	s.Take(1, inner.VerdictUnsure)
+	s.Take(1, inner.VerdictMaybe)
+	w.Expect(s.AskAgain(1)).To(BeFalse())
+	w.Expect(s.Proved(1)).To(BeTrue())
+}
+
+func TestLikelyOwnersAreProbedFirst(t *testing.T) {
+	w := NewWithT(t)
+	s := asked(8, 3, 6)
+	for _, id := range []search.ID{3, 6, 8} {
+		s.Take(id, inner.VerdictMaybe)
+	}
+	w.Expect(s.Probe(2)).To(Equal([]search.ID{8, 3}))
+	w.Expect(s.IsProbed(8)).To(BeTrue())
+	w.Expect(s.Probe(2)).To(Equal([]search.ID{6}))
+	w.Expect(s.Probe(2)).To(BeEmpty())
+	s.BeginRound(2 * time.Second) // a probe, or its return, may be lost
+	w.Expect(s.Probe(3)).To(Equal([]search.ID{8, 3, 6}))
+}
+
+func TestAForgottenAgentHoldsNothingUp(t *testing.T) {
+	w := NewWithT(t)
+	s := asked(1, 2)
+	s.Take(1, inner.VerdictMaybe)
+	s.Probe(1)
+	s.Forget(1)
+	s.Forget(1)
+	w.Expect(s.Asked()).To(Equal(1))
+	w.Expect(s.Count(search.Probed)).To(BeZero())
+	w.Expect(s.Ask(1)).To(BeTrue()) // its number is another agent's now
+}
+
+func TestRoundsBecomeRarer(t *testing.T) {
+	w := NewWithT(t)
+	s := asked(1)
+	now, due := time.Second, []time.Duration(nil)
+	for begun := now; len(due) < 5; now += time.Millisecond {
+		if s.RoundDue(now) {
+			due = append(due, (now - begun).Round(10*time.Millisecond))
+			begun = now
+			s.BeginRound(now)
+		}
+	}
+	ms := time.Millisecond
+	w.Expect(due).To(Equal([]time.Duration{100 * ms, 200 * ms, 400 * ms, 800 * ms, 800 * ms}))
+}
+
+// Where the process is late with its own work the answers of a stage wait unread:
+// more questions would only lengthen the queue.
+func TestAStageWaitsForABusyProcess(t *testing.T) {
+	w := NewWithT(t)
+	s := asked(1)
+	s.Staged(time.Second)
+	later := time.Second + 20*time.Millisecond
+	w.Expect(s.StageDue(later, 0)).To(BeTrue())
+	w.Expect(s.StageDue(later, 50*time.Millisecond)).To(BeFalse())
+	s.Stage = search.End
+	w.Expect(s.StageDue(later, 0)).To(BeFalse())
+}
+
+// Whatever comes in whatever order, the counts are those of the states, and only an
+// agent's own word, or that of its upstream, proves anything.
+func TestCountsAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := search.New(0)
+		proved := map[search.ID]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := search.ID(rapid.IntRange(0, 9).Draw(t, "id"))
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				s.Ask(id)
+			case 2:
+				verdict := rapid.SampledFrom([]inner.Verdict{inner.VerdictNone, inner.VerdictMaybe, inner.VerdictUnsure}).Draw(t, "verdict")
+				_, known := index(s, id)
+				s.Take(id, verdict)
+				if known && verdict == inner.VerdictNone {
+					proved[id] = true
+				}
+			case 3:
+				s.Probe(rapid.IntRange(0, 3).Draw(t, "limit"))
+			case 4:
+				s.BeginRound(0)
+			case 5:
+				s.Forget(id)
+				delete(proved, id)
+			case 6:
+				s.AskAgain(id)
+			}
+			total := 0
+			for _, state := range []search.State{search.Waiting, search.Untold, search.Probed, search.None} {
+				in := slices.Collect(s.In(state))
+				if len(in) != s.Count(state) {
+					t.Fatalf("%d agents in state %d, counted %d", len(in), state, s.Count(state))
+				}
+				total += len(in)
+			}
+			if total != s.Asked() {
+				t.Fatalf("%d agents in all, %d asked", total, s.Asked())
+			}
+			for id := range search.ID(10) {
+				if s.Proved(id) != proved[id] {
+					t.Fatalf("agent %d: proved %t, told %t", id, s.Proved(id), proved[id])
+				}
+			}
+		}
+	})
+}
+
+// index reports whether an agent was asked.
+func index(s *search.Search, id search.ID) (search.State, bool) {
+	for _, state := range []search.State{search.Waiting, search.Untold, search.Probed, search.None} {
+		if slices.Contains(slices.Collect(s.In(state)), id) {
+			return state, true
+		}
+	}
+	return 0, false
+}
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/search"
 )
 
 // Agent is an agent as the store lists it.
@@ -60,6 +61,8 @@
 // agent is what the balancer knows of one agent.
 type agent struct {
 	Agent
+	// id is the agent's number in searches.
+	id     search.ID
 	status inner.Status
 	// heard is when the last datagram came from it, 0 for never; statusAt when
 	// the last status came.
@@ -148,6 +151,12 @@
 	agents    map[netip.AddrPort]*agent
 	byService map[uint64][]*agent
 	list      []*agent
+	// byID are the agents by their numbers, nil for a number in free, which may be
+	// given again.
+	byID []*agent
+	free []search.ID
+	// absent is how many agents were absent at the last tick.
+	absent int
 	// gone are agents that were forgotten.
 	gone map[netip.AddrPort]goneAgent
 	// first is when the first list came, 0 for not yet.
@@ -186,19 +195,43 @@
 }
 
 func (r *roster) add(a *agent) {
+	r.number(a)
 	r.agents[a.Addr] = a
 	r.byService[a.Service] = append(r.byService[a.Service], a)
 	r.list = append(r.list, a)
 }
 
+// number gives an agent a number that no other has.
+func (r *roster) number(a *agent) {
+	if last := len(r.free) - 1; last >= 0 {
+		a.id, r.free = r.free[last], r.free[:last]
+		r.byID[a.id] = a
+		return
+	}
+	a.id = search.ID(len(r.byID))
+	r.byID = append(r.byID, a)
+}
+
+// remove drops an agent; no search may know its number any more.
 func (r *roster) remove(a *agent) {
 	same := func(other *agent) bool { return other == a }
 	a.removed = true
+	r.byID[a.id] = nil
+	r.free = append(r.free, a.id)
 	delete(r.agents, a.Addr)
 	r.byService[a.Service] = slices.DeleteFunc(r.byService[a.Service], same)
 	r.list = slices.DeleteFunc(r.list, same)
 }
 
+// drop forgets an agent, also in searches: they must not wait for one that is gone.
+func (c *Core) drop(a *agent) {
+	for _, q := range c.asks {
+		q.search.Forget(a.id)
+	}
+	c.questioned = slices.DeleteFunc(c.questioned, func(other *agent) bool { return other == a })
+	c.roster.remove(a)
+}
+
 // SetAgents takes over a list of agents as the store has it. An agent that is
 // missing stays while it answers: the list may be wrong, the agent knows.
 func (c *Core) SetAgents(now time.Duration, listed []Agent, age ListAge) *Result {
@@ -275,7 +308,7 @@
 func (c *Core) list(entry Agent) bool {
 	a := c.roster.agents[entry.Addr]
 	if a != nil && a.Service != entry.Service {
-		c.roster.remove(a) // the address belongs to another service now
+		c.drop(a) // the address belongs to another service now
 		c.note(Note{Kind: KindGone, Agent: a.Addr, Reason: "address-reused"})
 		a = nil
 	}
@@ -327,9 +360,13 @@
 
 // tickAgents polls agents that owe an answer and forgets those that are gone.
 func (c *Core) tickAgents(now time.Duration) {
+	c.roster.absent = 0
 	for _, a := range slices.Clone(c.roster.list) {
+		if a.absent(now, c.settings.AbsentAfter) {
+			c.roster.absent++
+		}
 		if a.unlisted != 0 && c.gone(a, now) {
-			c.roster.remove(a)
+			c.drop(a)
 			c.roster.gone[a.Addr] = goneAgent{a.Agent, now + goneMemory}
 			c.note(Note{Kind: KindGone, Agent: a.Addr, Age: now - a.heard, Reason: "unlisted"})
 			continue
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -5,112 +5,96 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/search"
 	"github.com/saltbend/saltbend/platform"
 )
 
-// Limits and times of asking.
+// A search for a flow's owner: package search keeps its account, here questions and
+// probes are sent and what the roster knows is added.
+
+// Limits and times of searches.
 const (
-	// stageTime is how long one group of agents is waited for before the next
-	// is asked; an answer from another data centre takes about 3 ms.
-	stageTime = 8 * time.Millisecond
-	// roundTime is the time after which agents without an answer are asked
-	// again; it doubles up to roundMost.
-	roundTime = 100 * time.Millisecond
-	roundMost = 800 * time.Millisecond
 	// flushEvery is the least time between two batches of questions.
 	flushEvery = 3 * time.Millisecond
-	// askTime is how long an ask without a new packet is kept.
-	askTime = 2500 * time.Millisecond
+	// slowMost bounds the lateness of the process's own ticks that searches are
+	// stretched by: callers repeat a packet after 200 ms.
+	slowMost = 100 * time.Millisecond
+	// probesPerTick bounds the packets that all searches hand to agents for their
+	// upstreams to tell. A tick comes every 5 ms, and later where the processor is
+	// short: 4,800 a second at most, fewer on a host that has no time for them.
+	probesPerTick = 24
 	// maxHeldPackets bounds the packets kept for one flow: a caller has at most
 	// 16 on their way.
 	maxHeldPackets = 16
 	// maxAsks bounds the flows that are asked for at once.
 	maxAsks = 4096
-	// maxAsked bounds the agents that are asked for one flow. With more, a young
-	// balancer resets no flow.
-	maxAsked = 256
-)
-
-// Stages of asking: likely agents first.
-const (
-	stageNear  = iota // agents of the route's services in the own data centre
-	stageRoute        // the others of the route's services
-	stageAll          // all others that may hold it: the face may have led to other services
-	stageEnd
+	// maxAsked bounds the agents that are asked for one flow: those of a fleet of
+	// some 1,500 hosts. With more, a young balancer resets no flow.
+	maxAsked = 1024
 )
 
 // ask is the search for the agent whose upstream holds a flow.
 type ask struct {
-	// stage is the group of agents that is asked now, staged since when.
-	stage  int
-	staged time.Duration
-	// began is when the search began, last when the caller's last packet came.
-	began, last time.Duration
-	// round is when agents were last asked, rounds how often again.
-	round  time.Duration
-	rounds int
+	search *search.Search
 	// packets are kept for the owner; acknowledged is the caller's last count.
 	packets      [][]byte
 	acknowledged uint32
-	// asked are all agents asked; none have said that they do not hold the flow,
-	// maybe that they can't tell; probed were handed a packet to find out.
-	asked, none, maybe, probed map[*agent]bool
 }
 
 // ask begins or goes on with the search for a flow's owner.
 func (c *Core) ask(now time.Duration, id platform.Flow, p *platform.Packet, b []byte) {
 	q := c.asks[id]
-	if q == nil {
-		if len(c.asks) >= maxAsks {
-			c.note(Note{Kind: KindDropped, Flow: id, Reason: "too-many-asks"})
-			return
-		}
-		q = &ask{
-			began: now, staged: now, round: now,
-			asked: map[*agent]bool{}, none: map[*agent]bool{}, maybe: map[*agent]bool{}, probed: map[*agent]bool{},
-		}
-		c.asks[id] = q
+	if q != nil {
 		c.hold(q, now, p, b)
-		c.askStage(now, id, q)
+		if q.search.RoundDue(now) {
+			c.askAgain(now, id, q)
+		}
 		return
 	}
-	c.hold(q, now, p, b)
-	if q.roundDue(now) {
-		c.askAgain(now, id, q)
+	if len(c.asks) >= maxAsks {
+		c.note(Note{Kind: KindDropped, Flow: id, Reason: "too-many-asks"})
+		return
 	}
+	q = &ask{search: search.New(now)}
+	c.asks[id] = q
+	c.hold(q, now, p, b)
+	c.askStage(now, id, q)
 }
 
 // hold keeps a copy of a packet until the owner is found.
 func (c *Core) hold(q *ask, now time.Duration, p *platform.Packet, b []byte) {
-	q.last, q.acknowledged = now, p.Acknowledge
+	q.search.Packet(now)
+	q.acknowledged = p.Acknowledge
 	if len(q.packets) < maxHeldPackets {
 		q.packets = append(q.packets, slices.Clone(b))
 	}
 }
 
-// askStage asks the agents of the current stage, or of the next that has any.
-func (c *Core) askStage(now time.Duration, id platform.Flow, q *ask) {
-	for ; q.stage < stageEnd; q.stage++ {
+// askStage asks the agents of the current stage, or of the next that has any. It
+// reports whether there was one to ask.
+func (c *Core) askStage(now time.Duration, id platform.Flow, q *ask) bool {
+	for ; q.search.Stage < search.End; q.search.Stage++ {
 		sent := 0
-		for _, a := range c.likely(now, id, q.stage) {
-			if !q.asked[a] && c.inStage(q.stage, a) && len(q.asked) < maxAsked {
+		for _, a := range c.likely(now, id, q.search.Stage) {
+			if c.inStage(q.search.Stage, a) && q.search.Asked() < maxAsked && q.search.Ask(a.id) {
 				c.sendAsk(id, q, a)
 				sent++
 			}
 		}
 		if sent > 0 {
-			q.staged = now
-			return
+			q.search.Staged(now)
+			return true
 		}
 	}
+	return false
 }
 
 // likely returns the agents among which those of a stage are. Only the last
 // stage looks at all of a large fleet, and that only while the balancer is young.
-func (c *Core) likely(now time.Duration, id platform.Flow, stage int) []*agent {
+func (c *Core) likely(now time.Duration, id platform.Flow, stage search.Stage) []*agent {
 	route := c.route(id)
 	switch {
-	case stage == stageAll:
+	case stage == search.All:
 		return c.holders(now, id)
 	case route == nil:
 		return nil
@@ -125,13 +109,12 @@
 }
 
 // inStage reports whether an agent that is likely in a stage is asked in it.
-func (c *Core) inStage(stage int, a *agent) bool {
-	return stage != stageNear || a.DataCentre == c.settings.DataCentre
+func (c *Core) inStage(stage search.Stage, a *agent) bool {
+	return stage != search.Near || a.DataCentre == c.settings.DataCentre
 }
 
 // sendAsk queues a question to an agent.
 func (c *Core) sendAsk(id platform.Flow, q *ask, a *agent) {
-	q.asked[a] = true
 	if len(a.questions) == 0 {
 		c.questioned = append(c.questioned, a)
 	}
@@ -139,9 +122,10 @@
 }
 
 // flushAsks sends all questions, those to one agent together. The first goes at
-// once, what comes soon after it waits a little for more.
+// once, what comes soon after it waits a little for more, and for longer where the
+// processor is short: each datagram and its answer cost as much as many questions.
 func (c *Core) flushAsks(now time.Duration) {
-	if len(c.questioned) == 0 || now-c.flushed < flushEvery {
+	if len(c.questioned) == 0 || now-c.flushed < max(flushEvery, c.slow) {
 		return
 	}
 	c.flushed = now
@@ -161,22 +145,25 @@
 // are new, and probes once more those that can't tell. Each time it waits for
 // longer.
 func (c *Core) askAgain(now time.Duration, id platform.Flow, q *ask) {
-	q.round = now
-	q.rounds++
-	for _, a := range unanswered(q) {
-		if !a.suspect(now) {
+	q.search.BeginRound(now)
+	for member := range q.search.In(search.Waiting) {
+		if a := c.roster.byID[member]; !a.suspect(now) {
 			c.sendAsk(id, q, a)
 		}
 	}
-	clear(q.probed)
-	q.stage = stageNear // agents that were listed meanwhile
 	c.askStage(now, id, q)
 	c.progress(now, id, q)
 }
 
-// roundDue reports whether agents without an answer are to be asked again.
-func (q *ask) roundDue(now time.Duration) bool {
-	return now-q.round > min(roundTime<<q.rounds, roundMost)
+// askHeard asks an agent that can tell only now for all flows that it could not tell
+// of: it has heard of an upstream that began after it. After a common loss of power
+// most do so within some 10 ms, long before the next round.
+func (c *Core) askHeard(a *agent) {
+	for id, q := range c.asks {
+		if q.search.AskAgain(a.id) {
+			c.sendAsk(id, q, a)
+		}
+	}
 }
 
 // answers takes the answers of an agent.
@@ -197,22 +184,17 @@
 
 // take takes an agent's verdict on a flow.
 func (c *Core) take(now time.Duration, id platform.Flow, q *ask, a *agent, verdict inner.Verdict) {
-	switch verdict {
-	case inner.VerdictHeld:
+	if verdict == inner.VerdictHeld {
 		c.found(now, id, q, a)
 		return
-	case inner.VerdictNone:
-		q.none[a] = true
-		delete(q.maybe, a)
-	case inner.VerdictMaybe:
-		q.maybe[a] = true
 	}
+	q.search.Take(a.id, verdict)
 	c.progress(now, id, q)
 }
 
 // found remembers the owner and sends it the packets that were kept.
 func (c *Core) found(now time.Duration, id platform.Flow, q *ask, a *agent) {
-	c.note(Note{Kind: KindFound, Flow: id, Agent: a.Addr, Count: len(q.asked), Age: now - q.began})
+	c.note(Note{Kind: KindFound, Flow: id, Agent: a.Addr, Count: q.search.Asked(), Age: q.search.Age(now)})
 	f := c.remember(id, now)
 	f.agent, f.open, f.placed = a, true, now
 	if route := c.route(id); route != nil {
@@ -224,57 +206,49 @@
 	}
 }
 
-// progress goes on once all agents of a stage have answered.
+// progress goes on once all agents of a stage have answered: those that can't tell
+// are probed before the next are asked, and after the last stage the flow is reset
+// if nobody holds it.
 func (c *Core) progress(now time.Duration, id platform.Flow, q *ask) {
-	if !c.stageAnswered(now, id, q) {
-		return
-	}
-	if q.stage < stageEnd {
-		q.stage++
-		c.askStage(now, id, q)
-	}
-	if q.stage == stageEnd && c.stageAnswered(now, id, q) {
-		c.conclude(now, id, q)
-	}
-}
-
-// stageAnswered reports whether all that were asked have answered, but for those
-// that may be passed over.
-func (c *Core) stageAnswered(now time.Duration, id platform.Flow, q *ask) bool {
-	for _, a := range unanswered(q) {
-		if !c.mayPassOver(now, id, a) {
-			return false
+	for !c.blocked(now, id, q, search.Waiting) {
+		c.probe(now, q)
+		if c.blocked(now, id, q, search.Untold) || c.blocked(now, id, q, search.Probed) {
+			return
+		}
+		if q.search.Stage == search.End {
+			c.conclude(now, id, q)
+			return
+		}
+		q.search.Stage++
+		if c.askStage(now, id, q) {
+			return
 		}
 	}
-	return true
 }
 
-// unanswered returns the agents that were asked and have not answered, in the
-// order of their addresses.
-func unanswered(q *ask) []*agent {
-	var out []*agent
-	for a := range q.asked {
-		if !a.removed && !q.none[a] && !q.maybe[a] {
-			out = append(out, a)
+// blocked reports whether an agent in a state keeps a search from going on: all do
+// but those that may be passed over.
+func (c *Core) blocked(now time.Duration, id platform.Flow, q *ask, state search.State) bool {
+	count := q.search.Count(state)
+	if count == 0 || count > c.roster.absent {
+		return count > 0
+	}
+	for member := range q.search.In(state) {
+		if !c.mayPassOver(now, id, c.roster.byID[member]) {
+			return true
 		}
 	}
-	slices.SortFunc(out, func(a, b *agent) int { return a.Addr.Compare(b.Addr) })
-	return out
+	return false
 }
 
-// conclude resets a flow that certainly no upstream holds, and lets upstreams
-// tell whose agents can't.
+// conclude resets a flow that certainly no upstream holds.
 func (c *Core) conclude(now time.Duration, id platform.Flow, q *ask) {
-	if len(q.maybe) > 0 {
-		c.probe(now, q)
-		return
-	}
 	if !c.certain(now, id, q) {
 		return
 	}
 	delete(c.asks, id)
 	c.dead[id] = now + deadTime
-	c.reset(id, q.acknowledged, "held-by-none")
+	c.resetAfter(id, q.acknowledged, Note{Reason: reasonHeldByNone, Count: q.search.Asked(), Age: q.search.Age(now)})
 }
 
 // certain reports whether every agent that may hold a flow has said that it
@@ -290,7 +264,7 @@
 	}
 	absent, holders := 0, c.holders(now, id)
 	for _, a := range holders {
-		if q.none[a] {
+		if q.search.Proved(a.id) {
 			continue
 		}
 		if !c.mayPassOver(now, id, a) {
@@ -308,9 +282,9 @@
 		return "peers-not-asked"
 	case c.roster.outdated():
 		return "list-outdated"
-	case !c.stageAnswered(now, id, q):
+	case c.blocked(now, id, q, search.Waiting):
 		return "agents-silent"
-	case len(q.maybe) > 0:
+	case c.blocked(now, id, q, search.Untold) || c.blocked(now, id, q, search.Probed):
 		return "agents-cannot-tell"
 	}
 	return "agents-unsure"
@@ -333,31 +307,46 @@
 	return true
 }
 
+// probe hands a packet of a flow to agents that can't tell, as many as the tick
+// allows.
 func (c *Core) probe(now time.Duration, q *ask) {
-	for a := range q.maybe {
-		if q.probed[a] || a.removed {
-			continue
-		}
-		q.probed[a] = true
-		c.forward(now, a, q.packets[0], inner.Forward{Flags: inner.FlagProbe})
+	if c.probes <= 0 {
+		return
+	}
+	for _, member := range q.search.Probe(c.probes) {
+		c.probes--
+		c.forward(now, c.roster.byID[member], q.packets[0], inner.Forward{Flags: inner.FlagProbe})
 	}
 }
 
 // tickAsks asks the next agents where some are slow to answer, and ends asks
 // whose caller has given up.
 func (c *Core) tickAsks(now time.Duration) {
+	c.observePace(now)
+	c.probes = probesPerTick
 	for id, q := range c.asks {
 		switch {
-		case now-q.last > askTime:
+		case q.search.GivenUp(now):
 			delete(c.asks, id)
-			c.note(Note{Kind: KindDropped, Flow: id, Reason: "owner-not-found-" + c.doubt(now, id, q), Count: len(q.asked) - len(q.none)})
-		case q.stage < stageEnd && now-q.staged > stageTime:
-			q.stage++
+			c.note(Note{Kind: KindDropped, Flow: id, Reason: "owner-not-found-" + c.doubt(now, id, q), Count: q.search.Asked() - q.search.Count(search.None), Age: q.search.Age(now)})
+		case q.search.StageDue(now, c.slow):
+			q.search.Stage++
 			c.askStage(now, id, q)
-		case q.roundDue(now):
+		case q.search.RoundDue(now):
 			c.askAgain(now, id, q)
-		case q.stage == stageEnd && c.stageAnswered(now, id, q):
-			c.conclude(now, id, q)
+		default:
+			c.progress(now, id, q)
 		}
 	}
 }
+
+// observePace notes how long after each other ticks come while searches last: each
+// is asked for 5 ms after the one before, and comes later where the processor is
+// short.
+func (c *Core) observePace(now time.Duration) {
+	c.slow = 0
+	if c.searching {
+		c.slow = min(now-c.ticked, slowMost)
+	}
+	c.ticked, c.searching = now, c.Waiting()
+}
--- a/internal/packetface/steer/carry.go
+++ b/internal/packetface/steer/carry.go
@@ -36,7 +36,7 @@
 	}
 	delete(c.flows, id)
 	if until, ok := c.dead[id]; ok && now < until {
-		c.reset(id, p.Acknowledge, "held-by-none")
+		c.reset(id, p.Acknowledge, reasonHeldByNone)
 		return
 	}
 	c.ask(now, id, p, b)
@@ -61,7 +61,16 @@
 // reset tells a caller that its flow is not held. No request in the packet
 // that asked has run.
 func (c *Core) reset(id platform.Flow, sequence uint32, reason string) {
-	c.note(Note{Kind: KindReset, Flow: id, Reason: reason})
+	c.resetAfter(id, sequence, Note{Reason: reason})
+}
+
+// reasonHeldByNone is why a flow is reset that no upstream holds.
+const reasonHeldByNone = "held-by-none"
+
+// resetAfter is reset with a note that tells more of the decision.
+func (c *Core) resetAfter(id platform.Flow, sequence uint32, n Note) {
+	n.Kind, n.Flow = KindReset, id
+	c.note(n)
 	start := len(c.buffer)
 	c.buffer = platform.AppendReset(c.buffer, id, sequence)
 	c.out.Actions = append(c.out.Actions, Action{
--- /dev/null
+++ b/internal/packetface/steer/search_test.go
@@ -0,0 +1,113 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Tests of searches among many agents.
+
+// many returns a bench with agents of which each has answered a poll.
+func many(t *testing.T, count int) *bench {
+	var agents []steer.Agent
+	for n := range count {
+		agents = append(agents, at(101+n, "a"))
+	}
+	b := newBench(t, agents...)
+	for n := range count {
+		b.status(101+n, inner.Status{Known: inner.Known{Listing: 1}})
+	}
+	b.now += time.Second
+	return b
+}
+
+// An agent beside an upstream that never came back can't tell of any flow. When it
+// has left and the store lists it no more, a search that waited for it ends.
+func TestAnAgentThatIsGoneHoldsUpNoSearch(t *testing.T) {
+	b := many(t, 3)
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.answer(101, caller(1), inner.VerdictNone, 1)
+	b.answer(102, caller(1), inner.VerdictNone, 1)
+	b.answer(103, caller(1), inner.VerdictMaybe, 1)
+	b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a"), at(102, "a")}, listAge(2))
+	b.now += time.Millisecond
+	b.status(103, inner.Status{State: inner.StateDown})
+	resets := 0
+	for range 20 {
+		b.now += 5 * time.Millisecond
+		b.last = b.core.Tick(b.now)
+		resets += b.resets()
+	}
+	b.Expect(resets).To(Equal(1))
+}
+
+// An agent that can tell as soon as its upstream has reported is asked again at once,
+// and for all flows in one datagram.
+func TestAnAgentIsAskedAgainOnceItCanTell(t *testing.T) {
+	b := many(t, 1)
+	b.status(101, inner.Status{State: inner.StateUnproven})
+	for n := 1; n <= 3; n++ {
+		b.callerSends(caller(n), platform.FlagACK, 30)
+		b.answer(101, caller(n), inner.VerdictMaybe, 1)
+	}
+	b.wait(20 * time.Millisecond)
+	b.status(101, inner.Status{})
+	b.Expect(b.sent(inner.KindAsk)).To(HaveLen(1))
+	for n := 1; n <= 3; n++ {
+		b.answer(101, caller(n), inner.VerdictNone, 1)
+		b.Expect(b.resets()).To(Equal(1))
+	}
+}
+
+// Agents that can't tell are probed a few at a time, however many flows are searched
+// for: each probe is a packet to an upstream and back.
+func TestProbesAreBoundedBetweenTicks(t *testing.T) {
+	const agents, flows, most = 60, 40, 24
+	b := many(t, agents)
+	for n := 1; n <= flows; n++ {
+		b.callerSends(caller(n), platform.FlagACK, 30)
+	}
+	probes := 0
+	for n := 1; n <= flows; n++ {
+		for a := range agents {
+			b.answer(101+a, caller(n), inner.VerdictMaybe, 1)
+			probes += len(b.sent(inner.KindForward))
+		}
+	}
+	b.Expect(probes).To(Equal(most))
+	b.now += 5 * time.Millisecond
+	b.last = b.core.Tick(b.now)
+	b.Expect(len(b.sent(inner.KindForward))).To(Equal(most))
+}
+
+// A process that is late with its own work asks in larger batches: each datagram
+// and its answer cost as much as many questions.
+func TestABusyProcessAsksInLargerBatches(t *testing.T) {
+	b := many(t, 50)
+	datagrams := func(gap time.Duration) int {
+		count := 0
+		for n := range 80 {
+			b.now += 5 * time.Millisecond
+			if n < 40 {
+				count = 0 // it has to see two ticks first
+			}
+			if b.now%gap == 0 {
+				b.last = b.core.Tick(b.now)
+				count += len(b.sent(inner.KindAsk))
+			}
+			b.callerSends(caller(n), platform.FlagACK, 30)
+			count += len(b.sent(inner.KindAsk))
+		}
+		return count
+	}
+	prompt := datagrams(5 * time.Millisecond)
+	b = many(t, 50)
+	late := datagrams(50 * time.Millisecond)
+	b.Expect(late).To(BeNumerically("<=", prompt/4))
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -135,6 +135,12 @@
 	asks       map[platform.Flow]*ask
 	dead       map[platform.Flow]time.Duration
 	swept      time.Duration
+	// ticked is when the last tick was, searching whether searches were under way
+	// then, slow how long after each other ticks come meanwhile, 0 for not known.
+	ticked, slow time.Duration
+	searching    bool
+	// probes is how many probes may be sent until the next tick.
+	probes int
 	// called is when the Core was last called, 0 for not yet.
 	called    time.Duration
 	toldNewer time.Duration
@@ -161,6 +167,7 @@
 		flows:    make(map[platform.Flow]*flow),
 		asks:     make(map[platform.Flow]*ask),
 		dead:     make(map[platform.Flow]time.Duration),
+		probes:   probesPerTick,
 	}
 }
 
@@ -306,8 +313,12 @@
 	if s.State != a.status.State {
 		c.note(Note{Kind: KindState, Agent: a.Addr, Reason: s.State.String(), Age: s.StateFor, Count: int(a.status.State)})
 	}
+	couldTell := a.status.State != inner.StateUnproven
 	a.setStatus(s, now)
 	c.hearKnown(now, a, s.Known, s.Source)
+	if !couldTell && s.State != inner.StateUnproven {
+		c.askHeard(a)
+	}
 	return nil
 }
 
@@ -351,11 +362,11 @@
 		c.placeAgain(now, id, a, head, packet)
 		return nil
 	}
-	if q := c.asks[id]; q != nil && q.probed[a] {
+	if q := c.asks[id]; q != nil && q.search.IsProbed(a.id) {
 		if head.Reason == inner.ReasonUnknown {
 			c.take(now, id, q, a, inner.VerdictNone)
 		}
-		return nil
+		return nil // it is probed again in the next round
 	}
 	if f := c.flows[id]; f != nil && f.agent == a {
 		delete(c.flows, id)
