watchshare: balancers share the watches of a few

A pause of 1.2 s after a change keeps the calls down and news away.

Change: package watchshare decides, for each balancer alone, whether it watches or listens to one that watches. It asks the seeds of its settings; who is listened to goes on watching, who listens names its source. News tells how long ago the store last answered; a listener whose news is older than 2 s watches itself. A listener fetches the changes since its own listing from its source, in the store's order. Watches that others rely on wait 0.9 s and pause 0.15 s. Fleets under 12 balancers watch as before.

Ruled out: long polls between balancers (60 a second at a source with 0.061 of a core cost 15 ms of it each second, requests in datagrams a sixth); news by way of agents alone (an idle balancer hears none).

Tests: a fleet in simulated time (who watches in calm, source dead, frozen, cut, leaving; 4,000 random histories with losses).

--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -33,6 +33,10 @@
 	KindReturned
 	// KindAnswer answers KindAsk (9 bytes and 13 bytes a flow).
 	KindAnswer
+	// KindFollow asks a balancer for news of the store, now and when there are any
+	// (1 byte), KindNews brings them (16 bytes).
+	KindFollow
+	KindNews
 )
 
 // Flags modify what a balancer asks of an agent.
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/internal/packetface/watchshare"
 	"github.com/saltbend/saltbend/internal/seed"
 	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/platform"
@@ -61,6 +62,8 @@
 	Asked func([]steer.Agent)
 	// Balancers returns the number of balancers that follow the store.
 	Balancers func() int
+	// Shared reports whether others rely on this process's watches, nil for never.
+	Shared func() bool
 
 	listing  *Listing
 	revision uint64
@@ -69,17 +72,22 @@
 	// seedless that the seeds were found to know nothing.
 	told, seedless bool
 	hints          chan struct{}
-	// shared is the newest listing, for peers; peer is a balancer that knows
-	// more than this one.
-	shared atomic.Pointer[Shared]
-	peer   atomic.Pointer[netip.AddrPort]
-	seeds  atomic.Pointer[[]netip.AddrPort]
-	peers  http.Client
+	// news rings when the balancer that is listened to has news, or is another.
+	news chan struct{}
+	// source is the balancer that is listened to, none while the store is watched.
+	source atomic.Pointer[netip.AddrPort]
+	// kept are the last changes; log has them with the newest listing, for peers;
+	// peer is a balancer that knows more than this one.
+	kept  changes
+	log   atomic.Pointer[changeLog]
+	peer  atomic.Pointer[netip.AddrPort]
+	seeds atomic.Pointer[[]netip.AddrPort]
+	peers http.Client
 }
 
 // NewFollower returns a Follower; set its callbacks before Run.
 func NewFollower(s *platform.Store, log *slog.Logger) *Follower {
-	return &Follower{Store: s, Log: log, hints: make(chan struct{}, 1)}
+	return &Follower{Store: s, Log: log, hints: make(chan struct{}, 1), news: make(chan struct{}, 1)}
 }
 
 // Hint tells that someone has heard of a newer version of the configuration or
@@ -118,7 +126,13 @@
 	if f.listing == nil {
 		return f.begin(ctx)
 	}
+	if source, ok := f.listensTo(); ok {
+		return f.listen(ctx, source)
+	}
 	changes, revision, hinted, err := f.watch(ctx)
+	if errors.Is(err, errStopsWatching) {
+		return nil
+	}
 	if hinted {
 		if err := f.read(ctx); err != nil {
 			f.learn(ctx)
@@ -134,38 +148,70 @@
 		return err
 	}
 	f.revision = revision
-	f.report(f.listing.Apply(changes, revision))
 	if len(changes) == 0 {
+		f.listing.AsOf = max(f.listing.AsOf, revision)
 		return nil
 	}
-	f.takeHint() // one that came before is of these changes
-	f.changed()
-	pause := min(max(time.Duration(f.Balancers())*pausePart, pauseLeast), pauseMost)
-	_ = wait.For(ctx, pause) // the caller's loop sees the end of ctx
+	f.apply(changes, revision)
+	_ = wait.For(ctx, f.pause()) // the caller's loop sees the end of ctx
 	return nil
 }
 
-// watch waits for changes. A hint that comes later than hintAfter ends it.
+// pause returns how long changes are collected before the next watch.
+func (f *Follower) pause() time.Duration {
+	if f.isShared() {
+		return pauseLeast
+	}
+	return min(max(time.Duration(f.Balancers())*pausePart, pauseLeast), pauseMost)
+}
+
+func (f *Follower) isShared() bool { return f.Shared != nil && f.Shared() }
+
+// watch waits for changes. A hint that comes later than hintAfter ends it, and so does
+// another balancer that is to be listened to.
 func (f *Follower) watch(ctx context.Context) (changes []platform.Item, revision uint64, hinted bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	ended := make(chan bool, 1)
-	go func() { ended <- f.awaitHint(ctx, cancel) }()
+	ended := make(chan interruption, 1)
+	go func() { ended <- f.awaitInterruption(ctx, cancel) }()
 	changes, revision, err = f.Store.Watch(ctx, everything, f.revision, f.watchWait())
 	cancel()
-	return changes, revision, <-ended && err != nil, err
+	why := <-ended
+	if err != nil && why == interruptedBySource {
+		err = errStopsWatching
+	}
+	return changes, revision, err != nil && why == interruptedByHint, err
 }
 
-// awaitHint cancels a watch on a hint; it reports whether it did.
-func (f *Follower) awaitHint(ctx context.Context, cancel context.CancelFunc) bool {
-	if wait.For(ctx, hintAfter) != nil {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-f.hints:
-		cancel()
-		return true
+// interruption says why a watch was ended before its time.
+type interruption uint8
+
+const (
+	notInterrupted interruption = iota
+	interruptedByHint
+	interruptedBySource
+)
+
+// awaitInterruption cancels a watch on a hint, once it is older than hintAfter, or when
+// another balancer is to be listened to; it reports why.
+func (f *Follower) awaitInterruption(ctx context.Context, cancel context.CancelFunc) interruption {
+	defer cancel()
+	timer := time.NewTimer(hintAfter)
+	defer timer.Stop()
+	var hints <-chan struct{}
+	for {
+		select {
+		case <-ctx.Done():
+			return notInterrupted
+		case <-timer.C:
+			hints = f.hints
+		case <-hints:
+			return interruptedByHint
+		case <-f.news:
+			if _, ok := f.listensTo(); ok {
+				ring(f.news) // what is known there may be newer
+				return interruptedBySource
+			}
+		}
 	}
 }
 
@@ -173,6 +219,9 @@
 // not fall into step.
 func (f *Follower) watchWait() time.Duration {
 	wait := min(max(time.Duration(f.Balancers())*watchPart, watchLeast), watchMost)
+	if f.isShared() {
+		wait = watchshare.WatchWait
+	}
 	return wait*3/4 + rand.N(wait/4)
 }
 
@@ -186,18 +235,24 @@
 
 // take takes over a reading of everything.
 func (f *Follower) take(all []platform.Item, revision uint64) {
+	f.takeWhole(all, revision)
+	f.Log.Info("Store read.", "revision", revision, "agents", len(f.listing.agents), "config_revision", f.listing.ConfigRevision)
+}
+
+// takeWhole takes over all keys as they were at a revision.
+func (f *Follower) takeWhole(all []platform.Item, revision uint64) {
 	listing, unreadable := NewListing(all, revision)
 	f.report(unreadable)
 	f.listing, f.revision = listing, revision
+	f.kept = changes{from: revision, to: revision}
 	f.takeHint()
-	f.Log.Info("Store read.", "revision", revision, "agents", len(listing.agents), "config_revision", listing.ConfigRevision)
 	f.changed()
 }
 
 // changed hands on the newest listing.
 func (f *Follower) changed() {
 	shared := f.listing.Shared()
-	f.shared.Store(&shared)
+	f.log.Store(&changeLog{shared: &shared, changes: f.kept})
 	f.Changed(f.listing)
 }
 
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -44,12 +44,13 @@
 func (f *Follower) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+listingPath, f.serveListing)
 	mux.HandleFunc("GET "+agentsPath, f.serveAgents)
+	mux.HandleFunc("GET "+changesPath, f.serveChanges)
 	f.Store.HandleRelay(mux)
 }
 
 // serveListing serves the newest listing.
 func (f *Follower) serveListing(w http.ResponseWriter, _ *http.Request) {
-	f.serve(w, func() any { return f.shared.Load() })
+	f.serve(w, func() any { return f.log.Load().shared })
 }
 
 // serveAgents serves all agents that this balancer knows.
@@ -59,7 +60,7 @@
 
 // serve answers with a value, once there is a listing.
 func (f *Follower) serve(w http.ResponseWriter, value func() any) {
-	if f.shared.Load() == nil {
+	if f.log.Load() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -137,6 +138,7 @@
 		return false
 	}
 	f.listing, f.revision = emptyListing(), best.AsOf
+	f.kept = changes{from: best.AsOf, to: best.AsOf}
 	_, unreadable := f.listing.Merge(best)
 	f.report(unreadable)
 	f.Log.Info("Listing taken from a seed.", "seed", from.String(), "as_of", best.AsOf, "agents", len(f.listing.agents), "config_revision", f.listing.ConfigRevision)
@@ -224,6 +226,7 @@
 	changed, unreadable := f.listing.Merge(shared)
 	f.report(unreadable)
 	if changed {
+		f.kept = changes{from: f.listing.AsOf, to: f.listing.AsOf}
 		f.Log.Info("Learned from a peer.", "peer", peer.String(), "config_revision", f.listing.ConfigRevision, "as_of", f.listing.AsOf)
 		f.changed()
 	}
--- a/internal/packetface/report/report.go
+++ b/internal/packetface/report/report.go
@@ -27,10 +27,14 @@
 	ListAsOf  uint64 `json:"list_as_of"`
 	ListHeard uint64 `json:"list_heard"`
 	// StoreAgeMS is the time since the store last answered, -1 for never.
-	StoreAgeMS int64   `json:"store_age_ms"`
-	Flows      int     `json:"flows"`
-	Searches   int     `json:"searches"`
-	Agents     []Agent `json:"agents"`
+	StoreAgeMS int64 `json:"store_age_ms"`
+	// ListensTo is the host of the balancer whose watch of the store is shared, empty
+	// for one that watches itself; Listeners counts those that rely on this one's.
+	ListensTo string  `json:"listens_to,omitempty"`
+	Listeners int     `json:"listeners,omitempty"`
+	Flows     int     `json:"flows"`
+	Searches  int     `json:"searches"`
+	Agents    []Agent `json:"agents"`
 	// Seeds are the control addresses of other balancers.
 	Seeds []netip.AddrPort `json:"seeds"`
 }
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -17,6 +17,7 @@
 	"github.com/saltbend/saltbend/internal/packetface/report"
 	"github.com/saltbend/saltbend/internal/packetface/routing"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/internal/packetface/watchshare"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -43,12 +44,16 @@
 	store           *platform.Store
 	follower        *registry.Follower
 
-	// mu lets one goroutine at a time own core, notes, seeds and timer.
-	mu    sync.Mutex
-	core  *steer.Core
-	notes *notes
-	seeds []netip.AddrPort
-	timer timer
+	// mu lets one goroutine at a time own core, share, source, notes, seeds and timer.
+	mu sync.Mutex
+	// share decides whether the store is watched or another balancer listened to;
+	// source is that one, invalid for none.
+	share  *watchshare.State
+	source netip.Addr
+	core   *steer.Core
+	notes  *notes
+	seeds  []netip.AddrPort
+	timer  timer
 
 	// version is that of the configuration in force; the follower's goroutine
 	// writes it.
@@ -70,6 +75,7 @@
 func newBalancer(env Env) *balancer {
 	b := &balancer{env: env, log: logging.Part(env.Logger, "packet-balancer"), clock: newClock(), soon: make(chan struct{}, 1)}
 	b.notes = newNotes(b.log, b.clock)
+	b.share = watchshare.New(env.Host.Packets.Addr(), newRandom())
 	b.core = steer.New(steer.Settings{
 		DataCentre: env.Host.DataCentre, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
 		AbsentAfter: steer.DefaultAbsentAfter, AwaitPeers: true, FlowMaxAge: env.Host.FlowMaxAge,
@@ -123,7 +129,8 @@
 	b.follower.Balancers = b.balancers
 	b.follower.Known = b.known
 	b.follower.Asked = b.peersAsked
-	b.follower.Heard = func() { b.storeHeard.Store(int64(b.clock())) }
+	b.follower.Shared = b.shared
+	b.follower.Heard = b.heard
 	b.gauges()
 	go b.follower.Run(ctx)
 	go receive(b.callers, platform.MaxPacketSize+1, b.fromCaller)
@@ -167,6 +174,9 @@
 func (b *balancer) fromAgent(from netip.AddrPort, datagram []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.fromPeer(from, datagram) {
+		return
+	}
 	result, err := b.core.FromAgent(b.clock(), from, datagram)
 	if err != nil {
 		b.notes.unreadable("datagram", from, len(datagram), err)
@@ -245,6 +255,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.do(b.core.Tick(b.clock()))
+	b.tickShare()
 	b.busy = b.core.Waiting()
 	if b.busy {
 		return tickBusy
@@ -258,9 +269,22 @@
 	defer b.mu.Unlock()
 	b.adopt(l)
 	b.do(b.core.SetAgents(b.clock(), l.Agents(), l.Age()))
+	b.sendShare(b.share.Known(b.clock(), l.AsOf))
 	b.checkReady()
 }
 
+// heard notes that the store has answered, or that the news of another balancer tells
+// that it has.
+func (b *balancer) heard() {
+	now := b.clock()
+	b.storeHeard.Store(int64(now))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.source.IsValid() {
+		b.share.Heard(now)
+	}
+}
+
 // peersAsked takes over agents that other balancers know; some may be missing in
 // the store.
 func (b *balancer) peersAsked(known []steer.Agent) {
@@ -319,6 +343,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.seeds = found
+	b.share.SetSeeds(seedHosts(found))
 }
 
 // change takes over settings that have changed.
@@ -337,6 +362,9 @@
 	b.stopping.Store(true)
 	began := b.clock()
 	b.log.Info("Stopping.", "grace_ms", b.env.Host.Grace.Milliseconds())
+	b.mu.Lock()
+	b.sendShare(b.share.Leave(began))
+	b.mu.Unlock()
 	lingerUntil(b.env.Host.Grace-endMargin, func() bool {
 		now := b.clock()
 		return now-began >= leastLinger && now-time.Duration(b.lastPacket.Load()) >= quietTime
--- a/internal/packetface/role/status.go
+++ b/internal/packetface/role/status.go
@@ -20,6 +20,10 @@
 		StoreAgeMS: report.AgeMS(now, time.Duration(b.storeHeard.Load())),
 		Flows:      view.Counts.Flows, Searches: view.Counts.Asks, Agents: []report.Agent{}, Seeds: b.seeds,
 	}
+	if b.source.IsValid() {
+		out.ListensTo = b.source.String()
+	}
+	out.Listeners = b.share.Listeners(now)
 	for i := range view.Agents {
 		out.Agents = append(out.Agents, reportAgent(now, &view.Agents[i]))
 	}
--- /dev/null
+++ b/internal/packetface/watchshare/watchshare_test.go
@@ -0,0 +1,297 @@
+package watchshare_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/watchshare"
+)
+
+// Tests with a fleet in simulated time: a store that changes, balancers that watch it
+// or listen, and a network that delays and loses.
+
+const step = 10 * time.Millisecond
+
+// member is a balancer of the fleet.
+type member struct {
+	host  netip.Addr
+	share *watchshare.State
+	// knows is the revision that it knows, checked when the store last answered it.
+	knows   uint64
+	checked time.Duration
+	// dead members are gone, frozen ones stand still, cut ones don't reach the store.
+	dead, frozen, cut bool
+}
+
+type letter struct {
+	due      time.Duration
+	from, to netip.Addr
+	news     *inner.News
+}
+
+// fleet is all of it. behind holds since when a member lacks the newest revision.
+type fleet struct {
+	random  *rand.Rand
+	now     time.Duration
+	members []*member
+	letters []letter
+	loss    float64
+	// revision is the store's, changed when it was last changed.
+	revision uint64
+	changed  time.Duration
+	// calls counts those to the store.
+	calls int
+}
+
+func host(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
+
+func newFleet(size int, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Second, revision: 1}
+	for n := range size {
+		f.members = append(f.members, &member{host: host(n + 1)})
+		f.start(f.members[n])
+	}
+	return f
+}
+
+// start starts a member anew; it reads the store.
+func (f *fleet) start(m *member) {
+	m.dead, m.frozen = false, false
+	m.share = watchshare.New(m.host, rand.New(rand.NewPCG(f.random.Uint64(), 2)))
+	m.share.SetSeeds([]netip.Addr{host(1), host(2), host(3)})
+	m.knows = 0
+	f.ask(m)
+}
+
+// ask makes a member's call of the store.
+func (f *fleet) ask(m *member) {
+	f.calls++
+	m.checked = f.now
+	if m.cut {
+		return
+	}
+	m.share.Heard(f.now)
+	f.know(m, f.revision)
+}
+
+func (f *fleet) know(m *member, revision uint64) {
+	m.knows = max(m.knows, revision)
+	f.post(m, m.share.Known(f.now, m.knows))
+}
+
+func (f *fleet) post(m *member, messages []watchshare.Send) {
+	for _, s := range messages {
+		if f.random.Float64() >= f.loss {
+			f.letters = append(f.letters, letter{due: f.now + step, from: m.host, to: s.To, news: s.News})
+		}
+	}
+}
+
+func (f *fleet) at(host netip.Addr) *member {
+	for _, m := range f.members {
+		if m.host == host {
+			return m
+		}
+	}
+	return nil
+}
+
+// run lets time pass.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += step {
+		due := f.letters
+		f.letters = nil
+		for _, l := range due {
+			f.deliver(l)
+		}
+		for _, m := range f.members {
+			if !m.dead && !m.frozen {
+				f.tick(m)
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver(l letter) {
+	m := f.at(l.to)
+	switch {
+	case l.due > f.now:
+		f.letters = append(f.letters, l)
+	case m.dead || m.frozen:
+	case l.news == nil:
+		f.post(m, m.share.Request(f.now, l.from))
+	default:
+		f.post(m, m.share.News(f.now, l.from, *l.news))
+	}
+}
+
+// tick is what the shell does: watch the store, or fetch what the source has told of.
+func (f *fleet) tick(m *member) {
+	f.post(m, m.share.Tick(f.now, len(f.members)))
+	source, listens := m.share.Source()
+	switch {
+	case listens && m.share.Behind():
+		if peer := f.at(source); !peer.dead && !peer.frozen {
+			f.know(m, peer.knows)
+		}
+	case !listens && (f.now-m.checked >= watchshare.WatchWait || m.knows < f.revision && !m.cut):
+		f.ask(m)
+	}
+}
+
+func (f *fleet) change() { f.revision, f.changed = f.revision+1, f.now }
+
+func (f *fleet) watchers() int {
+	n := 0
+	for _, m := range f.members {
+		if _, listens := m.share.Source(); !listens && !m.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// behind returns members that reach the store and lack its newest revision.
+func (f *fleet) behind() (hosts []string) {
+	for _, m := range f.members {
+		if !m.dead && !m.frozen && !m.cut && m.knows < f.revision {
+			hosts = append(hosts, m.host.String())
+		}
+	}
+	return hosts
+}
+
+func TestFewWatchInCalm(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(60, 1)
+	f.run(6 * time.Second)
+	g.Expect(f.watchers()).To(BeNumerically("<=", 3))
+	before := f.calls
+	for range 20 {
+		f.change()
+		f.run(500 * time.Millisecond)
+		g.Expect(f.behind()).To(BeEmpty())
+	}
+	// 20 changes and 10 s at three watchers, where 60 that watch make 1,200 calls.
+	g.Expect(f.calls - before).To(BeNumerically("<=", 100))
+}
+
+func TestASmallFleetWatchesItself(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(8, 1)
+	f.run(6 * time.Second)
+	g.Expect(f.watchers()).To(Equal(8))
+}
+
+// Whatever becomes of the watchers, a change reaches every balancer that reaches the
+// store within the time that a configuration may take.
+func TestAChangeArrivesWhateverBecomesOfTheSource(t *testing.T) {
+	const limit = watchshare.StaleAfter + 300*time.Millisecond
+	fates := map[string]func(*member){
+		"dead":               func(m *member) { m.dead = true },
+		"frozen":             func(m *member) { m.frozen = true },
+		"cut from the store": func(m *member) { m.cut = true },
+	}
+	for name, fate := range fates {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(30, 3)
+			f.run(6 * time.Second)
+			for _, m := range f.members {
+				if _, listens := m.share.Source(); !listens {
+					fate(m)
+				}
+			}
+			f.change()
+			f.run(limit)
+			g.Expect(f.behind()).To(BeEmpty())
+		})
+	}
+}
+
+// A watcher that is told to stop says so, and its listeners go to another one
+// before what they know is too old: they make no calls of their own.
+func TestListenersOfOneThatLeavesFindAnother(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(60, 1)
+	f.run(6 * time.Second)
+	for n := range 3 {
+		m := f.members[n]
+		f.post(m, m.share.Leave(f.now))
+		f.run(500 * time.Millisecond)
+		m.dead = true
+		f.run(1500 * time.Millisecond)
+		before := f.calls
+		f.start(m)
+		f.run(2 * time.Second)
+		g.Expect(f.calls-before).To(BeNumerically("<=", 20), "calls in two seconds after the restart of seed %d", n)
+		g.Expect(f.watchers()).To(BeNumerically("<=", 5))
+	}
+}
+
+func TestNewsOfStrangersIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	s := watchshare.New(host(9), rand.New(rand.NewPCG(1, 2)))
+	s.Heard(time.Second)
+	s.Known(time.Second, 5)
+	g.Expect(s.News(time.Second, host(4), inner.News{Watches: true, AsOf: 1 << 60})).To(BeEmpty())
+	_, listens := s.Source()
+	g.Expect(listens).To(BeFalse())
+}
+
+func TestListenersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := watchshare.New(host(9), rand.New(rand.NewPCG(1, 2)))
+	s.Heard(time.Second)
+	for n := range 5000 {
+		s.Request(time.Second, host(n+10))
+	}
+	g.Expect(s.Listeners(time.Second)).To(BeNumerically("<=", 256))
+}
+
+// Random histories: deaths, restarts, freezes, cuts and losses in any order. Whoever
+// has run, and reached the store, for long enough knows a change, and nobody listens
+// in a circle for longer than that.
+func TestEveryChangeArrives(t *testing.T) {
+	const limit = watchshare.StaleAfter + 500*time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(12, 24).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		f.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		calm := map[*member]time.Duration{}
+		for range rapid.IntRange(3, 25).Draw(t, "steps") {
+			m := f.members[rapid.IntRange(0, len(f.members)-1).Draw(t, "member")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				m.dead = true
+			case 1:
+				f.start(m)
+			case 2:
+				m.frozen = !m.frozen
+			case 3:
+				m.cut = !m.cut
+			default:
+				f.change()
+			}
+			calm[m] = f.now
+			f.run(time.Duration(rapid.SampledFrom([]int{10, 200, 900, 2600}).Draw(t, "ms")) * time.Millisecond)
+			for _, m := range f.members {
+				out := m.dead || m.frozen || m.cut || m.knows >= f.revision
+				if !out && f.now-max(f.changed, calm[m]) > limit {
+					t.Fatalf("%s lacks revision %d of %s for %s; %s", m.host, f.revision, f.changed, f.now-f.changed, describe(m))
+				}
+			}
+		}
+	})
+}
+
+func describe(m *member) string {
+	source, listens := m.share.Source()
+	return fmt.Sprintf("knows %d, listens %t to %s", m.knows, listens, source)
+}
