steer: a flood of unknown flows is bounded; switches, lines and counters of the new policies

Cause: packets of flows that never were made every agent be asked for each: at 50,000 a second one balancer sent 100,000 datagrams a second to 140 agents (worked out from 142 questions a flow, 70 a datagram, a batch each 5 ms). Change: 32 searches begin between two ticks, 6,400 a second and fewer where ticks come late; what goes over is dropped and counted.

--- a/cmd/saltbend/packetstatus.go
+++ b/cmd/saltbend/packetstatus.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -117,10 +118,7 @@
 			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t-\t-\t-\t-\t%s\n", v.Control, v.Error)
 			continue
 		}
-		note := ""
-		if v.Late {
-			note = "older configuration"
-		}
+		note := balancerNote(v)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t%s\n", v.Control, dash(v.Host), v.DataCentre,
 			readiness(v.Balancer), v.Version, v.Routes, len(v.Balancer.Agents), suspected(v.Balancer), listText(v.Balancer),
 			ageText(v.StoreAgeMS), v.Flows, dash(note))
@@ -128,6 +126,22 @@
 	w.Flush()
 }
 
+// balancerNote says what stands out at a balancer, and whose watch of the store it
+// relies on.
+func balancerNote(v balancerView) string {
+	var notes []string
+	if v.Late {
+		notes = append(notes, "older configuration")
+	}
+	if v.ListensTo != "" {
+		notes = append(notes, "listens to "+v.ListensTo)
+	}
+	if v.Listeners > 0 {
+		notes = append(notes, fmt.Sprintf("%d listen to it", v.Listeners))
+	}
+	return strings.Join(notes, ", ")
+}
+
 func printAgents(out std, views []balancerView) {
 	w := tabwriter.NewWriter(out.out, 0, 0, tablePadding, ' ', 0)
 	fmt.Fprintln(w, "BALANCER\tAGENT\tDATA CENTRE\tSERVICE\tSTATE\tRUNNING\tSLOTS\tFLOWS\tHEARD\tNOTE")
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -13,9 +13,15 @@
 
 // Names of the decisions; the package in brackets explains each.
 const (
+	// BoundedSearches bounds the searches and probes that begin between two ticks of a
+	// balancer, and lets it ask in larger batches where its processor is short (steer).
+	BoundedSearches Name = "bounded-searches"
 	// EarlyOpenings keeps opening packets until a balancer that has just started knows
 	// routes and agents (steer).
 	EarlyOpenings Name = "early-openings"
+	// InheritedEntries lets an agent go on with the entry that the process before it
+	// left in the store (registry).
+	InheritedEntries Name = "inherited-entries"
 	// LeastSlack runs a request that is late already just in time for its caller's
 	// deadline, instead of after all others (admission).
 	LeastSlack Name = "least-slack"
@@ -27,13 +33,18 @@
 	// Repetition takes flows that begin right after a start for repetitions, which
 	// have less time left than they seem to have (admission).
 	Repetition Name = "repetition"
+	// SharedWatches lets balancers learn of the store's changes from the watch of
+	// another one (watchshare).
+	SharedWatches Name = "shared-watches"
 	// ShortestQueue sends a flow that finds all slots taken to the upstream where
 	// the fewest requests wait (steer).
 	ShortestQueue Name = "shortest-queue"
 )
 
 // names are all that can be switched off.
-var names = []Name{EarlyOpenings, LeastSlack, ListedSlots, Outcomes, Repetition, ShortestQueue}
+var names = []Name{
+	BoundedSearches, EarlyOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, SharedWatches, ShortestQueue,
+}
 
 // Set holds the decisions that are switched off; the zero value has all on.
 type Set struct{ off []Name }
--- /dev/null
+++ b/internal/packetface/registry/changes_test.go
@@ -0,0 +1,120 @@
+package registry_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/platform"
+	"github.com/saltbend/saltbend/test/packetplatform"
+)
+
+// Tests of balancers that learn from the watch of another one.
+
+// serve lets others reach a follower.
+func serve(t *testing.T, f *follower) netip.AddrPort {
+	server := httptest.NewServer(answers(f.Follower))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// pair returns a follower that watches the store and one that listens to it, and
+// what tells the second of news, as datagrams between them do.
+func pair(t *testing.T, fake *packetplatform.Store) (watcher, listener *follower, tell func()) {
+	g := NewWithT(t)
+	watcher = follow(t, fake, 1)
+	g.Eventually(watcher.reachedNow, patience).Should(BeTrue())
+	listener = follow(t, fake, 20)
+	g.Eventually(listener.reachedNow, patience).Should(BeTrue())
+	listener.Listen(serve(t, watcher))
+	return watcher, listener, listener.News
+}
+
+func TestAListenerTakesChangesFromItsSource(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	watcher, listener, tell := pair(t, fake)
+	told := func(agents int, config string) func() bool {
+		return func() bool {
+			if watcher.sees(agents, config)() {
+				tell()
+			}
+			return listener.sees(agents, config)()
+		}
+	}
+	keeper, _ := publish(t, fake, "10.0.0.1:1")
+	fake.Put(platform.ConfigKey, []byte("2"))
+	g.Eventually(told(1, "2"), patience).Should(BeTrue())
+	readings := fake.Readings()
+	keeper.Want(nil)
+	g.Eventually(told(0, "2"), patience).Should(BeTrue())
+	fake.Compact()
+	fake.Put(platform.ConfigKey, []byte("3"))
+	g.Eventually(told(0, "3"), patience).Should(BeTrue())
+	g.Expect(listener.listAge().AsOf).To(Equal(watcher.listAge().AsOf))
+	g.Expect(fake.Readings()-readings).To(BeNumerically("<=", 1), "of the watcher, after the loss of history")
+}
+
+// Changes that its source no longer keeps come as a whole listing, which also takes
+// away what is gone.
+func TestAListenerThatIsFarBehindTakesAll(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	watcher, listener, tell := pair(t, fake)
+	keeper, _ := publish(t, fake, "10.0.0.1:1")
+	g.Eventually(func() bool { tell(); return listener.sees(1, "")() }, patience).Should(BeTrue())
+	keeper.Want(nil)
+	g.Eventually(watcher.sees(0, ""), patience).Should(BeTrue())
+	const more = 1100 // than are kept
+	for n := range more {
+		fake.Put("servers/x", []byte(strconv.Itoa(n)))
+	}
+	fake.Put(platform.ConfigKey, []byte("2"))
+	g.Eventually(watcher.sees(0, "2"), patience).Should(BeTrue())
+	g.Eventually(func() bool { tell(); return listener.sees(0, "2")() }, patience).Should(BeTrue())
+}
+
+// A source that does not answer keeps no news away: the store is read.
+func TestAListenerWhoseSourceIsGoneReadsTheStore(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	_, listener, _ := pair(t, fake)
+	listener.Listen(netip.MustParseAddrPort("127.0.0.1:1"))
+	fake.Put(platform.ConfigKey, []byte("2"))
+	g.Eventually(func() bool { listener.News(); return listener.sees(0, "2")() }, patience).Should(BeTrue())
+}
+
+// One that is told to watch again goes on from what it has.
+func TestAListenerWatchesAgain(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	_, listener, _ := pair(t, fake)
+	listener.Listen(netip.AddrPort{})
+	fake.Put(platform.ConfigKey, []byte("2"))
+	g.Eventually(listener.sees(0, "2"), patience).Should(BeTrue())
+}
+
+// On a hint of something newer, which its source does not tell of, it asks the store.
+func TestAListenerWithAHintAsksTheStore(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	_, listener, _ := pair(t, fake)
+	fake.Put(platform.ConfigKey, []byte("2"))
+	g.Eventually(func() bool { listener.Hint(netip.AddrPort{}); return listener.sees(0, "2")() }, patience).Should(BeTrue())
+}
+
+func TestAQuestionForChangesIsChecked(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	watcher := follow(t, fake, 1)
+	g.Eventually(watcher.reachedNow, patience).Should(BeTrue())
+	for query, want := range map[string]int{"?after=x": http.StatusBadRequest, "": http.StatusBadRequest, "?after=18446744073709551615": http.StatusOK} {
+		w := httptest.NewRecorder()
+		answers(watcher.Follower).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/packet/changes"+query, nil))
+		g.Expect(w.Code).To(Equal(want), query)
+	}
+}
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -16,6 +16,7 @@
 	"github.com/saltbend/saltbend/internal/ops"
 	"github.com/saltbend/saltbend/internal/packetface/gate"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/registry"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -111,7 +112,7 @@
 	a.registry.SetSeeds(seeds(a.env.Host))
 	a.registry.LeaseLeast = a.env.Host.LeaseLeast
 	a.registry.Seen = a.seen
-	if !a.env.Host.FirstStart {
+	if !a.env.Host.FirstStart && a.env.Policies.On(policy.InheritedEntries) {
 		a.registry.Inherit()
 	}
 	a.gauges()
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -208,6 +208,10 @@
 			handOffSeconds.Update(r.Notes[i].Took.Seconds())
 		case steer.KindFound:
 			searchSeconds.Update(r.Notes[i].Age.Seconds())
+		case steer.KindReset:
+			if r.Notes[i].Age > 0 { // after a search, and not from memory
+				deadSeconds.Update(r.Notes[i].Age.Seconds())
+			}
 		}
 	}
 	b.notes.balancer(r.Notes)
--- a/internal/packetface/role/metrics.go
+++ b/internal/packetface/role/metrics.go
@@ -17,6 +17,7 @@
 	handOffSeconds  = metrics.NewHistogram("saltbend_packet_hand_off_seconds")
 	newsSeconds     = metrics.NewHistogram("saltbend_packet_agent_news_seconds")
 	searchSeconds   = metrics.NewHistogram("saltbend_packet_owner_search_seconds")
+	deadSeconds     = metrics.NewHistogram("saltbend_packet_dead_flow_search_seconds")
 )
 
 // decisionSample is the number of packets of which one decision is timed.
@@ -56,6 +57,11 @@
 	}
 	metrics.GetOrCreateGauge("saltbend_packet_flows", count(func(c steer.Counts) int { return c.Flows }))
 	metrics.GetOrCreateGauge("saltbend_packet_owner_searches", count(func(c steer.Counts) int { return c.Asks }))
+	metrics.GetOrCreateGauge("saltbend_packet_watch_listeners", func() float64 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return float64(b.share.Listeners(b.clock()))
+	})
 	metrics.GetOrCreateGauge("saltbend_packet_agents", count(func(c steer.Counts) int { return c.Agents }))
 	metrics.GetOrCreateGauge("saltbend_packet_agents_suspected", count(func(c steer.Counts) int { return c.Suspected }))
 	metrics.GetOrCreateGauge("saltbend_packet_config_version", func() float64 {
--- a/internal/packetface/role/sharing.go
+++ b/internal/packetface/role/sharing.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/watchshare"
 )
 
@@ -52,6 +53,9 @@
 
 // tickShare does what is due for sharing by time alone. The caller holds mu.
 func (b *balancer) tickShare() {
+	if !b.env.Policies.On(policy.SharedWatches) {
+		return
+	}
 	b.sendShare(b.share.Tick(b.clock(), b.core.Balancers()))
 	b.followShare()
 }
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -1,10 +1,12 @@
 package steer
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/search"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -19,6 +21,12 @@
 	// slowMost bounds the lateness of the process's own ticks that searches are
 	// stretched by: callers repeat a packet after 200 ms.
 	slowMost = 100 * time.Millisecond
+	// searchesPerTick bounds the searches that begin between two ticks: 6,400 a second,
+	// fewer where ticks come late. Each asks every agent that may hold the flow, so
+	// packets of flows that never were would reach agents many times over: 50,000 a
+	// second at one balancer made 100,000 datagrams a second to 140 agents. What goes
+	// over is dropped; a living caller sends it again after 200 ms.
+	searchesPerTick = 32
 	// probesPerTick bounds the packets that all searches hand to agents for their
 	// upstreams to tell. A tick comes every 5 ms, and later where the processor is
 	// short: 4,800 a second at most, fewer on a host that has no time for them.
@@ -51,10 +59,11 @@
 		}
 		return
 	}
-	if len(c.asks) >= maxAsks {
-		c.note(Note{Kind: KindDropped, Flow: id, Reason: "too-many-asks"})
+	if len(c.asks) >= maxAsks || c.searches <= 0 {
+		c.note(Note{Kind: KindDropped, Flow: id, Reason: "too-many-searches", Count: len(c.asks)})
 		return
 	}
+	c.searches--
 	q = &ask{search: search.New(now)}
 	c.asks[id] = q
 	c.hold(q, now, p, b)
@@ -332,7 +341,10 @@
 // whose caller has given up.
 func (c *Core) tickAsks(now time.Duration) {
 	c.observePace(now)
-	c.probes = probesPerTick
+	c.probes, c.searches = probesPerTick, searchesPerTick
+	if !c.settings.Policies.On(policy.BoundedSearches) {
+		c.probes, c.searches, c.slow = math.MaxInt, math.MaxInt, 0
+	}
 	for id, q := range c.asks {
 		switch {
 		case q.search.GivenUp(now):
--- a/internal/packetface/steer/network_test.go
+++ b/internal/packetface/steer/network_test.go
@@ -88,22 +88,18 @@
 }
 
 func (w *world) deliver(l letter) {
-	for _, b := range w.balancers {
-		if b.addr == l.to {
-			r, err := b.core.FromAgent(w.now, l.from, l.bytes)
-			if err != nil {
-				w.t.Fatalf("balancer refused %x: %v", l.bytes, err)
-			}
-			w.fromBalancer(l.to, r)
+	if b := w.balancerAt[l.to]; b != nil {
+		r, err := b.core.FromAgent(w.now, l.from, l.bytes)
+		if err != nil {
+			w.t.Fatalf("balancer refused %x: %v", l.bytes, err)
 		}
+		w.fromBalancer(l.to, r)
 	}
-	for _, s := range w.sites {
-		if s.addr == l.to {
-			r, err := s.gate.FromBalancer(w.now, l.from, l.bytes)
-			if err != nil {
-				w.t.Fatalf("agent refused %x: %v", l.bytes, err)
-			}
-			w.fromAgent(s, r)
+	if s := w.siteAt[l.to]; s != nil {
+		r, err := s.gate.FromBalancer(w.now, l.from, l.bytes)
+		if err != nil {
+			w.t.Fatalf("agent refused %x: %v", l.bytes, err)
 		}
+		w.fromAgent(s, r)
 	}
 }
--- a/internal/packetface/steer/property_test.go
+++ b/internal/packetface/steer/property_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 func (w *world) step() {
 	s := w.sites[w.random.IntN(len(w.sites))]
 	w.tell("step at %s", s.addr)
-	switch rapid.IntRange(0, 14).Draw(w.t, "step") {
+	switch rapid.IntRange(0, 16).Draw(w.t, "step") {
 	case 0, 1:
 		id := platform.Flow{Caller: [4]byte{100, 64, 0, 1}, CallerPort: w.nextPort, Face: [4]byte{198, 18, 0, 1}, FacePort: 443}
 		w.nextPort++
@@ -67,6 +68,10 @@
 		w.lateHeartbeat(s)
 	case 14:
 		w.cutOneWay(w.anyBalancer(), s)
+	case 15:
+		w.restartAgents()
+	case 16:
+		w.losePower()
 	}
 	w.run(time.Duration(rapid.SampledFrom([]int{1, 3, 20, 300, 900}).Draw(w.t, "ms")) * time.Millisecond)
 }
@@ -83,6 +88,47 @@
 	rapid.Check(t, func(t *rapid.T) { play(t, newWorld(t, mostLoss, steer.DefaultAbsentAfter)) })
 }
 
+// The same for a fleet of the size of today's largest: what is bounded, batched and
+// put off there must not make a search more certain than it is.
+func TestNoLivingFlowIsResetInALargeFleet(t *testing.T) {
+	const agents, balancers, mostLoss, steps = 150, 60, 0.1, 8
+	if testing.Short() {
+		t.Skip("a minute of processor time")
+	}
+	checks := 0
+	rapid.Check(t, func(t *rapid.T) {
+		if checks++; checks > largeHistories {
+			return // one takes as long as some hundred of a small fleet
+		}
+		w := newWorldOf(t, agents, balancers, mostLoss, steer.DefaultAbsentAfter)
+		w.run(50 * time.Millisecond)
+		for range steps {
+			w.openSome(40)
+			w.step()
+		}
+	})
+}
+
+// largeHistories is the number of histories of a large fleet in one run.
+const largeHistories = 1
+
+// openSome lets callers open flows and send on those that are open.
+func (w *world) openSome(flows int) {
+	for range flows {
+		id := platform.Flow{Caller: [4]byte{100, 64, 0, 1}, CallerPort: w.nextPort, Face: [4]byte{198, 18, 0, 1}, FacePort: 443}
+		w.nextPort++
+		w.flows, w.began[id] = append(w.flows, id), w.now
+		w.callerSends(id, platform.FlagSYN, 0, 0)
+	}
+	w.run(5 * time.Millisecond)
+	for _, id := range slices.Clone(w.flows) {
+		if ack, ok := w.accepted[id]; ok {
+			w.callerSends(id, platform.FlagACK, ack, 30)
+		}
+	}
+	w.run(5 * time.Millisecond)
+}
+
 func play(t *rapid.T, w *world) {
 	w.run(50 * time.Millisecond)
 	for range rapid.IntRange(5, 60).Draw(t, "steps") {
--- a/internal/packetface/steer/search_test.go
+++ b/internal/packetface/steer/search_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -126,3 +127,38 @@
 	b.status(102, inner.Status{})
 	b.Expect(b.sent(inner.KindAsk)).To(ContainElement(address(102, 1)))
 }
+
+// A flood of packets of flows that never were takes neither the balancer's memory nor
+// the agents, and the packets of its open flows go on at once.
+func TestAFloodOfUnknownFlowsCostsOpenFlowsNothing(t *testing.T) {
+	const agents, perMillisecond, seconds = 20, 50, 2
+	b := many(t, agents)
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	owner := b.sent(inner.KindOpen)[0]
+	b.fromAgent(int(owner.Addr().As4()[3]), inner.AppendStatus(nil, inner.Status{State: inner.StateReady, Known: inner.Known{Listing: 1}}))
+	datagrams, flows := 0, 0
+	var answers []netip.AddrPort
+	for ms := range seconds * 1000 {
+		b.now += time.Millisecond
+		for range perMillisecond {
+			flows++
+			id := caller(flows)
+			id.Caller[1], id.Caller[2] = byte(flows>>16), 99
+			b.callerSends(id, platform.FlagACK, 30)
+			answers = append(answers, b.sent(inner.KindAsk)...)
+		}
+		if ms%5 == 0 {
+			b.last = b.core.Tick(b.now)
+			answers = append(answers, b.sent(inner.KindAsk)...)
+		}
+		datagrams += len(answers)
+		for _, from := range answers { // each agent lives, and holds none
+			b.status(int(from.Addr().As4()[3]), inner.Status{Known: inner.Known{Listing: 1}})
+		}
+		answers = answers[:0]
+		b.callerSends(caller(1), platform.FlagACK, 30)
+		b.Expect(b.sent(inner.KindForward)).To(Equal([]netip.AddrPort{owner}))
+	}
+	b.Expect(b.core.Counts(b.now).Asks).To(BeNumerically("<=", 4096))
+	b.Expect(datagrams).To(BeNumerically("<=", seconds*agents*500), "datagrams to agents")
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -139,8 +139,8 @@
 	// then, slow how long after each other ticks come meanwhile, 0 for not known.
 	ticked, slow time.Duration
 	searching    bool
-	// probes is how many probes may be sent until the next tick.
-	probes int
+	// probes and searches are how many of them may begin until the next tick.
+	probes, searches int
 	// called is when the Core was last called, 0 for not yet.
 	called    time.Duration
 	toldNewer time.Duration
@@ -168,6 +168,7 @@
 		asks:     make(map[platform.Flow]*ask),
 		dead:     make(map[platform.Flow]time.Duration),
 		probes:   probesPerTick,
+		searches: searchesPerTick,
 	}
 }
 
--- a/internal/packetface/steer/world_test.go
+++ b/internal/packetface/steer/world_test.go
@@ -58,10 +58,13 @@
 	now       time.Duration
 	balancers []*balancer
 	sites     []*site
-	letters   []letter
-	flows     []platform.Flow
-	nextPort  uint16
-	told      []string
+	// balancerAt and siteAt are the same by their addresses.
+	balancerAt map[netip.AddrPort]*balancer
+	siteAt     map[netip.AddrPort]*site
+	letters    []letter
+	flows      []platform.Flow
+	nextPort   uint16
+	told       []string
 	// accepted holds what callers acknowledge: the answer that they go on with.
 	accepted map[platform.Flow]uint32
 	// began is when callers sent their first opening packet.
@@ -87,16 +90,23 @@
 }
 
 func newWorld(t *rapid.T, mostLoss float64, absentAfter time.Duration) *world {
+	agents := rapid.IntRange(1, 4).Draw(t, "agents")
+	return newWorldOf(t, agents, rapid.IntRange(1, 3).Draw(t, "balancers"), mostLoss, absentAfter)
+}
+
+// newWorldOf returns a world of a size.
+func newWorldOf(t *rapid.T, agents, balancers int, mostLoss float64, absentAfter time.Duration) *world {
 	w := &world{
-		t: t, now: time.Millisecond, absentAfter: absentAfter, revision: 1, accepted: map[platform.Flow]uint32{}, began: map[platform.Flow]time.Duration{}, cuts: map[way]time.Duration{},
+		t: t, now: time.Millisecond, absentAfter: absentAfter, revision: 1, accepted: map[platform.Flow]uint32{}, began: map[platform.Flow]time.Duration{}, cuts: map[way]time.Duration{}, balancerAt: map[netip.AddrPort]*balancer{}, siteAt: map[netip.AddrPort]*site{},
 		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 		loss:   rapid.Float64Range(0, mostLoss).Draw(t, "loss"),
 	}
-	for range rapid.IntRange(1, 4).Draw(t, "agents") {
+	for range agents {
 		w.addSite()
 	}
-	for i := range rapid.IntRange(1, 3).Draw(t, "balancers") {
+	for i := range balancers {
 		w.balancers = append(w.balancers, &balancer{addr: address(i+1, 2)})
+		w.balancerAt[w.balancers[i].addr] = w.balancers[i]
 		w.startBalancer(w.balancers[i])
 	}
 	return w
@@ -104,7 +114,7 @@
 
 func (w *world) addSite() {
 	s := &site{addr: address(100+len(w.sites), 1), held: map[platform.Flow]bool{}}
-	w.sites = append(w.sites, s)
+	w.sites, w.siteAt[s.addr] = append(w.sites, s), s
 	w.startAgent(s)
 	w.heartbeat(s)
 	w.listed(s)
@@ -161,6 +171,29 @@
 	w.fromAgent(s, r)
 }
 
+// restartAgents starts all agents at once, as after a fault of all hosts whose
+// upstreams live on.
+func (w *world) restartAgents() {
+	for _, s := range w.sites {
+		w.startAgent(s)
+		s.sequence = max(s.sequence, 1)
+	}
+}
+
+// losePower starts everything at once: all flows are dead. Some upstreams report at
+// once, others are late.
+func (w *world) losePower() {
+	for _, s := range w.sites {
+		w.startAgent(s)
+		w.replace(s, w.random.IntN(8) == 0)
+	}
+	for _, b := range w.balancers {
+		if !b.refused {
+			w.startBalancer(b)
+		}
+	}
+}
+
 // lateHeartbeat delivers one of the life before, which was delayed until now.
 func (w *world) lateHeartbeat(s *site) {
 	if s.life == 0 || s.sequence == 0 {
