watchshare: a balancer finds its source before it begins a watch

Cause: each start cost a reading, a watch of its own and its end; sources asked the store 1.3 times a second.

--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -29,9 +29,9 @@
 	// watches itself: with the reading that follows it learns of a change within the
 	// 3 s in which a configuration is to be in force, whatever becomes of its source.
 	StaleAfter = 2 * time.Second
-	// WatchWait is how long a watch waits that others rely on: two of its answers come
-	// within StaleAfter.
-	WatchWait = 900 * time.Millisecond
+	// WatchWait is how long a watch waits that others rely on: with the 240 ms of a slow
+	// store its answer comes within StaleAfter.
+	WatchWait = 1400 * time.Millisecond
 	// renewEvery is the time between two requests to the source, each of which is
 	// answered with news.
 	renewEvery = 450 * time.Millisecond
@@ -49,9 +49,9 @@
 	// maxListeners bounds those of one watcher: at two requests and answers a second
 	// each they take some 1% of a core.
 	maxListeners = 256
-	// fleetLeast is the number of balancers from which on watches are shared: with
+	// FleetLeast is the number of balancers from which on watches are shared: with
 	// fewer, the answers that listeners rely on cost as much as is saved.
-	fleetLeast = 12
+	FleetLeast = 12
 )
 
 // Send is a message to the balancer of a host: news, or a request to listen if there
@@ -219,12 +219,9 @@
 		return nil
 	case s.source.IsValid():
 		return s.tickListening(now)
-	case balancers < fleetLeast || len(s.seeds) == 0 || s.heard == 0 || s.Listeners(now) > 0:
+	case balancers < FleetLeast || len(s.seeds) == 0 || s.heard == 0 || s.Listeners(now) > 0:
 		return nil
-	case s.nextAsk == 0:
-		s.lookLater(now)
-		return nil
-	case now >= s.nextAsk:
+	case now >= s.nextAsk: // at once after the start
 		s.lookLater(now)
 		return s.ask(now, s.seeds[s.random.IntN(len(s.seeds))])
 	}
