steer: a returned probe begins no search and keeps none alive

Ruled out: shared watches (nothing there repeats), polls, statuses. Change: what comes back from a probe is no word of the caller; of a flow whose owner is known, or that was reset, it begins nothing. Tests that fail first: TestALateReturnOfAProbeBeginsNoSearch, TestAReturnedProbeKeepsNoSearchAlive.

--- a/internal/packetface/search/search.go
+++ b/internal/packetface/search/search.go
@@ -199,11 +199,9 @@
 	return true
 }
 
-// IsProbed reports whether a packet that the agent gives back answers a probe.
-func (s *Search) IsProbed(id ID) bool {
-	m := s.find(id)
-	return m != nil && m.state == Probed
-}
+// WasAsked reports whether the agent was asked: a packet that it gives back is a
+// probe then, which may be late or doubled.
+func (s *Search) WasAsked(id ID) bool { return s.find(id) != nil }
 
 // Forget drops an agent that is gone: its upstream can't hold anything up.
 func (s *Search) Forget(id ID) {
--- a/internal/packetface/search/search_test.go
+++ b/internal/packetface/search/search_test.go
@@ -55,7 +55,9 @@
 		s.Take(id, inner.VerdictMaybe)
 	}
 	w.Expect(s.Probe(2)).To(Equal([]search.ID{8, 3}))
-	w.Expect(s.IsProbed(8)).To(BeTrue())
+	w.Expect(s.Count(search.Probed)).To(Equal(2))
+	w.Expect(s.WasAsked(8)).To(BeTrue())
+	w.Expect(s.WasAsked(9)).To(BeFalse())
 	w.Expect(s.Probe(2)).To(Equal([]search.ID{6}))
 	w.Expect(s.Probe(2)).To(BeEmpty())
 	s.BeginRound(2 * time.Second) // a probe, or its return, may be lost
--- a/internal/packetface/steer/carry.go
+++ b/internal/packetface/steer/carry.go
@@ -35,13 +35,19 @@
 		return
 	}
 	delete(c.flows, id)
-	if until, ok := c.dead[id]; ok && now < until {
+	if c.isDead(now, id) {
 		c.reset(id, p.Acknowledge, reasonHeldByNone)
 		return
 	}
 	c.ask(now, id, p, b)
 }
 
+// isDead reports whether a flow was lately reset as nobody holds it.
+func (c *Core) isDead(now time.Duration, id platform.Flow) bool {
+	until, ok := c.dead[id]
+	return ok && now < until
+}
+
 func (c *Core) forward(now time.Duration, a *agent, b []byte, head inner.Forward) {
 	start := len(c.buffer)
 	head.Flags |= c.flagsFor(a, now, statusAgeCarry)
--- a/internal/packetface/steer/search_test.go
+++ b/internal/packetface/steer/search_test.go
@@ -162,3 +162,39 @@
 	b.Expect(b.core.Counts(b.now).Asks).To(BeNumerically("<=", 4096))
 	b.Expect(datagrams).To(BeNumerically("<=", seconds*agents*500), "datagrams to agents")
 }
+
+// A packet that comes back late or twice from a probe is no word of the caller: it
+// keeps no search alive.
+func TestAReturnedProbeKeepsNoSearchAlive(t *testing.T) {
+	b := many(t, 2)
+	b.callerSends(caller(1), platform.FlagACK, 30)
+	b.answer(101, caller(1), inner.VerdictMaybe, 1) // 102 is silent
+	for range 24 {
+		b.fromAgent(101, inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonUnknown}, packet(caller(1), 1, 77, platform.FlagACK, 30)))
+		b.wait(100 * time.Millisecond)
+	}
+	b.wait(200 * time.Millisecond) // 2.5 s after the caller's packet it has given up
+	b.Expect(b.core.Counts(b.now).Asks).To(BeZero())
+}
+
+// Probes that are on their way when the owner is found, or the flow reset, come back:
+// they begin no search anew, and cost the owner no further packets. Each such search
+// would send probes of its own.
+func TestALateReturnOfAProbeBeginsNoSearch(t *testing.T) {
+	back := inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonUnknown}, packet(caller(1), 1, 77, platform.FlagACK, 30))
+	for _, end := range []inner.Verdict{inner.VerdictHeld, inner.VerdictNone} {
+		b := many(t, 3)
+		b.callerSends(caller(1), platform.FlagACK, 30)
+		b.answer(101, caller(1), inner.VerdictMaybe, 1)
+		b.answer(102, caller(1), inner.VerdictNone, 1)
+		b.answer(103, caller(1), end, 1)
+		if end == inner.VerdictNone {
+			b.answer(101, caller(1), inner.VerdictNone, 1)
+			b.Expect(b.resets()).To(Equal(1))
+		}
+		b.now += 20 * time.Millisecond
+		b.fromAgent(101, back)
+		b.Expect(b.last.Actions).To(BeEmpty())
+		b.Expect(b.core.Counts(b.now).Asks).To(BeZero())
+	}
+}
