--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -315,16 +315,6 @@
 	return route != nil && route.Repeatable && a.absent(now, c.settings.AbsentAfter)
 }
 
-// serves reports whether each of the services has an agent.
-func (r *roster) serves(services []uint64) bool {
-	for _, service := range services {
-		if len(r.byService[service]) == 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // probe hands a packet of a flow to agents that can't tell, as many as the tick
 // allows.
 func (c *Core) probe(now time.Duration, q *ask) {
--- /dev/null
+++ b/internal/packetface/steer/roster.go
@@ -0,0 +1,110 @@
+package steer
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/search"
+)
+
+// roster holds all agents.
+type roster struct {
+	agents    map[netip.AddrPort]*agent
+	byService map[uint64][]*agent
+	list      []*agent
+	// byID are the agents by their numbers, nil for a number in free, which may be
+	// given again.
+	byID []*agent
+	free []search.ID
+	// absent is how many agents were absent at the last tick.
+	absent int
+	// gone are agents that were forgotten.
+	gone map[netip.AddrPort]goneAgent
+	// first is when the first list came, 0 for not yet.
+	first time.Duration
+	// age is how new the list is, newest the highest revision of an entry that
+	// an agent has told of.
+	age    ListAge
+	newest uint64
+}
+
+// ListAge is how new a list of agents is, in the store's revisions.
+type ListAge struct {
+	// AsOf is the revision up to which every change is in the list.
+	AsOf uint64
+	// Newest is the highest revision of an entry that the list has held. It
+	// differs less often than AsOf, which rises with every other change too, so
+	// it is what processes tell each other.
+	Newest uint64
+}
+
+func (l ListAge) max(o ListAge) ListAge {
+	return ListAge{AsOf: max(l.AsOf, o.AsOf), Newest: max(l.Newest, o.Newest)}
+}
+
+// outdated reports whether an agent has told of an entry that the list may lack.
+func (r *roster) outdated() bool { return r.newest > r.age.AsOf }
+
+// goneAgent is an agent that was forgotten, and until when it is remembered.
+type goneAgent struct {
+	Agent
+	until time.Duration
+}
+
+func newRoster() roster {
+	return roster{agents: map[netip.AddrPort]*agent{}, byService: map[uint64][]*agent{}, gone: map[netip.AddrPort]goneAgent{}}
+}
+
+func (r *roster) add(a *agent) {
+	r.number(a)
+	r.agents[a.Addr] = a
+	r.byService[a.Service] = append(r.byService[a.Service], a)
+	r.list = append(r.list, a)
+}
+
+// number gives an agent a number that no other has.
+func (r *roster) number(a *agent) {
+	if last := len(r.free) - 1; last >= 0 {
+		a.id, r.free = r.free[last], r.free[:last]
+		r.byID[a.id] = a
+		return
+	}
+	a.id = search.ID(len(r.byID))
+	r.byID = append(r.byID, a)
+}
+
+// remove drops an agent; no search may know its number any more.
+func (r *roster) remove(a *agent) {
+	same := func(other *agent) bool { return other == a }
+	a.removed = true
+	r.byID[a.id] = nil
+	r.free = append(r.free, a.id)
+	delete(r.agents, a.Addr)
+	r.byService[a.Service] = slices.DeleteFunc(r.byService[a.Service], same)
+	r.list = slices.DeleteFunc(r.list, same)
+}
+
+// serves reports whether each of the services has an agent.
+func (r *roster) serves(services []uint64) bool {
+	for _, service := range services {
+		if len(r.byService[service]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// slots returns how many slots the agent's upstream has, as far as is known: the store
+// keeps what the life before reported, and the upstreams of a service are alike.
+func (r *roster) slots(a *agent) uint16 {
+	known := max(int(a.status.Slots), a.Slots)
+	for _, sibling := range r.byService[a.Service] {
+		if known > 0 {
+			break
+		}
+		known = max(int(sibling.status.Slots), sibling.Slots)
+	}
+	return uint16(min(known, math.MaxUint16))
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -114,8 +114,6 @@
 	// maxFlows bounds the flows that a balancer remembers: four times the
 	// planned 25,000 of a node (docs/CAPACITY.md).
 	maxFlows = 100_000
-	// probeReturn is the time within which a probe comes back.
-	probeReturn = time.Second
 	// pauseTime is the time between two calls of a Core after which the process
 	// counts as paused: ticks come every 50 ms.
 	pauseTime = 400 * time.Millisecond
@@ -349,51 +347,6 @@
 	c.note(n)
 }
 
-// returned decides on a packet that an agent gave back.
-func (c *Core) returned(now time.Duration, a *agent, b []byte) error {
-	head, packet, err := inner.ParseReturned(b)
-	if err != nil {
-		return err
-	}
-	p, err := platform.ParsePacket(packet)
-	if err != nil {
-		return err
-	}
-	c.hearKnown(now, a, inner.Known{Listing: head.Listing}, [4]byte{})
-	id := p.FromCaller()
-	if p.IsOpening() {
-		c.placeAgain(now, id, a, head, packet)
-		return nil
-	}
-	if q := c.asks[id]; q != nil && q.search.WasAsked(a.id) {
-		if head.Reason == inner.ReasonUnknown {
-			c.take(now, id, q, a, inner.VerdictNone)
-		}
-		return nil // no word of the caller; without a proof it is probed again in the next round
-	}
-	if c.isDead(now, id) {
-		return nil // the caller has been told
-	}
-	if f := c.flows[id]; f != nil && f.agent != nil {
-		if f.agent != a && !f.agent.removed {
-			c.returnedLate(now, f, packet)
-			return nil
-		}
-		delete(c.flows, id)
-	}
-	c.ask(now, id, &p, packet)
-	return nil
-}
-
-// returnedLate decides on a packet that comes back from an agent that is not the
-// flow's owner: a probe that was on its way when the owner was found, which has the
-// packet by then, or one that went to an earlier owner.
-func (c *Core) returnedLate(now time.Duration, f *flow, packet []byte) {
-	if now-f.placed >= probeReturn {
-		c.forward(now, f.agent, packet, inner.Forward{Terms: f.terms})
-	}
-}
-
 // Tick does what is due by time alone.
 func (c *Core) Tick(now time.Duration) *Result {
 	c.begin(now)
