--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -24,8 +24,8 @@
 	// searchesPerTick bounds the searches that begin between two ticks: 6,400 a second,
 	// fewer where ticks come late. Each asks every agent that may hold the flow, so
 	// packets of flows that never were would reach agents many times over: 50,000 a
-	// second at one balancer made 100,000 datagrams a second to 140 agents. What goes
-	// over is dropped; a living caller sends it again after 200 ms.
+	// second at one balancer as some 100,000 datagrams a second to 140 agents (worked
+	// out). What goes over is dropped; a living caller sends it again after 200 ms.
 	searchesPerTick = 32
 	// probesPerTick bounds the packets that all searches hand to agents for their
 	// upstreams to tell. A tick comes every 5 ms, and later where the processor is
