registry: the first watch begins at once again

A balancer waited 40 ms after its first listing for the size of the fleet before it began a watch; two configurations came in that time, a newer version and then an older one, and it heard of both in one batch and adopted the last, which the other balancer had refused. Its log: listing at 43.7495, version 3 adopted at 43.7911, version 7 never. Ruled out: load alone (the wait is in every start); a reversal (its version rose from 1 to 3); versions that fall come from this spec, not from operators. Change: the wait is taken back; a balancer of a large fleet asks for a source at its first tick and gives up the watch that it has begun.

--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -32,11 +32,6 @@
 	// hintAfter is the age of a watch from which on a hint ends it: a younger
 	// one is about to tell the same.
 	hintAfter = 300 * time.Millisecond
-	// fleetTime is the time after the first listing within which agents tell how many
-	// balancers there are, sourceTime the time after it for finding one to listen to:
-	// one question and its answer, twice.
-	fleetTime  = 40 * time.Millisecond
-	sourceTime = 200 * time.Millisecond
 	// pausePart is the time that each balancer of the fleet adds to the pause
 	// after a watch that brought changes, within pauseLeast and pauseMost: a
 	// storm of changes costs few calls, whatever the size of the fleet.
@@ -67,8 +62,6 @@
 	Asked func([]steer.Agent)
 	// Balancers returns the number of balancers that follow the store.
 	Balancers func() int
-	// Shares reports whether this process looks for one to listen to, nil for never.
-	Shares func() bool
 	// Shared reports whether others rely on this process's watches, nil for never.
 	Shared func() bool
 
@@ -116,7 +109,6 @@
 		f.tell(err)
 		if first && f.listing != nil {
 			go f.askAgents(ctx)
-			f.awaitSource(ctx)
 		}
 		if err == nil {
 			backoff.Reset()
@@ -129,29 +121,6 @@
 	}
 }
 
-// awaitSource lets a balancer of a large fleet that has just read everything find one
-// to listen to before it begins a watch, which would be paid for and given up.
-func (f *Follower) awaitSource(ctx context.Context) {
-	if f.Shares == nil || wait.For(ctx, fleetTime) != nil || !f.Shares() {
-		return
-	}
-	timer := time.NewTimer(sourceTime)
-	defer timer.Stop()
-	for {
-		if _, ok := f.listensTo(); ok {
-			ring(f.news) // what is known there may be newer
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			return
-		case <-f.news:
-		}
-	}
-}
-
 // step reads everything, or watches for changes once it has.
 func (f *Follower) step(ctx context.Context) error {
 	if f.listing == nil {
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -129,7 +129,6 @@
 	b.follower.Balancers = b.balancers
 	b.follower.Known = b.known
 	b.follower.Asked = b.peersAsked
-	b.follower.Shares = b.shares
 	b.follower.Shared = b.shared
 	b.follower.Heard = b.heard
 	b.gauges()
--- a/internal/packetface/role/sharing.go
+++ b/internal/packetface/role/sharing.go
@@ -95,11 +95,6 @@
 	}
 }
 
-// shares reports whether the fleet is large enough for shared watches.
-func (b *balancer) shares() bool {
-	return b.env.Policies.On(policy.SharedWatches) && b.balancers() >= watchshare.FleetLeast
-}
-
 // shared reports whether others rely on this process's watches.
 func (b *balancer) shared() bool {
 	b.mu.Lock()
--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -49,9 +49,9 @@
 	// maxListeners bounds those of one watcher: at two requests and answers a second
 	// each they take some 1% of a core.
 	maxListeners = 256
-	// FleetLeast is the number of balancers from which on watches are shared: with
+	// fleetLeast is the number of balancers from which on watches are shared: with
 	// fewer, the answers that listeners rely on cost as much as is saved.
-	FleetLeast = 12
+	fleetLeast = 12
 )
 
 // Send is a message to the balancer of a host: news, or a request to listen if there
@@ -219,7 +219,7 @@
 		return nil
 	case s.source.IsValid():
 		return s.tickListening(now)
-	case balancers < FleetLeast || len(s.seeds) == 0 || s.heard == 0 || s.Listeners(now) > 0:
+	case balancers < fleetLeast || len(s.seeds) == 0 || s.heard == 0 || s.Listeners(now) > 0:
 		return nil
 	case now >= s.nextAsk: // at once after the start
 		s.lookLater(now)
