--- a/internal/packetface/registry/changes.go
+++ b/internal/packetface/registry/changes.go
@@ -68,7 +68,7 @@
 	Items []platform.Item
 }
 
-// log is the newest listing with the changes that led to it, for others. It never
+// changeLog is the newest listing with the changes that led to it, for others. It never
 // changes.
 type changeLog struct {
 	shared  *Shared
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -149,7 +149,6 @@
 	}
 	f.revision = revision
 	if len(changes) == 0 {
-		f.listing.AsOf = max(f.listing.AsOf, revision)
 		return nil
 	}
 	f.apply(changes, revision)
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -277,8 +277,8 @@
 	b.checkReady()
 }
 
-// heard notes that the store has answered, or that the news of another balancer tells
-// that it has.
+// heard notes that a step of following the store has succeeded: a call, or changes
+// taken from the source, whose word is not this process's own.
 func (b *balancer) heard() {
 	now := b.clock()
 	b.storeHeard.Store(int64(now))
--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -77,10 +77,12 @@
 	// answered it, newsAt when its last news came.
 	told              uint64
 	confirmed, newsAt time.Duration
-	// asked is the balancer that was asked last and has not answered, refused the one
-	// that answered that it does not watch.
-	asked     netip.Addr
-	nextAsk   time.Duration
+	// asked is the balancer that was asked last and has not answered, nextAsk when
+	// the next one is asked.
+	asked   netip.Addr
+	nextAsk time.Duration
+	// listeners are the balancers that rely on this one, with their last requests;
+	// leaving tells that it has been told to stop.
 	listeners map[netip.Addr]time.Duration
 	leaving   bool
 }
