evacuation: no new flow reaches a data centre that operators want empty

Ruled out: agents that watch the store themselves (one watch an agent, some 40 calls a minute each; balancers have the news already). Change: a pure record that is exact at its revision of the store and never goes back; balancers choose elsewhere and tell agents there until they know; the agent keeps the newest word of any balancer and is the last gate, also for openings that nobody else takes; a balancer that the store turns away hears it from agents. Opening packets, polls and statuses grow by 9 bytes, packets of known flows by none. A service evacuated whole resets at once.

--- a/cmd/saltbend/packetstatus.go
+++ b/cmd/saltbend/packetstatus.go
@@ -133,6 +133,10 @@
 	if v.Late {
 		notes = append(notes, "older configuration")
 	}
+	for _, e := range v.Evacuations {
+		known := time.Duration(e.KnownForMS) * time.Millisecond
+		notes = append(notes, fmt.Sprintf("%s evacuated at revision %d, known for %s", e.DataCentre, e.Revision, known))
+	}
 	if v.ListensTo != "" {
 		notes = append(notes, "listens to "+v.ListensTo)
 	}
@@ -199,6 +203,8 @@
 		return "silent"
 	case a.Unlisted:
 		return "not in the store"
+	case a.Evacuated:
+		return "evacuated"
 	}
 	return ""
 }
--- a/cmd/saltbendd/packetreload.go
+++ b/cmd/saltbendd/packetreload.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"reflect"
 	"time"
 
 	"github.com/saltbend/saltbend/platform"
@@ -36,7 +37,7 @@
 	first := w.text == nil
 	w.text = text
 	host, err := w.settings.parse(text)
-	if first && err == nil && host == w.host {
+	if first && err == nil && reflect.DeepEqual(host, w.host) {
 		return // as it was at the start
 	}
 	w.take(host, err)
@@ -63,7 +64,8 @@
 	}
 	fixed := host
 	fixed.Changeable, fixed.FirstStart = w.host.Changeable, w.host.FirstStart
-	if host.Changeable == w.host.Changeable && fixed == w.host {
+	same := reflect.DeepEqual(fixed, w.host)
+	if host.Changeable == w.host.Changeable && same {
 		w.log.Info("Settings read again, nothing differs.")
 	}
 	if host.Changeable != w.host.Changeable {
@@ -72,7 +74,7 @@
 			"flow_max_age_ms", host.FlowMaxAge.Milliseconds(), "seeds", host.Seeds)
 		w.hand(host.Changeable)
 	}
-	if fixed != w.host {
+	if !same {
 		w.log.Warn("Addresses, data centre or service differ; they take effect at the next start.",
 			"packets", host.Packets.String(), "dc", host.DataCentre, "service", host.Service)
 	}
--- /dev/null
+++ b/internal/packetface/evacuation/evacuation_test.go
@@ -0,0 +1,135 @@
+package evacuation_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
+)
+
+func request(dataCentre string, revision uint64) evacuation.Request {
+	return evacuation.Request{DataCentre: dataCentre, Revision: revision}
+}
+
+func asked(dataCentre string, revision uint64) evacuation.Change {
+	return evacuation.Change{Request: request(dataCentre, revision)}
+}
+
+func withdrawn(dataCentre string, revision uint64) evacuation.Change {
+	return evacuation.Change{Request: request(dataCentre, revision), Withdrawn: true}
+}
+
+// A watch that begins at an older revision tells changes once more.
+func TestChangesToldTwiceDoNotGoBack(t *testing.T) {
+	g := NewWithT(t)
+	var r evacuation.Record
+	history := []evacuation.Change{asked("a", 10), withdrawn("a", 15)}
+	g.Expect(r.Apply(history, 20)).To(BeTrue())
+	g.Expect(r.Apply(history[:1], 12)).To(BeFalse())
+	g.Expect(r.Word("a")).To(Equal(evacuation.Word{AsOf: 20}))
+}
+
+// A balancer that is turned away by the store tells what it knew.
+func TestAnOlderListingBringsNothingBack(t *testing.T) {
+	g := NewWithT(t)
+	var r evacuation.Record
+	r.Apply([]evacuation.Change{asked("a", 10), withdrawn("a", 15), asked("b", 18)}, 20)
+	g.Expect(r.Replace([]evacuation.Request{request("a", 10)}, 12)).To(BeFalse())
+	g.Expect(r.Requests()).To(Equal([]evacuation.Request{request("b", 18)}))
+}
+
+func TestANewerListingWithdrawsWhatItLacks(t *testing.T) {
+	g := NewWithT(t)
+	var r evacuation.Record
+	r.Apply([]evacuation.Change{asked("a", 10)}, 10)
+	g.Expect(r.Replace(nil, 30)).To(BeTrue())
+	g.Expect(r.Word("a")).To(Equal(evacuation.Word{AsOf: 30}))
+}
+
+// Pages of a reading are not one moment: an entry may be newer than the first page.
+func TestARequestAboveTheReadingsRevisionStays(t *testing.T) {
+	g := NewWithT(t)
+	var r evacuation.Record
+	g.Expect(r.Replace([]evacuation.Request{request("a", 25)}, 20)).To(BeTrue())
+	g.Expect(r.Word("a")).To(Equal(evacuation.Word{Evacuated: true, AsOf: 25}))
+	r.Apply([]evacuation.Change{asked("a", 18), withdrawn("a", 22), asked("a", 25)}, 26)
+	g.Expect(r.Word("a").Evacuated).To(BeTrue())
+}
+
+func TestOfTwoWordsTheOneThatKnowsMoreCounts(t *testing.T) {
+	g := NewWithT(t)
+	old := evacuation.Word{Evacuated: true, AsOf: 10}
+	over := evacuation.Word{AsOf: 15}
+	g.Expect(old.Newer(over)).To(Equal(over))
+	g.Expect(over.Newer(old)).To(Equal(over))
+	g.Expect(evacuation.Word{AsOf: 10}.Newer(old)).To(Equal(old))
+}
+
+// history is what an operator did, change by change.
+type history struct {
+	changes []evacuation.Change
+	// last is the store's last revision.
+	last uint64
+}
+
+var dataCentres = []string{"a", "b", "c"}
+
+func drawHistory(t *rapid.T) history {
+	h := history{last: 1}
+	for range rapid.IntRange(0, 12).Draw(t, "changes") {
+		h.last += rapid.Uint64Range(1, 3).Draw(t, "gap")
+		name := rapid.SampledFrom(dataCentres).Draw(t, "dc")
+		h.changes = append(h.changes, evacuation.Change{Request: request(name, h.last), Withdrawn: rapid.Bool().Draw(t, "withdrawn")})
+	}
+	return h
+}
+
+// at returns all requests that stand at a revision.
+func (h history) at(revision uint64) []evacuation.Request {
+	var r evacuation.Record
+	r.Apply(h.until(0, revision), revision)
+	return r.Requests()
+}
+
+// until returns the changes after one revision up to another.
+func (h history) until(after, to uint64) (out []evacuation.Change) {
+	for _, c := range h.changes {
+		if c.Revision > after && c.Revision <= to {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Whatever order the news comes in, what a process knows as of a revision is how it
+// was then, and it never knows less than before.
+func TestARecordIsExactAtItsRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		var r evacuation.Record
+		newest := uint64(0)
+		for range rapid.IntRange(1, 12).Draw(t, "news") {
+			asOf := rapid.Uint64Range(0, h.last+2).Draw(t, "as of")
+			if rapid.Bool().Draw(t, "whole") {
+				r.Replace(h.at(asOf), asOf)
+			} else {
+				after := rapid.Uint64Range(0, max(newest, 0)).Draw(t, "after")
+				r.Apply(h.until(after, max(asOf, after)), max(asOf, after))
+				asOf = max(asOf, after)
+			}
+			newest = max(newest, asOf)
+			standing := map[string]bool{}
+			for _, q := range h.at(newest) {
+				standing[q.DataCentre] = true
+			}
+			for _, name := range dataCentres {
+				word := r.Word(name)
+				if word.AsOf != newest || word.Evacuated != standing[name] {
+					t.Fatalf("%s as of %d: %+v, evacuated: %v", name, newest, word, standing[name])
+				}
+			}
+		}
+	})
+}
--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -20,13 +20,14 @@
 		return err
 	}
 	g.hearKnown(from, head.Known)
+	g.hearEvacuation(now, from, head.Evacuation)
 	g.listedSlots = max(int(head.Slots), g.listedSlots)
 	id := p.FromCaller()
 	reason := g.refusal(now, id, head)
 	if reason == 0 {
 		g.admit(now, from, id, p.CopyAge(), repeatedAfter(head.Flags), packet)
 	}
-	if head.Flags&inner.FlagStatus != 0 {
+	if head.Flags&inner.FlagStatus != 0 || reason == inner.ReasonEvacuated {
 		g.sendStatus(now, from) // before the packet that it decides on comes back
 	}
 	if reason != 0 {
@@ -43,6 +44,8 @@
 		return inner.ReasonService
 	case g.upstream.down || g.upstream.left || g.upstream.silent:
 		return inner.ReasonDown
+	case g.keptOut(id):
+		return inner.ReasonEvacuated
 	case g.flows[id] != nil && !g.upstream.draining:
 		return 0 // a copy of an opening packet that was let in
 	case g.upstream.draining && (!must || now-g.upstream.drained > g.settings.DrainWithin-drainMargin):
--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -11,12 +11,13 @@
 )
 
 func (g *Gate) fromPoll(now time.Duration, from netip.AddrPort, b []byte) error {
-	flags, known, err := inner.ParsePoll(b)
+	poll, err := inner.ParsePoll(b)
 	if err != nil {
 		return err
 	}
-	g.hearKnown(from, known)
-	if flags&inner.FlagUnlisted != 0 && !g.unlisted {
+	g.hearKnown(from, poll.Known)
+	g.hearEvacuation(now, from, poll.Evacuation)
+	if poll.Flags&inner.FlagUnlisted != 0 && !g.unlisted {
 		g.unlisted = true
 		g.note(now, Note{Kind: KindUnlisted, Peer: from})
 	}
@@ -120,7 +121,7 @@
 	return inner.Status{
 		State: g.state(now), StateFor: now - g.stateSince, Incarnation: g.settings.Incarnation, Known: g.told(), Source: g.source,
 		Running: g.load(), Slots: uint16(u.slots), Flows: uint32(g.open),
-		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd,
+		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd, Evacuation: g.evacuation,
 	}
 }
 
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/admission"
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/outcome"
 	"github.com/saltbend/saltbend/internal/packetface/policy"
@@ -78,6 +79,8 @@
 	KindWaited   Kind = "waited"
 	KindSlow     Kind = "slow-answer"
 	KindVerdict  Kind = "verdict"
+	// KindEvacuation tells that the data centre is evacuated, or taken back.
+	KindEvacuation Kind = "evacuation"
 	// KindAbandoned tells of a request whose caller gave up while it waited.
 	KindAbandoned Kind = "abandoned"
 )
@@ -88,6 +91,8 @@
 	Flow   platform.Flow
 	Peer   netip.AddrPort
 	Reason string
+	// Detail tells more than the reason, for the log alone.
+	Detail string
 	// Version is that of the configuration decided by.
 	Version uint64
 	// Running is the number of requests that the upstream works on.
@@ -191,6 +196,8 @@
 	ended []string
 	claim claim
 	known inner.Known
+	// evacuation is the newest word on the data centre.
+	evacuation evacuation.Word
 	// source is the host of the balancer that told of the newest.
 	source [4]byte
 	// judge judges the upstream, trial is when a flow was let in to try it, 0 for
--- a/internal/packetface/gate/gate_test.go
+++ b/internal/packetface/gate/gate_test.go
@@ -154,7 +154,7 @@
 
 func (b *bench) settle() {
 	b.gate.SetSeen(b.now, 5)
-	b.balancerSends(inner.AppendPoll(nil, 0, inner.Known{Listing: 5}))
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Known: inner.Known{Listing: 5}}))
 }
 
 func TestOpeningPacketsAreRefusedAtTheLastGate(t *testing.T) {
--- a/internal/packetface/gate/life_test.go
+++ b/internal/packetface/gate/life_test.go
@@ -116,7 +116,7 @@
 func TestHeartbeatsThatAreBackAreAnnounced(t *testing.T) {
 	b := newBench(t)
 	b.begin("a")
-	b.balancerSends(inner.AppendPoll(nil, 0, inner.Known{}))
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Known: inner.Known{}}))
 	b.now += 5 * second
 	b.last = b.gate.Tick(b.now)
 	b.Expect(b.states()).To(Equal([]inner.State{inner.StateSilent}))
--- a/internal/packetface/gate/start_test.go
+++ b/internal/packetface/gate/start_test.go
@@ -31,9 +31,9 @@
 func TestTheNewestRevisionIsTold(t *testing.T) {
 	b := newBench(t)
 	b.gate.SetSeen(b.now, 30)
-	b.balancerSends(inner.AppendPoll(nil, 0, inner.Known{Listing: 20, Version: 4}))
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Known: inner.Known{Listing: 20, Version: 4}}))
 	b.Expect(b.gate.Status(b.now).Known).To(Equal(inner.Known{Version: 4, Listing: 30}))
-	b.balancerSends(inner.AppendPoll(nil, 0, inner.Known{Listing: 40}))
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Known: inner.Known{Listing: 40}}))
 	b.Expect(b.gate.Status(b.now).Known.Listing).To(BeEquivalentTo(40))
 }
 
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -18,16 +19,16 @@
 
 // Kinds of datagrams; their sizes are given without the packet.
 const (
-	// KindOpen carries a packet that opens a flow to an agent (29 bytes).
+	// KindOpen carries a packet that opens a flow to an agent (38 bytes).
 	KindOpen Kind = iota + 1
 	// KindForward carries another packet of a flow to an agent (5 bytes).
 	KindForward
 	// KindAsk asks an agent whether its upstream holds some flows (1 byte and 16
 	// bytes a flow).
 	KindAsk
-	// KindPoll asks an agent for its status (18 bytes).
+	// KindPoll asks an agent for its status (27 bytes).
 	KindPoll
-	// KindStatus tells a balancer how an agent and its upstream are (45 bytes).
+	// KindStatus tells a balancer how an agent and its upstream are (54 bytes).
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (12 bytes).
 	KindReturned
@@ -70,6 +71,16 @@
 	Slots uint16
 	// Known is what the balancer decided by.
 	Known Known
+	// Evacuation is what the balancer knows of the agent's data centre.
+	Evacuation evacuation.Word
+}
+
+// Poll asks for a status.
+type Poll struct {
+	Flags Flags
+	// Known and Evacuation are the same as in Open.
+	Known      Known
+	Evacuation evacuation.Word
 }
 
 // Known tells how new the beliefs of a process are. Agents pass on the newest
@@ -108,6 +119,8 @@
 	Balancers uint16
 	// Cold tells that the upstream has only just started.
 	Cold bool
+	// Evacuation is the newest that the agent has heard of its data centre.
+	Evacuation evacuation.Word
 }
 
 // ErrDatagram says that a datagram could not be read.
@@ -115,15 +128,16 @@
 
 // Sizes of the fixed parts in bytes.
 const (
-	openSize     = 3 + 8 + 2 + knownSize
+	openSize     = 3 + 8 + 2 + knownSize + wordSize
 	knownSize    = 8 + 8
+	wordSize     = 1 + 8
 	forwardSize  = 5
 	flowSize     = 4 + 4 + 2 + 2
 	questionSize = flowSize + 4
 	verdictSize  = 1 + flowSize
 	answerHead   = 1 + 8
-	pollSize     = 2 + knownSize
-	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4
+	pollSize     = 2 + knownSize + wordSize
+	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4 + wordSize
 	returnedSize = 2 + 8 + 2
 
 	// MaxBusyHops is how many agents may give an opening packet back as all slots
@@ -154,6 +168,7 @@
 	b = binary.BigEndian.AppendUint64(b, o.Service)
 	b = binary.BigEndian.AppendUint16(b, o.Slots)
 	b = appendKnown(b, o.Known)
+	b = appendWord(b, o.Evacuation)
 	return append(b, packet...)
 }
 
@@ -165,6 +180,7 @@
 	o = Open{
 		Flags: Flags(b[1]), Hops: b[2],
 		Service: binary.BigEndian.Uint64(b[3:]), Slots: binary.BigEndian.Uint16(b[11:]), Known: parseKnown(b[13:]),
+		Evacuation: parseWord(b[13+knownSize:]),
 	}
 	return o, b[openSize:], nil
 }
@@ -199,16 +215,17 @@
 }
 
 // AppendPoll appends a datagram of KindPoll.
-func AppendPoll(b []byte, flags Flags, known Known) []byte {
-	return appendKnown(append(b, byte(KindPoll), byte(flags)), known)
+func AppendPoll(b []byte, p Poll) []byte {
+	b = appendKnown(append(b, byte(KindPoll), byte(p.Flags)), p.Known)
+	return appendWord(b, p.Evacuation)
 }
 
 // ParsePoll reads a datagram of KindPoll.
-func ParsePoll(b []byte) (flags Flags, known Known, err error) {
+func ParsePoll(b []byte) (Poll, error) {
 	if len(b) != pollSize || KindOf(b) != KindPoll {
-		return 0, Known{}, ErrDatagram
+		return Poll{}, ErrDatagram
 	}
-	return Flags(b[1]), parseKnown(b[2:]), nil
+	return Poll{Flags: Flags(b[1]), Known: parseKnown(b[2:]), Evacuation: parseWord(b[2+knownSize:])}, nil
 }
 
 // AppendStatus appends a datagram of KindStatus.
@@ -226,7 +243,8 @@
 		cold = 1
 	}
 	b = append(b, cold)
-	return append(b, s.Source[:]...)
+	b = append(b, s.Source[:]...)
+	return appendWord(b, s.Evacuation)
 }
 
 // ParseStatus reads a datagram of KindStatus.
@@ -245,6 +263,7 @@
 		Balancers:   binary.BigEndian.Uint16(b[38:]),
 		Cold:        b[40] != 0,
 		Source:      [4]byte(b[41:]),
+		Evacuation:  parseWord(b[45:]),
 	}, nil
 }
 
@@ -314,6 +333,18 @@
 	return Known{Version: binary.BigEndian.Uint64(b), Listing: binary.BigEndian.Uint64(b[8:])}
 }
 
+func appendWord(b []byte, w evacuation.Word) []byte {
+	evacuated := byte(0)
+	if w.Evacuated {
+		evacuated = 1
+	}
+	return binary.BigEndian.AppendUint64(append(b, evacuated), w.AsOf)
+}
+
+func parseWord(b []byte) evacuation.Word {
+	return evacuation.Word{Evacuated: b[0] != 0, AsOf: binary.BigEndian.Uint64(b[1:])}
+}
+
 func appendFlow(b []byte, f platform.Flow) []byte {
 	b = append(b, f.Caller[:]...)
 	b = append(b, f.Face[:]...)
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -23,13 +24,17 @@
 	return inner.Known{Version: rapid.Uint64().Draw(t, "version"), Listing: rapid.Uint64().Draw(t, "listing")}
 }
 
+func drawWord(t *rapid.T) evacuation.Word {
+	return evacuation.Word{Evacuated: rapid.Bool().Draw(t, "evacuated"), AsOf: rapid.Uint64().Draw(t, "as of")}
+}
+
 func TestDatagramsKeepWhatTheyCarry(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		packet := rapid.SliceOfN(rapid.Byte(), 0, platform.MaxPacketSize).Draw(t, "packet")
 		flags := inner.Flags(rapid.Byte().Draw(t, "flags"))
 
-		open := inner.Open{Flags: flags, Hops: rapid.Byte().Draw(t, "hops"), Service: rapid.Uint64().Draw(t, "service"), Slots: rapid.Uint16().Draw(t, "open slots"), Known: drawKnown(t)}
+		open := inner.Open{Flags: flags, Hops: rapid.Byte().Draw(t, "hops"), Service: rapid.Uint64().Draw(t, "service"), Slots: rapid.Uint16().Draw(t, "open slots"), Known: drawKnown(t), Evacuation: drawWord(t)}
 		b := inner.AppendOpen(nil, open, packet)
 		g.Expect(len(b)).To(BeNumerically("<=", inner.MaxSize))
 		gotOpen, gotPacket, err := inner.ParseOpen(b)
@@ -47,17 +52,18 @@
 		g.Expect(string(gotPacket)).To(Equal(string(packet)))
 
 		known := drawKnown(t)
-		gotFlags, gotKnown, err := inner.ParsePoll(inner.AppendPoll(nil, flags, known))
+		poll := inner.Poll{Flags: flags, Known: known, Evacuation: drawWord(t)}
+		gotPoll, err := inner.ParsePoll(inner.AppendPoll(nil, poll))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(gotFlags).To(Equal(flags))
-		g.Expect(gotKnown).To(Equal(known))
+		g.Expect(gotPoll).To(Equal(poll))
 
 		status := inner.Status{
 			State: inner.State(rapid.Byte().Draw(t, "state")), Incarnation: rapid.Uint64().Draw(t, "incarnation"), Known: known,
 			Running: rapid.Uint16().Draw(t, "running"), Slots: rapid.Uint16().Draw(t, "slots"), Flows: rapid.Uint32().Draw(t, "flows"),
 			StateFor:  time.Duration(rapid.Uint32().Draw(t, "latency")) * time.Millisecond,
 			Balancers: rapid.Uint16().Draw(t, "balancers"), Cold: rapid.Bool().Draw(t, "cold"),
-			Source: [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "source")),
+			Source:     [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "source")),
+			Evacuation: drawWord(t),
 		}
 		gotStatus, err := inner.ParseStatus(inner.AppendStatus(nil, status))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -112,7 +118,7 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, _, _ = inner.ParseOpen(b)
 		_, _, _ = inner.ParseForward(b)
-		_, _, _ = inner.ParsePoll(b)
+		_, _ = inner.ParsePoll(b)
 		_, _ = inner.ParseStatus(b)
 		_, _, _ = inner.ParseReturned(b)
 		if questions, err := inner.ParseAsk(nil, b); err == nil && len(questions) == 0 {
--- a/internal/packetface/inner/state.go
+++ b/internal/packetface/inner/state.go
@@ -5,17 +5,18 @@
 
 // Reasons for returning a packet.
 const (
-	ReasonService  Reason = iota + 1 // the agent serves another service
-	ReasonDraining                   // the upstream is leaving or the agent stops
-	ReasonDown                       // no upstream is there
-	ReasonBusy                       // all slots are taken
-	ReasonBounced                    // the upstream returned the packet
-	ReasonUnknown                    // the upstream does not hold the flow
-	ReasonUnsure                     // the same, as VerdictUnsure says it
-	ReasonFailing                    // the upstream fails what it gets
+	ReasonService   Reason = iota + 1 // the agent serves another service
+	ReasonDraining                    // the upstream is leaving or the agent stops
+	ReasonDown                        // no upstream is there
+	ReasonBusy                        // all slots are taken
+	ReasonBounced                     // the upstream returned the packet
+	ReasonUnknown                     // the upstream does not hold the flow
+	ReasonUnsure                      // the same, as VerdictUnsure says it
+	ReasonFailing                     // the upstream fails what it gets
+	ReasonEvacuated                   // the data centre is to be emptied
 )
 
-var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing"}
+var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing", "evacuated"}
 
 // String returns the reason's name in logs and metrics.
 func (r Reason) String() string {
--- /dev/null
+++ b/internal/packetface/registry/evacuations_test.go
@@ -0,0 +1,70 @@
+package registry_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/platform"
+)
+
+func evacuate(dataCentre string, revision uint64) platform.Item {
+	return platform.Item{Entry: store.Entry{Key: platform.EvacuationKey(dataCentre), Revision: revision, Value: []byte("{}")}}
+}
+
+func withdraw(dataCentre string, revision uint64) platform.Item {
+	item := evacuate(dataCentre, revision)
+	item.Value, item.Removed = nil, true
+	return item
+}
+
+func TestAListingHoldsEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	l, unreadable := registry.NewListing([]platform.Item{evacuate("a", 5)}, 7)
+	g.Expect(unreadable).To(BeEmpty())
+	record := l.Evacuations()
+	g.Expect(record.Word("a")).To(Equal(evacuation.Word{Evacuated: true, AsOf: 7}))
+	l.Apply([]platform.Item{withdraw("a", 9), evacuate("b", 10)}, 10)
+	record = l.Evacuations()
+	g.Expect(record.Requests()).To(Equal([]evacuation.Request{{DataCentre: "b", Revision: 10}}))
+}
+
+// What a request's value says does not matter, nor that no host is there.
+func TestAnEmptyValueEvacuates(t *testing.T) {
+	g := NewWithT(t)
+	item := evacuate("nowhere", 5)
+	item.Value = nil
+	l, _ := registry.NewListing([]platform.Item{item}, 5)
+	record := l.Evacuations()
+	g.Expect(record.Word("nowhere").Evacuated).To(BeTrue())
+}
+
+// A balancer that the store turns away learns from another one.
+func TestEvacuationsAreLearnedFromAPeer(t *testing.T) {
+	g := NewWithT(t)
+	knows, _ := registry.NewListing([]platform.Item{evacuate("b", 8)}, 12)
+	lacks, _ := registry.NewListing([]platform.Item{evacuate("a", 5)}, 7)
+	changed, _ := lacks.Merge(knows.Shared())
+	g.Expect(changed).To(BeTrue())
+	record := lacks.Evacuations()
+	g.Expect(record.Requests()).To(Equal([]evacuation.Request{{DataCentre: "b", Revision: 8}}), "a was taken back meanwhile")
+	changed, _ = lacks.Merge(knows.Shared())
+	g.Expect(changed).To(BeFalse())
+	stale, _ := registry.NewListing([]platform.Item{evacuate("a", 5)}, 7)
+	changed, _ = lacks.Merge(stale.Shared())
+	g.Expect(changed).To(BeFalse())
+}
+
+// A watch that begins at an older revision than a peer's word tells what is over.
+func TestAReplayedWatchBringsNoEvacuationBack(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := registry.NewListing(nil, 3)
+	over, _ := registry.NewListing(nil, 20)
+	l.Merge(over.Shared())
+	l.Apply([]platform.Item{evacuate("a", 5)}, 6)
+	record := l.Evacuations()
+	g.Expect(record.Word("a").Evacuated).To(BeFalse())
+}
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
@@ -22,6 +23,8 @@
 	ConfigRevision uint64
 	// AsOf is the store's revision up to which every change is known.
 	AsOf uint64
+	// evacuations are the operators' requests to empty data centres.
+	evacuations evacuation.Record
 	// newestAgent is the highest revision of an agent's entry seen.
 	newestAgent uint64
 }
@@ -48,6 +51,7 @@
 // as missing.
 func (l *Listing) Apply(changes []platform.Item, asOf uint64) (unreadable []error) {
 	l.AsOf = max(l.AsOf, asOf)
+	l.evacuations.Apply(evacuations(changes), asOf)
 	for _, change := range changes {
 		if change.Revision < l.entries[change.Key].Revision {
 			continue // a peer has told of a newer one
@@ -75,27 +79,58 @@
 	return unreadable
 }
 
+// evacuations returns the requests to empty data centres.
+func (s *Shared) evacuations() (out []evacuation.Request) {
+	for _, entry := range s.Entries {
+		if name, ok := platform.EvacuatedDataCentre(entry.Key); ok {
+			out = append(out, evacuation.Request{DataCentre: name, Revision: entry.Revision})
+		}
+	}
+	return out
+}
+
 // Age returns how new the list of agents is. An entry above AsOf was read before
 // all that came before it.
 func (l *Listing) Age() steer.ListAge {
 	return steer.ListAge{AsOf: l.AsOf, Newest: min(l.newestAgent, l.AsOf)}
 }
 
-// Shared returns the configuration and the agents as the store has them.
+// Shared returns the configuration, the requests to empty data centres and the agents
+// as the store has them.
 func (l *Listing) Shared() Shared {
-	return Shared{
-		AsOf:    l.AsOf,
-		Entries: slices.SortedFunc(maps.Values(l.entries), func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) }),
+	all := slices.Collect(maps.Values(l.entries))
+	for _, request := range l.evacuations.Requests() {
+		all = append(all, store.Entry{Key: platform.EvacuationKey(request.DataCentre), Revision: request.Revision})
 	}
+	slices.SortFunc(all, func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return Shared{AsOf: l.AsOf, Entries: all}
 }
 
-// Merge takes over what is newer in another's listing. Nothing is removed: what
+// Evacuations returns the operators' requests to empty data centres.
+func (l *Listing) Evacuations() evacuation.Record { return l.evacuations.Clone() }
+
+// evacuations returns the changes that ask to empty a data centre or take that back.
+func evacuations(changes []platform.Item) (out []evacuation.Change) {
+	for _, change := range changes {
+		if name, ok := platform.EvacuatedDataCentre(change.Key); ok {
+			request := evacuation.Request{DataCentre: name, Revision: change.Revision}
+			out = append(out, evacuation.Change{Request: request, Withdrawn: change.Removed})
+		}
+	}
+	return out
+}
+
+// Merge takes over what is newer in another's listing. No agent is removed: what
 // the other lacks may be newer than its listing. It reports whether anything
 // was newer.
 func (l *Listing) Merge(other Shared) (changed bool, unreadable []error) {
 	changed = other.AsOf > l.AsOf
+	changed = l.evacuations.Replace(other.evacuations(), other.AsOf) || changed
 	var newer []platform.Item
 	for _, entry := range other.Entries {
+		if _, is := platform.EvacuatedDataCentre(entry.Key); is {
+			continue // the record has it
+		}
 		if entry.Revision > l.entries[entry.Key].Revision {
 			newer = append(newer, platform.Item{Entry: entry})
 		}
--- a/internal/packetface/report/report.go
+++ b/internal/packetface/report/report.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 )
 
 // Balancer is what one balancer believes.
@@ -35,6 +37,8 @@
 	Flows     int     `json:"flows"`
 	Searches  int     `json:"searches"`
 	Agents    []Agent `json:"agents"`
+	// Evacuations are the data centres that operators want empty.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// Seeds are the control addresses of other balancers.
 	Seeds []netip.AddrPort `json:"seeds"`
 }
@@ -53,6 +57,15 @@
 	HeardAgeMS int64 `json:"heard_age_ms"`
 	Suspected  bool  `json:"suspected,omitempty"`
 	Unlisted   bool  `json:"unlisted,omitempty"`
+	// Evacuated tells that it gets no new flows: its data centre is to be emptied.
+	Evacuated bool `json:"evacuated,omitempty"`
+}
+
+// Evacuation is a request to empty a data centre, as a balancer knows it.
+type Evacuation struct {
+	evacuation.Request
+	// KnownForMS is the time since the balancer heard of it.
+	KnownForMS int64 `json:"known_for_ms"`
 }
 
 const (
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -55,6 +55,8 @@
 	seeds  []netip.AddrPort
 	timer  timer
 
+	// evacuations tells since when data centres are evacuated.
+	evacuations evacuations
 	// version is that of the configuration in force; the follower's goroutine
 	// writes it.
 	version  uint64
@@ -272,6 +274,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.adopt(l)
+	b.evacuate(l.Evacuations())
 	b.do(b.core.SetAgents(b.clock(), l.Agents(), l.Age()))
 	b.sendShare(b.share.Known(b.clock(), l.AsOf))
 	b.checkReady()
--- a/internal/packetface/role/notes.go
+++ b/internal/packetface/role/notes.go
@@ -102,6 +102,9 @@
 		}
 		attrs := flowAttrs(note.Flow, note.Peer, "balancer", note.Reason)
 		attrs = append(attrs, slog.Uint64("version", note.Version), slog.Int("running", note.Running))
+		if note.Detail != "" {
+			attrs = append(attrs, slog.String("detail", note.Detail))
+		}
 		if note.Age > 0 {
 			attrs = append(attrs, slog.Int64("heartbeat_age_ms", note.Age.Milliseconds()))
 		}
--- a/internal/packetface/role/status.go
+++ b/internal/packetface/role/status.go
@@ -20,6 +20,7 @@
 		StoreAgeMS: report.AgeMS(now, time.Duration(b.storeHeard.Load())),
 		Flows:      view.Counts.Flows, Searches: view.Counts.Asks, Agents: []report.Agent{}, Seeds: b.seeds,
 	}
+	out.Evacuations = b.evacuations.report(now, view.Evacuations)
 	if b.source.IsValid() {
 		out.ListensTo = b.source.String()
 	}
@@ -34,6 +35,6 @@
 	return report.Agent{
 		Address: a.Addr, DataCentre: a.DataCentre, Service: a.Service,
 		State: a.Status.State.String(), Running: int(a.Status.Running), Slots: int(a.Status.Slots), Flows: int(a.Status.Flows),
-		HeardAgeMS: report.AgeMS(now, a.Heard), Suspected: a.Suspected, Unlisted: a.Unlisted,
+		HeardAgeMS: report.AgeMS(now, a.Heard), Suspected: a.Suspected, Unlisted: a.Unlisted, Evacuated: a.Evacuated,
 	}
 }
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/search"
 )
@@ -73,6 +74,8 @@
 	pending int
 	// questions are those that wait to be sent.
 	questions []inner.Question
+	// evacuation is the newest word on its data centre.
+	evacuation evacuation.Word
 	// owed is the revision of a list that the agent has to know of.
 	owed uint64
 	// unlisted is since when the store does not list it, 0 if it does.
@@ -220,11 +223,14 @@
 	}
 	if a == nil {
 		delete(c.roster.gone, entry.Addr)
-		a = &agent{Agent: entry}
+		a = &agent{Agent: entry, evacuation: c.evacuations.Word(entry.DataCentre)}
 		c.roster.add(a)
 		c.note(Note{Kind: KindListed, Agent: a.Addr, Reason: entry.DataCentre})
 		return true
 	}
+	if a.DataCentre != entry.DataCentre {
+		a.evacuation = c.evacuations.Word(entry.DataCentre)
+	}
 	a.Agent, a.unlisted = entry, 0
 	return false
 }
@@ -259,7 +265,7 @@
 	}
 	a.asked(now)
 	start := len(c.buffer)
-	c.buffer = inner.AppendPoll(c.buffer, flags, c.known())
+	c.buffer = inner.AppendPoll(c.buffer, inner.Poll{Flags: flags, Known: c.known(), Evacuation: a.evacuation})
 	c.send(a.Addr, start)
 }
 
@@ -316,7 +322,7 @@
 	switch {
 	case a.unlisted != 0:
 		return since > unlistedPoll
-	case a.waiting == 0 && a.owed > a.status.Known.Listing:
+	case a.waiting == 0 && (a.owed > a.status.Known.Listing || a.misinformed() || a.pollEvacuated(now)):
 		return since > askAgain
 	case a.waiting == 0:
 		return false
--- a/internal/packetface/steer/choose.go
+++ b/internal/packetface/steer/choose.go
@@ -48,7 +48,7 @@
 	var best *agent
 	least, mean, panicking := 0.0, r.meanRunning(service), r.panicking(service)
 	for _, a := range r.byService[service] {
-		if !a.takes() && !(panicking && a.fails()) || slices.Contains(tried, a) {
+		if a.evacuation.Evacuated || !a.takes() && !(panicking && a.fails()) || slices.Contains(tried, a) {
 			continue
 		}
 		score := a.score(now, s, long, mean)
@@ -93,7 +93,7 @@
 	var best *agent
 	least, mean := 0.0, r.meanRunning(service)
 	for _, a := range r.byService[service] {
-		if a.status.State == inner.StateDown || a.status.State == inner.StateSilent || a.suspect(now) {
+		if a.evacuation.Evacuated || a.status.State == inner.StateDown || a.status.State == inner.StateSilent || a.suspect(now) {
 			continue
 		}
 		score := a.score(now, s, false, mean)
--- /dev/null
+++ b/internal/packetface/steer/evacuated_test.go
@@ -0,0 +1,188 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// recordOf returns a record that knows every change up to a revision.
+func recordOf(asOf uint64, dataCentres ...string) evacuation.Record {
+	var r evacuation.Record
+	var all []evacuation.Request
+	for _, name := range dataCentres {
+		all = append(all, evacuation.Request{DataCentre: name, Revision: asOf})
+	}
+	r.Replace(all, asOf)
+	return r
+}
+
+func (b *bench) evacuate(asOf uint64, dataCentres ...string) {
+	b.last = b.core.SetEvacuations(b.now, recordOf(asOf, dataCentres...))
+}
+
+func TestNewFlowsStayOutOfAnEvacuatedDataCentre(t *testing.T) {
+	b := newBench(t, at(1, "a"), at(2, "b"))
+	b.status(1, inner.Status{Slots: 4})
+	b.status(2, inner.Status{Slots: 4, Running: 40})
+	b.evacuate(5, "a")
+	b.Expect(b.sent(inner.KindPoll)).To(ContainElement(address(1, 1)), "its agents are told")
+	for n := range 20 {
+		b.callerSends(caller(n), platform.FlagSYN, 0)
+		b.Expect(b.sent(inner.KindOpen)).To(ConsistOf(address(2, 1)))
+	}
+	b.evacuate(9)
+	b.callerSends(caller(50), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(ConsistOf(address(1, 1)))
+}
+
+// The last resort for a flow that all have returned is none there either.
+func TestAServiceThatIsEvacuatedWholeTurnsAway(t *testing.T) {
+	b := newBench(t, at(1, "a"), at(2, "a"))
+	b.status(1, inner.Status{State: inner.StateFailing})
+	b.status(2, inner.Status{})
+	b.evacuate(5, "a")
+	b.wait(time.Second)
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(BeEmpty())
+	b.Expect(b.resets()).To(Equal(1))
+	b.Expect(b.notes(steer.KindReset)[0].Reason).To(Equal("service-evacuated"))
+}
+
+func TestOpenFlowsStayInAnEvacuatedDataCentre(t *testing.T) {
+	b := newBench(t, at(1, "a"))
+	b.status(1, inner.Status{})
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.callerSends(caller(1), platform.FlagACK, 20)
+	b.evacuate(5, "a")
+	b.callerSends(caller(1), platform.FlagACK, 20)
+	b.Expect(b.sent(inner.KindForward)).To(ConsistOf(address(1, 1)))
+}
+
+// A balancer that the store turns away hears of it from any agent there.
+func TestABalancerHearsOfAnEvacuationFromAnAgent(t *testing.T) {
+	b := newBench(t, at(1, "a"), at(2, "a"), at(3, "b"))
+	for n := range 3 {
+		b.status(n+1, inner.Status{Slots: 4})
+	}
+	b.wait(time.Second)
+	b.status(2, inner.Status{Slots: 4, Evacuation: evacuation.Word{Evacuated: true, AsOf: 8}})
+	b.Expect(b.notes(steer.KindNewer)).To(HaveLen(1))
+	for n := range 20 {
+		b.callerSends(caller(n), platform.FlagSYN, 0)
+		b.Expect(b.sent(inner.KindOpen)).To(ConsistOf(address(3, 1)))
+	}
+	b.evacuate(6) // an older copy of the store changes nothing
+	b.callerSends(caller(30), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(ConsistOf(address(3, 1)))
+}
+
+func TestAnAgentIsToldUntilItKnows(t *testing.T) {
+	b := newBench(t, at(1, "a"))
+	b.status(1, inner.Status{})
+	b.evacuate(5, "a")
+	b.status(1, inner.Status{})
+	b.now += 150 * time.Millisecond
+	b.last = b.core.Tick(b.now)
+	b.Expect(b.sent(inner.KindPoll)).NotTo(BeEmpty(), "its status shows that it does not know")
+}
+
+// What the operator has asked for, in the property test.
+type operator struct {
+	record evacuation.Record
+	// since is when the request that stands was made, 0 for none.
+	since time.Duration
+}
+
+// evacuateOrTakeBack changes what the operator asks for data centre b.
+func (w *world) evacuateOrTakeBack(o *operator) {
+	w.revision++
+	request := evacuation.Request{DataCentre: "b", Revision: w.revision}
+	o.record.Apply([]evacuation.Change{{Request: request, Withdrawn: o.since != 0}}, w.revision)
+	if o.since == 0 {
+		o.since = w.now
+	} else {
+		o.since = 0
+	}
+	w.tell("operator: evacuated %v as of %d", o.since != 0, w.revision)
+}
+
+// tellOperators lets balancers that the store serves read it.
+func (w *world) tellOperators(o *operator) {
+	for _, b := range w.balancers {
+		if !b.refused {
+			b.told.Replace(o.record.Requests(), w.revision)
+			w.fromBalancer(b.addr, b.core.SetEvacuations(w.now, b.told.Clone()))
+		}
+	}
+}
+
+const (
+	// newsTime is the time within which the store tells those that it serves of a
+	// change; evacuateWithin is that after which no opening may reach an upstream.
+	newsTime       = 300 * time.Millisecond
+	evacuateWithin = 3 * time.Second
+)
+
+// Whatever order the news comes in, and whoever is turned away by the store or starts
+// anew, no opening reaches an evacuated data centre later than the bound, while any
+// balancer has the store.
+func TestNoOpeningReachesAnEvacuatedDataCentre(t *testing.T) {
+	const mostLoss = 0.1
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorldOf(t, 4, 3, mostLoss, steer.DefaultAbsentAfter)
+		for i, s := range w.sites {
+			s.dataCentre = string("ab"[i%2])
+		}
+		for _, b := range w.balancers {
+			w.list(b, nil)
+		}
+		var o operator
+		w.opened = func(s *site, held bool) {
+			late := o.since != 0 && w.now-o.since > evacuateWithin && w.now-s.started > evacuateWithin
+			if s.dataCentre == "b" && late && !held {
+				w.t.Fatalf("at %s an opening reached %s, evacuated for %s\n%s", w.now, s.addr, w.now-o.since, w.story(platform.Flow{}))
+			}
+		}
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			w.evacuationStep(&o)
+		}
+	})
+}
+
+func (w *world) evacuationStep(o *operator) {
+	s := w.sites[w.random.IntN(len(w.sites))]
+	served := w.balancers[1:] // the first always has the store
+	switch rapid.IntRange(0, 8).Draw(w.t, "step") {
+	case 0, 1:
+		w.evacuateOrTakeBack(o)
+		w.openSome(3)
+		w.run(newsTime)
+		w.tellOperators(o)
+	case 2:
+		w.startAgent(s)
+		s.sequence = max(s.sequence, 1)
+	case 3: // it forgets what it heard from agents, and callers come before they answer
+		w.startBalancer(w.anyBalancer())
+		w.openSome(30)
+	case 4:
+		b := served[w.random.IntN(len(served))]
+		b.refused = !b.refused
+		w.tellOperators(o)
+	case 5:
+		w.losePower()
+	case 6:
+		w.heartbeat(s)
+	default:
+		w.openSome(6)
+	}
+	w.run(time.Duration(rapid.SampledFrom([]int{20, 300, 900, 3500}).Draw(w.t, "ms")) * time.Millisecond)
+	w.openSome(6)
+}
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -97,7 +97,7 @@
 func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
 	last := c.roster.last(now, service, c.settings)
 	if last == nil || f.agent == nil || f.lastTry {
-		c.turnAway(now, id, "no-upstream-takes-it", b)
+		c.turnAway(now, id, c.noneTakes(service), b)
 		return
 	}
 	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Took: now - f.placed, Reason: "last", Count: f.hops()})
@@ -105,6 +105,14 @@
 	c.sendOpen(now, f, last, route, id, b, inner.FlagMust)
 }
 
+// noneTakes returns why no agent of a service takes a flow.
+func (c *Core) noneTakes(service uint64) string {
+	if c.roster.evacuated(service) {
+		return "service-evacuated"
+	}
+	return "no-upstream-takes-it"
+}
+
 // turnAway resets a flow that nobody takes, so that its caller knows at once; nothing
 // of it has run. While the list of agents may lack some, the caller's next copy is
 // another try, and costs it none of its repetitions.
@@ -136,6 +144,7 @@
 	}
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
 		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Slots: c.roster.slots(a), Known: c.known(),
+		Evacuation: a.evacuation,
 	}, b)
 	c.send(a.Addr, start)
 }
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/packetface/routing"
@@ -131,10 +132,12 @@
 	idleLimit  time.Duration
 	roster     roster
 	former     formerServices
-	flows      map[platform.Flow]*flow
-	asks       map[platform.Flow]*ask
-	dead       map[platform.Flow]time.Duration
-	swept      time.Duration
+	// evacuations are the operators' requests to empty data centres.
+	evacuations evacuation.Record
+	flows       map[platform.Flow]*flow
+	asks        map[platform.Flow]*ask
+	dead        map[platform.Flow]time.Duration
+	swept       time.Duration
 	// ticked is when the last tick was, searching whether searches were under way
 	// then, slow how long after each other ticks come meanwhile, 0 for not known.
 	ticked, slow time.Duration
@@ -317,6 +320,7 @@
 	couldTell := a.status.State.Proven()
 	a.setStatus(s, now)
 	c.hearKnown(now, a, s.Known, s.Source)
+	c.hearOwnWord(now, a, s)
 	if !couldTell && s.State.Proven() {
 		c.askHeard(a)
 	}
@@ -336,11 +340,18 @@
 func (c *Core) hearKnown(now time.Duration, a *agent, heard inner.Known, source [4]byte) {
 	c.roster.newest = max(c.roster.newest, heard.Listing)
 	newer := heard.Version > c.known().Version || heard.Listing > c.roster.age.AsOf
-	if !newer || now-c.toldNewer < versionEvery {
+	if newer {
+		c.tellNewer(now, a, heard.Version, source)
+	}
+}
+
+// tellNewer tells that an agent has heard of what the balancer lacks, and from whom.
+func (c *Core) tellNewer(now time.Duration, a *agent, version uint64, source [4]byte) {
+	if now-c.toldNewer < versionEvery {
 		return
 	}
 	c.toldNewer = now
-	n := Note{Kind: KindNewer, Agent: a.Addr, Count: int(heard.Version)}
+	n := Note{Kind: KindNewer, Agent: a.Addr, Count: int(version)}
 	if source != ([4]byte{}) {
 		n.Source = netip.AddrFrom4(source)
 	}
--- a/internal/packetface/steer/view.go
+++ b/internal/packetface/steer/view.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 )
 
@@ -14,9 +15,11 @@
 	Routes int
 	// List is how new the list of agents is, Heard the highest revision of an
 	// entry that an agent has told of.
-	List   ListAge
-	Heard  uint64
-	Agents []AgentView
+	List  ListAge
+	Heard uint64
+	// Evacuations are the operators' requests to empty data centres.
+	Evacuations []evacuation.Request
+	Agents      []AgentView
 }
 
 // AgentView is what a Core believes of one agent.
@@ -30,18 +33,20 @@
 	// Heard is when the last datagram came, 0 for never.
 	Heard               time.Duration
 	Suspected, Unlisted bool
+	// Evacuated tells that it gets no new flows.
+	Evacuated bool
 }
 
 // View returns a copy of what is believed.
 func (c *Core) View(now time.Duration) View {
-	v := View{Counts: c.Counts(now), List: c.roster.age, Heard: c.roster.newest}
+	v := View{Counts: c.Counts(now), List: c.roster.age, Heard: c.roster.newest, Evacuations: c.evacuations.Requests()}
 	if c.table != nil {
 		v.Routes = c.table.Len()
 	}
 	for _, a := range c.roster.list {
 		v.Agents = append(v.Agents, AgentView{
 			Addr: a.Addr, Service: c.serviceName(a.Service), DataCentre: a.DataCentre, Status: a.status, Heard: a.heard,
-			Suspected: a.suspect(now), Unlisted: a.unlisted != 0,
+			Suspected: a.suspect(now), Unlisted: a.unlisted != 0, Evacuated: a.evacuation.Evacuated,
 		})
 	}
 	return v
--- a/internal/packetface/steer/world_test.go
+++ b/internal/packetface/steer/world_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/gate"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/routing"
@@ -32,6 +33,9 @@
 	life        int
 	sequence    uint64
 	incarnation uint64
+	dataCentre  string
+	// started is when the process last began.
+	started time.Duration
 	// due is when the process, started anew, is listed; 0 when that is past.
 	due time.Duration
 	// held are the flows that the upstream holds: true once they are open.
@@ -49,6 +53,8 @@
 	core *steer.Core
 	// refused tells that the store turns the balancer away.
 	refused bool
+	// told is what it was last told of evacuations.
+	told evacuation.Record
 }
 
 // world is a small fleet with a network that loses, doubles and delays.
@@ -77,6 +83,9 @@
 	// absentAfter is the setting of all balancers.
 	absentAfter time.Duration
 	revision    uint64
+	// opened, if any, is called with each opening packet that an upstream gets, and
+	// whether it holds the flow already.
+	opened func(s *site, held bool)
 }
 
 func address(host, port int) netip.AddrPort {
@@ -113,7 +122,7 @@
 }
 
 func (w *world) addSite() {
-	s := &site{addr: address(100+len(w.sites), 1), held: map[platform.Flow]bool{}}
+	s := &site{addr: address(100+len(w.sites), 1), dataCentre: "a", held: map[platform.Flow]bool{}}
 	w.sites, w.siteAt[s.addr] = append(w.sites, s), s
 	w.startAgent(s)
 	w.heartbeat(s)
@@ -142,6 +151,7 @@
 	c.SetTable(w.now, table(), time.Minute)
 	c.SetTableFresh(true)
 	b.core = c
+	w.fromBalancer(b.addr, c.SetEvacuations(w.now, b.told.Clone()))
 	w.list(b, nil)
 }
 
@@ -150,7 +160,7 @@
 	var agents []steer.Agent
 	for _, s := range w.sites {
 		if s != without && (s.due == 0 || s.incarnation > 1) {
-			agents = append(agents, steer.Agent{Addr: s.addr, Service: inner.ServiceID(service), DataCentre: "a", Slots: 2})
+			agents = append(agents, steer.Agent{Addr: s.addr, Service: inner.ServiceID(service), DataCentre: s.dataCentre, Slots: 2})
 		}
 	}
 	w.fromBalancer(b.addr, b.core.SetAgents(w.now, agents, listAge(w.revision)))
@@ -158,6 +168,7 @@
 
 func (w *world) startAgent(s *site) {
 	s.incarnation++
+	s.started = w.now
 	s.due = w.now + time.Duration(w.random.Int64N(int64(50*time.Millisecond)))
 	s.gate = gate.New(gate.Settings{
 		Service: service, CallerPort: callerPort,
@@ -292,6 +303,9 @@
 	open, held := s.held[id]
 	switch {
 	case p.IsOpening():
+		if w.opened != nil {
+			w.opened(s, held)
+		}
 		if !held {
 			s.held[id] = false
 		}
