registry: entries of other writers displace no agent

Cause: an entry that could not be read took its agent out of the list; one without a lease, which never goes, was taken for an agent's. Ruled out: passing over services that no configuration names: a route may have been moved from a service whose agents still hold its flows, and a search that lacked them would reset those. Change: an entry is an agent's if it is whole and under a lease; what overwrites one marks the agent as damaged, which is told to write its entry anew. Other balancers learn entries with their lease. Each kind is logged once, all are counted.

--- a/internal/packetface/registry/changes.go
+++ b/internal/packetface/registry/changes.go
@@ -81,9 +81,7 @@
 		return Changes{AsOf: l.changes.to, Items: items}
 	}
 	all := Changes{AsOf: l.shared.AsOf, Whole: true}
-	for _, entry := range l.shared.Entries {
-		all.Items = append(all.Items, platform.Item{Entry: entry})
-	}
+	all.Items = l.shared.Entries
 	return all
 }
 
--- a/internal/packetface/registry/entry.go
+++ b/internal/packetface/registry/entry.go
@@ -6,13 +6,14 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
-	"strings"
 
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/platform"
 )
 
 // agentPrefix starts the key of each agent's entry; its address follows.
@@ -31,6 +32,9 @@
 	Slots      int            `json:"slots"`
 }
 
+// maxSlots bounds the slots that an entry may name; more is no agent's word.
+const maxSlots = math.MaxUint16
+
 // ErrEntry says that an entry could not be read.
 var ErrEntry = errors.New("registry: unreadable entry")
 
@@ -45,19 +49,37 @@
 	return text
 }
 
-// parseEntry reads the entry of a key.
-func parseEntry(key string, value []byte) (steer.Agent, error) {
+// parseEntry reads an agent's entry. Others may write under the prefix, too: an entry is
+// an agent's only if it is whole and kept under a lease.
+func parseEntry(item platform.Item) (steer.Agent, error) {
+	if item.Lease == 0 {
+		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: lease is missing", item.Key)
+	}
+	if len(item.Value) > maxEntryBytes {
+		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: %d bytes", item.Key, len(item.Value))
+	}
 	var e Entry
-	if len(value) > maxEntryBytes {
-		return steer.Agent{}, errors.Wrapf(ErrEntry, "%d bytes", len(value))
+	if err := json.Unmarshal(item.Value, &e); err != nil {
+		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: %s", item.Key, err.Error())
 	}
-	if err := json.Unmarshal(value, &e); err != nil {
-		return steer.Agent{}, errors.Wrap(ErrEntry, err.Error())
+	if field := e.wrong(item.Key); field != "" {
+		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: %s is missing or wrong", item.Key, field)
 	}
-	if !e.Addr.IsValid() || key != agentKey(e.Addr) || e.Service == "" {
-		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %s", strings.TrimPrefix(key, agentPrefix))
+	return steer.Agent{Addr: e.Addr, Service: inner.ServiceID(e.Service), DataCentre: e.DataCentre, Slots: e.Slots}, nil
+}
+
+// wrong returns the name of a field that no agent writes so under the key, empty if all
+// are right.
+func (e *Entry) wrong(key string) string {
+	switch {
+	case !e.Addr.IsValid() || key != agentKey(e.Addr):
+		return "addr"
+	case e.Service == "":
+		return "service"
+	case e.DataCentre == "":
+		return "dc"
+	case e.Slots < 0 || e.Slots > maxSlots:
+		return "slots"
 	}
-	return steer.Agent{
-		Addr: e.Addr, Service: inner.ServiceID(e.Service), DataCentre: e.DataCentre, Slots: max(e.Slots, 0),
-	}, nil
+	return ""
 }
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"github.com/saltbend/saltbend/internal/logging"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/internal/packetface/watchshare"
 	"github.com/saltbend/saltbend/internal/seed"
@@ -40,6 +42,9 @@
 	pauseMost  = 1200 * time.Millisecond
 )
 
+// passedOver counts entries that no agent wrote.
+var passedOver = metrics.NewCounter(`saltbend_packet_entries_passed_over_total`)
+
 // everything is the prefix of all keys: one watch serves the configuration and
 // the agents.
 const everything = ""
@@ -83,6 +88,8 @@
 	peer  atomic.Pointer[netip.AddrPort]
 	seeds atomic.Pointer[[]netip.AddrPort]
 	peers http.Client
+	// foreign are the entries of other writers that were told of.
+	foreign logging.Once
 }
 
 // NewFollower returns a Follower; set its callbacks before Run.
@@ -267,7 +274,10 @@
 
 func (f *Follower) report(unreadable []error) {
 	for _, err := range unreadable {
-		f.Log.Warn("Entry passed over.", "error", err.Error())
+		passedOver.Inc()
+		if f.foreign.First(err.Error()) {
+			f.Log.Warn("Entry passed over.", "error", err.Error())
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/packetface/registry/foreign_test.go
@@ -0,0 +1,124 @@
+package registry_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/platform"
+)
+
+const entryKey = "saltbend/agents/10.0.0.1:1"
+
+const entryText = `{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":3}`
+
+// foreignEntries are texts under an agent's key that no agent writes.
+var foreignEntries = []string{
+	"", "{", "null", "[]", "\xff\xfe", `{"state":"ready"}`,
+	`{"addr":"10.0.0.1:1","service":"","dc":"a","slots":3}`,
+	`{"addr":"10.0.0.1:1","service":7,"dc":"a","slots":3}`,
+	`{"addr":"10.0.0.1:1","service":"s","slots":3}`,
+	`{"addr":"10.0.0.2:1","service":"s","dc":"a","slots":3}`,
+	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":-3}`,
+	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":1.5}`,
+	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":1e9}`,
+}
+
+func item(text string, revision, lease uint64) platform.Item {
+	return platform.Item{Entry: store.Entry{Key: entryKey, Value: []byte(text), Revision: revision}, Lease: lease}
+}
+
+// An entry that another writer wrote over changes nothing of what is known of the agent,
+// but that it is to write it anew.
+func TestAForeignEntryDisplacesNoAgent(t *testing.T) {
+	for _, text := range foreignEntries {
+		t.Run(text, func(t *testing.T) {
+			g := NewWithT(t)
+			l, unreadable := registry.NewListing([]platform.Item{item(entryText, 4, 7)}, 4)
+			g.Expect(unreadable).To(BeEmpty())
+			before := l.Agents()[0]
+			for _, lease := range []uint64{0, 7} {
+				g.Expect(l.Apply([]platform.Item{item(text, 5, lease)}, 5)).To(HaveLen(1))
+				before.Damaged = true
+				g.Expect(l.Agents()).To(Equal([]steer.Agent{before}))
+			}
+			g.Expect(l.Apply([]platform.Item{item(entryText, 6, 7)}, 6)).To(BeEmpty())
+			g.Expect(l.Agents()[0].Damaged).To(BeFalse())
+
+			fresh, unreadable := registry.NewListing([]platform.Item{item(text, 5, 7)}, 5)
+			g.Expect(unreadable).To(HaveLen(1))
+			g.Expect(fresh.Agents()).To(BeEmpty())
+		})
+	}
+}
+
+// One that is right but for the lease is nobody's: it would never go.
+func TestAnEntryWithoutALeaseIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	l, unreadable := registry.NewListing([]platform.Item{item(entryText, 4, 0)}, 4)
+	g.Expect(unreadable).To(HaveLen(1))
+	g.Expect(l.Agents()).To(BeEmpty())
+}
+
+// The agents reach others with the lease that shows whose they are.
+func TestAPeersEntriesKeepTheirLease(t *testing.T) {
+	g := NewWithT(t)
+	knows, _ := registry.NewListing([]platform.Item{item(entryText, 4, 7)}, 4)
+	l, _ := registry.NewListing(nil, 1)
+	_, unreadable := l.Merge(knows.Shared())
+	g.Expect(unreadable).To(BeEmpty())
+	g.Expect(l.Agents()).To(HaveLen(1))
+}
+
+// A whole round with the store: other writers' keys stop neither pages nor watches, and
+// the agent, once it is told, has its entry back.
+func TestAnOverwrittenEntryIsWrittenAnew(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put("saltbend/agents/garbage", []byte("{"))
+	f := prepare(t, fake, 1)
+	var mu sync.Mutex
+	var agents []steer.Agent
+	f.Changed = func(l *registry.Listing) {
+		mu.Lock()
+		defer mu.Unlock()
+		agents = l.Agents()
+	}
+	seen := func() []steer.Agent {
+		mu.Lock()
+		defer mu.Unlock()
+		return agents
+	}
+	f.start(t)
+	keeper, _ := publish(t, fake, "10.0.0.1:1")
+	g.Eventually(seen, patience).Should(HaveLen(1))
+	for _, text := range foreignEntries {
+		fake.Put(entryKey, []byte(text))
+		g.Eventually(func() bool { a := seen(); return len(a) == 1 && a[0].Damaged }, patience).Should(BeTrue())
+		g.Eventually(func() bool {
+			keeper.Hint()
+			a := seen()
+			return len(a) == 1 && !a[0].Damaged
+		}, patience, 50*time.Millisecond).Should(BeTrue())
+	}
+}
+
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte(entryText))
+	for _, text := range foreignEntries {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, _ := registry.NewListing([]platform.Item{item(string(text), 4, 7)}, 4)
+		for _, a := range l.Agents() {
+			if a.Addr.String() != "10.0.0.1:1" || a.DataCentre == "" || a.Slots < 0 || a.Service == 0 {
+				t.Fatalf("%+v was taken", a)
+			}
+		}
+	})
+}
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -16,7 +16,7 @@
 type Listing struct {
 	agents map[string]steer.Agent
 	// entries are the configuration and the agents as the store has them.
-	entries map[string]store.Entry
+	entries map[string]platform.Item
 	// Config is the text of the newest configuration, ConfigRevision the
 	// store's revision of it.
 	Config         []byte
@@ -32,7 +32,7 @@
 // Shared is what balancers tell each other of their listings.
 type Shared struct {
 	AsOf    uint64
-	Entries []store.Entry
+	Entries []platform.Item
 }
 
 // NewListing returns a Listing of all keys that a reading showed, and the
@@ -43,12 +43,12 @@
 }
 
 func emptyListing() *Listing {
-	return &Listing{agents: make(map[string]steer.Agent), entries: make(map[string]store.Entry)}
+	return &Listing{agents: make(map[string]steer.Agent), entries: make(map[string]platform.Item)}
 }
 
 // Apply takes over changes in their order, after which every change up to the
-// revision is known. Errors tell of entries that could not be read; they count
-// as missing.
+// revision is known. Errors tell of entries that no agent wrote: they change nothing of
+// what is known of the agent at the address, but that its entry is to be written anew.
 func (l *Listing) Apply(changes []platform.Item, asOf uint64) (unreadable []error) {
 	l.AsOf = max(l.AsOf, asOf)
 	l.evacuations.Apply(evacuations(changes), asOf)
@@ -59,20 +59,20 @@
 		switch {
 		case change.Key == platform.ConfigKey && !change.Removed:
 			l.Config, l.ConfigRevision = change.Value, change.Revision
-			l.entries[change.Key] = change.Entry
+			l.entries[change.Key] = change
 		case !strings.HasPrefix(change.Key, agentPrefix):
 		case change.Removed:
 			delete(l.agents, change.Key)
 			delete(l.entries, change.Key)
 		default:
-			agent, err := parseEntry(change.Key, change.Value)
+			agent, err := parseEntry(change)
 			if err != nil {
-				delete(l.agents, change.Key)
+				l.damage(change.Key)
 				unreadable = append(unreadable, err)
 				continue
 			}
 			l.agents[change.Key] = agent
-			l.entries[change.Key] = change.Entry
+			l.entries[change.Key] = change
 			l.newestAgent = max(l.newestAgent, change.Revision)
 		}
 	}
@@ -89,6 +89,14 @@
 	return out
 }
 
+// damage notes that an agent's entry was overwritten by another writer.
+func (l *Listing) damage(key string) {
+	if agent, ok := l.agents[key]; ok {
+		agent.Damaged = true
+		l.agents[key] = agent
+	}
+}
+
 // Age returns how new the list of agents is. An entry above AsOf was read before
 // all that came before it.
 func (l *Listing) Age() steer.ListAge {
@@ -100,9 +108,10 @@
 func (l *Listing) Shared() Shared {
 	all := slices.Collect(maps.Values(l.entries))
 	for _, request := range l.evacuations.Requests() {
-		all = append(all, store.Entry{Key: platform.EvacuationKey(request.DataCentre), Revision: request.Revision})
+		entry := store.Entry{Key: platform.EvacuationKey(request.DataCentre), Revision: request.Revision}
+		all = append(all, platform.Item{Entry: entry})
 	}
-	slices.SortFunc(all, func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(all, func(a, b platform.Item) int { return cmp.Compare(a.Key, b.Key) })
 	return Shared{AsOf: l.AsOf, Entries: all}
 }
 
@@ -132,7 +141,7 @@
 			continue // the record has it
 		}
 		if entry.Revision > l.entries[entry.Key].Revision {
-			newer = append(newer, platform.Item{Entry: entry})
+			newer = append(newer, entry)
 		}
 	}
 	return changed || len(newer) > 0, l.Apply(newer, other.AsOf)
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -16,6 +16,9 @@
 	Service    uint64
 	DataCentre string
 	Slots      int
+	// Damaged tells that another writer has overwritten its entry: it is told, so that
+	// it writes it anew.
+	Damaged bool
 }
 
 // Times of the observation of agents.
@@ -260,7 +263,7 @@
 
 func (c *Core) poll(now time.Duration, a *agent) {
 	flags := inner.FlagStatus
-	if a.unlisted != 0 {
+	if a.unlisted != 0 || a.Damaged {
 		flags |= inner.FlagUnlisted
 	}
 	a.asked(now)
@@ -320,7 +323,7 @@
 func (a *agent) due(now time.Duration) bool {
 	since := now - a.lastAsk
 	switch {
-	case a.unlisted != 0:
+	case a.unlisted != 0 || a.Damaged:
 		return since > unlistedPoll
 	case a.waiting == 0 && (a.owed > a.status.Known.Listing || a.misinformed() || a.pollEvacuated(now)):
 		return since > askAgain
--- a/internal/packetface/steer/agents_test.go
+++ b/internal/packetface/steer/agents_test.go
@@ -211,3 +211,21 @@
 	b.status(102, inner.Status{State: inner.StateReady})
 	b.Expect(b.core.Counts(b.now).Agents).To(Equal(2))
 }
+
+// An agent whose entry another writer has overwritten stays, and is told of it.
+func TestAnAgentWithADamagedEntryIsTold(t *testing.T) {
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	damaged := at(101, "a")
+	damaged.Damaged = true
+	b.last = b.core.SetAgents(b.now, []steer.Agent{damaged}, listAge(2))
+	b.now += 250 * time.Millisecond
+	b.last = b.core.Tick(b.now)
+	b.Expect(b.sent(inner.KindPoll)).To(ConsistOf(address(101, 1)))
+	poll, err := inner.ParsePoll(b.last.Actions[0].Bytes)
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(poll.Flags & inner.FlagUnlisted).NotTo(BeZero())
+	b.wait(3 * time.Second)
+	b.callerSends(caller(1), platform.FlagSYN, 0)
+	b.Expect(b.sent(inner.KindOpen)).To(ConsistOf(address(101, 1)))
+}
