--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -178,7 +178,7 @@
 	// whole tells that the agent has seen every packet of this life, confirmed
 	// that it is not known from one heartbeat alone, which may have been late.
 	whole, confirmed bool
-	// spoke tells that it has sent a packet of its own since the process's start.
+	// spoke tells that it has sent a packet that shows life since the process's start.
 	spoke bool
 	// refused counts packets in a row that no socket took, since refusedAt.
 	refused   int
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -53,7 +53,8 @@
 	if f == nil {
 		f = g.remember(id, now, stateOfUnknown(p))
 	}
-	f.seen, g.upstream.spoke = now, true
+	f.seen = now
+	g.upstream.spoke = g.upstream.spoke || showsLife(p)
 	g.judge.Heard(now)
 	if f.probing {
 		f.probing = false
@@ -78,6 +79,13 @@
 	g.send(ToCaller, g.caller(id), b)
 }
 
+// showsLife reports whether only an upstream that lives sends such a packet. One that has
+// ended is answered for on its host: packets come back, the end of a flow is
+// acknowledged, data is reset.
+func showsLife(p *platform.Packet) bool {
+	return p.Length > 0 || p.Flags.Has(platform.FlagSYN) || p.Flags.Has(platform.FlagFIN)
+}
+
 // stateOfUnknown returns the state of a flow that is older than the agent. One whose
 // opening is only answered now may be opened elsewhere by a copy.
 func stateOfUnknown(p *platform.Packet) flowState {
--- a/internal/packetface/gate/start_test.go
+++ b/internal/packetface/gate/start_test.go
@@ -53,6 +53,15 @@
 			b.upstreamSends(fromUpstream(flow(1), 100, 2, platform.FlagACK, 20))
 			b.now += 6 * time.Second
 		}, false, true, false},
+		{"it returned and reset what it got", func(b *bench) { // as the host of one that has ended does
+			for range 3 {
+				b.upstreamSends(fromUpstream(flow(1), 100, 2, platform.FlagRST|platform.FlagACK, 0))
+				b.upstreamSends(fromUpstream(flow(3), 100, 2, platform.FlagACK, 0))
+				b.send(flow(2), 2, platform.FlagACK, 30)
+				b.upstreamSends(fromCaller(flow(2), 2, 101, platform.FlagACK|platform.FlagBounced, 30))
+				b.now += second
+			}
+		}, false, false, true},
 		{"the process was paused", func(b *bench) {
 			b.gate.Tick(b.now)
 			b.now += 6 * time.Second
