coldrate, steer: cold upstreams get what they bear; routes stay at home

Ruled out: counting at balancers: each sees its own flows alone. Change: openings carry the rate of the newest configuration; the agent lets in so many in any second that slides while its upstream is cold, or has not reported since the process's start, up to the operators' overage where nobody else takes a flow, and gives the rest back at once. Balancers choose only in a route's regions; a service without an agent there, or with all of its data centres evacuated, turns away with that reason. Openings grow by 2 bytes. Not done: agents give nothing back for a route's regions, only balancers choose.

--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -21,6 +21,7 @@
 	}
 	g.hearKnown(from, head.Known)
 	g.hearEvacuation(now, from, head.Evacuation)
+	g.hearColdRate(head)
 	g.listedSlots = max(int(head.Slots), g.listedSlots)
 	id := p.FromCaller()
 	reason := g.refusal(now, id, head)
@@ -54,6 +55,8 @@
 		return inner.ReasonDraining
 	case !must && g.refusedByVerdict(now):
 		return inner.ReasonFailing
+	case !g.cold.window.Allows(now, g.coldBounds(now), must):
+		return inner.ReasonCold
 	case !must && head.Hops < inner.MaxBusyHops && g.full():
 		return inner.ReasonBusy
 	}
@@ -82,6 +85,7 @@
 	f := g.flows[id]
 	if f == nil {
 		f = g.remember(id, now, flowOpening)
+		g.cold.window.Take(now, g.coldBounds(now))
 		f.openedLate, f.repeatedAfter = late, repeated
 		g.note(now, Note{Kind: KindOpened, Flow: id, Peer: from})
 	}
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -43,6 +43,8 @@
 	FlowMaxAge time.Duration
 	// HeartbeatEvery is the time between two heartbeats of the upstream.
 	HeartbeatEvery time.Duration
+	// ColdOverage is how many times its rate a cold upstream may get at most.
+	ColdOverage float64
 }
 
 // Target says where a datagram goes.
@@ -199,6 +201,7 @@
 	// contested tells that a life of another service has reported that can't be checked.
 	contested bool
 	known     inner.Known
+	cold      cold
 	// evacuation is the newest word on the data centre.
 	evacuation evacuation.Word
 	// source is the host of the balancer that told of the newest.
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -19,7 +19,7 @@
 
 // Kinds of datagrams; their sizes are given without the packet.
 const (
-	// KindOpen carries a packet that opens a flow to an agent (38 bytes).
+	// KindOpen carries a packet that opens a flow to an agent (40 bytes).
 	KindOpen Kind = iota + 1
 	// KindForward carries another packet of a flow to an agent (5 bytes).
 	KindForward
@@ -73,6 +73,9 @@
 	Known Known
 	// Evacuation is what the balancer knows of the agent's data centre.
 	Evacuation evacuation.Word
+	// ColdRate is how many flows a second a cold upstream of the service bears by the
+	// configuration of Known, 0 for no bound.
+	ColdRate uint16
 }
 
 // Poll asks for a status.
@@ -128,7 +131,7 @@
 
 // Sizes of the fixed parts in bytes.
 const (
-	openSize     = 3 + 8 + 2 + knownSize + wordSize
+	openSize     = 3 + 8 + 2 + knownSize + wordSize + 2
 	knownSize    = 8 + 8
 	wordSize     = 1 + 8
 	forwardSize  = 5
@@ -169,6 +172,7 @@
 	b = binary.BigEndian.AppendUint16(b, o.Slots)
 	b = appendKnown(b, o.Known)
 	b = appendWord(b, o.Evacuation)
+	b = binary.BigEndian.AppendUint16(b, o.ColdRate)
 	return append(b, packet...)
 }
 
@@ -181,6 +185,7 @@
 		Flags: Flags(b[1]), Hops: b[2],
 		Service: binary.BigEndian.Uint64(b[3:]), Slots: binary.BigEndian.Uint16(b[11:]), Known: parseKnown(b[13:]),
 		Evacuation: parseWord(b[13+knownSize:]),
+		ColdRate:   binary.BigEndian.Uint16(b[13+knownSize+wordSize:]),
 	}
 	return o, b[openSize:], nil
 }
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -34,7 +34,7 @@
 		packet := rapid.SliceOfN(rapid.Byte(), 0, platform.MaxPacketSize).Draw(t, "packet")
 		flags := inner.Flags(rapid.Byte().Draw(t, "flags"))
 
-		open := inner.Open{Flags: flags, Hops: rapid.Byte().Draw(t, "hops"), Service: rapid.Uint64().Draw(t, "service"), Slots: rapid.Uint16().Draw(t, "open slots"), Known: drawKnown(t), Evacuation: drawWord(t)}
+		open := inner.Open{Flags: flags, Hops: rapid.Byte().Draw(t, "hops"), Service: rapid.Uint64().Draw(t, "service"), Slots: rapid.Uint16().Draw(t, "open slots"), Known: drawKnown(t), Evacuation: drawWord(t), ColdRate: rapid.Uint16().Draw(t, "cold rate")}
 		b := inner.AppendOpen(nil, open, packet)
 		g.Expect(len(b)).To(BeNumerically("<=", inner.MaxSize))
 		gotOpen, gotPacket, err := inner.ParseOpen(b)
--- a/internal/packetface/inner/state.go
+++ b/internal/packetface/inner/state.go
@@ -14,9 +14,10 @@
 	ReasonUnsure                      // the same, as VerdictUnsure says it
 	ReasonFailing                     // the upstream fails what it gets
 	ReasonEvacuated                   // the data centre is to be emptied
+	ReasonCold                        // the upstream is cold and has got what it bears
 )
 
-var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing", "evacuated"}
+var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing", "evacuated", "cold"}
 
 // String returns the reason's name in logs and metrics.
 func (r Reason) String() string {
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -294,7 +294,7 @@
 
 // times returns the times of the settings that the core decides by.
 func times(c platform.Changeable) gate.Times {
-	return gate.Times{DrainWithin: c.DrainWithin, FlowMaxAge: c.FlowMaxAge, HeartbeatEvery: c.HeartbeatEvery}
+	return gate.Times{DrainWithin: c.DrainWithin, FlowMaxAge: c.FlowMaxAge, HeartbeatEvery: c.HeartbeatEvery, ColdOverage: c.ColdOverage}
 }
 
 // change takes over settings that have changed.
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -79,7 +79,7 @@
 	b.notes = newNotes(b.log, b.clock)
 	b.share = watchshare.New(env.Host.Packets.Addr(), newRandom())
 	b.core = steer.New(steer.Settings{
-		DataCentre: env.Host.DataCentre, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
+		DataCentre: env.Host.DataCentre, Regions: env.Host.DataCentres, CallerPort: env.Host.Packets.Port(), Random: newRandom(),
 		AbsentAfter: steer.DefaultAbsentAfter, AwaitPeers: true, FlowMaxAge: env.Host.FlowMaxAge,
 		Policies: env.Policies,
 	})
--- a/internal/packetface/routing/routing.go
+++ b/internal/packetface/routing/routing.go
@@ -19,6 +19,8 @@
 	routes  map[netip.AddrPort]*Route
 	// names are those of the services of all routes, by their ids.
 	names map[uint64]string
+	// coldRates are the flows a second that a cold upstream of a service bears.
+	coldRates map[uint64]uint16
 }
 
 // Route is where the new flows of a face go.
@@ -33,7 +35,12 @@
 
 // NewTable returns the table of a configuration.
 func NewTable(c platform.Configuration) *Table {
-	t := &Table{Version: c.Version, routes: make(map[netip.AddrPort]*Route, len(c.Routes)), names: make(map[uint64]string)}
+	t := &Table{Version: c.Version, routes: make(map[netip.AddrPort]*Route, len(c.Routes)), names: make(map[uint64]string), coldRates: make(map[uint64]uint16)}
+	for _, service := range c.Services {
+		if service.ColdRate > 0 {
+			t.coldRates[inner.ServiceID(service.Name)] = uint16(min(max(service.ColdRate, 1), math.MaxUint16))
+		}
+	}
 	for _, configured := range c.Routes {
 		route := &Route{Route: configured, Terms: inner.Terms{
 			Rank: uint8(min(max(configured.Rank, 0), math.MaxUint8)), Aim: configured.Aim, Timeout: configured.Timeout,
@@ -55,6 +62,10 @@
 // ServiceName returns the name of a service, empty if no route names it.
 func (t *Table) ServiceName(id uint64) string { return t.names[id] }
 
+// ColdRate returns how many flows a second a cold upstream of a service bears, 0 for no
+// bound.
+func (t *Table) ColdRate(service uint64) uint16 { return t.coldRates[service] }
+
 // All returns all routes by their faces; the map is not to be changed.
 func (t *Table) All() map[netip.AddrPort]*Route { return t.routes }
 
--- a/internal/packetface/steer/choose.go
+++ b/internal/packetface/steer/choose.go
@@ -42,16 +42,35 @@
 	weightDraining = 400
 )
 
+// want is what a new flow needs of its agent.
+type want struct {
+	service uint64
+	// long tells that the flow stays for many requests.
+	long bool
+	// homes are the regions to which it may go, none for all; regions are those of the
+	// data centres.
+	homes   []string
+	regions map[string]string
+}
+
+// atHome reports whether the flow may go to an agent by its region.
+func (w *want) atHome(a *agent) bool {
+	return len(w.homes) == 0 || slices.Contains(w.homes, w.regions[a.DataCentre])
+}
+
+// allows reports whether the flow may go to an agent's data centre.
+func (w *want) allows(a *agent) bool { return !a.evacuation.Evacuated && w.atHome(a) }
+
 // choose returns the best agent of a service for a new flow, nil if none may
 // take it.
-func (r *roster) choose(now time.Duration, service uint64, s Settings, tried []*agent, long bool) *agent {
+func (r *roster) choose(now time.Duration, w want, s Settings, tried []*agent) *agent {
 	var best *agent
-	least, mean, panicking := 0.0, r.meanRunning(service), r.panicking(service)
-	for _, a := range r.byService[service] {
-		if a.evacuation.Evacuated || !a.takes() && !(panicking && a.fails()) || slices.Contains(tried, a) {
+	least, mean, panicking := 0.0, r.meanRunning(w.service), r.panicking(w)
+	for _, a := range r.byService[w.service] {
+		if !w.allows(a) || !a.takes() && !(panicking && a.fails()) || slices.Contains(tried, a) {
 			continue
 		}
-		score := a.score(now, s, long, mean)
+		score := a.score(now, s, w.long, mean)
 		if best == nil || score < least {
 			best, least = a, score
 		}
@@ -74,10 +93,11 @@
 // panicking reports whether so many upstreams of a service fail that more likely the
 // service does, or what is asked of it: then they are used, too, so that the others
 // are not overrun.
-func (r *roster) panicking(service uint64) bool {
+func (r *roster) panicking(w want) bool {
 	take, fail := 0, 0
-	for _, a := range r.byService[service] {
+	for _, a := range r.byService[w.service] {
 		switch {
+		case !w.allows(a):
 		case a.fails():
 			fail++
 		case a.takes():
@@ -89,11 +109,11 @@
 
 // last returns the agent that takes a flow when all have returned it: the
 // least loaded, a leaving one only if there is no other.
-func (r *roster) last(now time.Duration, service uint64, s Settings) *agent {
+func (r *roster) last(now time.Duration, w want, s Settings) *agent {
 	var best *agent
-	least, mean := 0.0, r.meanRunning(service)
-	for _, a := range r.byService[service] {
-		if a.evacuation.Evacuated || a.status.State == inner.StateDown || a.status.State == inner.StateSilent || a.suspect(now) {
+	least, mean := 0.0, r.meanRunning(w.service)
+	for _, a := range r.byService[w.service] {
+		if !w.allows(a) || a.status.State == inner.StateDown || a.status.State == inner.StateSilent || a.suspect(now) {
 			continue
 		}
 		score := a.score(now, s, false, mean)
--- a/internal/packetface/steer/evacuated.go
+++ b/internal/packetface/steer/evacuated.go
@@ -64,13 +64,17 @@
 	return a.evacuation.Evacuated && now-a.lastAsk > evacuatedPoll
 }
 
-// evacuated reports whether all agents of a service are in data centres that get no new
-// flows.
-func (r *roster) evacuated(service uint64) bool {
-	for _, a := range r.byService[service] {
+// reach counts the agents that a flow may go to by their data centres, open, and those
+// that are in its home regions, evacuated or not.
+func (r *roster) reach(w want) (open, home int) {
+	for _, a := range r.byService[w.service] {
+		if !w.atHome(a) {
+			continue
+		}
+		home++
 		if !a.evacuation.Evacuated {
-			return false
+			open++
 		}
 	}
-	return len(r.byService[service]) > 0
+	return open, home
 }
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -73,7 +73,7 @@
 		c.reset(id, 0, "no-service")
 		return
 	}
-	best := c.roster.choose(now, service, c.settings, c.excluded(f), route.Repeatable)
+	best := c.roster.choose(now, c.wants(route, service), c.settings, c.excluded(f))
 	if best == nil || f.hops() >= maxHops {
 		c.placeLast(now, id, f, route, service, b)
 		return
@@ -95,9 +95,9 @@
 // placeLast sends an opening packet that every agent has returned to the one
 // that may take it yet, or tells the caller that nobody does.
 func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
-	last := c.roster.last(now, service, c.settings)
+	last := c.roster.last(now, c.wants(route, service), c.settings)
 	if last == nil || f.agent == nil || f.lastTry {
-		c.turnAway(now, id, c.noneTakes(service), b)
+		c.turnAway(now, id, c.noneTakes(c.wants(route, service)), b)
 		return
 	}
 	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Took: now - f.placed, Reason: "last", Count: f.hops()})
@@ -106,13 +106,22 @@
 }
 
 // noneTakes returns why no agent of a service takes a flow.
-func (c *Core) noneTakes(service uint64) string {
-	if c.roster.evacuated(service) {
+func (c *Core) noneTakes(w want) string {
+	open, home := c.roster.reach(w)
+	switch {
+	case home == 0 && len(w.homes) > 0:
+		return "no-upstream-at-home"
+	case open == 0 && home > 0:
 		return "service-evacuated"
 	}
 	return "no-upstream-takes-it"
 }
 
+// wants returns what a new flow of a route needs of its agent.
+func (c *Core) wants(route *routing.Route, service uint64) want {
+	return want{service: service, long: route.Repeatable, homes: route.Homes, regions: c.settings.Regions}
+}
+
 // turnAway resets a flow that nobody takes, so that its caller knows at once; nothing
 // of it has run. While the list of agents may lack some, the caller's next copy is
 // another try, and costs it none of its repetitions.
@@ -144,7 +153,7 @@
 	}
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
 		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Slots: c.roster.slots(a), Known: c.known(),
-		Evacuation: a.evacuation,
+		Evacuation: a.evacuation, ColdRate: c.table.ColdRate(service),
 	}, b)
 	c.send(a.Addr, start)
 }
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -26,6 +26,8 @@
 type Settings struct {
 	// DataCentre is that of the balancer's host.
 	DataCentre string
+	// Regions are those of the data centres.
+	Regions map[string]string
 	// CallerPort is the port at which callers take packets.
 	CallerPort uint16
 	// AbsentAfter is the silence of an agent after which flows that it holds are
