gate, registry: warm-ups are learned where the configuration does not tell them

Ruled out: a warm-up taken for granted (2 s, a trial): right for today's deployments by chance alone, and too short a one elsewhere would prove what is not so. Change: the first heartbeat of a life shows how long an upstream is to be cold; the agent's entry keeps it, also through processes that inherit the entry, and balancers tell the longest of a service to all its agents.

--- a/internal/packetface/gate/cold.go
+++ b/internal/packetface/gate/cold.go
@@ -5,6 +5,7 @@
 
 	"github.com/saltbend/saltbend/internal/packetface/coldrate"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
 )
 
 // cold is what the agent knows of how its upstream warms up.
@@ -14,6 +15,9 @@
 	bounds  coldrate.Bounds
 	window  coldrate.Window
 	warmup  time.Duration
+	// reported is what upstreams of the service have shown of their warm-up here: how
+	// long one is to be cold yet as it starts, 0 for nothing.
+	reported time.Duration
 }
 
 // hearCold takes what a balancer knows by a version of the configuration, unless a newer
@@ -36,6 +40,21 @@
 	return g.cold.bounds
 }
 
+// reportedStep is what a warm-up is rounded up to, so that small differences between
+// lives do not change the entry in the store. A longer one makes upstreams look older,
+// which proves less.
+const reportedStep = 50 * time.Millisecond
+
+// learnWarmup takes how long an upstream is to be cold from its first heartbeat. The
+// store keeps it, and balancers tell it to all agents of the service: not every
+// configuration has it.
+func (g *Gate) learnWarmup(beat platform.Heartbeat) {
+	if beat.Sequence <= firstHeartbeat {
+		steps := (beat.ColdFor + reportedStep - 1) / reportedStep
+		g.cold.reported = max(g.cold.reported, steps*reportedStep)
+	}
+}
+
 // hearWarmup takes how long upstreams of the service are cold after their start.
 func (g *Gate) hearWarmup(now, warmup time.Duration) {
 	if warmup == 0 || warmup == g.cold.warmup {
--- a/internal/packetface/gate/life.go
+++ b/internal/packetface/gate/life.go
@@ -144,6 +144,7 @@
 		g.note(now, Note{Kind: KindUpstream, Reason: "serves " + beat.Service})
 		g.service = inner.ServiceID(beat.Service)
 		g.settings.Service = beat.Service
+		g.cold = cold{}
 	}
 	// Every packet of this life went through this process.
 	seenAll := beat.Sequence <= firstHeartbeat || s == successionCertain
@@ -152,6 +153,7 @@
 		g.upstream.firstCold = beat.ColdFor
 		g.upstream.whole = seenAll || g.beganUnseen()
 	}
+	g.learnWarmup(beat)
 	g.judge.Begin(now)
 	g.note(now, Note{Kind: KindUpstream, Reason: fmt.Sprintf("ready %s heartbeat %d", beat.Life, beat.Sequence)})
 	g.announce(now)
--- a/internal/packetface/gate/unseen_test.go
+++ b/internal/packetface/gate/unseen_test.go
@@ -73,3 +73,17 @@
 		})
 	}
 }
+
+// Not every configuration tells the warm-up; an upstream shows it as it starts, and the
+// entry in the store keeps it.
+func TestTheWarmUpIsLearnedFromAStart(t *testing.T) {
+	b := newBench(t)
+	b.reports(2, 10*time.Millisecond)
+	b.Expect(b.gate.Registration().Warmup).To(BeZero(), "an earlier report may have been longer ago")
+	b = newBench(t)
+	b.reports(1, 12*time.Millisecond)
+	b.Expect(b.gate.Registration().Warmup).To(Equal(warmup))
+	b.now += second
+	b.reports(2, second)
+	b.Expect(b.gate.Registration().Warmup).To(Equal(warmup))
+}
--- a/internal/packetface/gate/upstream.go
+++ b/internal/packetface/gate/upstream.go
@@ -18,6 +18,9 @@
 	// empty where it reports none.
 	Service, DataCentre string
 	Slots               int
+	// Warmup is how long upstreams of the service were seen to be cold after their start,
+	// 0 for never.
+	Warmup time.Duration
 }
 
 // Heartbeat takes a heartbeat of the upstream. One that is outdated is
@@ -193,6 +196,7 @@
 	return Registration{
 		Listed: !u.unknown() && !ended, Ended: ended,
 		Upstream: u.life.String(), Service: g.settings.Service, DataCentre: u.dataCentre, Slots: u.slots,
+		Warmup: g.cold.reported,
 	}
 }
 
--- a/internal/packetface/registry/entry.go
+++ b/internal/packetface/registry/entry.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -30,11 +31,17 @@
 	Service    string         `json:"service"`
 	DataCentre string         `json:"dc"`
 	Slots      int            `json:"slots"`
+	// WarmupMS is how long upstreams of the service were seen to be cold after their start
+	// in milliseconds, 0 for not yet.
+	WarmupMS int64 `json:"warmup_ms,omitempty"`
 }
 
 // maxSlots bounds the slots that an entry may name; more is no agent's word.
 const maxSlots = math.MaxUint16
 
+// maxWarmupMS bounds the warm-up that an entry may name, in milliseconds.
+const maxWarmupMS = math.MaxUint16
+
 // ErrEntry says that an entry could not be read.
 var ErrEntry = errors.New("registry: unreadable entry")
 
@@ -49,23 +56,35 @@
 	return text
 }
 
-// parseEntry reads an agent's entry. Others may write under the prefix, too: an entry is
-// an agent's only if it is whole and kept under a lease.
+// parseEntry reads an agent's entry.
 func parseEntry(item platform.Item) (steer.Agent, error) {
+	e, err := decodeEntry(item)
+	if err != nil {
+		return steer.Agent{}, err
+	}
+	return steer.Agent{
+		Addr: e.Addr, Service: inner.ServiceID(e.Service), DataCentre: e.DataCentre, Slots: e.Slots,
+		Warmup: time.Duration(e.WarmupMS) * time.Millisecond,
+	}, nil
+}
+
+// decodeEntry reads an entry. Others may write under the prefix, too: an entry is an
+// agent's only if it is whole and kept under a lease.
+func decodeEntry(item platform.Item) (Entry, error) {
 	if item.Lease == 0 {
-		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: lease is missing", item.Key)
+		return Entry{}, errors.Wrapf(ErrEntry, "key %.80q: lease is missing", item.Key)
 	}
 	if len(item.Value) > maxEntryBytes {
-		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: %d bytes", item.Key, len(item.Value))
+		return Entry{}, errors.Wrapf(ErrEntry, "key %.80q: %d bytes", item.Key, len(item.Value))
 	}
 	var e Entry
 	if err := json.Unmarshal(item.Value, &e); err != nil {
-		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: %s", item.Key, err.Error())
+		return Entry{}, errors.Wrapf(ErrEntry, "key %.80q: %s", item.Key, err.Error())
 	}
 	if field := e.wrong(item.Key); field != "" {
-		return steer.Agent{}, errors.Wrapf(ErrEntry, "key %.80q: %s is missing or wrong", item.Key, field)
+		return Entry{}, errors.Wrapf(ErrEntry, "key %.80q: %s is missing or wrong", item.Key, field)
 	}
-	return steer.Agent{Addr: e.Addr, Service: inner.ServiceID(e.Service), DataCentre: e.DataCentre, Slots: e.Slots}, nil
+	return e, nil
 }
 
 // wrong returns the name of a field that no agent writes so under the key, empty if all
@@ -80,6 +99,8 @@
 		return "dc"
 	case e.Slots < 0 || e.Slots > maxSlots:
 		return "slots"
+	case e.WarmupMS < 0 || e.WarmupMS > maxWarmupMS:
+		return "warmup_ms"
 	}
 	return ""
 }
--- a/internal/packetface/registry/follow_test.go
+++ b/internal/packetface/registry/follow_test.go
@@ -121,12 +121,31 @@
 	return keeper, entry
 }
 
+// inheriting is prepareAgent for a process that follows another one.
+func inheriting(t *testing.T, fake *packetplatform.Store, addr string) (keeper *registry.Agent, entry *registry.Entry) {
+	return runAgent(t, fake, addr, (*registry.Agent).Inherit)
+}
+
+// listed returns the agents that the store has.
+func listed(t *testing.T, fake *packetplatform.Store) []steer.Agent {
+	g := NewWithT(t)
+	items, revision, err := client(fake).Range(t.Context(), "")
+	g.Expect(err).NotTo(HaveOccurred())
+	l, _ := registry.NewListing(items, revision)
+	return l.Agents()
+}
+
 // prepareAgent runs an agent's keeper that wants no entry yet.
 func prepareAgent(t *testing.T, fake *packetplatform.Store, addr string) (keeper *registry.Agent, entry *registry.Entry) {
+	return runAgent(t, fake, addr, func(*registry.Agent) {})
+}
+
+func runAgent(t *testing.T, fake *packetplatform.Store, addr string, prepare func(*registry.Agent)) (keeper *registry.Agent, entry *registry.Entry) {
 	started := time.Now()
 	entry = &registry.Entry{Addr: netip.MustParseAddrPort(addr), Service: "s", DataCentre: "a", Slots: 3}
 	keeper = registry.NewAgent(client(fake), quiet, func() time.Duration { return time.Since(started) + 1 }, *entry)
 	keeper.Seen = func(uint64) {}
+	prepare(keeper)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go keeper.Run(ctx)
--- a/internal/packetface/registry/foreign_test.go
+++ b/internal/packetface/registry/foreign_test.go
@@ -27,6 +27,8 @@
 	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":-3}`,
 	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":1.5}`,
 	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":1e9}`,
+	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":3,"warmup_ms":-1}`,
+	`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":3,"warmup_ms":1e9}`,
 }
 
 func item(text string, revision, lease uint64) platform.Item {
--- /dev/null
+++ b/internal/packetface/registry/inherit_test.go
@@ -0,0 +1,36 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/internal/packetface/steer"
+)
+
+// What an upstream has shown of its warm-up outlives the agent's process: it is wanted
+// after a common loss of power, when nobody else remembers it.
+func TestAWarmUpOutlivesTheProcess(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	f := prepare(t, fake, 1)
+	warmups := make(chan time.Duration, 100)
+	f.Changed = func(l *registry.Listing) {
+		for _, a := range l.Agents() {
+			warmups <- a.Warmup
+		}
+	}
+	f.start(t)
+	first, entry := prepareAgent(t, fake, "10.0.0.1:1")
+	entry.WarmupMS = 2000
+	first.Want(entry)
+	g.Eventually(warmups, patience).Should(Receive(Equal(2 * time.Second)))
+
+	second, later := inheriting(t, fake, "10.0.0.1:1")
+	later.Slots = 9 // a change, so that the entry is written anew
+	second.Want(later)
+	g.Eventually(func() []steer.Agent { return listed(t, fake) }, patience).Should(ConsistOf(And(
+		HaveField("Slots", 9), HaveField("Warmup", 2*time.Second))))
+}
--- a/internal/packetface/registry/publish.go
+++ b/internal/packetface/registry/publish.go
@@ -39,6 +39,10 @@
 	hints     chan struct{}
 	idles     chan struct{}
 	failing   bool
+	// entry is the one that is wanted, nil for none; inherited the one that a process
+	// before this one left.
+	entry     *Entry
+	inherited Entry
 	// quiet tells that no call is due.
 	quiet atomic.Bool
 }
@@ -116,12 +120,34 @@
 		a.publisher.Hint(a.Clock())
 	case <-a.idles:
 		a.publisher.Idle(a.Clock())
-	case entry := <-a.wants:
-		if entry == nil {
-			a.publisher.Want(nil)
-			return
-		}
-		a.publisher.Want(entry.encode())
+	case a.entry = <-a.wants:
+		a.want()
+	}
+}
+
+// want tells the publisher what is to be in the store. What upstreams have shown before
+// this process stays known.
+func (a *Agent) want() {
+	if a.entry == nil {
+		a.publisher.Want(nil)
+		return
+	}
+	entry := *a.entry
+	if entry.Service == a.inherited.Service {
+		entry.WarmupMS = max(entry.WarmupMS, a.inherited.WarmupMS)
+	}
+	a.publisher.Want(entry.encode())
+}
+
+// takeInherited remembers the entry of a process before this one.
+func (a *Agent) takeInherited(item platform.Item) {
+	entry, err := decodeEntry(item)
+	if err != nil {
+		return // it is written anew
+	}
+	a.inherited = entry
+	if a.entry != nil {
+		a.want()
 	}
 }
 
@@ -140,7 +166,11 @@
 		var item platform.Item
 		var revision uint64
 		item, revision, err = calls.Get(ctx, a.publisher.key)
+		inherits := a.publisher.inherit
 		a.publisher.Read(item, revision, err)
+		if inherits && err == nil {
+			a.takeInherited(item)
+		}
 		if errors.Is(err, store.ErrNotFound) {
 			err = nil // an answer
 		}
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -130,7 +130,7 @@
 func (a *agent) entry() registry.Entry {
 	return registry.Entry{
 		Addr: a.env.Host.Packets, Service: a.wanted.Service, DataCentre: cmp.Or(a.wanted.DataCentre, a.env.Host.DataCentre),
-		Slots: a.wanted.Slots,
+		Slots: a.wanted.Slots, WarmupMS: a.wanted.Warmup.Milliseconds(),
 	}
 }
 
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -16,6 +16,9 @@
 	Service    uint64
 	DataCentre string
 	Slots      int
+	// Warmup is how long upstreams of its service were seen to be cold after their start,
+	// 0 for not yet.
+	Warmup time.Duration
 	// Damaged tells that another writer has overwritten its entry: it is told, so that
 	// it writes it anew.
 	Damaged bool
@@ -157,6 +160,9 @@
 	grown := make(map[uint64]bool)
 	for _, entry := range listed {
 		seen[entry.Addr] = true
+		if entry.Warmup > 0 {
+			c.roster.warmups[entry.Service] = max(c.roster.warmups[entry.Service], entry.Warmup)
+		}
 		if c.list(entry) {
 			grown[entry.Service] = true
 		}
--- a/internal/packetface/steer/homes_test.go
+++ b/internal/packetface/steer/homes_test.go
@@ -55,3 +55,20 @@
 	b.callerSends(caller(1), platform.FlagSYN, 0)
 	b.Expect(b.notes(steer.KindReset)[0].Reason).To(Equal("no-upstream-at-home"))
 }
+
+// What upstreams of a service have shown counts where the configuration does not tell.
+func TestAgentsAreToldTheWarmUpOfTheirService(t *testing.T) {
+	b := newBenchWithout(t, nil)
+	b.core.SetTable(b.now, leadsTo(2, service), time.Minute)
+	shown := at(1, "a")
+	shown.Warmup = 3 * time.Second
+	b.last = b.core.SetAgents(b.now, []steer.Agent{shown, at(2, "a")}, listAge(2))
+	polls := 0
+	for _, a := range b.last.Actions {
+		if poll, err := inner.ParsePoll(a.Bytes); err == nil {
+			b.Expect(poll.Cold.Warmup).To(Equal(3 * time.Second))
+			polls++
+		}
+	}
+	b.Expect(polls).To(Equal(2))
+}
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -153,7 +153,7 @@
 	}
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
 		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Slots: c.roster.slots(a), Known: c.known(),
-		Evacuation: a.evacuation, Cold: c.table.Cold(service),
+		Evacuation: a.evacuation, Cold: c.coldOf(service),
 	}, b)
 	c.send(a.Addr, start)
 }
--- a/internal/packetface/steer/roster.go
+++ b/internal/packetface/steer/roster.go
@@ -24,6 +24,8 @@
 	gone map[netip.AddrPort]goneAgent
 	// first is when the first list came, 0 for not yet.
 	first time.Duration
+	// warmups are the longest that entries of a service tell.
+	warmups map[uint64]time.Duration
 	// age is how new the list is, newest the highest revision of an entry that
 	// an agent has told of.
 	age    ListAge
@@ -54,7 +56,7 @@
 }
 
 func newRoster() roster {
-	return roster{agents: map[netip.AddrPort]*agent{}, byService: map[uint64][]*agent{}, gone: map[netip.AddrPort]goneAgent{}}
+	return roster{agents: map[netip.AddrPort]*agent{}, byService: map[uint64][]*agent{}, gone: map[netip.AddrPort]goneAgent{}, warmups: map[uint64]time.Duration{}}
 }
 
 func (r *roster) add(a *agent) {
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -340,10 +340,19 @@
 
 // cold returns what is known of how an agent's upstream warms up.
 func (c *Core) cold(a *agent) inner.Cold {
-	if c.table == nil {
-		return inner.Cold{}
+	return c.coldOf(a.Service)
+}
+
+// coldOf returns what is known of how upstreams of a service warm up: where the
+// configuration does not tell for how long, what they have shown.
+func (c *Core) coldOf(service uint64) (cold inner.Cold) {
+	if c.table != nil {
+		cold = c.table.Cold(service)
+	}
+	if cold.Warmup == 0 {
+		cold.Warmup = c.roster.warmups[service]
 	}
-	return c.table.Cold(a.Service)
+	return cold
 }
 
 // hearKnown tells of newer beliefs than the balancer's own.
