steer: flows keep away from upstreams that take much longer than their siblings

Change: statuses tell the time that answers lately took (2 bytes); beyond 1.8 times the mean of the service each further mean counts as a load of one upstream's slots. It is forgotten after 2 s without an answer, so a slow one is tried again. Switch "slow-upstreams"; the standing way is the switch's other side.

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -152,6 +152,9 @@
 	// maxFlows bounds the flows that an agent remembers, twice what an upstream
 	// holds (2,000 connections) with as many closed ones.
 	maxFlows = 8192
+	// latencyTime is the age from which on the latency of the last answers says nothing
+	// any more: an upstream that was slow is tried again.
+	latencyTime = 2 * time.Second
 	// latencyShare is the part of the newest answer in the mean latency.
 	latencyShare = 0.1
 	// firstHeartbeat is the highest sequence of a heartbeat that shows that the
@@ -220,6 +223,8 @@
 	running         int
 	open            int
 	latency         time.Duration
+	// answeredAt is when the last request was answered.
+	answeredAt time.Duration
 	// listedSlots is the number of slots as balancers last told it, 0 for not.
 	listedSlots int
 	stopping    bool
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -99,7 +99,7 @@
 func (g *Gate) answered(now time.Duration, id platform.Flow, f *flow) {
 	g.setRunning(f, false)
 	f.served = true
-	g.addLatency(now - f.asked)
+	g.addLatency(now, now-f.asked)
 	change, changed := g.judge.Answered(now, f.asked, now-f.asked, id)
 	g.judged(now, change, changed)
 	if now-f.asked >= slowAnswer {
@@ -118,15 +118,26 @@
 	g.sendBuffer(ToBalancer, f.balancer, start)
 }
 
-func (g *Gate) addLatency(latency time.Duration) {
+func (g *Gate) addLatency(now, latency time.Duration) {
 	g.out.Answered = append(g.out.Answered, latency)
-	if g.latency == 0 {
+	outdated := now-g.answeredAt > latencyTime
+	g.answeredAt = now
+	if g.latency == 0 || outdated {
 		g.latency = latency
 		return
 	}
 	g.latency += time.Duration(latencyShare * float64(latency-g.latency))
 }
 
+// answerTime returns the time that the upstream lately took for an answer, 0 where it has
+// given none.
+func (g *Gate) answerTime(now time.Duration) time.Duration {
+	if now-g.answeredAt > latencyTime {
+		return 0
+	}
+	return g.latency
+}
+
 func (g *Gate) caller(id platform.Flow) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4(id.Caller), g.settings.CallerPort)
 }
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -29,7 +29,7 @@
 	KindAsk
 	// KindPoll asks an agent for its status (31 bytes).
 	KindPoll
-	// KindStatus tells a balancer how an agent and its upstream are (54 bytes).
+	// KindStatus tells a balancer how an agent and its upstream are (56 bytes).
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (12 bytes).
 	KindReturned
@@ -134,6 +134,9 @@
 	Cold bool
 	// Evacuation is the newest that the agent has heard of its data centre.
 	Evacuation evacuation.Word
+	// Answer is the time from a request to its answer lately, in steps of 1 ms up to 65 s;
+	// 0 where there was none.
+	Answer time.Duration
 }
 
 // ErrDatagram says that a datagram could not be read.
@@ -152,7 +155,7 @@
 	verdictSize  = 1 + flowSize
 	answerHead   = 1 + 8
 	pollSize     = 2 + knownSize + wordSize + coldSize
-	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4 + wordSize
+	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4 + wordSize + 2
 	returnedSize = 2 + 8 + 2
 
 	// MaxBusyHops is how many agents may give an opening packet back as all slots
@@ -266,7 +269,8 @@
 	}
 	b = append(b, cold)
 	b = append(b, s.Source[:]...)
-	return appendWord(b, s.Evacuation)
+	b = appendWord(b, s.Evacuation)
+	return appendMillis(b, s.Answer)
 }
 
 // ParseStatus reads a datagram of KindStatus.
@@ -286,6 +290,7 @@
 		Cold:        b[40] != 0,
 		Source:      [4]byte(b[41:]),
 		Evacuation:  parseWord(b[45:]),
+		Answer:      parseMillis(b[45+wordSize:]),
 	}, nil
 }
 
@@ -357,11 +362,20 @@
 
 func appendCold(b []byte, c Cold) []byte {
 	b = binary.BigEndian.AppendUint16(b, c.Rate)
-	return binary.BigEndian.AppendUint16(b, uint16(min(max(c.Warmup/time.Millisecond, 0), math.MaxUint16)))
+	return appendMillis(b, c.Warmup)
+}
+
+// appendMillis appends a time in steps of 1 ms up to 65 s.
+func appendMillis(b []byte, d time.Duration) []byte {
+	return binary.BigEndian.AppendUint16(b, uint16(min(max(d/time.Millisecond, 0), math.MaxUint16)))
+}
+
+func parseMillis(b []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(b)) * time.Millisecond
 }
 
 func parseCold(b []byte) Cold {
-	return Cold{Rate: binary.BigEndian.Uint16(b), Warmup: time.Duration(binary.BigEndian.Uint16(b[2:])) * time.Millisecond}
+	return Cold{Rate: binary.BigEndian.Uint16(b), Warmup: parseMillis(b[2:])}
 }
 
 func appendWord(b []byte, w evacuation.Word) []byte {
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -67,7 +67,7 @@
 			StateFor:  time.Duration(rapid.Uint32().Draw(t, "latency")) * time.Millisecond,
 			Balancers: rapid.Uint16().Draw(t, "balancers"), Cold: rapid.Bool().Draw(t, "cold"),
 			Source:     [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "source")),
-			Evacuation: drawWord(t),
+			Evacuation: drawWord(t), Answer: time.Duration(rapid.Uint16().Draw(t, "answer")) * time.Millisecond,
 		}
 		gotStatus, err := inner.ParseStatus(inner.AppendStatus(nil, status))
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -36,6 +36,9 @@
 	// SharedWatches lets balancers learn of the store's changes from the watch of
 	// another one (watchshare).
 	SharedWatches Name = "shared-watches"
+	// SlowUpstreams keeps flows away from upstreams that take much longer for a request
+	// than their siblings do (steer).
+	SlowUpstreams Name = "slow-upstreams"
 	// ShortestQueue sends a flow that finds all slots taken to the upstream where
 	// the fewest requests wait (steer).
 	ShortestQueue Name = "shortest-queue"
@@ -43,7 +46,7 @@
 
 // names are all that can be switched off.
 var names = []Name{
-	BoundedSearches, EarlyOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, SharedWatches, ShortestQueue,
+	BoundedSearches, EarlyOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, SharedWatches, ShortestQueue, SlowUpstreams,
 }
 
 // Set holds the decisions that are switched off; the zero value has all on.
--- a/internal/packetface/steer/choose.go
+++ b/internal/packetface/steer/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 )
 
 // Weights of the choice, in parts of an upstream's slots.
@@ -29,6 +30,11 @@
 	weightProbation = 0.5
 	// weightFailing is that of an agent whose upstream fails, where it may be used.
 	weightFailing = 10
+	// slowFrom is how many times the mean of its siblings an upstream may take for an
+	// answer: kinds of requests differ by less. weightSlow is the extra load of one that
+	// takes longer, for each further mean.
+	slowFrom   = 1.8
+	weightSlow = 1.0
 	// weightRandom breaks ties, so that balancers do not all choose alike.
 	weightRandom = 0.05
 	// statusTrust is the age at which a status tells a third of what the average
@@ -65,7 +71,7 @@
 // take it.
 func (r *roster) choose(now time.Duration, w want, s Settings, tried []*agent) *agent {
 	var best *agent
-	least, mean, panicking := 0.0, r.meanRunning(w.service), r.panicking(w)
+	least, mean, panicking := 0.0, r.means(w.service, s), r.panicking(w)
 	for _, a := range r.byService[w.service] {
 		if !w.allows(a) || !a.takes() && !(panicking && a.fails()) || slices.Contains(tried, a) {
 			continue
@@ -111,7 +117,7 @@
 // least loaded, a leaving one only if there is no other.
 func (r *roster) last(now time.Duration, w want, s Settings) *agent {
 	var best *agent
-	least, mean := 0.0, r.meanRunning(w.service)
+	least, mean := 0.0, r.means(w.service, s)
 	for _, a := range r.byService[w.service] {
 		if !w.allows(a) || a.status.State == inner.StateDown || a.status.State == inner.StateSilent || a.suspect(now) {
 			continue
@@ -138,17 +144,45 @@
 	return trust*told + (1-trust)*mean
 }
 
-// meanRunning returns how many requests the upstreams of a service that take
-// new flows work on, on average.
-func (r *roster) meanRunning(service uint64) float64 {
-	sum, n := 0.0, 0
+// means are what the upstreams of a service that take new flows do on average.
+type means struct {
+	// running is the number of requests that one works on, answer the time that one takes
+	// for an answer, 0 where that is not to count.
+	running float64
+	answer  time.Duration
+}
+
+// means returns those of a service.
+func (r *roster) means(service uint64, s Settings) (m means) {
+	running, n, answers := 0.0, 0, 0
 	for _, a := range r.byService[service] {
-		if a.takes() && a.statusAt > 0 {
-			sum += float64(a.status.Running)
-			n++
+		if !a.takes() || a.statusAt == 0 {
+			continue
+		}
+		running += float64(a.status.Running)
+		n++
+		if a.status.Answer > 0 {
+			m.answer += a.status.Answer
+			answers++
 		}
 	}
-	return sum / float64(max(n, 1))
+	m.running = running / float64(max(n, 1))
+	m.answer /= time.Duration(max(answers, 1))
+	if !s.Policies.On(policy.SlowUpstreams) {
+		m.answer = 0
+	}
+	return m
+}
+
+// slowness returns the extra load of an upstream that takes much longer for an answer
+// than its siblings. By its requests alone it looks no busier than they do until its
+// slots are taken, and each that it has then is late.
+func (m means) slowness(a *agent) float64 {
+	if m.answer == 0 {
+		return 0
+	}
+	times := a.status.Answer.Seconds() / m.answer.Seconds()
+	return weightSlow * max(0, times-slowFrom)
 }
 
 // farness returns what distance counts for, in parts of an upstream's slots.
@@ -160,9 +194,9 @@
 }
 
 // score returns how loaded an agent looks; less is better.
-func (a *agent) score(now time.Duration, s Settings, long bool, mean float64) float64 {
+func (a *agent) score(now time.Duration, s Settings, long bool, mean means) float64 {
 	slots := float64(max(int(a.status.Slots), a.Slots, 1))
-	load := (a.running(now, mean) + float64(a.pending)) / slots
+	load := (a.running(now, mean.running) + float64(a.pending)) / slots
 	if long {
 		load += weightFlow * (float64(a.status.Flows) + float64(a.pending)) / slots
 	}
@@ -172,6 +206,7 @@
 	if a.status.Cold {
 		load += weightCold
 	}
+	load += mean.slowness(a)
 	switch a.status.State {
 	case inner.StateUnproven:
 		load += weightUnproven
