--- a/test/packetfleet/fleet.go
+++ b/test/packetfleet/fleet.go
@@ -40,7 +40,12 @@
 
 // AddAgent adds a host with an upstream of the service and its agent.
 func (f *Fleet) AddAgent(ctx context.Context, name, service string) (*Node, error) {
-	host, err := f.Host(name, "hall", service)
+	return f.AddAgentIn(ctx, "hall", name, service)
+}
+
+// AddAgentIn is AddAgent in a data centre.
+func (f *Fleet) AddAgentIn(ctx context.Context, dataCentre, name, service string) (*Node, error) {
+	host, err := f.Host(name, dataCentre, service)
 	if err != nil {
 		return nil, err
 	}
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -128,6 +128,20 @@
 	s.change(Item{Key: key, Value: value})
 }
 
+// Remove deletes a key as the operator does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change(Item{Key: key, Removed: true})
+}
+
+// Value returns the value of a key, nil if there is none.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // Keys returns the keys with a prefix.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/test/packetplatform/upstream.go
+++ b/test/packetplatform/upstream.go
@@ -19,6 +19,8 @@
 	out  *net.UDPAddr
 	stop chan struct{}
 	once sync.Once
+	// born is the Unix millisecond of its start.
+	born int64
 
 	mu       sync.Mutex
 	flows    map[end]*served
@@ -48,12 +50,17 @@
 
 // StartUpstream starts an upstream on an agent's host.
 func StartUpstream(h *Host) (*Upstream, error) {
+	return StartUpstreamAs(h, fmt.Sprintf("i-%08x", rand.Uint32()))
+}
+
+// StartUpstreamAs starts an upstream under an id, which one before it may have had.
+func StartUpstreamAs(h *Host, id string) (*Upstream, error) {
 	app, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(h.IP), Port: h.AppPort})
 	if err != nil {
 		return nil, err
 	}
 	u := &Upstream{
-		ID: fmt.Sprintf("i-%08x", rand.Uint32()), host: h, app: app,
+		ID: id, host: h, app: app, born: time.Now().UnixMilli(),
 		out:  &net.UDPAddr{IP: net.ParseIP(h.IP), Port: h.OutboundPort},
 		stop: make(chan struct{}), flows: map[end]*served{}, runs: map[string]int{},
 	}
@@ -204,7 +211,7 @@
 	}
 	body, _ := json.Marshal(map[string]any{
 		"service": u.host.Service, "address": "x", "zone": u.host.Zone, "version": "v1",
-		"slots": Slots, "state": state, "coldLeftMs": 0, "seq": u.sequence,
+		"slots": Slots, "state": state, "coldLeftMs": 0, "seq": u.sequence, "born": u.born,
 	})
 	u.mu.Unlock()
 	client := http.Client{Timeout: time.Second}
