--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -208,33 +208,8 @@
 // Question asks whether an upstream holds a flow. Acknowledged is what the
 // caller has acknowledged: it tells two answers to copies of one opening packet
 // apart.
-type Question struct {
-	Flow         platform.Flow
-	Acknowledged uint32
-}
-
 // AppendAsk appends a datagram of KindAsk with MaxQuestions at most.
-func AppendAsk(b []byte, cold Cold, questions []Question) []byte {
-	b = appendCold(append(b, byte(KindAsk)), cold)
-	for i := range questions {
-		b = appendFlow(b, questions[i].Flow)
-		b = binary.BigEndian.AppendUint32(b, questions[i].Acknowledged)
-	}
-	return b
-}
-
 // ParseAsk reads a datagram of KindAsk and appends its questions.
-func ParseAsk(questions []Question, b []byte) (all []Question, cold Cold, err error) {
-	if KindOf(b) != KindAsk || len(b) <= askHead || (len(b)-askHead)%questionSize != 0 {
-		return questions, Cold{}, ErrDatagram
-	}
-	cold = parseCold(b[1:])
-	for b = b[askHead:]; len(b) > 0; b = b[questionSize:] {
-		questions = append(questions, Question{Flow: parseFlow(b), Acknowledged: binary.BigEndian.Uint32(b[flowSize:])})
-	}
-	return questions, cold, nil
-}
-
 // AppendPoll appends a datagram of KindPoll.
 func AppendPoll(b []byte, p Poll) []byte {
 	b = appendKnown(append(b, byte(KindPoll), byte(p.Flags)), p.Known)
@@ -322,35 +297,11 @@
 }
 
 // Answer is an agent's verdict on a flow.
-type Answer struct {
-	Flow    platform.Flow
-	Verdict Verdict
-}
-
 // AppendAnswerHead appends the head of a datagram of KindAnswer; AppendAnswer
 // appends its answers. The listing is the newest that the agent has heard of: a
 // balancer that knows an older one may lack the agent that holds a flow.
-func AppendAnswerHead(b []byte, listing uint64) []byte {
-	return binary.BigEndian.AppendUint64(append(b, byte(KindAnswer)), listing)
-}
-
 // AppendAnswer appends one answer after AppendAnswerHead.
-func AppendAnswer(b []byte, a Answer) []byte {
-	return appendFlow(append(b, byte(a.Verdict)), a.Flow)
-}
-
 // ParseAnswers reads a datagram of KindAnswer and appends its answers.
-func ParseAnswers(answers []Answer, b []byte) (all []Answer, listing uint64, err error) {
-	if KindOf(b) != KindAnswer || len(b) <= answerHead || (len(b)-answerHead)%verdictSize != 0 {
-		return answers, 0, ErrDatagram
-	}
-	listing = binary.BigEndian.Uint64(b[1:])
-	for b = b[answerHead:]; len(b) > 0; b = b[verdictSize:] {
-		answers = append(answers, Answer{Verdict: Verdict(b[0]), Flow: parseFlow(b[1:])})
-	}
-	return answers, listing, nil
-}
-
 func appendKnown(b []byte, k Known) []byte {
 	b = binary.BigEndian.AppendUint64(b, k.Version)
 	return binary.BigEndian.AppendUint64(b, k.Listing)
--- /dev/null
+++ b/internal/packetface/inner/question.go
@@ -0,0 +1,58 @@
+package inner
+
+import (
+	"encoding/binary"
+
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Questions for the owner of a flow, and their answers.
+
+type Question struct {
+	Flow         platform.Flow
+	Acknowledged uint32
+}
+
+func AppendAsk(b []byte, cold Cold, questions []Question) []byte {
+	b = appendCold(append(b, byte(KindAsk)), cold)
+	for i := range questions {
+		b = appendFlow(b, questions[i].Flow)
+		b = binary.BigEndian.AppendUint32(b, questions[i].Acknowledged)
+	}
+	return b
+}
+
+func ParseAsk(questions []Question, b []byte) (all []Question, cold Cold, err error) {
+	if KindOf(b) != KindAsk || len(b) <= askHead || (len(b)-askHead)%questionSize != 0 {
+		return questions, Cold{}, ErrDatagram
+	}
+	cold = parseCold(b[1:])
+	for b = b[askHead:]; len(b) > 0; b = b[questionSize:] {
+		questions = append(questions, Question{Flow: parseFlow(b), Acknowledged: binary.BigEndian.Uint32(b[flowSize:])})
+	}
+	return questions, cold, nil
+}
+
+type Answer struct {
+	Flow    platform.Flow
+	Verdict Verdict
+}
+
+func AppendAnswerHead(b []byte, listing uint64) []byte {
+	return binary.BigEndian.AppendUint64(append(b, byte(KindAnswer)), listing)
+}
+
+func AppendAnswer(b []byte, a Answer) []byte {
+	return appendFlow(append(b, byte(a.Verdict)), a.Flow)
+}
+
+func ParseAnswers(answers []Answer, b []byte) (all []Answer, listing uint64, err error) {
+	if KindOf(b) != KindAnswer || len(b) <= answerHead || (len(b)-answerHead)%verdictSize != 0 {
+		return answers, 0, ErrDatagram
+	}
+	listing = binary.BigEndian.Uint64(b[1:])
+	for b = b[answerHead:]; len(b) > 0; b = b[verdictSize:] {
+		answers = append(answers, Answer{Verdict: Verdict(b[0]), Flow: parseFlow(b[1:])})
+	}
+	return answers, listing, nil
+}
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/saltbend/saltbend/internal/packetface/peercall"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
@@ -72,20 +73,7 @@
 func (f *Follower) fetch(ctx context.Context, peer netip.AddrPort, path string, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
-	if err != nil {
-		return errors.Wrap(err, "registry: ask a peer")
-	}
-	res, err := f.peers.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "registry: ask a peer")
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return errors.Errorf("registry: peer answers %s", res.Status)
-	}
-	err = json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxListingBytes)).Decode(answer)
-	return errors.Wrap(err, "registry: answer of a peer")
+	return peercall.Get(ctx, &f.peers, peer, path, maxListingBytes, answer)
 }
 
 // reading is the answer of the store to a reading of everything.
--- a/internal/packetface/report/report.go
+++ b/internal/packetface/report/report.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/saltbend/saltbend/internal/packetface/evacuation"
+	"github.com/saltbend/saltbend/internal/packetface/peercall"
 )
 
 // Balancer is what one balancer believes.
@@ -94,18 +95,6 @@
 
 // Fetch asks the balancer at a control address.
 func Fetch(ctx context.Context, control netip.AddrPort) (b Balancer, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control.String()+path, nil)
-	if err != nil {
-		return b, errors.Wrap(err, "report: ask a balancer")
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return b, errors.Wrap(err, "report: ask a balancer")
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return b, errors.Errorf("report: the balancer answers %s", res.Status)
-	}
-	err = json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxBytes)).Decode(&b)
-	return b, errors.Wrap(err, "report: read the answer")
+	err = peercall.Get(ctx, http.DefaultClient, control, path, maxBytes, &b)
+	return b, errors.Wrap(err, "report: ask a balancer")
 }
--- /dev/null
+++ b/internal/packetface/steer/lives_test.go
@@ -0,0 +1,95 @@
+package steer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/gate"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// The lives of a world's agents and upstreams.
+
+func (s *site) newLife(random *rand.Rand) {
+	life := s.lives[len(s.lives)-1]
+	switch random.IntN(4) {
+	case 0:
+		life.Born -= 1 + random.Int64N(5000)
+	case 1, 2:
+		life.Born += 1 + random.Int64N(5000)
+	case 3:
+		life.ID = fmt.Sprintf("%s-%d", s.addr, len(s.lives))
+	}
+	s.lives = append(s.lives, life)
+}
+
+func (w *world) startAgent(s *site) {
+	s.incarnation++
+	s.started = w.now
+	s.due = w.now + time.Duration(w.random.Int64N(int64(50*time.Millisecond)))
+	s.gate = gate.New(gate.Settings{
+		Service: service, CallerPort: callerPort,
+		Times: gate.Times{DrainWithin: 3 * time.Second, FlowMaxAge: time.Minute, HeartbeatEvery: 1200 * time.Millisecond},
+	})
+}
+
+func (w *world) heartbeat(s *site) {
+	s.sequence++
+	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{Life: s.lives[s.life], Slots: 2, Sequence: s.sequence, ColdFor: s.coldFor(w.now)})
+	s.heard = w.now
+	w.fromAgent(s, r)
+}
+
+func (s *site) coldFor(now time.Duration) time.Duration {
+	unheard := s.heard == 0 && now-max(s.born, s.started) <= retryTime
+	regular := s.heard != 0 && now-s.heard >= 1200*time.Millisecond
+	if !unheard && !regular {
+		return 0
+	}
+	return max(0, warmup-(now-s.born))
+}
+
+func (w *world) restartAgents() {
+	for _, s := range w.sites {
+		w.startAgent(s)
+		s.sequence = max(s.sequence, 1)
+	}
+}
+
+func (w *world) losePower() {
+	for _, s := range w.sites {
+		w.replace(s, true)
+		s.sequence = w.random.Uint64N(3) // some reports found no process
+	}
+	w.now += time.Duration(w.random.IntN(60)) * time.Millisecond
+	for _, s := range w.sites {
+		w.startAgent(s)
+		if w.random.IntN(8) != 0 {
+			w.heartbeat(s)
+		}
+	}
+	for _, b := range w.balancers {
+		if !b.refused {
+			w.startBalancer(b)
+		}
+	}
+}
+
+func (w *world) lateHeartbeat(s *site) {
+	if s.life == 0 || s.sequence == 0 {
+		return // the life of now has not reported yet
+	}
+	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{Life: s.lives[w.random.IntN(s.life)], Slots: 2, Sequence: 2 + w.random.Uint64N(20)})
+	w.fromAgent(s, r)
+}
+
+func (w *world) replace(s *site, late bool) {
+	s.newLife(w.random)
+	s.life++
+	s.sequence, s.born, s.heard = 0, w.now, 0
+	s.held = map[platform.Flow]bool{}
+	if !late {
+		w.heartbeat(s)
+	}
+}
