--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -205,11 +205,6 @@
 	return o, b[openSize:], nil
 }
 
-// Question asks whether an upstream holds a flow. Acknowledged is what the
-// caller has acknowledged: it tells two answers to copies of one opening packet
-// apart.
-// AppendAsk appends a datagram of KindAsk with MaxQuestions at most.
-// ParseAsk reads a datagram of KindAsk and appends its questions.
 // AppendPoll appends a datagram of KindPoll.
 func AppendPoll(b []byte, p Poll) []byte {
 	b = appendKnown(append(b, byte(KindPoll), byte(p.Flags)), p.Known)
@@ -296,12 +291,6 @@
 	return head, b[returnedSize:], nil
 }
 
-// Answer is an agent's verdict on a flow.
-// AppendAnswerHead appends the head of a datagram of KindAnswer; AppendAnswer
-// appends its answers. The listing is the newest that the agent has heard of: a
-// balancer that knows an older one may lack the agent that holds a flow.
-// AppendAnswer appends one answer after AppendAnswerHead.
-// ParseAnswers reads a datagram of KindAnswer and appends its answers.
 func appendKnown(b []byte, k Known) []byte {
 	b = binary.BigEndian.AppendUint64(b, k.Version)
 	return binary.BigEndian.AppendUint64(b, k.Listing)
--- a/internal/packetface/inner/question.go
+++ b/internal/packetface/inner/question.go
@@ -8,11 +8,15 @@
 
 // Questions for the owner of a flow, and their answers.
 
+// Question asks whether an upstream holds a flow. Acknowledged is what the
+// caller has acknowledged: it tells two answers to copies of one opening packet
+// apart.
 type Question struct {
 	Flow         platform.Flow
 	Acknowledged uint32
 }
 
+// AppendAsk appends a datagram of KindAsk with MaxQuestions at most.
 func AppendAsk(b []byte, cold Cold, questions []Question) []byte {
 	b = appendCold(append(b, byte(KindAsk)), cold)
 	for i := range questions {
@@ -22,6 +26,7 @@
 	return b
 }
 
+// ParseAsk reads a datagram of KindAsk and appends its questions.
 func ParseAsk(questions []Question, b []byte) (all []Question, cold Cold, err error) {
 	if KindOf(b) != KindAsk || len(b) <= askHead || (len(b)-askHead)%questionSize != 0 {
 		return questions, Cold{}, ErrDatagram
@@ -33,19 +38,25 @@
 	return questions, cold, nil
 }
 
+// Answer is an agent's verdict on a flow.
 type Answer struct {
 	Flow    platform.Flow
 	Verdict Verdict
 }
 
+// AppendAnswerHead appends the head of a datagram of KindAnswer; AppendAnswer
+// appends its answers. The listing is the newest that the agent has heard of: a
+// balancer that knows an older one may lack the agent that holds a flow.
 func AppendAnswerHead(b []byte, listing uint64) []byte {
 	return binary.BigEndian.AppendUint64(append(b, byte(KindAnswer)), listing)
 }
 
+// AppendAnswer appends one answer after AppendAnswerHead.
 func AppendAnswer(b []byte, a Answer) []byte {
 	return appendFlow(append(b, byte(a.Verdict)), a.Flow)
 }
 
+// ParseAnswers reads a datagram of KindAnswer and appends its answers.
 func ParseAnswers(answers []Answer, b []byte) (all []Answer, listing uint64, err error) {
 	if KindOf(b) != KindAnswer || len(b) <= answerHead || (len(b)-answerHead)%verdictSize != 0 {
 		return answers, 0, ErrDatagram
--- a/internal/packetface/steer/lives_test.go
+++ b/internal/packetface/steer/lives_test.go
@@ -11,6 +11,8 @@
 
 // The lives of a world's agents and upstreams.
 
+// newLife begins another life: under another id, or under the same with another start,
+// which is earlier where the host's clock was set back.
 func (s *site) newLife(random *rand.Rand) {
 	life := s.lives[len(s.lives)-1]
 	switch random.IntN(4) {
@@ -41,6 +43,9 @@
 	w.fromAgent(s, r)
 }
 
+// coldFor returns what an upstream tells of its start. Real ones report at once when they
+// start, until they are heard, and then not for a heartbeat's time; where this one has
+// not, it tells nothing.
 func (s *site) coldFor(now time.Duration) time.Duration {
 	unheard := s.heard == 0 && now-max(s.born, s.started) <= retryTime
 	regular := s.heard != 0 && now-s.heard >= 1200*time.Millisecond
@@ -50,6 +55,8 @@
 	return max(0, warmup-(now-s.born))
 }
 
+// restartAgents starts all agents at once, as after a fault of all hosts whose
+// upstreams live on.
 func (w *world) restartAgents() {
 	for _, s := range w.sites {
 		w.startAgent(s)
@@ -57,6 +64,8 @@
 	}
 }
 
+// losePower starts everything at once: all flows are dead. Some upstreams report at
+// once, others are late.
 func (w *world) losePower() {
 	for _, s := range w.sites {
 		w.replace(s, true)
@@ -76,6 +85,7 @@
 	}
 }
 
+// lateHeartbeat delivers one of a life before, which was delayed until now.
 func (w *world) lateHeartbeat(s *site) {
 	if s.life == 0 || s.sequence == 0 {
 		return // the life of now has not reported yet
@@ -84,6 +94,7 @@
 	w.fromAgent(s, r)
 }
 
+// replace ends the upstream; a new life begins and reports.
 func (w *world) replace(s *site, late bool) {
 	s.newLife(w.random)
 	s.life++
--- a/internal/packetface/steer/owner_test.go
+++ b/internal/packetface/steer/owner_test.go
@@ -134,6 +134,8 @@
 	b.Expect(b.resets()).To(Equal(1))
 }
 
+// An agent that can't tell and has only just started returns a probe unsure; it
+// is probed again without a further packet of the caller.
 func TestAProbeIsRepeatedByItself(t *testing.T) {
 	b := newBench(t, at(101, "a"))
 	b.status(101, inner.Status{})
--- a/internal/packetface/steer/place_test.go
+++ b/internal/packetface/steer/place_test.go
@@ -68,6 +68,9 @@
 	b.Expect(b.resets()).To(Equal(1)) // at once, and true: it has not run
 }
 
+// In a rush every agent has more to do than slots. The load: three agents return a
+// flow as busy, with 9, 5 and 12 requests there; a fourth has 20. The flow waits
+// where the fewest do, and not at the fourth because it has not returned it yet.
 func TestAFlowThatFindsAllSlotsTakenWaitsWhereTheFewestDo(t *testing.T) {
 	cases := []struct {
 		name string
@@ -100,6 +103,8 @@
 	}
 }
 
+// Where more of a service fail than not, it is the service that does, or what is asked
+// of it: then all are used, and told that they must take it.
 func TestAFailingServiceIsNotShutOut(t *testing.T) {
 	b := newBench(t, at(101, "a"), at(102, "a"), at(103, "a"))
 	b.status(101, inner.Status{State: inner.StateFailing})
@@ -116,6 +121,8 @@
 	b.Expect(head.Flags & inner.FlagMust).NotTo(BeZero())
 }
 
+// After a common loss of power opening packets come before the balancer has read the
+// store. They are kept, and placed with the first list.
 func TestOpeningsBeforeTheFirstListAreKept(t *testing.T) {
 	cases := []struct {
 		name string
@@ -144,6 +151,7 @@
 	}
 }
 
+// What is older than the callers' next copy is not placed, and the number is bounded.
 func TestFewOpeningsAreKeptForLong(t *testing.T) {
 	b := &bench{WithT: NewWithT(t), now: time.Millisecond}
 	b.core = steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: rand.New(rand.NewPCG(1, 2))})
@@ -158,6 +166,8 @@
 	b.Expect(b.sent(inner.KindOpen)).To(HaveLen(511))
 }
 
+// A balancer that has just started takes flows for repetitions: callers whose opening
+// packets were lost begin anew for as long as their last copies may still come.
 func TestFlowsRightAfterAStartMayBeRepetitions(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -184,6 +194,8 @@
 	}
 }
 
+// A flow that all agents return is reset at once, as its caller may ask elsewhere; while
+// the list may lack agents, the next copy tries again and no repetition is burnt.
 func TestNobodyTakesIt(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -215,6 +227,8 @@
 	}
 }
 
+// Many agents start beside upstreams that are gone: a flow finds the one that lives
+// behind more of them than may return it for want of a slot.
 func TestAFlowPassesManyAgentsWithoutAnUpstream(t *testing.T) {
 	agents := []steer.Agent{at(120, "b")}
 	for n := range 15 {
@@ -233,6 +247,8 @@
 	b.Expect(b.resets()).To(BeZero())
 }
 
+// An agent that has just started hears from balancers how many slots its upstream
+// has; where the store lists none for it, those of another of the service count.
 func TestAnOpeningTellsTheListedSlots(t *testing.T) {
 	unknown := at(101, "a")
 	unknown.Slots = 0
--- a/internal/packetface/steer/steer_test.go
+++ b/internal/packetface/steer/steer_test.go
@@ -118,22 +118,6 @@
 	}
 }
 
-// In a rush every agent has more to do than slots. The load: three agents return a
-// flow as busy, with 9, 5 and 12 requests there; a fourth has 20. The flow waits
-// where the fewest do, and not at the fourth because it has not returned it yet.
-// Where more of a service fail than not, it is the service that does, or what is asked
-// of it: then all are used, and told that they must take it.
-// After a common loss of power opening packets come before the balancer has read the
-// store. They are kept, and placed with the first list.
-// What is older than the callers' next copy is not placed, and the number is bounded.
-// A balancer that has just started takes flows for repetitions: callers whose opening
-// packets were lost begin anew for as long as their last copies may still come.
-// A flow that all agents return is reset at once, as its caller may ask elsewhere; while
-// the list may lack agents, the next copy tries again and no repetition is burnt.
-// Many agents start beside upstreams that are gone: a flow finds the one that lives
-// behind more of them than may return it for want of a slot.
-// An agent that has just started hears from balancers how many slots its upstream
-// has; where the store lists none for it, those of another of the service count.
 func TestUnknownFacesAreResetOnlyOnFreshKnowledge(t *testing.T) {
 	b := newBench(t, at(101, "a"))
 	id := caller(1)
@@ -194,6 +178,3 @@
 		_, _ = c.FromAgent(time.Second, address(1, 1), b)
 	})
 }
-
-// An agent that can't tell and has only just started returns a probe unsure; it
-// is probed again without a further packet of the caller.
--- a/internal/packetface/steer/world_test.go
+++ b/internal/packetface/steer/world_test.go
@@ -48,8 +48,6 @@
 // answer returns the count of the upstream's answer to an opening packet.
 func (s *site) answer() uint32 { return uint32(s.addr.Addr().As4()[3])*1_000_000 + uint32(s.life)*1000 }
 
-// newLife begins another life: under another id, or under the same with another start,
-// which is earlier where the host's clock was set back.
 // balancer is a balancer at its address.
 type balancer struct {
 	addr netip.AddrPort
@@ -176,15 +174,6 @@
 	retryTime = 50 * time.Millisecond
 )
 
-// coldFor returns what an upstream tells of its start. Real ones report at once when they
-// start, until they are heard, and then not for a heartbeat's time; where this one has
-// not, it tells nothing.
-// restartAgents starts all agents at once, as after a fault of all hosts whose
-// upstreams live on.
-// losePower starts everything at once: all flows are dead. Some upstreams report at
-// once, others are late.
-// lateHeartbeat delivers one of a life before, which was delayed until now.
-// replace ends the upstream; a new life begins and reports.
 func (w *world) fromBalancer(addr netip.AddrPort, r *steer.Result) {
 	for _, n := range r.Notes {
 		w.tell("balancer %s %s %s agent %s %s", addr, n.Kind, n.Flow, n.Agent, n.Reason)
