gate: a warm-up is taken for the agent's own service alone

Cause: polls and questions told a warm-up without its service. After an address has been used again a balancer with an old list would tell that of the service before; with too short a one an upstream of eight seconds looks as if it had just begun, and a living flow might be reset (worked out, not seen). Change: polls and questions name the service that the balancer knows the agent by (8 bytes each); an agent that is known by another one looks for its entry, which may be another writer's.

--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -21,9 +21,7 @@
 	}
 	g.hearKnown(from, head.Known)
 	g.hearEvacuation(now, from, head.Evacuation)
-	if head.Service == g.service {
-		g.hearCold(now, head.Known.Version, head.Cold)
-	}
+	g.hearCold(now, head.Service, head.Known.Version, head.Cold)
 	g.listedSlots = max(int(head.Slots), g.listedSlots)
 	id := p.FromCaller()
 	reason := g.refusal(now, id, head)
--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -17,8 +17,9 @@
 	}
 	g.hearKnown(from, poll.Known)
 	g.hearEvacuation(now, from, poll.Evacuation)
-	g.hearCold(now, poll.Known.Version, poll.Cold)
-	if poll.Flags&inner.FlagUnlisted != 0 && !g.unlisted {
+	g.hearCold(now, poll.Service, poll.Known.Version, poll.Cold)
+	otherService := poll.Service != 0 && poll.Service != g.service // the entry is old, or not the agent's
+	if (poll.Flags&inner.FlagUnlisted != 0 || otherService) && !g.unlisted {
 		g.unlisted = true
 		g.note(now, Note{Kind: KindUnlisted, Peer: from})
 	}
@@ -46,12 +47,12 @@
 func (g *Gate) AskedAt() time.Duration { return g.asked }
 
 func (g *Gate) fromAsk(now time.Duration, from netip.AddrPort, b []byte) (err error) {
-	var cold inner.Cold
-	g.questions, cold, err = inner.ParseAsk(g.questions[:0], b)
+	var head inner.AskHead
+	g.questions, head, err = inner.ParseAsk(g.questions[:0], b)
 	if err != nil {
 		return err
 	}
-	g.hearWarmup(now, cold.Warmup)
+	g.hearWarmup(now, head.Service, head.Cold.Warmup)
 	start := len(g.buffer)
 	g.buffer = inner.AppendAnswerHead(g.buffer, g.listing())
 	for _, q := range g.questions {
--- a/internal/packetface/gate/cold.go
+++ b/internal/packetface/gate/cold.go
@@ -20,15 +20,15 @@
 	reported time.Duration
 }
 
-// hearCold takes what a balancer knows by a version of the configuration, unless a newer
-// one has told something else.
-func (g *Gate) hearCold(now time.Duration, version uint64, c inner.Cold) {
-	if version < g.cold.version {
+// hearCold takes what a balancer knows of a service by a version of the configuration,
+// unless a newer one has told something else.
+func (g *Gate) hearCold(now time.Duration, service, version uint64, c inner.Cold) {
+	if service != g.service || version < g.cold.version {
 		return
 	}
 	g.cold.version = version
 	g.cold.bounds = coldrate.NewBounds(float64(c.Rate), g.settings.ColdOverage)
-	g.hearWarmup(now, c.Warmup)
+	g.hearWarmup(now, service, c.Warmup)
 }
 
 // coldBounds returns the bounds on the flows that the upstream gets, none once it is
@@ -55,9 +55,9 @@
 	}
 }
 
-// hearWarmup takes how long upstreams of the service are cold after their start.
-func (g *Gate) hearWarmup(now, warmup time.Duration) {
-	if warmup == 0 || warmup == g.cold.warmup {
+// hearWarmup takes how long upstreams of a service are cold after their start.
+func (g *Gate) hearWarmup(now time.Duration, service uint64, warmup time.Duration) {
+	if service != g.service || warmup == 0 || warmup == g.cold.warmup {
 		return
 	}
 	g.cold.warmup = warmup
--- a/internal/packetface/gate/gate_test.go
+++ b/internal/packetface/gate/gate_test.go
@@ -146,7 +146,7 @@
 }
 
 func (b *bench) verdict(id platform.Flow, ack uint32) inner.Verdict {
-	b.balancerSends(inner.AppendAsk(nil, inner.Cold{}, []inner.Question{{Flow: id, Acknowledged: ack}}))
+	b.balancerSends(inner.AppendAsk(nil, inner.AskHead{}, []inner.Question{{Flow: id, Acknowledged: ack}}))
 	answers, _, err := inner.ParseAnswers(nil, b.last.Actions[0].Bytes)
 	b.Expect(err).NotTo(HaveOccurred())
 	return answers[0].Verdict
--- a/internal/packetface/gate/start_test.go
+++ b/internal/packetface/gate/start_test.go
@@ -19,7 +19,7 @@
 	b.heartbeat("i-1", false)
 	b.Expect(b.verdict(flow(1), 0)).To(Equal(inner.VerdictUnsure))
 	b.last = b.gate.SetSeen(b.now, 30)
-	b.balancerSends(inner.AppendAsk(nil, inner.Cold{}, []inner.Question{{Flow: flow(1)}}))
+	b.balancerSends(inner.AppendAsk(nil, inner.AskHead{}, []inner.Question{{Flow: flow(1)}}))
 	answers, listing, err := inner.ParseAnswers(nil, b.last.Actions[0].Bytes)
 	b.Expect(err).NotTo(HaveOccurred())
 	b.Expect(answers[0].Verdict).To(Equal(inner.VerdictNone))
@@ -97,3 +97,14 @@
 	b.Expect(b.gate.Finished()).To(BeTrue())
 	b.Expect(b.gate.Registration().Ended).To(BeFalse())
 }
+
+// A balancer that knows the agent by another service has that from an entry which is old,
+// or which another writer wrote over the agent's: the agent looks.
+func TestAnAgentThatIsKnownByAnotherServiceLooksForItsEntry(t *testing.T) {
+	b := newBench(t)
+	b.begin("i-1")
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Service: inner.ServiceID(service)}))
+	b.Expect(b.gate.TakeUnlisted()).To(BeFalse())
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Service: inner.ServiceID("other")}))
+	b.Expect(b.gate.TakeUnlisted()).To(BeTrue())
+}
--- a/internal/packetface/gate/unseen_test.go
+++ b/internal/packetface/gate/unseen_test.go
@@ -22,7 +22,7 @@
 }
 
 func (b *bench) hearWarmup() {
-	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Known: inner.Known{Listing: 5}, Cold: inner.Cold{Warmup: warmup}}))
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{Service: inner.ServiceID(service), Known: inner.Known{Listing: 5}, Cold: inner.Cold{Warmup: warmup}}))
 }
 
 // After a common loss of power upstreams start a moment before their agents, and their
@@ -55,6 +55,10 @@
 		{"half of a heartbeat's time", func(b *bench) { b.hearWarmup(); b.reports(2, 500*time.Millisecond) }},
 		{"it is warm", func(b *bench) { b.hearWarmup(); b.reports(40, time.Minute) }},
 		{"the warm-up is not known", func(b *bench) { b.reports(2, 10*time.Millisecond) }},
+		{"the warm-up is another service's", func(b *bench) {
+			b.balancerSends(inner.AppendPoll(nil, inner.Poll{Service: inner.ServiceID("other"), Cold: inner.Cold{Warmup: warmup}}))
+			b.reports(2, 10*time.Millisecond)
+		}},
 		{"it was held for gone", func(b *bench) {
 			b.reports(2, 10*time.Millisecond)
 			b.gate.Refused(b.now)
--- a/internal/packetface/gate/verdict_test.go
+++ b/internal/packetface/gate/verdict_test.go
@@ -152,7 +152,7 @@
 			b.Expect(b.returned()).To(Equal(inner.ReasonFailing))
 		}
 		b.upstreamSends(fromUpstream(callerAt(0), 100, 2, platform.FlagSYN|platform.FlagACK, 0))
-		b.balancerSends(inner.AppendAsk(nil, inner.Cold{}, []inner.Question{{Flow: callerAt(0), Acknowledged: 1 << 30}}))
+		b.balancerSends(inner.AppendAsk(nil, inner.AskHead{}, []inner.Question{{Flow: callerAt(0), Acknowledged: 1 << 30}}))
 		answers, _, err := inner.ParseAnswers(nil, b.last.Actions[0].Bytes)
 		b.Expect(err).NotTo(HaveOccurred())
 		b.Expect(answers[0].Verdict).NotTo(Equal(inner.VerdictHeld))
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -24,10 +24,10 @@
 	KindOpen Kind = iota + 1
 	// KindForward carries another packet of a flow to an agent (5 bytes).
 	KindForward
-	// KindAsk asks an agent whether its upstream holds some flows (5 bytes and 16
+	// KindAsk asks an agent whether its upstream holds some flows (13 bytes and 16
 	// bytes a flow).
 	KindAsk
-	// KindPoll asks an agent for its status (31 bytes).
+	// KindPoll asks an agent for its status (39 bytes).
 	KindPoll
 	// KindStatus tells a balancer how an agent and its upstream are (56 bytes).
 	KindStatus
@@ -90,6 +90,8 @@
 // Poll asks for a status.
 type Poll struct {
 	Flags Flags
+	// Service is the ServiceID that the balancer knows the agent by.
+	Service uint64
 	// Known, Evacuation and Cold are the same as in Open.
 	Known      Known
 	Evacuation evacuation.Word
@@ -148,13 +150,13 @@
 	knownSize    = 8 + 8
 	wordSize     = 1 + 8
 	coldSize     = 2 + 2
-	askHead      = 1 + coldSize
+	askHead      = 1 + 8 + coldSize
 	forwardSize  = 5
 	flowSize     = 4 + 4 + 2 + 2
 	questionSize = flowSize + 4
 	verdictSize  = 1 + flowSize
 	answerHead   = 1 + 8
-	pollSize     = 2 + knownSize + wordSize + coldSize
+	pollSize     = 2 + 8 + knownSize + wordSize + coldSize
 	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4 + wordSize + 2
 	returnedSize = 2 + 8 + 2
 
@@ -207,7 +209,8 @@
 
 // AppendPoll appends a datagram of KindPoll.
 func AppendPoll(b []byte, p Poll) []byte {
-	b = appendKnown(append(b, byte(KindPoll), byte(p.Flags)), p.Known)
+	b = binary.BigEndian.AppendUint64(append(b, byte(KindPoll), byte(p.Flags)), p.Service)
+	b = appendKnown(b, p.Known)
 	b = appendWord(b, p.Evacuation)
 	return appendCold(b, p.Cold)
 }
@@ -218,8 +221,8 @@
 		return Poll{}, ErrDatagram
 	}
 	return Poll{
-		Flags: Flags(b[1]), Known: parseKnown(b[2:]), Evacuation: parseWord(b[2+knownSize:]),
-		Cold: parseCold(b[2+knownSize+wordSize:]),
+		Flags: Flags(b[1]), Service: binary.BigEndian.Uint64(b[2:]), Known: parseKnown(b[10:]),
+		Evacuation: parseWord(b[10+knownSize:]), Cold: parseCold(b[10+knownSize+wordSize:]),
 	}, nil
 }
 
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -56,7 +56,7 @@
 		g.Expect(string(gotPacket)).To(Equal(string(packet)))
 
 		known := drawKnown(t)
-		poll := inner.Poll{Flags: flags, Known: known, Evacuation: drawWord(t), Cold: drawCold(t)}
+		poll := inner.Poll{Flags: flags, Service: rapid.Uint64().Draw(t, "poll service"), Known: known, Evacuation: drawWord(t), Cold: drawCold(t)}
 		gotPoll, err := inner.ParsePoll(inner.AppendPoll(nil, poll))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(gotPoll).To(Equal(poll))
@@ -80,10 +80,10 @@
 		g.Expect(string(gotPacket)).To(Equal(string(packet)))
 
 		questions := []inner.Question{{Flow: drawFlow(t), Acknowledged: rapid.Uint32().Draw(t, "acknowledged")}, {Flow: drawFlow(t)}}
-		cold := drawCold(t)
-		gotQuestions, gotCold, err := inner.ParseAsk(nil, inner.AppendAsk(nil, cold, questions))
+		head := inner.AskHead{Service: rapid.Uint64().Draw(t, "ask service"), Cold: drawCold(t)}
+		gotQuestions, gotHead, err := inner.ParseAsk(nil, inner.AppendAsk(nil, head, questions))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(gotCold).To(Equal(cold))
+		g.Expect(gotHead).To(Equal(head))
 		g.Expect(gotQuestions).To(Equal(questions))
 
 		answer := inner.Answer{Flow: drawFlow(t), Verdict: inner.VerdictMaybe}
@@ -111,13 +111,13 @@
 
 func TestLargestAskFitsADatagram(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(len(inner.AppendAsk(nil, inner.Cold{}, make([]inner.Question, inner.MaxQuestions)))).To(BeNumerically("<=", inner.MaxSize))
+	g.Expect(len(inner.AppendAsk(nil, inner.AskHead{}, make([]inner.Question, inner.MaxQuestions)))).To(BeNumerically("<=", inner.MaxSize))
 }
 
 // FuzzParse reads any bytes as every kind of datagram: none may panic.
 func FuzzParse(f *testing.F) {
 	f.Add(inner.AppendOpen(nil, inner.Open{}, []byte{1}))
-	f.Add(inner.AppendAsk(nil, inner.Cold{}, make([]inner.Question, 2)))
+	f.Add(inner.AppendAsk(nil, inner.AskHead{}, make([]inner.Question, 2)))
 	f.Add(inner.AppendStatus(nil, inner.Status{State: inner.StateReady}))
 	f.Add(inner.AppendAnswer(inner.AppendAnswerHead(nil, 1), inner.Answer{}))
 	f.Add([]byte{})
--- a/internal/packetface/inner/question.go
+++ b/internal/packetface/inner/question.go
@@ -16,9 +16,17 @@
 	Acknowledged uint32
 }
 
+// AskHead is what a datagram of KindAsk says beside its questions.
+type AskHead struct {
+	// Service and Cold are the same as in Poll.
+	Service uint64
+	Cold    Cold
+}
+
 // AppendAsk appends a datagram of KindAsk with MaxQuestions at most.
-func AppendAsk(b []byte, cold Cold, questions []Question) []byte {
-	b = appendCold(append(b, byte(KindAsk)), cold)
+func AppendAsk(b []byte, head AskHead, questions []Question) []byte {
+	b = binary.BigEndian.AppendUint64(append(b, byte(KindAsk)), head.Service)
+	b = appendCold(b, head.Cold)
 	for i := range questions {
 		b = appendFlow(b, questions[i].Flow)
 		b = binary.BigEndian.AppendUint32(b, questions[i].Acknowledged)
@@ -27,15 +35,15 @@
 }
 
 // ParseAsk reads a datagram of KindAsk and appends its questions.
-func ParseAsk(questions []Question, b []byte) (all []Question, cold Cold, err error) {
+func ParseAsk(questions []Question, b []byte) (all []Question, head AskHead, err error) {
 	if KindOf(b) != KindAsk || len(b) <= askHead || (len(b)-askHead)%questionSize != 0 {
-		return questions, Cold{}, ErrDatagram
+		return questions, AskHead{}, ErrDatagram
 	}
-	cold = parseCold(b[1:])
+	head = AskHead{Service: binary.BigEndian.Uint64(b[1:]), Cold: parseCold(b[9:])}
 	for b = b[askHead:]; len(b) > 0; b = b[questionSize:] {
 		questions = append(questions, Question{Flow: parseFlow(b), Acknowledged: binary.BigEndian.Uint32(b[flowSize:])})
 	}
-	return questions, cold, nil
+	return questions, head, nil
 }
 
 // Answer is an agent's verdict on a flow.
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -274,7 +274,9 @@
 	}
 	a.asked(now)
 	start := len(c.buffer)
-	c.buffer = inner.AppendPoll(c.buffer, inner.Poll{Flags: flags, Known: c.known(), Evacuation: a.evacuation, Cold: c.cold(a)})
+	c.buffer = inner.AppendPoll(c.buffer, inner.Poll{
+		Flags: flags, Service: a.Service, Known: c.known(), Evacuation: a.evacuation, Cold: c.coldOf(a.Service),
+	})
 	c.send(a.Addr, start)
 }
 
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -141,7 +141,7 @@
 	for _, a := range c.questioned {
 		for part := range slices.Chunk(a.questions, inner.MaxQuestions) {
 			start := len(c.buffer)
-			c.buffer = inner.AppendAsk(c.buffer, c.cold(a), part)
+			c.buffer = inner.AppendAsk(c.buffer, inner.AskHead{Service: a.Service, Cold: c.coldOf(a.Service)}, part)
 			a.asked(now)
 			c.send(a.Addr, start)
 		}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -338,11 +338,6 @@
 	return k
 }
 
-// cold returns what is known of how an agent's upstream warms up.
-func (c *Core) cold(a *agent) inner.Cold {
-	return c.coldOf(a.Service)
-}
-
 // coldOf returns what is known of how upstreams of a service warm up: where the
 // configuration does not tell for how long, what they have shown.
 func (c *Core) coldOf(service uint64) (cold inner.Cold) {
