Reading the diff: a reading that fails is logged, a condition that says nothing more is gone

services.go swallowed why a configuration could not be read; life.go asked twice for a first heartbeat. Behaviour is the same.

--- a/internal/packetface/gate/life.go
+++ b/internal/packetface/gate/life.go
@@ -72,9 +72,9 @@
 	return g.confirm(now, beat)
 }
 
-// restarted says how a life follows that has certainly started after the one before. The one before has ended; but if
-// only one heartbeat of it was heard, that may have come late, and flows before it may
-// be of the new life.
+// restarted says how a life follows that has certainly started after the one before,
+// which has ended then. But if only one heartbeat of that was heard, it may have come
+// late, and flows before it may be of the new life.
 func (g *Gate) restarted() succession {
 	if g.upstream.confirmed {
 		return successionCertain
@@ -147,7 +147,7 @@
 		g.cold = cold{}
 	}
 	// Every packet of this life went through this process.
-	seenAll := beat.Sequence <= firstHeartbeat || s == successionCertain
+	seenAll := beat.Sequence <= firstHeartbeat
 	g.upstream = upstream{life: beat.Life, dataCentre: beat.DataCentre, whole: seenAll, confirmed: seenAll}
 	if before.unknown() {
 		g.upstream.firstCold = beat.ColdFor
--- a/internal/packetface/role/services.go
+++ b/internal/packetface/role/services.go
@@ -10,7 +10,7 @@
 
 // An address may be used again by another service, and another writer may report a
 // service that there is none of. An agent knows no configuration; when its upstream
-// reports a service that is new to it, it looks there whether one names it.
+// reports a service that is new to it, it looks in the store whether one names it.
 
 const (
 	// servicesTimeout bounds the reading of a configuration: an upstream waits a second
@@ -52,8 +52,11 @@
 		return serviceNamed
 	}
 	if now := a.clock(); s.asked == 0 || now-s.asked >= servicesEvery {
-		s.asked = now
-		s.reached = s.read(a.store)
+		err := s.read(a.store)
+		s.asked, s.reached = now, err == nil
+		if err != nil {
+			a.log.Warn("Configuration not read for a service.", "service", name, "error", err.Error())
+		}
 	}
 	switch {
 	case !s.reached:
@@ -65,20 +68,20 @@
 }
 
 // read takes over the services of the configuration in the store.
-func (s *services) read(store *platform.Store) bool {
+func (s *services) read(store *platform.Store) error {
 	ctx, cancel := context.WithTimeout(context.Background(), servicesTimeout)
 	defer cancel()
 	item, _, err := store.Get(ctx, platform.ConfigKey)
 	if err != nil {
-		return false // counted with the store's calls; the upstream reports again
+		return err
 	}
 	config, _, err := platform.ParseConfiguration(item.Value)
 	if err != nil {
-		return false
+		return err
 	}
 	s.named = make(map[string]bool)
 	for _, name := range config.ServiceNames() {
 		s.named[name] = true
 	}
-	return true
+	return nil
 }
