Reading the diff again: a different warm-up is no news; two pieces that stood twice

Cause: an agent whose upstream's first heartbeat had told its age announced to all balancers each time that the warm-up it was told differed from the last one. Two balancers with lists of different age tell two in turn, so that each opening packet brought a status to every balancer. Found by reading; a test that fails before it. Change: it announces only what it did not know. Beside it, of the same kind on the path of an opening and in the listing: what a flow wants of its agent is made once for a placement, not three times; requests to empty a data centre are told from entries by one function. Measured: tests of gate, steer and registry; no figure was taken for it. Verdicts, choices and datagrams are the same but for the statuses left out.

--- a/internal/packetface/gate/cold.go
+++ b/internal/packetface/gate/cold.go
@@ -61,7 +61,7 @@
 		return
 	}
 	g.cold.warmup = warmup
-	if g.beganUnseen() {
+	if !g.upstream.whole && g.beganUnseen() {
 		g.upstream.whole = true
 		g.announce(now)
 	}
--- a/internal/packetface/gate/unseen_test.go
+++ b/internal/packetface/gate/unseen_test.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// Balancers with lists of different age tell different warm-ups, in turn: what the agent
+// knows already it does not announce again, to all balancers with each opening packet.
+func TestADifferentWarmUpIsNoNews(t *testing.T) {
+	b := newBench(t)
+	b.gate.SetSeen(b.now, 5)
+	b.hearWarmup()
+	b.reports(3, 90*time.Millisecond)
+	for n := range 6 {
+		cold := inner.Cold{Warmup: warmup + time.Duration(n%2)*50*time.Millisecond}
+		b.opening(flow(1+n), inner.Open{Cold: cold})
+		b.Expect(b.states()).To(BeEmpty())
+	}
+}
+
 // One that has lived for longer may have been heard by the process before.
 func TestAnUpstreamThatHasLivedForLongerTellsItself(t *testing.T) {
 	cases := []struct {
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -81,10 +81,8 @@
 
 // evacuations returns the requests to empty data centres.
 func (s *Shared) evacuations() (out []evacuation.Request) {
-	for _, entry := range s.Entries {
-		if name, ok := platform.EvacuatedDataCentre(entry.Key); ok {
-			out = append(out, evacuation.Request{DataCentre: name, Revision: entry.Revision})
-		}
+	for _, change := range evacuations(s.Entries) {
+		out = append(out, change.Request)
 	}
 	return out
 }
--- a/internal/packetface/steer/place.go
+++ b/internal/packetface/steer/place.go
@@ -73,9 +73,10 @@
 		c.reset(id, 0, "no-service")
 		return
 	}
-	best := c.roster.choose(now, c.wants(route, service), c.settings, c.excluded(f))
+	w := c.wants(route, service)
+	best := c.roster.choose(now, w, c.settings, c.excluded(f))
 	if best == nil || f.hops() >= maxHops {
-		c.placeLast(now, id, f, route, service, b)
+		c.placeLast(now, id, f, route, w, b)
 		return
 	}
 	note := Note{Kind: KindPlaced, Flow: id, Agent: best.Addr, Age: now - best.heard, Count: f.hops()}
@@ -94,10 +95,10 @@
 
 // placeLast sends an opening packet that every agent has returned to the one
 // that may take it yet, or tells the caller that nobody does.
-func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, service uint64, b []byte) {
-	last := c.roster.last(now, c.wants(route, service), c.settings)
+func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, w want, b []byte) {
+	last := c.roster.last(now, w, c.settings)
 	if last == nil || f.agent == nil || f.lastTry {
-		c.turnAway(now, id, c.noneTakes(c.wants(route, service)), b)
+		c.turnAway(now, id, c.noneTakes(w), b)
 		return
 	}
 	c.note(Note{Kind: KindMoved, Flow: id, Agent: last.Addr, Age: now - last.heard, Took: now - f.placed, Reason: "last", Count: f.hops()})
