--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -45,6 +45,9 @@
 // passedOver counts entries that no agent wrote.
 var passedOver = metrics.NewCounter(`saltbend_packet_entries_passed_over_total`)
 
+// olderReadings counts readings of the store that are older than what was known.
+var olderReadings = metrics.NewCounter(`saltbend_packet_store_older_total`)
+
 // everything is the prefix of all keys: one watch serves the configuration and
 // the agents.
 const everything = ""
@@ -241,6 +244,10 @@
 
 // take takes over a reading of everything.
 func (f *Follower) take(all []platform.Item, revision uint64) {
+	if f.listing != nil && revision < f.listing.AsOf {
+		olderReadings.Inc()
+		f.Log.Warn("Store is older than it was.", "before", f.listing.AsOf, "revision", revision)
+	}
 	f.takeWhole(all, revision)
 	f.Log.Info("Store read.", "revision", revision, "agents", len(f.listing.agents), "config_revision", f.listing.ConfigRevision)
 }
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -50,6 +50,10 @@
 	// source is that one, invalid for none.
 	share  *watchshare.State
 	source netip.Addr
+	// listed is up to where the store's changes are known; lesser is a source that was
+	// told of as knowing less, invalid for none.
+	listed uint64
+	lesser netip.Addr
 	core   *steer.Core
 	notes  *notes
 	seeds  []netip.AddrPort
@@ -273,6 +277,7 @@
 func (b *balancer) changed(l *registry.Listing) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.listed = l.AsOf
 	b.adopt(l)
 	b.evacuate(l.Evacuations())
 	b.do(b.core.SetAgents(b.clock(), l.Agents(), l.Age()))
--- a/internal/packetface/role/sharing.go
+++ b/internal/packetface/role/sharing.go
@@ -1,6 +1,7 @@
 package role
 
 import (
+	"cmp"
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,13 @@
 	strangeNews    = metrics.NewCounter(`saltbend_packet_watch_unreadable_total`)
 )
 
+// newsKnows counts news by what their sender knows, compared with this balancer.
+var newsKnows = map[string]*metrics.Counter{
+	"more": metrics.NewCounter(`saltbend_packet_watch_news_total{knows="more"}`),
+	"same": metrics.NewCounter(`saltbend_packet_watch_news_total{knows="same"}`),
+	"less": metrics.NewCounter(`saltbend_packet_watch_news_total{knows="less"}`),
+}
+
 // turns counts how often a balancer began to watch or to listen.
 var turns = map[bool]*metrics.Counter{
 	true:  metrics.NewCounter(`saltbend_packet_watch_turns_total{to="listen"}`),
@@ -48,9 +56,30 @@
 	}
 	b.sendShare(b.share.News(now, from.Addr(), news))
 	b.followShare()
+	b.compareNews(from.Addr(), news)
 	return true
 }
 
+// compareNews counts news by whether their sender knows more of the store than this
+// balancer, and tells when the source begins to know less: what it tells then is not
+// taken over.
+func (b *balancer) compareNews(from netip.Addr, news inner.News) {
+	switch order := cmp.Compare(news.AsOf, b.listed); {
+	case order > 0:
+		newsKnows["more"].Inc()
+	case order == 0:
+		newsKnows["same"].Inc()
+	default:
+		newsKnows["less"].Inc()
+		if from == b.source && b.lesser != from {
+			b.log.Info("Source knows less than this balancer.", "source", from.String(), "as_of", news.AsOf, "own_as_of", b.listed)
+			b.lesser = from
+		}
+		return
+	}
+	b.lesser = netip.Addr{}
+}
+
 // tickShare does what is due for sharing by time alone. The caller holds mu.
 func (b *balancer) tickShare() {
 	if !b.env.Policies.On(policy.SharedWatches) {
--- /dev/null
+++ b/test/integration/return_test.go
@@ -0,0 +1,110 @@
+package integration_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	packetreport "github.com/saltbend/saltbend/internal/packetface/report"
+	"github.com/saltbend/saltbend/test/packetfleet"
+	"github.com/saltbend/saltbend/test/packetplatform"
+)
+
+// returnPatience bounds the wait for what a store brings that came back from a copy; on
+// a machine with time for the processes it takes some 2 s.
+const returnPatience = 25 * time.Second
+
+// enough is a number of balancers that share their watches of the store.
+const enough = 14
+
+// believes returns what a balancer believes.
+func believes(ctx SpecContext, b *packetfleet.Node) packetreport.Balancer {
+	believed, err := packetreport.Fetch(ctx, b.Host.Control())
+	Expect(err).NotTo(HaveOccurred())
+	return believed
+}
+
+// configure writes a version of the configuration.
+func (f *packetFleet) configure(version int) {
+	f.Configure(version, packetplatform.Route{Face: packetFace, Service: results, Safe: true},
+		packetplatform.Route{Face: packetOther, Service: exams, Safe: true})
+}
+
+// expectVersion expects all balancers to have a version in force.
+func (f *packetFleet) expectVersion(ctx SpecContext, version int) {
+	GinkgoHelper()
+	Eventually(func() (behind []string) {
+		for _, b := range f.Balancers {
+			if in := believes(ctx, b).Version; in != uint64(version) {
+				behind = append(behind, fmt.Sprintf("%s has %d", b.Host.Name, in))
+			}
+		}
+		return behind
+	}, returnPatience, "100ms").Should(BeEmpty(), "version %d", version)
+}
+
+// expectListeners expects that most balancers learn from the watches of others.
+func (f *packetFleet) expectListeners(ctx SpecContext) {
+	GinkgoHelper()
+	Eventually(func() (listen int) {
+		for _, b := range f.Balancers {
+			if believes(ctx, b).ListensTo != "" {
+				listen++
+			}
+		}
+		return listen
+	}, patience).Should(BeNumerically(">=", enough/2))
+}
+
+// lose writes what a return of the store from a copy of before takes away.
+func (f *packetFleet) lose() {
+	for i := range 5 {
+		f.Store.Put(fmt.Sprintf("op/other-%d", i), nil)
+	}
+}
+
+var _ = Describe("the packet face, when the store comes back from a copy,", Label("packet"), func() {
+	// Balancers that listened to the watch of another one took what was written after
+	// the return for older than what they knew. Of 14, three still served the version
+	// before 5 s after the change; those that watched the store themselves had read it
+	// anew ("Store read." revision=48, 52 before).
+	It("puts the next configuration in force on every balancer", func(ctx SpecContext) {
+		f := startPackets(ctx, enough, results, exams)
+		f.openFlows(30) // agents hear of all balancers
+		f.expectListeners(ctx)
+		old := f.Store.Copy()
+		f.lose()
+		for _, b := range f.Balancers {
+			Eventually(func() string { return asOf(ctx, b) }, patience).Should(HaveSuffix(fmt.Sprint(f.Store.Revision())))
+		}
+		f.Store.Return(old)
+		f.configure(2)
+		f.expectVersion(ctx, 2)
+	}, SpecTimeout(specTimeout))
+
+	// A balancer compared the revision of the configuration with that of the one in
+	// force and took the same revision for the same text; no watch was told either, as
+	// the store had that revision again. Nobody adopted the new version within 5 s, at 3
+	// balancers nor at 14.
+	It("puts a configuration in force that has the revision of a lost one", func(ctx SpecContext) {
+		f := startPackets(ctx, 3, results, exams)
+		f.configure(2)
+		f.expectVersion(ctx, 2)
+		old := f.Store.Copy()
+		f.configure(3)
+		f.expectVersion(ctx, 3)
+		f.Store.Return(old)
+		f.configure(4)
+		f.expectVersion(ctx, 4)
+	}, SpecTimeout(specTimeout))
+})
+
+// asOf returns up to where a balancer knows the store's changes, as it tells operators.
+func asOf(ctx SpecContext, b *packetfleet.Node) string {
+	text, err := json.Marshal(believes(ctx, b).ListAsOf)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -47,13 +48,32 @@
 	refused []string
 	// lose is the number of writes that are done without an answer.
 	lose int
+	// era counts how often the store came back from a copy, and one more; all
+	// answers name it.
+	era int
+	// operators are the writes of operators in their order.
+	operators []Item
+}
+
+// eraHeader names the store's era in all its answers.
+const eraHeader = "Store-Era"
+
+// Copy is the store as it was at a moment.
+type Copy struct {
+	items     map[string]Item
+	history   []Item
+	compact   uint64
+	revision  uint64
+	leases    map[uint64]time.Duration
+	last      uint64
+	operators int
 }
 
 // NewStore starts a store on loopback.
 func NewStore() *Store {
 	s := &Store{
 		items: map[string]Item{}, leases: map[uint64]time.Duration{}, calls: map[string]int{},
-		changed: make(chan struct{}), cut: make(chan struct{}), revision: 1,
+		changed: make(chan struct{}), cut: make(chan struct{}), revision: 1, era: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.get)
@@ -121,18 +141,64 @@
 	}
 }
 
+// Copy returns the store as it is now.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{
+		items: maps.Clone(s.items), history: slices.Clone(s.history), compact: s.compact, revision: s.revision,
+		leases: maps.Clone(s.leases), last: s.last, operators: len(s.operators),
+	}
+}
+
+// Return lets the store come back from a copy, in another era: what was written since
+// is gone, and revisions and numbers of leases are given out again. Watches that wait
+// are cut. It returns the writes of operators that are lost, in their order; whoever
+// calls it writes them again.
+func (s *Store) Return(c *Copy) (lost []Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost = slices.Clone(s.operators[min(c.operators, len(s.operators)):])
+	s.items, s.history, s.compact, s.revision = maps.Clone(c.items), slices.Clone(c.history), c.compact, c.revision
+	s.leases, s.last, s.operators = maps.Clone(c.leases), c.last, s.operators[:min(c.operators, len(s.operators))]
+	s.era++
+	close(s.cut)
+	s.cut = make(chan struct{})
+	return lost
+}
+
+// Again does a write of an operator once more, after it was lost.
+func (s *Store) Again(item Item) {
+	if item.Removed {
+		s.Remove(item.Key)
+		return
+	}
+	s.Put(item.Key, item.Value)
+}
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Put writes a key as the operator does.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.operators = append(s.operators, Item{Key: key, Value: value})
 	s.change(Item{Key: key, Value: value})
 }
 
-// Remove deletes a key as the operator does.
+// Remove deletes a key as the operator does; one that is not there changes nothing.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.change(Item{Key: key, Removed: true})
+	s.operators = append(s.operators, Item{Key: key, Removed: true})
+	if _, ok := s.items[key]; ok {
+		s.change(Item{Key: key, Removed: true})
+	}
 }
 
 // Value returns the value of a key, nil if there is none.
@@ -173,6 +239,7 @@
 		if len(s.refused) > 0 && !slices.Contains(s.refused, host) {
 			status = 0
 		}
+		w.Header().Set(eraHeader, strconv.Itoa(s.era))
 		s.mu.Unlock()
 		if status == Silent {
 			_, _ = io.Copy(io.Discard, r.Body) // the server notices a caller that leaves after that
@@ -245,13 +312,14 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.compact {
+		if after < s.compact || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		events := s.since(after, query.Get("prefix"))
 		changed, cut, revision := s.changed, s.cut, s.revision
+		w.Header().Set(eraHeader, strconv.Itoa(s.era))
 		s.mu.Unlock()
 		if len(events) > 0 {
 			reply(w, map[string]any{"events": events, "asOf": revision})
