--- /dev/null
+++ b/internal/packetface/registry/publisher_return_test.go
@@ -0,0 +1,127 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/platform"
+)
+
+// Tests of an agent's entry through returns of the store from a copy.
+
+// own is an entry as an agent writes it.
+func own(at store.Position, lease uint64) platform.Item {
+	text := `{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":3}`
+	return platform.Item{Key: agentPrefix + "10.0.0.1:1", Value: []byte(text), At: at, Lease: lease}
+}
+
+// keeping returns a publisher whose entry was written in era 1, under lease 7.
+func keeping(g *WithT) *Publisher {
+	entry := own(0, 0)
+	p := NewPublisher(entry.Key)
+	p.Want(entry.Value)
+	p.HearEra(0, 1, 0)
+	g.Expect(p.Next(0)).To(Equal(StepGrant), "a first era is no return")
+	p.Granted(platform.Lease{ID: 7, TTL: leaseTTL}, 0)
+	p.Wrote(entry.Value, store.At(1, 50), nil)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+	return p
+}
+
+// The number of a lease that was granted after the copy may be another agent's now: it is
+// neither renewed nor ended, and the entry is written anew under another one.
+func TestALeaseThatIsAnothersNowIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.HearEra(time.Second, 2, time.Second)
+	g.Expect(p.Next(time.Second)).To(Equal(StepNone), "it has its time")
+	g.Expect(p.Due(time.Second)).To(Equal(time.Second))
+	g.Expect(p.Next(leaseTTL)).To(Equal(StepRead), "before the renewal")
+	p.Read(platform.Item{}, store.At(2, 0), store.ErrNotFound)
+	g.Expect(p.asOf).To(Equal(store.At(2, 0)))
+	g.Expect(p.Next(leaseTTL)).To(Equal(StepGrant))
+	p.Granted(platform.Lease{ID: 7, TTL: leaseTTL}, leaseTTL) // the number is given out again, to this one
+	g.Expect(p.Next(leaseTTL)).To(Equal(StepWrite))
+	g.Expect(p.Write().Expected).To(BeEquivalentTo(store.Create))
+}
+
+// An agent that leaves does not end the lease of another one.
+func TestAnAgentThatLeavesAfterAReturnReadsFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.HearEra(0, 2, time.Hour)
+	p.Want(nil)
+	g.Expect(p.Next(0)).To(Equal(StepRead))
+	p.Read(platform.Item{}, store.At(2, 0), store.ErrNotFound)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+}
+
+// An entry that the copy has was written before it, and so was its lease granted.
+func TestAnEntryInTheCopyKeepsItsLease(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.HearEra(0, 2, 0)
+	g.Expect(p.Next(0)).To(Equal(StepRead))
+	p.Read(own(store.At(2, 48), 7), store.At(2, 48), nil)
+	g.Expect(p.Next(0)).To(Equal(StepRenew), "nobody knows how much of it is left")
+	p.Renewed(nil, 0)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+}
+
+// The copy has the entry under the lease of before, and with what it said then.
+func TestAnOlderEntryInTheCopyIsWrittenOver(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.HearEra(0, 2, 0)
+	older := own(store.At(2, 30), 3)
+	older.Value = []byte(`{"addr":"10.0.0.1:1","service":"s","dc":"a","slots":2}`)
+	p.Read(older, store.At(2, 48), nil)
+	g.Expect(p.Next(0)).To(Equal(StepWrite))
+	g.Expect(p.Write()).To(Equal(platform.Write{Key: older.Key, Expected: store.At(2, 30), Value: own(0, 0).Value, Lease: 3}))
+}
+
+// What was withdrawn after the copy is withdrawn again.
+func TestAnEntryThatWasWithdrawnIsWithdrawnAgain(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.Want(nil)
+	g.Expect(p.Next(0)).To(Equal(StepEnd))
+	p.Ended(nil)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+	p.HearEra(0, 2, time.Hour)
+	g.Expect(p.Next(0)).To(Equal(StepRead))
+	p.Read(own(store.At(2, 40), 7), store.At(2, 48), nil)
+	g.Expect(p.Next(0)).To(Equal(StepEnd))
+	p.Ended(nil)
+	g.Expect(p.Next(0)).To(Equal(StepNone))
+}
+
+// An entry of another writer at the key brings no lease of its own.
+func TestTheLeaseOfAnotherWritersEntryIsNotTakenOver(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.HearEra(0, 2, 0)
+	foreign := own(store.At(2, 40), 9)
+	foreign.Value = []byte("{}")
+	p.Read(foreign, store.At(2, 48), nil)
+	g.Expect(p.Next(0)).To(Equal(StepGrant))
+}
+
+// A reading that fails proves nothing, and one of an earlier era does not make the next
+// return pass unnoticed.
+func TestOnlyAReadingEndsTheDoubt(t *testing.T) {
+	g := NewWithT(t)
+	p := keeping(g)
+	p.HearEra(0, 2, 0)
+	p.Read(platform.Item{}, 0, store.ErrUnavailable)
+	g.Expect(p.Next(0)).To(Equal(StepRead))
+	p.Read(own(store.At(2, 48), 7), store.At(2, 48), nil)
+	p.HearEra(0, 1, 0)
+	p.HearEra(0, 2, 0)
+	g.Expect(p.Next(0)).To(Equal(StepRenew))
+	p.HearEra(0, 4, 0)
+	g.Expect(p.Next(0)).To(Equal(StepRead))
+}
--- a/internal/packetface/registry/return_test.go
+++ b/internal/packetface/registry/return_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/saltbend/saltbend/internal/packetface/registry"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -46,3 +47,123 @@
 	fake.Put(platform.ConfigKey, config(24))
 	g.Eventually(told(string(config(24))), patience).Should(BeTrue())
 }
+
+// A watch goes on where the store has that revision again, without telling what lies
+// between: the era of its answer tells.
+func TestAFollowerReadsAnewWhenItsRevisionIsGivenOutTwice(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	f := follow(t, fake, 1)
+	g.Eventually(f.sees(0, string(config(1))), patience).Should(BeTrue())
+	old := fake.Copy()
+	fake.Put(platform.ConfigKey, config(2))
+	g.Eventually(f.sees(0, string(config(2))), patience).Should(BeTrue())
+	fake.Return(old)
+	fake.Put(platform.ConfigKey, config(3))
+	g.Eventually(f.sees(0, string(config(3))), patience).Should(BeTrue())
+}
+
+// The copy has an older configuration until operators write theirs again. It is not
+// taken over, nor offered to others, and neither is one that they write again on the way.
+func TestAConfigurationDoesNotGoBackToThatOfTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	old := fake.Copy()
+	f := follow(t, fake, 1)
+	fake.Put(platform.ConfigKey, config(3))
+	g.Eventually(f.sees(0, string(config(3))), patience).Should(BeTrue())
+	fake.Return(old)
+	fake.Put(platform.ConfigKey, config(2))
+	publish(t, fake, "10.0.0.1:1") // a later change
+	g.Eventually(f.sees(1, string(config(3))), patience).Should(BeTrue())
+	fake.Put(platform.ConfigKey, config(4))
+	g.Eventually(f.sees(1, string(config(4))), patience).Should(BeTrue())
+}
+
+// A balancer that starts while the copy has an older configuration hears from agents of
+// the one in force and takes it from the balancer that told them.
+func TestAFollowerThatStartsInBetweenTakesTheConfigurationOfAPeer(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	old := fake.Copy()
+	early := follow(t, fake, 20)
+	fake.Put(platform.ConfigKey, config(2))
+	g.Eventually(early.sees(0, string(config(2))), patience).Should(BeTrue())
+	fake.Return(old)
+	g.Eventually(func() uint64 { return early.listAge().AsOf.Era() }, patience).Should(BeEquivalentTo(2))
+	late := follow(t, fake, 20)
+	g.Eventually(late.sees(0, string(config(1))), patience).Should(BeTrue())
+	peer := serve(t, early)
+	g.Eventually(func() bool {
+		late.Hint(peer, 2)
+		return late.sees(0, string(config(2)))()
+	}, patience).Should(BeTrue())
+	g.Consistently(func() string { _, config := late.view(); return config }, "1s").Should(Equal(string(config(2))))
+}
+
+// Two returns, the second before anybody has noticed the first, with the history dropped
+// in between.
+func TestAFollowerThroughTwoReturnsInARow(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	watcher, listener, tell := pair(t, fake)
+	older := fake.Copy()
+	fake.Put(platform.ConfigKey, config(2))
+	old := fake.Copy()
+	fake.Put("op/other", nil)
+	g.Eventually(watcher.sees(0, string(config(2))), patience).Should(BeTrue())
+	fake.Return(old)
+	fake.Compact()
+	fake.Return(older)
+	fake.Put(platform.ConfigKey, config(3))
+	for _, f := range []*follower{watcher, listener} {
+		g.Eventually(func() bool { tell(); return f.sees(0, string(config(3)))() }, patience).Should(BeTrue())
+		g.Eventually(func() uint64 { tell(); return f.listAge().AsOf.Era() }, patience).Should(BeEquivalentTo(3))
+	}
+}
+
+// A peer of the era before tells of agents and configurations as it knew them; what a
+// later era has disproved does not come back.
+func TestAPeerOfAnEarlierEraTakesNothingBack(t *testing.T) {
+	g := NewWithT(t)
+	agent := item(entryText, store.At(1, 40), 7)
+	before, _ := registry.NewListing([]platform.Item{{Key: platform.ConfigKey, Value: config(2), At: store.At(1, 50)}, agent}, store.At(1, 52))
+	now, _ := registry.NewListing([]platform.Item{{Key: platform.ConfigKey, Value: config(3), At: store.At(2, 20)}}, store.At(2, 30))
+	changed, unreadable := now.Merge(before.Shared())
+	g.Expect(changed).To(BeFalse())
+	g.Expect(unreadable).To(BeEmpty())
+	g.Expect(now.Config).To(Equal(config(3)))
+	g.Expect(now.Agents()).To(BeEmpty())
+	changed, _ = before.Merge(now.Shared())
+	g.Expect(changed).To(BeTrue())
+	g.Expect(before.AsOf).To(Equal(store.At(2, 30)))
+	g.Expect(before.Config).To(Equal(config(3)))
+	g.Expect(before.Agents()).To(HaveLen(1), "what the other lacks may live")
+}
+
+// Agents whose entries the copy lacks are listed again, and one whose lease has the
+// number of another agent's does not keep that one's entry.
+func TestAgentsAreListedAgainAfterAReturn(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	f := follow(t, fake, 1)
+	g.Eventually(f.reachedNow, patience).Should(BeTrue())
+	old := fake.Copy()
+	keepers := map[string]*registry.Agent{}
+	for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+		keepers[addr], _ = publish(t, fake, addr)
+		g.Eventually(f.sees(len(keepers), ""), patience).Should(BeTrue())
+	}
+	fake.Return(old)
+	for _, k := range keepers {
+		k.Era(2) // balancers tell
+	}
+	g.Eventually(f.sees(3, ""), patience).Should(BeTrue())
+	keepers["10.0.0.1:1"].Want(nil)
+	g.Eventually(f.sees(2, ""), patience).Should(BeTrue())
+	g.Expect(fake.Keys("saltbend/agents/")).To(Equal([]string{"saltbend/agents/10.0.0.2:1", "saltbend/agents/10.0.0.3:1"}))
+}
