--- a/internal/packetface/watchshare/watchshare_test.go
+++ b/internal/packetface/watchshare/watchshare_test.go
@@ -261,6 +261,25 @@
 // has run, and reached the store, for long enough knows a change, and nobody listens
 // in a circle for longer than that.
 func TestEveryChangeArrives(t *testing.T) {
+	const changes = 5
+	everyChangeArrives(t, changes)
+}
+
+// The same while the store comes back from copies: its revisions go back, and a balancer
+// that has not noticed must not keep one that has from what is new.
+func TestEveryChangeArrivesThroughReturns(t *testing.T) {
+	const changesAndReturns = 7
+	everyChangeArrives(t, changesAndReturns)
+}
+
+// comeBack lets the store return from a copy.
+func (f *fleet) comeBack() {
+	back := f.random.Uint64N(f.revision.Revision())
+	f.revision, f.changed = store.At(f.revision.Era()+1, f.revision.Revision()-back), f.now
+}
+
+// everyChangeArrives plays steps of the first kinds: faults, changes, returns.
+func everyChangeArrives(t *testing.T, kinds int) {
 	const limit = watchshare.StaleAfter + 500*time.Millisecond
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.IntRange(12, 24).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
@@ -268,7 +287,7 @@
 		calm := map[*member]time.Duration{}
 		for range rapid.IntRange(3, 25).Draw(t, "steps") {
 			m := f.members[rapid.IntRange(0, len(f.members)-1).Draw(t, "member")]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, kinds).Draw(t, "step") {
 			case 0:
 				m.dead = true
 			case 1:
@@ -277,6 +296,8 @@
 				m.frozen = !m.frozen
 			case 3:
 				m.cut = !m.cut
+			case 6, 7:
+				f.comeBack()
 			default:
 				f.change()
 			}
@@ -285,7 +306,7 @@
 			for _, m := range f.members {
 				out := m.dead || m.frozen || m.cut || m.knows >= f.revision
 				if !out && f.now-max(f.changed, calm[m]) > limit {
-					t.Fatalf("%s lacks revision %d of %s for %s; %s", m.host, f.revision, f.changed, f.now-f.changed, describe(m))
+					t.Fatalf("%s lacks revision %s of %s for %s; %s", m.host, f.revision, f.changed, f.now-f.changed, describe(m))
 				}
 			}
 		}
@@ -294,5 +315,34 @@
 
 func describe(m *member) string {
 	source, listens := m.share.Source()
-	return fmt.Sprintf("knows %d, listens %t to %s", m.knows, listens, source)
+	return fmt.Sprintf("knows %s, listens %t to %s", m.knows, listens, source)
+}
+
+// A source that has not noticed that the store came back, or is of a version that does
+// not tell, would keep its listener from all that is new.
+func TestASourceOfAnEarlierEraIsNotListenedTo(t *testing.T) {
+	g := NewWithT(t)
+	s := watchshare.New(host(2), rand.New(rand.NewPCG(1, 2)))
+	s.SetSeeds([]netip.Addr{host(1)})
+	now := time.Second
+	s.Heard(now)
+	s.Known(now, store.At(1, 52))
+	news := func(at store.Position) inner.News { return inner.News{Watches: true, AsOf: at} }
+	g.Expect(s.Tick(now, 20)).To(ConsistOf(watchshare.Send{To: host(1)}))
+	s.News(now, host(1), news(store.At(1, 52)))
+	_, listens := s.Source()
+	g.Expect(listens).To(BeTrue())
+	s.Known(now, store.At(2, 48)) // from the store, after a hint
+	for range 30 {
+		now += 100 * time.Millisecond
+		s.Tick(now, 20)
+		s.News(now, host(1), news(store.At(1, 60)))
+	}
+	_, listens = s.Source()
+	g.Expect(listens).To(BeFalse(), "it watches itself")
+	now += 3 * time.Second
+	s.Heard(now)
+	g.Expect(s.Tick(now, 20)).NotTo(BeEmpty())
+	s.News(now, host(1), news(store.At(2, 50)))
+	g.Expect(s.Behind()).To(BeTrue())
 }
--- a/test/integration/return_test.go
+++ b/test/integration/return_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -126,4 +127,72 @@
 		Eventually(logOf(annex), returnPatience).Should(ContainSubstring("data-centre-taken-back"))
 		f.expectOnce()
 	}, SpecTimeout(specTimeout))
+
+	// The copy lacked the entries of agents that had begun after it, and the numbers of
+	// their leases were given out again. Balancers that live through the return keep their
+	// flows, one that starts then finds them, and what a leaving agent had withdrawn does
+	// not come back.
+	It("lists agents again that the copy lacks", func(ctx SpecContext) {
+		f := startPackets(ctx, 2, results, exams)
+		old := f.Store.Copy()
+		for i := range 3 {
+			f.addAgent(ctx, packetfleet.Name("later", i), results)
+		}
+		for _, b := range f.Balancers {
+			Eventually(func() int { return len(believes(ctx, b).Agents) }, patience).Should(Equal(5))
+		}
+		flows := f.openFlows(30)
+		f.Store.Return(old)
+		young := f.addBalancer(ctx, "balancer-young")
+		f.useAll()
+		f.requestOnAll(flows, "second")
+		Eventually(func() int { return len(f.Store.Keys("saltbend/agents/")) }, returnPatience, "50ms").Should(Equal(5))
+		Eventually(func() int { return len(believes(ctx, young).Agents) }, returnPatience).Should(Equal(5))
+		f.requestOnAll(flows, "third")
+		Consistently(func() int { return len(f.Store.Keys("saltbend/agents/")) }, "1s").Should(Equal(5), "nobody ends another's lease")
+		f.expectOnce()
+	}, SpecTimeout(specTimeout))
+
+	// A balancer that starts before operators have written their configuration again reads
+	// the one of the copy. Agents tell it of the one in force.
+	It("lets a balancer that starts in between have the configuration in force", func(ctx SpecContext) {
+		f := startPackets(ctx, 2, results, exams)
+		f.openFlows(5)
+		old := f.Store.Copy()
+		f.configure(2)
+		f.expectVersion(ctx, 2)
+		f.openFlows(5) // agents hear of it
+		f.Store.Return(old)
+		f.addBalancer(ctx, "balancer-young")
+		f.useAll()
+		f.openFlows(5)
+		f.expectVersion(ctx, 2)
+		f.configure(3)
+		f.expectVersion(ctx, 3)
+		Eventually(func() bool { return believes(ctx, f.Balancers[2]).Settling }, patience).Should(BeFalse(), "noted in the store")
+		f.expectOnce()
+	}, SpecTimeout(specTimeout))
+
+	It("goes on after two returns in a row with all processes killed in between", func(ctx SpecContext) {
+		f := startPackets(ctx, 3, results, exams)
+		f.openFlows(10)
+		older := f.Store.Copy()
+		f.configure(2)
+		f.expectVersion(ctx, 2)
+		old := f.Store.Copy()
+		f.lose()
+		f.Store.Return(old)
+		for _, n := range f.Nodes() {
+			n.Process.Kill()
+		}
+		f.Store.Return(older)
+		for _, n := range append(slices.Clone(f.Agents), f.Balancers...) { // no balancer is ready without agents
+			f.run(ctx, n)
+		}
+		f.useAll()
+		f.openFlows(10)
+		f.configure(4)
+		f.expectVersion(ctx, 4)
+		f.expectOnce()
+	}, SpecTimeout(specTimeout))
 })
