--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,8 @@
 demo: ## run a whole fleet on loopback under load while balancers die
 	$(GO) run ./test/cmd/demo
 
-soak: ## faults of SEED (and COUNT - 1 more seeds) on the packet face for the time FOR each
-	$(GO) run ./test/cmd/soak --seed $(or $(SEED),1) --count $(or $(COUNT),1) --for $(or $(FOR),20s)
+soak: ## faults of SEED (and COUNT - 1 more seeds) on the packet face for the time FOR each; RETURNS=1: the store also comes back from copies
+	$(GO) run ./test/cmd/soak --seed $(or $(SEED),1) --count $(or $(COUNT),1) --for $(or $(FOR),20s) $(if $(RETURNS),--returns)
 
 bed: ## lost requests and worth of the orders and choices under replayed loads
 	$(GO) test -run '^$$' -bench 'Rush|Choices' -benchtime 1x ./internal/packetface/admission ./internal/packetface/steer
--- a/internal/packetface/steer/return_test.go
+++ b/internal/packetface/steer/return_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
@@ -90,6 +91,26 @@
 	})
 }
 
+// A list of another era may lack an agent that only others knew of before. Its flows are
+// not taken for dead before it had its time to be listed again.
+func TestAListOfAnotherEraProvesNothingAtFirst(t *testing.T) {
+	const askedEvery, wait = 100 * time.Millisecond, 4 * time.Second
+	b := newBench(t, at(101, "a"))
+	b.status(101, inner.Status{})
+	b.now += time.Minute
+	b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a")}, steer.ListAge{AsOf: store.At(2, 1), Newest: store.At(2, 1), Relisting: true})
+	ask := func(n int) int {
+		b.callerSends(caller(n), platform.FlagACK, 30)
+		b.answer(101, caller(n), inner.VerdictNone, store.At(2, 1))
+		return b.resets()
+	}
+	for n, began := 1, b.now; b.now < began+wait; n++ {
+		b.Expect(ask(n)).To(BeZero(), "%s after it", b.now-began)
+		b.now += askedEvery
+	}
+	b.Expect(ask(1000)).To(Equal(1))
+}
+
 // A flow that nobody holds is reset soon after a return, too.
 func TestDeadFlowsAreResetAfterAReturn(t *testing.T) {
 	const within = 6 * time.Second // 4 s, and 1.5 s until the last balancer notices
--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Balancers int           `long:"balancers" default:"3" description:"number of balancers"`
 	Agents    int           `long:"agents" default:"6" description:"number of agents"`
 	Callers   int           `long:"callers" default:"40" description:"number of flows at a time"`
+	Returns   bool          `long:"returns" description:"let the store come back from copies, too"`
 	Keep      string        `long:"keep" value-name:"DIR" description:"keep logs and settings here (default: they go)"`
 	Verbose   bool          `long:"verbose" description:"print each fault"`
 	JSON      string        `long:"report" value-name:"FILE" description:"append each report as a line of JSON"`
@@ -82,7 +83,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: seed, For: o.For, Program: filepath.Join(bin, "saltbendd"), Dir: dir,
-		Balancers: o.Balancers, Agents: o.Agents, Callers: o.Callers, Log: log,
+		Balancers: o.Balancers, Agents: o.Agents, Callers: o.Callers, Returns: o.Returns, Log: log,
 	})
 	if err != nil {
 		return err
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -153,12 +153,15 @@
 
 // Return lets the store come back from a copy, in another era: what was written since
 // is gone, and revisions and numbers of leases are given out again. Watches that wait
-// are cut. It returns the writes of operators that are lost, in their order; whoever
-// calls it writes them again.
+// are cut. It returns what operators wrote last to each key that is lost, in the order
+// of the writes; whoever calls it writes it again.
 func (s *Store) Return(c *Copy) (lost []Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lost = slices.Clone(s.operators[min(c.operators, len(s.operators)):])
+	for _, item := range s.operators[min(c.operators, len(s.operators)):] {
+		lost = slices.DeleteFunc(lost, func(before Item) bool { return before.Key == item.Key })
+		lost = append(lost, item)
+	}
 	s.items, s.history, s.compact, s.revision = maps.Clone(c.items), slices.Clone(c.history), c.compact, c.revision
 	s.leases, s.last, s.operators = maps.Clone(c.leases), c.last, s.operators[:min(c.operators, len(s.operators))]
 	s.era++
@@ -167,13 +170,20 @@
 	return lost
 }
 
-// Again does a write of an operator once more, after it was lost.
-func (s *Store) Again(item Item) {
-	if item.Removed {
+// Again does a write of an operator once more, after it was lost in a return from the
+// copy, unless they have written to the key since.
+func (s *Store) Again(c *Copy, item Item) {
+	s.mu.Lock()
+	since := s.operators[min(c.operators, len(s.operators)):]
+	written := slices.ContainsFunc(since, func(later Item) bool { return later.Key == item.Key })
+	s.mu.Unlock()
+	switch {
+	case written:
+	case item.Removed:
 		s.Remove(item.Key)
-		return
+	default:
+		s.Put(item.Key, item.Value)
 	}
-	s.Put(item.Key, item.Value)
 }
 
 // Revision returns the revision of the last change.
--- a/test/packetplatform/upstream.go
+++ b/test/packetplatform/upstream.go
@@ -32,7 +32,9 @@
 	// later than drainBound after it.
 	drained time.Time
 	late    int
-	work    time.Duration
+	// opened is when flows were opened.
+	opened []time.Time
+	work   time.Duration
 }
 
 // served is a flow that the upstream holds.
@@ -114,6 +116,18 @@
 	return u.late
 }
 
+// OpenedBetween returns how many flows were opened within a time.
+func (u *Upstream) OpenedBetween(from, to time.Time) (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, at := range u.opened {
+		if at.After(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // Strays returns the number of packets that were returned.
 func (u *Upstream) Strays() int {
 	u.mu.Lock()
@@ -143,6 +157,7 @@
 		if f == nil {
 			f = &served{seq: rand.Uint32()}
 			u.flows[p.from] = f
+			u.opened = append(u.opened, time.Now())
 			if !u.drained.IsZero() && time.Since(u.drained) > drainBound {
 				u.late++
 			}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -16,6 +16,7 @@
 const (
 	theStore  = "store"
 	theFabric = "fabric"
+	theAnnex  = "annex" // a data centre with some of the agents
 )
 
 // Sizes of the faults.
@@ -55,6 +56,8 @@
 		return r.fleet.Agents[f.Target%len(r.fleet.Agents)]
 	case LossyFabric:
 		return theFabric
+	case Evacuate:
+		return theAnnex
 	case Configure:
 		return f // never occupied
 	}
@@ -81,6 +84,10 @@
 		r.caller.SetFabric(0, 0)
 	case Configure:
 		r.configure()
+	case Evacuate:
+		r.evacuate(ctx)
+	case StoreReturns, StoreReturnsTwice, KillAllAndReturn:
+		r.returns(ctx, f)
 	default:
 		r.store(ctx, f)
 	}
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -5,8 +5,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -32,8 +34,16 @@
 	StoreCut        Kind = "store-cut" // all connections go silent
 	Configure       Kind = "configure"
 	LossyFabric     Kind = "lossy-fabric" // callers' packets are lost and late
+
+	// Those of plans with returns.
+	StoreReturns      Kind = "store-returns" // from a copy that is as old as the fault lasts
+	StoreReturnsTwice Kind = "store-returns-twice"
+	KillAllAndReturn  Kind = "kill-all-and-return"
+	Evacuate          Kind = "evacuate"
 )
 
+var returns = []Kind{StoreReturns, StoreReturnsTwice, KillAllAndReturn, Evacuate}
+
 var kinds = []Kind{
 	KillBalancer, StopBalancer, FreezeBalancer, KillAgent, FreezeAgent, CrashUpstream, DrainUpstream, SlowUpstream,
 	StoreAway, StoreSilent, StoreLapse, StoreForgets, StoreLosesWrite, StoreSlow, StoreCut, Configure, LossyFabric,
@@ -56,17 +66,30 @@
 
 // Times of a plan.
 const (
-	meanGap  = 700 * time.Millisecond
-	leastFor = 200 * time.Millisecond
-	mostFor  = 2500 * time.Millisecond
+	meanGap    = 700 * time.Millisecond
+	meanReturn = 2500 * time.Millisecond
+	leastFor   = 200 * time.Millisecond
+	mostFor    = 2500 * time.Millisecond
 )
 
+// PlanReturns returns the faults of a seed with returns of the store from copies and
+// evacuations among them.
+func PlanReturns(seed uint64, length time.Duration) []Fault {
+	all := append(Plan(seed, length), plan(rand.New(rand.NewPCG(seed, ^seed)), returns, meanReturn, length)...)
+	slices.SortStableFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
 // Plan returns the faults of a seed within a time. They overlap.
 func Plan(seed uint64, length time.Duration) (out []Fault) {
-	random := rand.New(rand.NewPCG(seed, seed))
+	return plan(rand.New(rand.NewPCG(seed, seed)), kinds, meanGap, length)
+}
+
+// plan draws faults of some kinds.
+func plan(random *rand.Rand, kinds []Kind, gap, length time.Duration) (out []Fault) {
 	at := time.Duration(0)
 	for {
-		at += time.Duration(random.ExpFloat64() * float64(meanGap))
+		at += time.Duration(random.ExpFloat64() * float64(gap))
 		fault := Fault{
 			At: at, For: leastFor + time.Duration(random.Int64N(int64(mostFor-leastFor))),
 			Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(1 << 16),
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -31,6 +31,8 @@
 	// Balancers and Agents are the numbers of processes, Callers that of flows at
 	// a time.
 	Balancers, Agents, Callers int
+	// Returns lets the store come back from copies, too.
+	Returns bool
 	// Log takes a line for each fault.
 	Log io.Writer
 }
@@ -72,6 +74,8 @@
 	mu      sync.Mutex
 	busy    map[any]bool
 	version int
+	// wanted is since when operators want the annex empty, or all that knew it were killed.
+	wanted time.Time
 }
 
 // Run plays the plan of a seed. An error says that it could not be played.
@@ -95,6 +99,9 @@
 	}
 	defer r.caller.Close()
 	plan := Plan(o.Seed, o.For)
+	if o.Returns {
+		plan = PlanReturns(o.Seed, o.For)
+	}
 	loadCtx, endLoad := context.WithCancel(ctx)
 	defer endLoad()
 	var load sync.WaitGroup
@@ -105,6 +112,9 @@
 	load.Go(func() { r.followReady(loadCtx) })
 	r.play(ctx, plan)
 	recovery := r.recover(ctx)
+	if o.Returns {
+		r.expectInForce(ctx)
+	}
 	endLoad()
 	load.Wait()
 	r.checkVersions(ctx)
@@ -117,7 +127,7 @@
 	r.configure()
 	for i := range r.Agents {
 		service := faces[i%len(faces)].service
-		n, err := r.fleet.AddAgent(ctx, packetfleet.Name("agent", i), service)
+		n, err := r.fleet.AddAgentIn(ctx, dataCentre(i), packetfleet.Name("agent", i), service)
 		if err != nil {
 			return err
 		}
