--- a/internal/packetface/registry/return_test.go
+++ b/internal/packetface/registry/return_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/netip"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -167,3 +169,72 @@
 	g.Eventually(f.sees(2, ""), patience).Should(BeTrue())
 	g.Expect(fake.Keys("saltbend/agents/")).To(Equal([]string{"saltbend/agents/10.0.0.2:1", "saltbend/agents/10.0.0.3:1"}))
 }
+
+// A balancer that the store turns away hears of the return from one that it serves.
+func TestABalancerThatIsTurnedAwayLearnsOfAReturn(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	served := follow(t, fake, 20)
+	g.Eventually(served.sees(0, string(config(1))), patience).Should(BeTrue())
+	peer := serve(t, served)
+	cut := newStore(t) // the same store as another host sees it, with a longer past
+	cut.Put(platform.ConfigKey, config(1))
+	for range 5 {
+		cut.Put("op/other", nil)
+	}
+	refused := follow(t, cut, 20)
+	g.Eventually(refused.sees(0, string(config(1))), patience).Should(BeTrue())
+	cut.Fail(http.StatusServiceUnavailable)
+	fake.Return(fake.Copy())
+	fake.Put(platform.ConfigKey, config(2))
+	publish(t, fake, "10.0.0.1:1")
+	g.Eventually(served.sees(1, string(config(2))), patience).Should(BeTrue())
+	g.Eventually(func() bool {
+		refused.Hint(peer, 2)
+		return refused.sees(1, string(config(2)))()
+	}, patience).Should(BeTrue())
+	g.Expect(refused.listAge().AsOf.Era()).To(BeEquivalentTo(1))
+	readings := cut.Readings()
+	cut.Fail(0) // it answers, and still as before the return
+	g.Eventually(cut.Readings, patience).Should(BeNumerically(">", readings))
+	g.Consistently(func() uint64 { return refused.listAge().AsOf.Era() }, "300ms").Should(BeEquivalentTo(1))
+}
+
+// A listener that has heard of the return elsewhere takes nothing from a source that has
+// not, nor from the store's own answers of the era before.
+func TestWhatComesLateFromTheEraBeforeIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	late := follow(t, fake, 20)
+	g.Eventually(late.sees(0, string(config(1))), patience).Should(BeTrue())
+	source := serve(t, late)
+	fake.Return(fake.Copy())
+	ahead := newStore(t) // the same store after its return, as another host sees it
+	ahead.Return(ahead.Copy())
+	ahead.Return(ahead.Copy())
+	ahead.Put(platform.ConfigKey, config(2))
+	f := follow(t, ahead, 20)
+	g.Eventually(f.sees(0, string(config(2))), patience).Should(BeTrue())
+	f.Listen(source)
+	g.Consistently(func() uint64 { f.News(); return f.listAge().AsOf.Era() }, "300ms").Should(BeEquivalentTo(2))
+	f.Store.SetAddress(netip.MustParseAddrPort(fake.Address())) // answers of era 1
+	f.Hint(netip.AddrPort{}, 0)
+	g.Eventually(f.reachedNow, patience).Should(BeFalse())
+	g.Expect(f.sees(0, string(config(2)))()).To(BeTrue())
+	g.Expect(f.listAge().AsOf.Era()).To(BeEquivalentTo(2))
+}
+
+// The answer to an agent's write is lost, and the store returns from a copy without it.
+func TestAnEntryIsBackAfterALostAnswerAndAReturn(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	old := fake.Copy()
+	fake.LoseAnswers(1)
+	keeper, _ := publish(t, fake, "10.0.0.1:1")
+	g.Eventually(func() []string { return fake.Keys("saltbend/") }, patience).ShouldNot(BeEmpty())
+	fake.Return(old)
+	keeper.Era(1)
+	g.Eventually(func() []string { return fake.Keys("saltbend/") }, patience).ShouldNot(BeEmpty())
+}
