--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -345,7 +345,11 @@
 		return
 	}
 	f.settleAt = time.Now().Add(settleAgain)
-	if _, err := f.Store.Apply(ctx, f.listing.settling()); err != nil && !errors.Is(err, store.ErrConflict) {
+	at, err := f.Store.Apply(ctx, f.listing.settling())
+	switch {
+	case err == nil:
+		f.Log.Info("Era noted as settled.", "at", at, "as_of", f.listing.AsOf)
+	case !errors.Is(err, store.ErrConflict): // or another balancer was faster
 		f.Log.Warn("Era not noted as settled.", "as_of", f.listing.AsOf, "error", err.Error())
 	}
 }
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -30,7 +30,7 @@
 	evacuations evacuation.Record
 	// newestAgent is the highest position of an agent's entry seen.
 	newestAgent store.Position
-	// settledEra is the newest era that a balancer has noted as settled.
+	// settledEra is the era that a balancer has noted as settled last.
 	settledEra uint64
 }
 
@@ -135,7 +135,7 @@
 // Settled reports whether all that a return of the store from a copy lost has had its
 // time to be written again. It is noted in the store itself, so that a process that
 // starts later need not wait, and one that starts in between does.
-func (l *Listing) Settled() bool { return l.settledEra >= l.AsOf.Era() }
+func (l *Listing) Settled() bool { return l.settledEra == l.AsOf.Era() }
 
 // settle drops what was kept for operators to write again, once they have had their time.
 func (l *Listing) settle() {
@@ -149,7 +149,7 @@
 	return platform.Write{Key: settledKey, Expected: l.entries[settledKey].At, Value: strconv.AppendUint(nil, l.AsOf.Era(), 10)}
 }
 
-// settledKey is the key of the newest era that is settled, as a decimal number.
+// settledKey is the key of the era that was noted as settled last, as a decimal number.
 const settledKey = "saltbend/settled-era"
 
 // parseEra reads the value of settledKey, 0 for that of another writer.
--- a/internal/packetface/registry/return_test.go
+++ b/internal/packetface/registry/return_test.go
@@ -238,3 +238,21 @@
 	keeper.Era(1)
 	g.Eventually(func() []string { return fake.Keys("saltbend/") }, patience).ShouldNot(BeEmpty())
 }
+
+// A return is noted as settled in the store, once; what another writer puts there is not
+// believed.
+func TestAnEraIsNotedAsSettled(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put("saltbend/settled-era", []byte("7"))
+	f := follow(t, fake, 1)
+	g.Eventually(f.reachedNow, patience).Should(BeTrue())
+	fake.Return(fake.Copy())
+	g.Eventually(func() uint64 { return f.listAge().AsOf.Era() }, patience).Should(BeEquivalentTo(1))
+	g.Expect(f.listAge().Relisting).To(BeTrue())
+	g.Eventually(func() string { return string(fake.Value("saltbend/settled-era")) }, patience).Should(Equal("1"))
+	g.Eventually(func() bool { return f.listAge().Relisting }, patience).Should(BeFalse())
+	young := follow(t, fake, 1)
+	g.Eventually(func() uint64 { return young.listAge().AsOf.Era() }, patience).Should(BeEquivalentTo(1))
+	g.Expect(young.listAge().Relisting).To(BeFalse())
+}
