--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,19 +46,28 @@
 	bin := t.TempDir()
 	g.Expect(harness.Build(context.Background(), bin)).To(Succeed())
 	for _, r := range regressions {
-		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			report, err := soak.Run(context.Background(), soak.Options{
-				Seed: r.seed, For: 12 * time.Second, Program: filepath.Join(bin, "saltbendd"), Dir: t.TempDir(),
-				Balancers: 3, Agents: 6, Callers: 20, Log: io.Discard,
-			})
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(report.Findings).To(BeEmpty(), "seed %d, which failed for: %s", r.seed, r.cause)
-			for _, late := range report.Late { // this machine may have had no time; make soak fails on them
-				t.Logf("seed %d: %s", r.seed, late)
-			}
-			g.Expect(report.Total().Answered).To(BeNumerically(">", 0))
-		})
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) { soakOnce(t, bin, r.seed, false, r.cause) })
 	}
+	for _, seed := range withReturns {
+		t.Run(fmt.Sprintf("%d-with-returns", seed), func(t *testing.T) { soakOnce(t, bin, seed, true, "nothing yet") })
+	}
+}
+
+// withReturns are seeds in which the store comes back from copies; none has failed.
+var withReturns = []uint64{500, 700040}
+
+// soakOnce plays a seed beside others.
+func soakOnce(t *testing.T, bin string, seed uint64, returns bool, cause string) {
+	t.Parallel()
+	g := NewWithT(t)
+	report, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, For: 12 * time.Second, Program: filepath.Join(bin, "saltbendd"), Dir: t.TempDir(),
+		Balancers: 3, Agents: 6, Callers: 20, Returns: returns, Log: io.Discard,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Findings).To(BeEmpty(), "seed %d, which failed for: %s", seed, cause)
+	for _, late := range report.Late { // this machine may have had no time; make soak fails on them
+		t.Logf("seed %d: %s", seed, late)
+	}
+	g.Expect(report.Total().Answered).To(BeNumerically(">", 0))
 }
