--- a/internal/packetface/steer/roster.go
+++ b/internal/packetface/steer/roster.go
@@ -46,8 +46,8 @@
 	Relisting bool
 }
 
-// max returns the newest of both; where they are of one era, a list that lacks no agent
-// stays so.
+// max returns the newest of both; the one with the higher AsOf, or else o, tells whether
+// agents may be missing.
 func (l ListAge) max(o ListAge) ListAge {
 	out := ListAge{AsOf: max(l.AsOf, o.AsOf), Newest: max(l.Newest, o.Newest), Relisting: o.Relisting}
 	if l.AsOf > o.AsOf {
