steer: a version that is heard at the start is told, and again until it is there

Its log: Ready. version=1 after_ms=2, no newer-version-heard, though the agents' statuses named version 2. What is told within 200 ms of the last time was left out, and 0, never, counted as a time: an agent's word in the first 200 ms was lost, and an idle one says it once. Ruled out: the follower (no hint came), the agents (their lines have version 2). Change: never is no time; a version that is missing is told again each 1.5 s. Test: TestAVersionThatIsHeardAtTheStartIsToldUntilItIsThere fails before. In calm nothing is told: a version is missing only where it was heard of.

--- a/internal/packetface/steer/evacuated.go
+++ b/internal/packetface/steer/evacuated.go
@@ -83,7 +83,7 @@
 	if !c.hearWord(a, s.Evacuation) {
 		return
 	}
-	c.tellNewer(now, a, 0, s.Source)
+	c.tellNewer(now, a.Addr, 0, s.Source)
 	for _, other := range c.roster.list {
 		if other.DataCentre == a.DataCentre {
 			c.hearWord(other, a.evacuation)
--- a/internal/packetface/steer/return_test.go
+++ b/internal/packetface/steer/return_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/internal/packetface/routing"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
@@ -140,3 +141,29 @@
 		}
 	})
 }
+
+// A balancer that had only just started heard of the configuration in force once, by the
+// first status of an agent, 2 ms after its start: "Ready." version=1 after_ms=2. What is
+// told within 200 ms of the last time is left out, and 0 counted as the last time. Nobody
+// sent anything more, and it still had version 1 of the copy 25 s later.
+func TestAVersionThatIsHeardAtTheStartIsToldUntilItIsThere(t *testing.T) {
+	b := newBench(t)
+	b.now = 2 * time.Millisecond
+	b.last = b.core.SetAgents(b.now, []steer.Agent{at(101, "a")}, listAge(1))
+	told := inner.Status{State: inner.StateReady, Known: inner.Known{Version: 2}, Source: [4]byte{10, 0, 0, 9}}
+	b.status(101, told)
+	b.Expect(b.notes(steer.KindNewer)).To(HaveLen(1))
+	again := 0
+	tick := func(d time.Duration) {
+		for end := b.now + d; b.now < end; b.now += 50 * time.Millisecond {
+			b.last = b.core.Tick(b.now)
+			again += len(b.notes(steer.KindNewer))
+		}
+	}
+	tick(5 * time.Second)
+	b.Expect(again).To(Equal(3))
+	b.core.SetTable(b.now, routing.NewTable(platform.Configuration{Version: 2}), time.Minute)
+	again = 0
+	tick(5 * time.Second)
+	b.Expect(again).To(Equal(0))
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -126,6 +126,9 @@
 	pauseTime = 400 * time.Millisecond
 	// versionEvery bounds how often a newer version is told of.
 	versionEvery = 200 * time.Millisecond
+	// retellEvery is the time after which a version that is still missing is told of
+	// again: longer than changes are collected before a balancer takes them over (1.2 s).
+	retellEvery = 1500 * time.Millisecond
 )
 
 // Core is the state of a balancer's decisions. Times are counted from the
@@ -151,7 +154,10 @@
 	// probes and searches are how many of them may begin until the next tick.
 	probes, searches int
 	// called is when the Core was last called, 0 for not yet.
-	called    time.Duration
+	called time.Duration
+	// newer is the newest version that was heard of, toldNewer when one was told of, 0 for
+	// never.
+	newer     newerVersion
 	toldNewer time.Duration
 	// questioned are the agents with questions to be sent, flushed is when the
 	// last were.
@@ -358,18 +364,37 @@
 func (c *Core) hearKnown(now time.Duration, a *agent, heard inner.Known, source [4]byte) {
 	c.roster.newest = max(c.roster.newest, heard.Listing)
 	newer := heard.Version > c.known().Version || heard.Listing > c.roster.age.AsOf
+	if heard.Version > c.newer.version {
+		c.newer = newerVersion{heard.Version, a.Addr, source}
+	}
 	if newer {
-		c.tellNewer(now, a, heard.Version, source)
+		c.tellNewer(now, a.Addr, heard.Version, source)
+	}
+}
+
+// newerVersion is the newest version of the configuration that an agent has told of, and
+// from whom it has it.
+type newerVersion struct {
+	version uint64
+	agent   netip.AddrPort
+	source  [4]byte
+}
+
+// tickNewer tells again of a version that is still missing. An idle agent tells of it
+// once, and what was told may have come to nothing.
+func (c *Core) tickNewer(now time.Duration) {
+	if c.newer.version > c.known().Version && now-c.toldNewer >= retellEvery {
+		c.tellNewer(now, c.newer.agent, c.newer.version, c.newer.source)
 	}
 }
 
 // tellNewer tells that an agent has heard of what the balancer lacks, and from whom.
-func (c *Core) tellNewer(now time.Duration, a *agent, version uint64, source [4]byte) {
-	if now-c.toldNewer < versionEvery {
+func (c *Core) tellNewer(now time.Duration, agent netip.AddrPort, version uint64, source [4]byte) {
+	if c.toldNewer != 0 && now-c.toldNewer < versionEvery {
 		return
 	}
 	c.toldNewer = now
-	n := Note{Kind: KindNewer, Agent: a.Addr, Count: int(version)}
+	n := Note{Kind: KindNewer, Agent: agent, Count: int(version)}
 	if source != ([4]byte{}) {
 		n.Source = netip.AddrFrom4(source)
 	}
@@ -382,6 +407,7 @@
 	c.tickAsks(now)
 	c.flushAsks(now)
 	c.tickAgents(now)
+	c.tickNewer(now)
 	if now-c.swept >= sweepEvery {
 		c.sweep(now)
 	}
