watchshare, registry: listeners in levels, balancers begin with a source, net changes after a lost history

Of the balancers' part: each of 304 read the store at its start and watched it until sharing began, as it looked for a source only once agents had told it the size of the fleet; three seeds served all others (286 open files, 92 MB); and a dropped history made every listener ask three seeds for everything (some 30 MB over links of 20 to 200 Mbit/s), so that most gave up and read the store.

Ruled out: a larger bound of listeners (connections and bytes of a seed would grow with the fleet).

Change: 32 listeners a balancer at most, who is full names one of its listeners; a word of the store's answers is passed down at once; a balancer that starts asks the seeds first and reads the store itself when none has told it anything in time (40 ms; 400 ms where the fleet is known to be large; 2 s at the first start); a listener whose source lives waits up to 400 ms longer before it watches; a failing watcher that nobody relies on retries the more rarely the more balancers there are; without seeds, siblings are asked. A reading after a lost history is kept as the changes that it makes. Listings are told compressed, encoded once.

Found on the way, mended: a watch of an earlier era than a peer's listing was gone on with if no hint was left (TestABalancerThatIsTurnedAwayLearnsOfAReturn failed when hints were taken during a pause).

--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -37,7 +37,7 @@
 	// KindAnswer answers KindAsk (9 bytes and 13 bytes a flow).
 	KindAnswer
 	// KindFollow asks a balancer for news of the store, now and when there are any
-	// (1 byte), KindNews brings them (16 bytes).
+	// (2 bytes), KindNews brings them (23 bytes).
 	KindFollow
 	KindNews
 )
--- a/internal/packetface/registry/changes.go
+++ b/internal/packetface/registry/changes.go
@@ -18,11 +18,10 @@
 
 const (
 	changesPath = "/packet/changes"
-	// maxKeptChanges and maxKeptBytes bound the changes that are kept for others: more
-	// than a release of a large service makes within the seconds that a listener may
-	// be behind, and a few configurations.
-	maxKeptChanges = 1024
-	maxKeptBytes   = 2 << 20
+	// leastKept and maxKeptBytes bound the changes that are kept for others: as many as
+	// there are keys, or leastKept. With more, everything would be the shorter answer.
+	leastKept    = 256
+	maxKeptBytes = 2 << 20
 )
 
 // changes are the last changes of the store in their order. The zero value knows none.
@@ -34,14 +33,15 @@
 	bytes    int
 }
 
-// add keeps changes after which every one up to the position is known.
-func (c *changes) add(more []platform.Item, to store.Position) {
+// add keeps changes after which every one up to the position is known. keys is the number
+// of keys that the store holds.
+func (c *changes) add(more []platform.Item, to store.Position, keys int) {
 	c.items = append(c.items, more...)
 	for _, item := range more {
 		c.bytes += len(item.Value)
 	}
 	c.to = max(c.to, to)
-	for len(c.items) > maxKeptChanges || c.bytes > maxKeptBytes {
+	for len(c.items) > max(keys, leastKept) || c.bytes > maxKeptBytes {
 		c.from = c.items[0].At
 		c.bytes -= len(c.items[0].Value)
 		c.items = c.items[1:]
@@ -75,16 +75,14 @@
 type changeLog struct {
 	shared  *Shared
 	changes changes
+	// listing and everything are the listing as it is told to those that ask for it, and
+	// to listeners that lack too much.
+	listing, everything document
 }
 
-// answer returns what a listener lacks that knows every change up to a position.
-func (l *changeLog) answer(after store.Position) Changes {
-	if items, ok := l.changes.since(after); ok {
-		return Changes{AsOf: l.changes.to, Items: items}
-	}
-	all := Changes{AsOf: l.shared.AsOf, Whole: true}
-	all.Items = l.shared.Entries
-	return all
+// all returns the answer to a listener that lacks too much.
+func (l *changeLog) all() Changes {
+	return Changes{AsOf: l.shared.AsOf, Whole: true, Items: l.shared.Entries}
 }
 
 func (f *Follower) serveChanges(w http.ResponseWriter, r *http.Request) {
@@ -93,12 +91,23 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	f.serve(w, func() any { return f.log.Load().answer(store.Position(after)) })
+	log := f.whole(w)
+	if log == nil {
+		return
+	}
+	items, ok := log.changes.since(store.Position(after))
+	if !ok {
+		log.everything.write(w, r, func() any { return log.all() })
+		return
+	}
+	var answer document
+	answer.write(w, r, func() any { return Changes{AsOf: log.changes.to, Items: items} })
 }
 
 // Listen lets the follower learn from the balancer at a control address, or watch the
 // store itself if there is none.
 func (f *Follower) Listen(source netip.AddrPort) {
+	f.unconfirmed.Store(!source.IsValid())
 	f.source.Store(&source)
 	ring(f.news)
 }
@@ -131,6 +140,43 @@
 	return f.takeChanges(ctx, source)
 }
 
+// ReadStore tells a follower that waits for a source to read the store itself.
+func (f *Follower) ReadStore() { ring(f.readStore) }
+
+// awaitSource waits until there is a balancer to listen to; ok is false where the store
+// is to be read instead.
+func (f *Follower) awaitSource(ctx context.Context) (source netip.AddrPort, ok bool) {
+	for f.AwaitSource {
+		select {
+		case <-ctx.Done():
+			return netip.AddrPort{}, false
+		case <-f.readStore:
+			f.AwaitSource = false
+		case <-f.news:
+		}
+		if source, ok = f.listensTo(); ok {
+			return source, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// beginWith takes over all that another balancer knows.
+func (f *Follower) beginWith(ctx context.Context, source netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	var answer Changes
+	if err := f.fetch(ctx, source, changesPath+"?after=0", &answer); err != nil {
+		return err
+	}
+	if !answer.Whole {
+		return errors.New("registry: the source does not know everything")
+	}
+	f.takeWhole(answer.Items, answer.AsOf)
+	f.Log.Info("Listing taken from the source.", "source", source.String(), "as_of", answer.AsOf, "agents", len(f.listing.agents), "config_at", f.listing.ConfigAt)
+	return nil
+}
+
 func (f *Follower) listenAfterHint(ctx context.Context, source netip.AddrPort) error {
 	timer := time.NewTimer(hintAfter)
 	defer timer.Stop()
@@ -168,7 +214,7 @@
 // apply takes over changes of the store, from a watch or from another balancer.
 func (f *Follower) apply(items []platform.Item, asOf store.Position) {
 	f.report(f.listing.Apply(items, asOf))
-	f.kept.add(items, asOf)
+	f.kept.add(items, asOf, len(f.listing.entries))
 	f.takeHint() // one that came before is of these changes
 	f.changed()
 }
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,12 @@
 	pausePart  = 50 * time.Millisecond
 	pauseLeast = 150 * time.Millisecond
 	pauseMost  = 1200 * time.Millisecond
+	// retryPart is the time that each balancer of the fleet adds to the pause after a
+	// failed call of one that nobody relies on.
+	retryPart = 50 * time.Millisecond
+	// confirmWait is how long the first watch waits after a source was given up: its
+	// answer tells others at once that this balancer hears the store.
+	confirmWait = time.Millisecond
 )
 
 // passedOver counts entries that no agent wrote.
@@ -70,6 +77,9 @@
 	Balancers func() int
 	// Shared reports whether others rely on this process's watches, nil for never.
 	Shared func() bool
+	// AwaitSource tells that Run begins with what another balancer knows: it waits for
+	// Listen, or for ReadStore if there is none to listen to.
+	AwaitSource bool
 
 	listing *Listing
 	// at is the store's position from which the next watch goes on.
@@ -89,6 +99,10 @@
 	news chan struct{}
 	// source is the balancer that is listened to, none while the store is watched.
 	source atomic.Pointer[netip.AddrPort]
+	// readStore rings when there is none at the start; unconfirmed tells that the
+	// store has not answered since a source was given up.
+	readStore   chan struct{}
+	unconfirmed atomic.Bool
 	// kept are the last changes; log has them with the newest listing, for peers;
 	// peer is a balancer that knows more than this one.
 	kept  changes
@@ -96,13 +110,20 @@
 	peer  atomic.Pointer[netip.AddrPort]
 	seeds atomic.Pointer[[]netip.AddrPort]
 	peers http.Client
+	// agents is the last answer with all known agents, of agentsAt; agentsMu guards both.
+	agentsMu sync.Mutex
+	agents   *document
+	agentsAt time.Time
 	// foreign are the entries of other writers that were told of.
 	foreign logging.Once
 }
 
 // NewFollower returns a Follower; set its callbacks before Run.
 func NewFollower(s *platform.Store, log *slog.Logger) *Follower {
-	return &Follower{Store: s, Log: log, hints: make(chan struct{}, 1), news: make(chan struct{}, 1), settled: true}
+	return &Follower{
+		Store: s, Log: log, settled: true,
+		hints: make(chan struct{}, 1), news: make(chan struct{}, 1), readStore: make(chan struct{}, 1),
+	}
 }
 
 // Hint tells that someone has heard of a newer version of the configuration, 0 for none,
@@ -134,7 +155,40 @@
 		if f.takeHint() {
 			f.learn(ctx)
 		}
-		_ = wait.For(ctx, backoff.Next(random)) // the loop sees the end of ctx
+		f.waitToRetry(ctx, f.retryAfter(backoff.Next(random)))
+	}
+}
+
+// retryAfter returns the pause after a failed call. While nobody relies on this process
+// the pauses of all balancers together make some 20 calls a second, however many they
+// are: the first that the store answers tells the others.
+func (f *Follower) retryAfter(backoff time.Duration) time.Duration {
+	if f.Shared == nil || f.isShared() || f.listing == nil {
+		return backoff
+	}
+	longest := time.Duration(f.Balancers()) * retryPart
+	return max(backoff, longest/2+rand.N(longest/2+1))
+}
+
+// waitToRetry waits until the store is to be tried again, or another balancer is to be
+// listened to. A hint that comes meanwhile is followed to the process that knows more.
+func (f *Follower) waitToRetry(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-f.hints:
+			f.learn(ctx)
+		case <-f.news:
+			if _, listens := f.listensTo(); listens {
+				ring(f.news) // what is known there may be newer
+				return
+			}
+		}
 	}
 }
 
@@ -160,8 +214,8 @@
 	if err != nil {
 		return err
 	}
-	if !asOf.SameEra(f.at) {
-		return f.read(ctx) // the changes are not all that there were since
+	if !asOf.SameEra(f.known()) {
+		return f.read(ctx) // the changes are not all that there were since, or are of an era before
 	}
 	f.at = asOf
 	if len(changes) == 0 {
@@ -233,6 +287,9 @@
 // watchWait returns how long the next watch waits, spread so that balancers do
 // not fall into step.
 func (f *Follower) watchWait() time.Duration {
+	if f.unconfirmed.Swap(false) {
+		return confirmWait
+	}
 	wait := min(max(time.Duration(f.Balancers())*watchPart, watchLeast), watchMost)
 	if f.isShared() {
 		wait = watchshare.WatchWait
@@ -288,15 +345,28 @@
 	f.report(unreadable)
 	before := f.summary()
 	if f.listing != nil {
+		f.keepNet(all, asOf)
 		listing.Inherit(f.listing)
+	} else {
+		f.kept = changes{from: asOf, to: asOf}
 	}
 	f.listing, f.at = listing, asOf
-	f.kept = changes{from: asOf, to: asOf}
 	f.noteEra(before)
 	f.takeHint()
 	f.changed()
 }
 
+// keepNet keeps for others what differs between a reading of everything and what was
+// known before it. Without that, all listeners would ask for everything whenever the
+// store drops its history.
+func (f *Follower) keepNet(all []platform.Item, asOf store.Position) {
+	if !asOf.SameEra(f.kept.to) || asOf < f.kept.to {
+		f.kept = changes{from: asOf, to: asOf}
+		return
+	}
+	f.kept.add(f.listing.net(all, f.kept.to, asOf), asOf, len(all))
+}
+
 // changed hands on the newest listing.
 func (f *Follower) changed() {
 	shared := f.listing.Shared()
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -122,6 +122,26 @@
 	return c.At >= known.At
 }
 
+// net returns the changes that lead from what was known at a position to a reading of all
+// keys: what is newer there, and what is missing as removed at the position of the
+// reading.
+func (l *Listing) net(all []platform.Item, known, asOf store.Position) (out []platform.Item) {
+	there := make(map[string]bool, len(all))
+	for _, item := range all {
+		there[item.Key] = true
+		if item.At > known {
+			out = append(out, item)
+		}
+	}
+	for _, item := range l.Shared().Entries {
+		if !there[item.Key] {
+			out = append(out, platform.Item{Key: item.Key, At: asOf, Removed: true})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b platform.Item) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
 // Inherit keeps what the listing before this one knew and a copy of the store lacks,
 // until operators have written it again.
 func (l *Listing) Inherit(before *Listing) {
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"time"
@@ -27,6 +26,8 @@
 	// maxListingBytes bounds its answer: a configuration of 1 MB and 7,000
 	// entries of agents, in JSON.
 	maxListingBytes = 8 << 20
+	// agentsKept is how long the answer with all known agents serves all that ask.
+	agentsKept = 100 * time.Millisecond
 	// seedEvery is how long a balancer that starts waits for the store before it
 	// asks the seeds, and between two such questions; a slow store answers in
 	// some 240 ms.
@@ -35,6 +36,9 @@
 	// 10 ms; after a common loss of power some are still dark, and the first packet
 	// to those is repeated after a second only.
 	seedTimeout = 250 * time.Millisecond
+	// beginTimeout bounds the question for everything that a source knows, after which
+	// the store is read: after a common loss of power many ask at once.
+	beginTimeout = 400 * time.Millisecond
 )
 
 // SetSeeds names balancers that may know a listing; they may be gone.
@@ -50,23 +54,34 @@
 }
 
 // serveListing serves the newest listing.
-func (f *Follower) serveListing(w http.ResponseWriter, _ *http.Request) {
-	f.serve(w, func() any { return f.log.Load().shared })
+func (f *Follower) serveListing(w http.ResponseWriter, r *http.Request) {
+	if log := f.whole(w); log != nil {
+		log.listing.write(w, r, func() any { return log.shared })
+	}
 }
 
-// serveAgents serves all agents that this balancer knows.
-func (f *Follower) serveAgents(w http.ResponseWriter, _ *http.Request) {
-	f.serve(w, func() any { return f.Known() })
+// serveAgents serves all agents that this balancer knows, or has known a moment ago.
+func (f *Follower) serveAgents(w http.ResponseWriter, r *http.Request) {
+	if f.whole(w) == nil {
+		return
+	}
+	f.agentsMu.Lock()
+	if f.agents == nil || time.Since(f.agentsAt) >= agentsKept {
+		f.agents, f.agentsAt = &document{}, time.Now()
+	}
+	agents := f.agents
+	f.agentsMu.Unlock()
+	agents.write(w, r, func() any { return f.Known() })
 }
 
-// serve answers with a value, once there is a listing.
-func (f *Follower) serve(w http.ResponseWriter, value func() any) {
-	if f.log.Load() == nil {
+// whole returns the newest listing with its changes; without one it answers the request
+// and returns nil.
+func (f *Follower) whole(w http.ResponseWriter) *changeLog {
+	log := f.log.Load()
+	if log == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value()) // an error means that the other has gone
+	return log
 }
 
 // fetch asks another balancer and decodes its answer.
@@ -88,6 +103,14 @@
 // lack what changed since the seed was turned away, as the seed does; agents
 // tell of it.
 func (f *Follower) begin(ctx context.Context) error {
+	if source, ok := f.awaitSource(ctx); ok {
+		f.AwaitSource = false
+		err := f.beginWith(ctx, source)
+		if err == nil {
+			return nil
+		}
+		f.Log.Warn("Source not reached, reading the store.", "source", source.String(), "error", err.Error())
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	read := make(chan reading, 1)
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -142,6 +142,7 @@
 	b.follower.Known = b.known
 	b.follower.Asked = b.peersAsked
 	b.follower.Shared = b.shared
+	b.follower.AwaitSource = true
 	b.follower.Heard = b.heard
 	b.gauges()
 	go b.follower.Run(ctx)
@@ -272,7 +273,7 @@
 	defer b.mu.Unlock()
 	b.do(b.core.Tick(b.clock()))
 	b.tickShare()
-	b.busy = b.core.Waiting()
+	b.busy = b.core.Waiting() || b.listed == 0
 	if b.busy {
 		return tickBusy
 	}
@@ -302,7 +303,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.source.IsValid() {
-		b.share.Heard(now)
+		b.sendShare(b.share.Heard(now))
 	}
 }
 
@@ -342,6 +343,7 @@
 	defer b.mu.Unlock()
 	b.seeds = found
 	b.share.SetSeeds(seedHosts(found))
+	b.share.SetStart(isSeed(b.env.Host), b.env.Host.FirstStart)
 }
 
 // change takes over settings that have changed.
--- a/internal/packetface/role/common.go
+++ b/internal/packetface/role/common.go
@@ -101,6 +101,10 @@
 	})
 }
 
+// isSeed reports whether the settings name the host itself as a seed, as those of other
+// hosts then do.
+func isSeed(h platform.Host) bool { return slices.Contains(h.Seeds[:], h.Control) }
+
 // serveControl serves calls at the control address until the process ends.
 func serveControl(addr netip.AddrPort, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", addr.String())
--- a/internal/packetface/role/sharing.go
+++ b/internal/packetface/role/sharing.go
@@ -46,7 +46,12 @@
 	now := b.clock()
 	if kind == inner.KindFollow {
 		followRequests.Inc()
-		b.sendShare(b.share.Request(now, from.Addr()))
+		follow, err := inner.ParseFollow(datagram)
+		if err != nil {
+			strangeNews.Inc()
+			return true
+		}
+		b.sendShare(b.share.Request(now, from.Addr(), follow))
 		return true
 	}
 	news, err := inner.ParseNews(datagram)
@@ -82,11 +87,16 @@
 
 // tickShare does what is due for sharing by time alone. The caller holds mu.
 func (b *balancer) tickShare() {
+	now := b.clock()
 	if !b.env.Policies.On(policy.SharedWatches) {
+		b.follower.ReadStore()
 		return
 	}
-	b.sendShare(b.share.Tick(b.clock(), b.core.Balancers()))
+	b.sendShare(b.share.Tick(now, b.core.Balancers()))
 	b.followShare()
+	if b.share.ReadsStore(now) {
+		b.follower.ReadStore()
+	}
 }
 
 // sendShare sends messages to other balancers. The caller holds mu.
@@ -94,7 +104,7 @@
 	for _, m := range messages {
 		to := netip.AddrPortFrom(m.To, b.env.Host.InnerPorts[0])
 		if m.News == nil {
-			send(b.agents, to, inner.AppendFollow(nil))
+			send(b.agents, to, inner.AppendFollow(nil, m.Follow))
 			continue
 		}
 		send(b.agents, to, inner.AppendNews(nil, m.News))
--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -9,12 +9,18 @@
 //
 // Nothing is agreed and nobody is elected: any number of watchers is correct, also
 // all. A balancer asks the seeds of its settings whether they watch; one that does
-// takes it in, one that listens itself names the one it listens to. A balancer that
-// others listen to goes on watching. Each piece of news tells how long ago the store
-// last answered; a listener that has no news younger than StaleAfter watches itself.
+// takes it in, one that listens itself names the one it listens to, one that is full
+// names one of its listeners, which takes it in. So listeners form a tree, and no host
+// serves more than maxListeners. A balancer that others listen to goes on watching.
+// Each piece of news tells how long ago the store last answered the root of the tree;
+// a listener that has no news younger than StaleAfter watches itself.
+//
+// A balancer that has just started asks for a source before it reads the store: see
+// start.go.
 package watchshare
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -37,19 +43,32 @@
 	// answered with news.
 	renewEvery = 450 * time.Millisecond
 	// missedAfter is the time without news after which a listener asks others, while
-	// it still has some time left.
-	missedAfter = 1100 * time.Millisecond
+	// it still has some time left: two requests without an answer.
+	missedAfter = 2*renewEvery + 50*time.Millisecond
 	// askEvery is the time between requests to others then.
 	askEvery = 200 * time.Millisecond
 	// lookLeast and lookMost bound the time after which a watcher without listeners
 	// looks for one to listen to, spread so that not all ask at once.
 	lookLeast = 300 * time.Millisecond
-	lookMost  = 1500 * time.Millisecond
-	// listenerTime is how long a listener that does not ask again counts.
-	listenerTime = 2 * time.Second
-	// maxListeners bounds those of one watcher: at two requests and answers a second
-	// each they take some 1% of a core.
-	maxListeners = 256
+	lookMost  = 1000 * time.Millisecond
+	// listenerTime is how long a listener that does not ask again counts: three requests.
+	listenerTime = 1500 * time.Millisecond
+	// maxListeners bounds those of one balancer, whatever the size of the fleet: their
+	// requests take some 0.1% of a core, and two levels hold 1,056 of them.
+	maxListeners = 32
+	// maxDepth bounds the levels below a balancer that watches.
+	maxDepth = 6
+	// levelGrace is the time that a listener gives its source to hear the store again
+	// before it watches itself, for each level above the source: when the store is away
+	// the upper levels alone try it at first. graceMost bounds it.
+	levelGrace = 200 * time.Millisecond
+	graceMost  = 400 * time.Millisecond
+	// retellEvery bounds how often listeners are told that the store has answered.
+	retellEvery = 100 * time.Millisecond
+	// maxKnown bounds the balancers that are remembered beside the seeds, which are asked
+	// once the seeds have not answered seedTries times in a row.
+	maxKnown  = 8
+	seedTries = 3
 	// fleetLeast is the number of balancers from which on watches are shared: with
 	// fewer, the answers that listeners rely on cost as much as is saved.
 	fleetLeast = 12
@@ -58,8 +77,9 @@
 // Send is a message to the balancer of a host: news, or a request to listen if there
 // are none.
 type Send struct {
-	To   netip.Addr
-	News *inner.News
+	To     netip.Addr
+	News   *inner.News
+	Follow inner.Follow
 }
 
 // State is that of one balancer. Times are counted by the steady clock from the
@@ -68,24 +88,35 @@
 	self   netip.Addr
 	random *rand.Rand
 	seeds  []netip.Addr
+	// known are other balancers that were heard of lately, in case no seed is left.
+	known []netip.Addr
+	start start
 	// asOf is the position up to which this process knows every change, heard when
 	// the store last answered its own calls.
 	asOf  store.Position
 	heard time.Duration
-	// source is the balancer that this one listens to, invalid while it watches.
+	// source is the balancer that this one listens to, invalid while it watches; depth
+	// is the number of levels up to the one that watches.
 	source netip.Addr
+	depth  uint8
 	// told is the position that the source has told of, confirmed when the store last
-	// answered it, newsAt when its last news came.
+	// answered the root, newsAt when the source's last news came.
 	told              store.Position
 	confirmed, newsAt time.Duration
 	// asked is the balancer that was asked last and has not answered, nextAsk when
 	// the next one is asked.
 	asked   netip.Addr
 	nextAsk time.Duration
-	// listeners are the balancers that rely on this one, with their last requests;
-	// leaving tells that it has been told to stop.
+	// unanswered counts requests to seeds since one has answered.
+	unanswered int
+	// listeners are the balancers that rely on this one, or wait until they can, with
+	// their last requests; retold is when all were told last.
 	listeners map[netip.Addr]time.Duration
-	leaving   bool
+	retold    time.Duration
+	// fleet is the highest number of balancers that was heard of lately.
+	fleet int
+	// leaving tells that the process has been told to stop.
+	leaving bool
 }
 
 // New returns the state of a balancer that watches itself.
@@ -101,13 +132,13 @@
 // Source returns the balancer to listen to; ok is false for one that watches.
 func (s *State) Source() (source netip.Addr, ok bool) { return s.source, s.source.IsValid() }
 
-// Confirmed returns when the store last answered the source, 0 for never.
+// Confirmed returns when the store last answered the root, 0 for never.
 func (s *State) Confirmed() time.Duration { return s.confirmed }
 
 // Behind reports whether the source has told of changes that are not known yet.
 func (s *State) Behind() bool { return s.source.IsValid() && s.told > s.asOf }
 
-// Listeners returns how many others rely on this balancer's watch.
+// Listeners returns how many others rely on this balancer, or wait until they can.
 func (s *State) Listeners(now time.Duration) int {
 	for host, at := range s.listeners {
 		if now-at > listenerTime {
@@ -118,7 +149,18 @@
 }
 
 // Heard notes that the store has answered this process.
-func (s *State) Heard(now time.Duration) { s.heard = now }
+func (s *State) Heard(now time.Duration) []Send {
+	s.heard = now
+	return s.retell(now)
+}
+
+// retell tells the listeners that the store has answered, unless they were told lately.
+func (s *State) retell(now time.Duration) []Send {
+	if s.asOf == 0 || s.retold != 0 && now-s.retold < retellEvery || s.Listeners(now) == 0 {
+		return nil
+	}
+	return s.tellAll(now)
+}
 
 // Known notes up to which position every change is known, and tells the listeners.
 func (s *State) Known(now time.Duration, asOf store.Position) []Send {
@@ -126,79 +168,194 @@
 		return nil
 	}
 	s.asOf = asOf
-	if s.source.IsValid() || s.Listeners(now) == 0 {
+	if s.Listeners(now) == 0 {
 		return nil
 	}
 	return s.tellAll(now)
 }
 
 func (s *State) tellAll(now time.Duration) []Send {
+	s.retold = now
 	var out []Send
 	for host := range s.listeners {
-		out = append(out, Send{To: host, News: s.news(now)})
+		out = append(out, s.tell(now, host))
 	}
 	return out
 }
 
+// tell returns news for a balancer.
+func (s *State) tell(now time.Duration, to netip.Addr) Send {
+	n := s.news(now)
+	if other := s.anyListener(); other != to {
+		n.Other = other
+	}
+	return Send{To: to, News: n}
+}
+
 // news returns what this process can tell now.
 func (s *State) news(now time.Duration) *inner.News {
-	return &inner.News{Watches: s.watches(now), AsOf: s.asOf, Age: now - s.heard, Source: s.source}
+	n := &inner.News{
+		Watches: s.serves(now), AsOf: s.asOf, Age: now - s.heard, Source: s.source,
+		Depth: s.depth, Balancers: s.balancers(now),
+	}
+	if s.source.IsValid() {
+		n.Age = now - s.confirmed
+	}
+	return n
 }
 
-// watches reports whether others may rely on this process's watch.
-func (s *State) watches(now time.Duration) bool {
-	return !s.leaving && !s.source.IsValid() && s.heard > 0 && now-s.heard < StaleAfter
+// balancers returns the size of the fleet, 0 while a process that has only just started
+// can't know it.
+func (s *State) balancers(now time.Duration) uint16 {
+	n := max(s.fleet, len(s.listeners)+1)
+	if n < fleetLeast && now < sizeKnown {
+		return 0
+	}
+	return uint16(min(n, math.MaxUint16))
+}
+
+// serves reports whether others may rely on what this process knows.
+func (s *State) serves(now time.Duration) bool {
+	switch {
+	case s.leaving || s.asOf == 0:
+		return false
+	case s.source.IsValid():
+		return s.depth < maxDepth && now-s.confirmed < StaleAfter
+	}
+	return s.heard > 0 && now-s.heard < StaleAfter
 }
 
 // Request decides on the request of another balancer to listen to this one.
-func (s *State) Request(now time.Duration, from netip.Addr) []Send {
+func (s *State) Request(now time.Duration, from netip.Addr, f inner.Follow) []Send {
 	if from == s.self {
 		return nil
 	}
-	if s.source.IsValid() && now-s.newsAt > missedAfter && !s.leaving {
-		s.watch(now) // its source is lost, and others ask for one that watches
+	_, listens := s.listeners[from]
+	if s.source.IsValid() && !f.Below && !listens {
+		return s.pointUp(now, from)
+	}
+	if f.Leads && !s.leadsBefore(from) {
+		return s.ask(now, from, false)
 	}
-	if from == s.asked && s.watches(now) {
+	if from == s.asked && s.serves(now) {
 		if s.self.Compare(from) > 0 {
 			return nil // both have asked: the lower address goes on watching
 		}
 		s.asked = netip.Addr{}
 	}
-	if !s.watches(now) {
-		return []Send{{To: from, News: s.news(now)}}
+	if !listens && s.Listeners(now) >= maxListeners {
+		return s.pointDown(now, from)
 	}
-	_, known := s.listeners[from]
-	if !known && s.Listeners(now) >= maxListeners {
-		return nil
+	if s.leaving {
+		return []Send{s.tell(now, from)}
 	}
 	s.listeners[from] = now
-	return []Send{{To: from, News: s.news(now)}}
+	if !listens && len(s.listeners)+1 == fleetLeast {
+		return s.tellAll(now) // those that start wait only in a fleet of this size
+	}
+	return []Send{s.tell(now, from)}
+}
+
+// pointUp names the source of this balancer to one that asks.
+func (s *State) pointUp(now time.Duration, from netip.Addr) []Send {
+	if now-s.newsAt > missedAfter && !s.leaving {
+		s.watch(now) // its source is lost, and others ask for one that watches
+	}
+	n := s.news(now)
+	n.Watches = false
+	return []Send{{To: from, News: n}}
+}
+
+// pointDown names one of the listeners to a balancer that asks when there is no room.
+func (s *State) pointDown(now time.Duration, from netip.Addr) []Send {
+	n := s.news(now)
+	n.Watches = false
+	if s.serves(now) {
+		n.Source, n.Below = s.anyListener(), true
+	}
+	return []Send{{To: from, News: n}}
+}
+
+// anyListener returns a listener at random, the invalid address for none.
+func (s *State) anyListener() netip.Addr {
+	if len(s.listeners) == 0 {
+		return netip.Addr{}
+	}
+	skip := s.random.IntN(len(s.listeners))
+	for host := range s.listeners {
+		if skip == 0 {
+			return host
+		}
+		skip--
+	}
+	return netip.Addr{}
 }
 
 // News decides on what another balancer has told.
 func (s *State) News(now time.Duration, from netip.Addr, n inner.News) []Send {
-	if from != s.source && from != s.asked {
+	if from != s.source && from != s.asked && !s.awaits(from) {
 		return nil
 	}
+	s.remember(from)
+	s.remember(n.Other)
+	s.fleet = max(s.fleet, int(n.Balancers))
+	if slices.Contains(s.seeds, from) {
+		s.unanswered = 0
+	}
+	s.start.small = n.Balancers > 0 && n.Balancers < fleetLeast
 	if !n.Watches {
-		return s.refused(now, from, n.Source)
+		return s.refused(now, from, n)
 	}
 	if n.AsOf.Era() < s.asOf.Era() {
-		return s.refused(now, from, netip.Addr{}) // it has not noticed yet that the store came back older
-	}
-	if s.leaving || from != s.source && s.Listeners(now) > 0 {
-		return nil // others rely on this process's watch
+		return s.refused(now, from, inner.News{}) // it has not noticed yet that the store came back older
 	}
-	if n.Age >= StaleAfter {
+	if !s.accepts(now, from, n) {
 		return nil
 	}
-	s.source, s.asked = from, netip.Addr{}
+	newer := now-n.Age > s.confirmed
+	s.source, s.asked, s.depth = from, netip.Addr{}, n.Depth+1
 	s.told, s.confirmed, s.newsAt = max(s.told, n.AsOf), max(s.confirmed, now-n.Age), now
+	if newer {
+		return s.retell(now)
+	}
 	return nil
 }
 
-// refused asks the one that another balancer listens to, or looks further.
-func (s *State) refused(now time.Duration, from, other netip.Addr) []Send {
+// accepts reports whether this balancer listens to another one from now on, or goes on
+// doing so.
+func (s *State) accepts(now time.Duration, from netip.Addr, n inner.News) bool {
+	switch {
+	case s.leaving || n.Age >= StaleAfter || n.Depth >= maxDepth:
+		return false
+	case from == s.source:
+		return true
+	case s.fleet < fleetLeast:
+		return false
+	case s.Listeners(now) == 0 || s.young():
+		return true
+	case !s.source.IsValid():
+		return s.joins(from, n)
+	}
+	return n.Depth <= s.depth // or it may listen to this process itself
+}
+
+// joins reports whether a balancer that watches and has listeners listens to another one
+// from now on, with them. That one watches, so it relies on none of them; and where two
+// watch, one alone joins the other: seeds go on watching, else the lower address does.
+func (s *State) joins(from netip.Addr, n inner.News) bool {
+	return n.Depth == 0 && !s.leadsBefore(from)
+}
+
+// leadsBefore reports whether this balancer goes on watching, and not the other one.
+func (s *State) leadsBefore(other netip.Addr) bool {
+	if s.start.seed || slices.Contains(s.seeds, other) {
+		return s.start.seed
+	}
+	return s.self.Less(other)
+}
+
+// refused asks the one that another balancer names, or looks further.
+func (s *State) refused(now time.Duration, from netip.Addr, n inner.News) []Send {
 	if from == s.asked {
 		s.asked = netip.Addr{}
 	}
@@ -206,30 +363,61 @@
 		s.newsAt = min(s.newsAt, now-missedAfter-1) // ask others, while the last news holds
 		s.nextAsk = now
 	}
-	if !other.IsValid() || other == s.self || other == from {
-		return nil
+	if other := n.Source; other.IsValid() && other != s.self && other != from {
+		s.remember(other)
+		return s.ask(now, other, n.Below)
 	}
-	return s.ask(now, other)
+	return nil
 }
 
-func (s *State) ask(now time.Duration, host netip.Addr) []Send {
+func (s *State) ask(now time.Duration, host netip.Addr, below bool) []Send {
 	s.asked = host
-	return []Send{{To: host}}
+	s.nextAsk = max(s.nextAsk, now+startEvery)
+	leads := !s.source.IsValid() && s.Listeners(now) > 0
+	return []Send{{To: host, Follow: inner.Follow{Below: below, Leads: leads}}}
+}
+
+// askAny asks a seed, or another balancer that was heard of where no seed answers: all
+// may be gone.
+func (s *State) askAny(now time.Duration) []Send {
+	if len(s.known) > 0 && (len(s.seeds) == 0 || s.unanswered >= seedTries && s.random.IntN(2) == 0) {
+		return s.ask(now, s.known[s.random.IntN(len(s.known))], false)
+	}
+	if len(s.seeds) == 0 {
+		return nil
+	}
+	s.unanswered++
+	return s.ask(now, s.seeds[s.random.IntN(len(s.seeds))], false)
+}
+
+// remember keeps a balancer that was heard of.
+func (s *State) remember(host netip.Addr) {
+	if !host.IsValid() || host == s.self || slices.Contains(s.seeds, host) || slices.Contains(s.known, host) {
+		return
+	}
+	if len(s.known) < maxKnown {
+		s.known = append(s.known, host)
+		return
+	}
+	s.known[s.random.IntN(maxKnown)] = host
 }
 
 // Tick does what is due by time alone. balancers is the size of the fleet as far as
 // is known.
 func (s *State) Tick(now time.Duration, balancers int) []Send {
+	s.fleet = max(s.fleet, balancers)
 	switch {
 	case s.leaving:
 		return nil
 	case s.source.IsValid():
 		return s.tickListening(now)
-	case balancers < fleetLeast || len(s.seeds) == 0 || s.heard == 0 || s.Listeners(now) > 0:
+	case s.young():
+		return s.tickYoung(now)
+	case s.fleet < fleetLeast || s.start.seed && s.Listeners(now) > 0:
 		return nil
-	case now >= s.nextAsk: // at once after the start
+	case now >= s.nextAsk:
 		s.lookLater(now)
-		return s.ask(now, s.seeds[s.random.IntN(len(s.seeds))])
+		return s.askAny(now)
 	}
 	return nil
 }
@@ -237,24 +425,32 @@
 // tickListening asks the source for news, others once it is silent, and gives up
 // when what is known is too old.
 func (s *State) tickListening(now time.Duration) []Send {
-	if now-s.confirmed >= StaleAfter {
+	if now-s.confirmed >= StaleAfter+s.grace(now) {
 		s.watch(now)
 		return nil
 	}
 	if now < s.nextAsk {
 		return nil
 	}
-	if now-s.newsAt <= missedAfter || len(s.seeds) == 0 {
+	if now-s.newsAt <= missedAfter {
 		s.nextAsk = now + renewEvery
-		return []Send{{To: s.source}}
+		return []Send{{To: s.source, Follow: inner.Follow{Below: s.depth > 1}}}
 	}
 	s.nextAsk = now + askEvery
-	return s.ask(now, s.seeds[s.random.IntN(len(s.seeds))])
+	return s.askAny(now)
+}
+
+// grace returns for how long a source that lives may yet hear the store.
+func (s *State) grace(now time.Duration) time.Duration {
+	if now-s.newsAt > missedAfter {
+		return 0
+	}
+	return min(time.Duration(s.depth-1)*levelGrace, graceMost)
 }
 
 // watch begins to watch the store itself.
 func (s *State) watch(now time.Duration) {
-	s.source, s.asked, s.told = netip.Addr{}, netip.Addr{}, 0
+	s.source, s.asked, s.told, s.depth = netip.Addr{}, netip.Addr{}, 0, 0
 	s.lookLater(now)
 }
 
--- a/internal/packetface/watchshare/watchshare_test.go
+++ b/internal/packetface/watchshare/watchshare_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +19,15 @@
 // Tests with a fleet in simulated time: a store that changes, balancers that watch it
 // or listen, and a network that delays and loses.
 
-const step = 10 * time.Millisecond
+const (
+	step = 10 * time.Millisecond
+	// firstStart is when the whole system starts for the first time.
+	firstStart = time.Second
+	// retry is the time after which a failed call is made again by one that others rely
+	// on, retryPart what each balancer adds to that of another one.
+	retry     = time.Second
+	retryPart = 50 * time.Millisecond
+)
 
 // member is a balancer of the fleet.
 type member struct {
@@ -27,14 +36,19 @@
 	// knows is the revision that it knows, checked when the store last answered it.
 	knows   store.Position
 	checked time.Duration
+	// began is when it was started.
+	began time.Duration
 	// dead members are gone, frozen ones stand still, cut ones don't reach the store.
 	dead, frozen, cut bool
+	// failed tells that its last call was.
+	failed bool
 }
 
 type letter struct {
 	due      time.Duration
 	from, to netip.Addr
 	news     *inner.News
+	follow   inner.Follow
 }
 
 // fleet is all of it. behind holds since when a member lacks the newest revision.
@@ -42,67 +56,74 @@
 	random  *rand.Rand
 	now     time.Duration
 	members []*member
+	byHost  map[netip.Addr]*member
 	letters []letter
 	loss    float64
 	// revision is the store's, changed when it was last changed.
 	revision store.Position
 	changed  time.Duration
-	// calls counts those to the store.
-	calls int
+	// calls counts those to the store, busiest the most listeners of a member.
+	calls, busiest int
+	// down tells that the store answers nobody, reading is how long it takes to answer one
+	// that knows nothing.
+	down    bool
+	reading time.Duration
 }
 
 func host(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
 
 func newFleet(size int, seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Second, revision: 1}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: firstStart, revision: 1, byHost: map[netip.Addr]*member{}}
 	for n := range size {
 		f.members = append(f.members, &member{host: host(n + 1)})
+		f.byHost[host(n+1)] = f.members[n]
 		f.start(f.members[n])
 	}
 	return f
 }
 
-// start starts a member anew; it reads the store.
+// start starts a member anew.
 func (f *fleet) start(m *member) {
-	m.dead, m.frozen = false, false
+	m.dead, m.frozen, m.began = false, false, f.now
 	m.share = watchshare.New(m.host, rand.New(rand.NewPCG(f.random.Uint64(), 2)))
-	m.share.SetSeeds([]netip.Addr{host(1), host(2), host(3)})
-	m.knows = 0
-	f.ask(m)
+	seeds := []netip.Addr{host(1), host(2), host(3)}
+	m.share.SetSeeds(seeds)
+	m.share.SetStart(slices.Contains(seeds, m.host), f.now == firstStart)
+	m.knows, m.checked = 0, 0
 }
 
+// clock returns the time as a member counts it.
+func (f *fleet) clock(m *member) time.Duration { return f.now - m.began + 1 }
+
 // ask makes a member's call of the store.
 func (f *fleet) ask(m *member) {
 	f.calls++
-	m.checked = f.now
-	if m.cut {
-		return
+	m.checked, m.failed = f.now, m.cut || f.down
+	if m.failed || m.knows == 0 && f.reading > 0 {
+		return // tick takes the answer when it is there
 	}
-	m.share.Heard(f.now)
+	f.answered(m)
+}
+
+func (f *fleet) answered(m *member) {
+	f.post(m, m.share.Heard(f.clock(m)))
 	f.know(m, f.revision)
 }
 
 func (f *fleet) know(m *member, revision store.Position) {
 	m.knows = max(m.knows, revision)
-	f.post(m, m.share.Known(f.now, m.knows))
+	f.post(m, m.share.Known(f.clock(m), m.knows))
 }
 
 func (f *fleet) post(m *member, messages []watchshare.Send) {
 	for _, s := range messages {
 		if f.random.Float64() >= f.loss {
-			f.letters = append(f.letters, letter{due: f.now + step, from: m.host, to: s.To, news: s.News})
+			f.letters = append(f.letters, letter{due: f.now + step, from: m.host, to: s.To, news: s.News, follow: s.Follow})
 		}
 	}
 }
 
-func (f *fleet) at(host netip.Addr) *member {
-	for _, m := range f.members {
-		if m.host == host {
-			return m
-		}
-	}
-	return nil
-}
+func (f *fleet) at(host netip.Addr) *member { return f.byHost[host] }
 
 // run lets time pass.
 func (f *fleet) run(d time.Duration) {
@@ -127,26 +148,52 @@
 		f.letters = append(f.letters, l)
 	case m.dead || m.frozen:
 	case l.news == nil:
-		f.post(m, m.share.Request(f.now, l.from))
+		f.post(m, m.share.Request(f.clock(m), l.from, l.follow))
 	default:
-		f.post(m, m.share.News(f.now, l.from, *l.news))
+		f.post(m, m.share.News(f.clock(m), l.from, *l.news))
 	}
 }
 
 // tick is what the shell does: watch the store, or fetch what the source has told of.
 func (f *fleet) tick(m *member) {
-	f.post(m, m.share.Tick(f.now, len(f.members)))
+	now := f.clock(m)
+	f.post(m, m.share.Tick(now, f.size(m)))
+	f.busiest = max(f.busiest, m.share.Listeners(now))
 	source, listens := m.share.Source()
 	switch {
 	case listens && m.share.Behind():
 		if peer := f.at(source); !peer.dead && !peer.frozen {
 			f.know(m, peer.knows)
 		}
-	case !listens && (f.now-m.checked >= watchshare.WatchWait || m.knows < f.revision && !m.cut):
+	case listens || m.knows == 0 && !m.share.ReadsStore(now):
+	case m.knows == 0 && m.checked > 0 && !m.failed:
+		if f.now-m.checked >= f.reading {
+			f.answered(m)
+		}
+	case m.knows == 0 && m.checked == 0 || f.now-m.checked >= f.pause(m) || m.knows < f.revision && !m.failed:
 		f.ask(m)
 	}
 }
 
+// size is the number of balancers as a member learns it from agents, once it knows any.
+func (f *fleet) size(m *member) int {
+	if m.knows == 0 {
+		return 1
+	}
+	return len(f.members)
+}
+
+// pause is the time to a member's next call if nothing changes.
+func (f *fleet) pause(m *member) time.Duration {
+	switch {
+	case !m.failed:
+		return watchshare.WatchWait
+	case m.share.Listeners(f.clock(m)) > 0:
+		return retry
+	}
+	return max(retry, time.Duration(len(f.members))*retryPart)
+}
+
 func (f *fleet) change() { f.revision, f.changed = f.revision+1, f.now }
 
 func (f *fleet) watchers() int {
@@ -225,7 +272,7 @@
 	f.run(6 * time.Second)
 	for n := range 3 {
 		m := f.members[n]
-		f.post(m, m.share.Leave(f.now))
+		f.post(m, m.share.Leave(f.clock(m)))
 		f.run(500 * time.Millisecond)
 		m.dead = true
 		f.run(1500 * time.Millisecond)
@@ -252,9 +299,9 @@
 	s := watchshare.New(host(9), rand.New(rand.NewPCG(1, 2)))
 	s.Heard(time.Second)
 	for n := range 5000 {
-		s.Request(time.Second, host(n+10))
+		s.Request(time.Second, host(n+10), inner.Follow{})
 	}
-	g.Expect(s.Listeners(time.Second)).To(BeNumerically("<=", 256))
+	g.Expect(s.Listeners(time.Second)).To(BeNumerically("<=", 32))
 }
 
 // Random histories: deaths, restarts, freezes, cuts and losses in any order. Whoever
