registry: a balancer asks its source alone for agents that the store does not list

Ruled out: to ask nobody, as a balancer that starts after a lapse would take flows of unlisted agents for dead.

Change: who has its listing from a source asks that one for what the listing lacks; it answers once it has itself heard.

--- a/internal/packetface/registry/changes_test.go
+++ b/internal/packetface/registry/changes_test.go
@@ -9,6 +9,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/saltbend/saltbend/internal/packetface/peercall"
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
 	"github.com/saltbend/saltbend/test/packetplatform"
 )
@@ -22,6 +25,17 @@
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
+// changesSince returns what a balancer tells a listener that knows every change up to a
+// position.
+func changesSince(t *testing.T, source netip.AddrPort, after store.Position) []platform.Item {
+	g := NewWithT(t)
+	var answer registry.Changes
+	path := "/packet/changes?after=" + strconv.FormatUint(uint64(after), 10)
+	g.Expect(peercall.Get(t.Context(), http.DefaultClient, source, path, 1<<20, &answer)).To(Succeed())
+	g.Expect(answer.Whole).To(BeFalse())
+	return answer.Items
+}
+
 // pair returns a follower that watches the store and one that listens to it, and
 // what tells the second of news, as datagrams between them do.
 func pair(t *testing.T, fake *packetplatform.Store) (watcher, listener *follower, tell func()) {
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -70,8 +70,10 @@
 	// Known returns all agents that this balancer knows, whether the store lists
 	// them or not.
 	Known func() []steer.Agent
-	// Asked is called once the seeds have been asked, after the first listing, with
-	// the agents that they know.
+	// Unlisted returns those that the store does not list.
+	Unlisted func() []steer.Agent
+	// Asked is called once others have been asked, after the first listing, with the
+	// agents that they know.
 	Asked func([]steer.Agent)
 	// Balancers returns the number of balancers that follow the store.
 	Balancers func() int
@@ -103,6 +105,10 @@
 	// store has not answered since a source was given up.
 	readStore   chan struct{}
 	unconfirmed atomic.Bool
+	// begunWith is the balancer that the first listing came from, invalid for the store;
+	// heardOfAgents tells that Asked was called.
+	begunWith     netip.AddrPort
+	heardOfAgents atomic.Bool
 	// kept are the last changes; log has them with the newest listing, for peers;
 	// peer is a balancer that knows more than this one.
 	kept  changes
@@ -146,7 +152,7 @@
 		err := f.step(ctx)
 		f.tell(err)
 		if first && f.listing != nil {
-			go f.askAgents(ctx)
+			go f.askAgents(ctx, f.begunWith)
 		}
 		if err == nil {
 			backoff.Reset()
--- a/internal/packetface/registry/follow_test.go
+++ b/internal/packetface/registry/follow_test.go
@@ -93,6 +93,7 @@
 	f.Heard = func() {}
 	f.Balancers = func() int { return balancers }
 	f.Known = func() []steer.Agent { return f.known }
+	f.Unlisted = func() []steer.Agent { return f.known }
 	f.Asked = func(agents []steer.Agent) { f.asked <- agents }
 	f.asked = make(chan []steer.Agent, 1)
 	return f
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -11,6 +11,7 @@
 	"github.com/saltbend/saltbend/internal/packetface/peercall"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/internal/wait"
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -21,6 +22,8 @@
 const (
 	listingPath = "/packet/listing"
 	agentsPath  = "/packet/agents"
+	// unlistedPath is for a balancer that has its listing from the one that it asks.
+	unlistedPath = "/packet/agents/unlisted"
 	// peerTimeout bounds a question to another balancer.
 	peerTimeout = time.Second
 	// maxListingBytes bounds its answer: a configuration of 1 MB and 7,000
@@ -36,6 +39,10 @@
 	// 10 ms; after a common loss of power some are still dark, and the first packet
 	// to those is repeated after a second only.
 	seedTimeout = 250 * time.Millisecond
+	// unlistedTimeout bounds the question to the source for agents that are not listed,
+	// which it answers once it has asked itself; unlistedEvery is the time between tries.
+	unlistedTimeout = 400 * time.Millisecond
+	unlistedEvery   = 25 * time.Millisecond
 	// beginTimeout bounds the question for everything that a source knows, after which
 	// the store is read: after a common loss of power many ask at once.
 	beginTimeout = 400 * time.Millisecond
@@ -49,6 +56,7 @@
 func (f *Follower) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+listingPath, f.serveListing)
 	mux.HandleFunc("GET "+agentsPath, f.serveAgents)
+	mux.HandleFunc("GET "+unlistedPath, f.serveUnlisted)
 	mux.HandleFunc("GET "+changesPath, f.serveChanges)
 	f.Store.HandleRelay(mux)
 }
@@ -60,6 +68,17 @@
 	}
 }
 
+// serveUnlisted serves the agents that this balancer knows and the store does not list,
+// once it has heard of them itself.
+func (f *Follower) serveUnlisted(w http.ResponseWriter, r *http.Request) {
+	if !f.heardOfAgents.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var answer document
+	answer.write(w, r, func() any { return f.Unlisted() })
+}
+
 // serveAgents serves all agents that this balancer knows, or has known a moment ago.
 func (f *Follower) serveAgents(w http.ResponseWriter, r *http.Request) {
 	if f.whole(w) == nil {
@@ -107,6 +126,7 @@
 		f.AwaitSource = false
 		err := f.beginWith(ctx, source)
 		if err == nil {
+			f.begunWith = source
 			return nil
 		}
 		f.Log.Warn("Source not reached, reading the store.", "source", source.String(), "error", err.Error())
@@ -157,11 +177,46 @@
 	return true
 }
 
-// askAgents asks the seeds for the agents that they know, as some may live though
-// the store does not list them. Without them a balancer that starts after a lapse
-// would take their flows for dead.
-func (f *Follower) askAgents(ctx context.Context) {
-	var known []steer.Agent
+// askAgents asks others for the agents that they know, as some may live though the
+// store does not list them. Without them a balancer that starts after a lapse would take
+// their flows for dead. The source that the listing came from tells what that lacks;
+// who has read the store itself asks the seeds for all.
+func (f *Follower) askAgents(ctx context.Context, source netip.AddrPort) {
+	known, err := f.askUnlisted(ctx, source)
+	if err != nil {
+		known = f.askSeedsForAgents(ctx)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	f.heardOfAgents.Store(true)
+	f.Asked(known)
+}
+
+// errNoSource says that the listing came from the store.
+var errNoSource = errors.New("registry: the listing came from no source")
+
+// askUnlisted asks the source of the listing, until it has itself heard of agents.
+func (f *Follower) askUnlisted(ctx context.Context, source netip.AddrPort) (known []steer.Agent, err error) {
+	if !source.IsValid() {
+		return nil, errNoSource
+	}
+	ctx, cancel := context.WithTimeout(ctx, unlistedTimeout)
+	defer cancel()
+	for {
+		err = f.fetch(ctx, source, unlistedPath, &known)
+		if err == nil {
+			f.Log.Info("Source asked for agents.", "source", source.String(), "known", len(known))
+			return known, nil
+		}
+		if wait.For(ctx, unlistedEvery) != nil {
+			f.Log.Warn("Source not asked for agents, asking the seeds.", "source", source.String(), "error", err.Error())
+			return nil, err
+		}
+	}
+}
+
+func (f *Follower) askSeedsForAgents(ctx context.Context) (known []steer.Agent) {
 	var failures []string
 	for _, a := range askAll[[]steer.Agent](ctx, f, agentsPath) {
 		if a.err != nil {
@@ -169,11 +224,8 @@
 		}
 		known = append(known, a.answer...)
 	}
-	if ctx.Err() != nil {
-		return
-	}
 	f.Log.Info("Seeds asked for agents.", "known", len(known), "errors", failures)
-	f.Asked(known)
+	return known
 }
 
 // seedAnswer is what a seed answered.
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -140,6 +140,7 @@
 	b.follower.Reached = b.reached
 	b.follower.Balancers = b.balancers
 	b.follower.Known = b.known
+	b.follower.Unlisted = b.unlisted
 	b.follower.Asked = b.peersAsked
 	b.follower.Shared = b.shared
 	b.follower.AwaitSource = true
@@ -322,6 +323,13 @@
 	return b.core.Known()
 }
 
+// unlisted returns the agents that the balancer knows and the store does not list.
+func (b *balancer) unlisted() []steer.Agent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.Unlisted()
+}
+
 func (b *balancer) balancers() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -223,6 +223,17 @@
 	return out
 }
 
+// Unlisted returns the agents that the store does not list.
+func (c *Core) Unlisted() []Agent {
+	var out []Agent
+	for _, a := range c.roster.list {
+		if a.unlisted != 0 {
+			out = append(out, a.Agent)
+		}
+	}
+	return out
+}
+
 // list takes over one entry; it reports whether the agent is new.
 func (c *Core) list(entry Agent) bool {
 	a := c.roster.agents[entry.Addr]
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -181,6 +181,18 @@
 	return s.calls["/kv-range"]
 }
 
+// Calls returns how many calls were made but for renewals, which cost little.
+func (s *Store) Calls() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for path, calls := range s.calls {
+		if !strings.HasPrefix(path, "/kv-keep/") {
+			n += calls
+		}
+	}
+	return n
+}
+
 // guard counts calls and refuses them while the store is to fail.
 func (s *Store) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
