registry, gate: agents write their entries together, idle ones ask a balancer

Ruled out: one lease for many agents. Its end, or the loss of the host that holds it, would take the entries of all away, and a dead agent's entry would stay as long as any of them lives.

Change: an agent writes by way of a seed, which makes one call for those that come within 200 ms; one that comes alone is written at once; where a call is refused for one of them, halves are tried. Without a balancer the agent writes itself. An agent that nobody has called for 2 s asks a balancer, which answers with a poll if it has heard the store; only where two don't answer is the store asked.

--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -44,9 +44,6 @@
 	return told
 }
 
-// AskedAt returns when a balancer last sent anything.
-func (g *Gate) AskedAt() time.Duration { return g.asked }
-
 func (g *Gate) fromAsk(now time.Duration, from netip.AddrPort, b []byte) (err error) {
 	var head inner.AskHead
 	g.questions, head, err = inner.ParseAsk(g.questions[:0], b)
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -241,6 +241,7 @@
 	// balancers holds when each balancer last sent anything, asked when any did.
 	balancers map[netip.AddrPort]time.Duration
 	asked     time.Duration
+	idle      idle
 	swept     time.Duration
 	out       Result
 	buffer    []byte
@@ -288,6 +289,7 @@
 	g.begin()
 	g.asked = now
 	g.balancers[from] = now
+	g.idle.called(from)
 	g.checkVerdict(now)
 	err := g.fromBalancer(now, from, b)
 	g.release(now)
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -40,6 +40,8 @@
 	// (2 bytes), KindNews brings them (23 bytes).
 	KindFollow
 	KindNews
+	// KindCheck asks a balancer, by a poll, whether the store lists the agent (1 byte).
+	KindCheck
 )
 
 // Flags modify what a balancer asks of an agent.
@@ -227,6 +229,9 @@
 	}, nil
 }
 
+// AppendCheck appends a datagram of KindCheck.
+func AppendCheck(b []byte) []byte { return append(b, byte(KindCheck)) }
+
 // AppendStatus appends a datagram of KindStatus.
 func AppendStatus(b []byte, s Status) []byte {
 	b = append(b, byte(KindStatus), byte(s.State))
--- a/internal/packetface/peercall/peercall.go
+++ b/internal/packetface/peercall/peercall.go
@@ -2,18 +2,37 @@
 package peercall
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 
 	"github.com/pkg/errors"
 )
 
+// ErrRefused says that the other has done nothing: it does not know the call, or not yet
+// what is asked for.
+var ErrRefused = errors.New("peercall: refused")
+
 // Get asks the process at a control address and decodes its answer, of at most some
 // bytes, into a value.
 func Get(ctx context.Context, client *http.Client, control netip.AddrPort, path string, maxBytes int64, value any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control.String()+path, nil)
+	return call(ctx, client, http.MethodGet, control, path, nil, maxBytes, value)
+}
+
+// Post sends a value to the process at a control address and decodes its answer like Get.
+func Post(ctx context.Context, client *http.Client, control netip.AddrPort, path string, sent any, maxBytes int64, value any) error {
+	body, err := json.Marshal(sent)
+	if err != nil {
+		return errors.Wrap(err, "peercall: encode")
+	}
+	return call(ctx, client, http.MethodPost, control, path, bytes.NewReader(body), maxBytes, value)
+}
+
+func call(ctx context.Context, client *http.Client, method string, control netip.AddrPort, path string, body io.Reader, maxBytes int64, value any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+control.String()+path, body)
 	if err != nil {
 		return errors.Wrap(err, "peercall: ask")
 	}
@@ -23,7 +42,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return errors.Errorf("peercall: the other answers %s", res.Status)
+		return errors.Wrapf(ErrRefused, "the other answers %s", res.Status)
 	}
 	err = json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxBytes)).Decode(value)
 	return errors.Wrap(err, "peercall: read the answer")
--- /dev/null
+++ b/internal/packetface/registry/batch_test.go
@@ -0,0 +1,85 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/platform"
+)
+
+// writes plays a time of arrivals in steps of a millisecond, with a store that answers
+// after 4 ms, and returns how many calls are made and the longest that one waited.
+func writes(arrivals map[time.Duration]int) (calls int, longest time.Duration) {
+	const answer = 4 * time.Millisecond
+	var b batch[time.Duration]
+	var until time.Duration
+	key := 0
+	for now := time.Millisecond; now < 10*time.Second; now += time.Millisecond {
+		for range arrivals[now] {
+			key++
+			b.add(pending[time.Duration]{platform.Write{Key: fmt.Sprint(key)}, now})
+		}
+		if b.busy && now >= until {
+			b.done()
+		}
+		if wait, ok := b.due(now); ok && wait == 0 {
+			for _, p := range b.take(now) {
+				longest = max(longest, now-p.from)
+			}
+			calls, until = calls+1, now+answer
+		}
+	}
+	return calls, longest
+}
+
+func TestAnEntryThatComesAloneIsWrittenAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	calls, longest := writes(map[time.Duration]int{time.Second: 1, 2 * time.Second: 1, 3 * time.Second: 1})
+	g.Expect(calls).To(Equal(3))
+	g.Expect(longest).To(BeZero())
+}
+
+// A first start: 226 agents of 678 write through one of three seeds within the 3 s
+// between their upstreams' heartbeats; then twice as many.
+func TestManyEntriesThatComeTogetherCostFewCalls(t *testing.T) {
+	for _, agents := range []int{226, 452} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			g := NewWithT(t)
+			arrivals := map[time.Duration]int{}
+			for n := range agents {
+				arrivals[(1000+time.Duration(n*3000/agents))*time.Millisecond]++
+			}
+			calls, longest := writes(arrivals)
+			g.Expect(calls).To(BeNumerically("<=", 3000/200+1+agents/batchMost))
+			g.Expect(longest).To(BeNumerically("<=", 2*batchEvery))
+		})
+	}
+}
+
+// A third of a fleet's entries are taken away and come back at once.
+func TestEntriesThatAreTakenAwayTogetherAreBackInTime(t *testing.T) {
+	for _, agents := range []int{240, 480} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			g := NewWithT(t)
+			calls, longest := writes(map[time.Duration]int{time.Second: agents / 3})
+			g.Expect(calls).To(BeNumerically("<=", agents/3/batchMost+1))
+			g.Expect(longest).To(BeNumerically("<", 2*time.Second))
+		})
+	}
+}
+
+func TestTwoWritesOfOneKeyAreMadeOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	var b batch[int]
+	b.add(pending[int]{platform.Write{Key: "a"}, 1})
+	b.add(pending[int]{platform.Write{Key: "a"}, 2})
+	b.add(pending[int]{platform.Write{Key: "b"}, 3})
+	g.Expect(b.take(time.Second)).To(HaveLen(2))
+	_, ok := b.due(time.Second)
+	g.Expect(ok).To(BeFalse(), "a call is under way")
+	b.done()
+	g.Expect(b.take(2 * time.Second)).To(Equal([]pending[int]{{platform.Write{Key: "a"}, 2}}))
+}
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -58,6 +58,7 @@
 	mux.HandleFunc("GET "+agentsPath, f.serveAgents)
 	mux.HandleFunc("GET "+unlistedPath, f.serveUnlisted)
 	mux.HandleFunc("GET "+changesPath, f.serveChanges)
+	mux.HandleFunc("POST "+entryPath, newWriter(f.Store, f.Log).serve)
 	f.Store.HandleRelay(mux)
 }
 
--- a/internal/packetface/registry/publish.go
+++ b/internal/packetface/registry/publish.go
@@ -205,8 +205,7 @@
 	case StepWrite:
 		var at store.Position
 		w := a.publisher.Write()
-		at, err = calls.Apply(ctx, w)
-		a.hearAnswer()
+		at, err = a.write(ctx, calls, w)
 		a.publisher.Wrote(w.Value, at, err)
 		if errors.Is(err, store.ErrConflict) {
 			err = nil // an answer: the key is to be read
@@ -220,7 +219,7 @@
 		a.hearAnswer()
 		a.publisher.Renewed(err, sent)
 	}
-	if err != nil && !errors.Is(err, platform.ErrLeaseEnded) {
+	if err != nil && !a.ways.past && !errors.Is(err, platform.ErrLeaseEnded) {
 		a.ways.failed(a.Clock())
 	}
 	a.tell(step, listed, err)
@@ -230,6 +229,25 @@
 	return err
 }
 
+// write writes the entry by way of a balancer, which makes one call for many agents, or
+// itself where none is reached.
+func (a *Agent) write(ctx context.Context, calls *platform.Store, w platform.Write) (at store.Position, err error) {
+	at, err = a.ways.writeThrough(ctx, w)
+	if !errors.Is(err, errNotSent) {
+		a.hearEra(at.Era(), 0)
+		if err == nil && at.Era() < a.publisher.era {
+			err = errors.Wrapf(store.ErrOutcomeUnknown, "registry: written at %s, known era %d", at, a.publisher.era)
+		}
+		return at, err
+	}
+	if a.ways.at == 0 && !errors.Is(err, errNoWriter) {
+		a.Log.Info("No balancer writes the entry.", "error", err.Error())
+	}
+	at, err = calls.Apply(ctx, w)
+	a.hearAnswer()
+	return at, err
+}
+
 // read reads the entry.
 func (a *Agent) read(ctx context.Context, calls *platform.Store) error {
 	item, asOf, err := calls.Get(ctx, a.publisher.key)
--- a/internal/packetface/registry/ways.go
+++ b/internal/packetface/registry/ways.go
@@ -1,13 +1,36 @@
 package registry
 
 import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/packetface/peercall"
+	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
 )
 
+const (
+	// writerConnect is how long a balancer is waited for that is to write an entry, and
+	// writerTimeout its answer, which may wait for other entries and a slow store.
+	writerConnect = 250 * time.Millisecond
+	writerTimeout = 2 * time.Second
+	// maxWrittenBytes bounds the answer.
+	maxWrittenBytes = 1 << 10
+)
+
+// errNotSent says that no balancer got the write, errNoWriter that none is known.
+var (
+	errNotSent  = errors.New("registry: not sent")
+	errNoWriter = errors.Wrap(errNotSent, "no balancer is known")
+)
+
 // detourTime is how long an agent whom the store turned away makes its calls by
 // way of a balancer before it tries the store itself again.
 const detourTime = 5 * time.Second
@@ -17,6 +40,11 @@
 type ways struct {
 	straight *platform.Store
 	detours  atomic.Pointer[[]*platform.Store]
+	writers  atomic.Pointer[[]netip.AddrPort]
+	// peers calls the writers; past tells that the next write is made without them, as
+	// the store has turned away the last one.
+	peers http.Client
+	past  bool
 	// at is the way in use, 0 for the straight one; until is when it is left.
 	at    int
 	until time.Duration
@@ -29,6 +57,7 @@
 		detours[i] = w.straight.Through(seed)
 	}
 	w.detours.Store(&detours)
+	w.writers.Store(&seeds)
 }
 
 func (w *ways) seeds() []*platform.Store {
@@ -55,3 +84,33 @@
 	w.at = (w.at + 1) % (len(w.seeds()) + 1)
 	w.until = now + detourTime
 }
+
+// writeThrough lets one of the balancers write an entry. errNotSent says that none got it.
+func (w *ways) writeThrough(ctx context.Context, write platform.Write) (store.Position, error) {
+	writers := w.writers.Load()
+	if writers == nil || len(*writers) == 0 || w.past {
+		w.past = false
+		return 0, errNoWriter
+	}
+	writer := (*writers)[rand.IntN(len(*writers))]
+	ctx, cancel := context.WithTimeout(ctx, writerTimeout)
+	defer cancel()
+	var connected atomic.Bool
+	unreached := time.AfterFunc(writerConnect, func() {
+		if !connected.Load() {
+			cancel()
+		}
+	})
+	defer unreached.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	var answer writeAnswer
+	err := peercall.Post(ctx, &w.peers, writer, entryPath, write, maxWrittenBytes, &answer)
+	switch {
+	case err == nil:
+		w.past = answer.Outcome == outcomeNone
+		return answer.At, answer.err()
+	case !connected.Load() || errors.Is(err, peercall.ErrRefused):
+		return 0, errors.Wrap(errNotSent, err.Error())
+	}
+	return 0, errors.Wrap(store.ErrOutcomeUnknown, err.Error())
+}
--- /dev/null
+++ b/internal/packetface/registry/writes.go
@@ -0,0 +1,184 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/saltbend/saltbend/internal/store"
+	"github.com/saltbend/saltbend/platform"
+)
+
+const (
+	// entryPath is where a balancer takes the writes of agents.
+	entryPath = "/packet/entry"
+	// maxWriteBytes bounds the body of one.
+	maxWriteBytes = 4 * maxEntryBytes
+)
+
+// batchedWrites counts writes that a balancer has made for agents, batchCalls the calls
+// of the store for them.
+var (
+	batchedWrites = metrics.NewCounter(`saltbend_packet_entry_writes_for_others_total`)
+	batchCalls    = metrics.NewCounter(`saltbend_packet_entry_batches_total`)
+)
+
+// outcome says what has become of a write.
+type outcome string
+
+// Outcomes of writes.
+const (
+	outcomeDone     outcome = "done"
+	outcomeConflict outcome = "conflict"
+	// outcomeLeaseEnded and outcomeNone: nothing was writeAnswer.
+	outcomeLeaseEnded outcome = "lease-ended"
+	outcomeNone       outcome = "unavailable"
+	outcomeUnknown    outcome = "unknown"
+)
+
+// writeAnswer is the answer to a write.
+type writeAnswer struct {
+	Outcome outcome
+	// At is the position of the write, if it was done.
+	At store.Position
+}
+
+// outcomes are the errors that stand for outcomes.
+var outcomes = map[outcome]error{
+	outcomeDone:       nil,
+	outcomeConflict:   store.ErrConflict,
+	outcomeLeaseEnded: platform.ErrLeaseEnded,
+	outcomeNone:       store.ErrUnavailable,
+}
+
+// err returns the error that an outcome stands for; one that is not known says that
+// anything may have become of the write.
+func (w writeAnswer) err() error {
+	err, known := outcomes[w.Outcome]
+	if !known {
+		return errors.Wrapf(store.ErrOutcomeUnknown, "outcome %.40q", string(w.Outcome))
+	}
+	return err
+}
+
+// outcomeOf returns the outcome that an error of the store tells.
+func outcomeOf(err error) outcome {
+	for outcome, is := range outcomes {
+		if is != nil && errors.Is(err, is) {
+			return outcome
+		}
+	}
+	if err == nil {
+		return outcomeDone
+	}
+	return outcomeUnknown
+}
+
+// writer makes writes of agents, many in one call.
+type writer struct {
+	store *platform.Store
+	log   *slog.Logger
+	began time.Time
+	// mu guards batch.
+	mu    sync.Mutex
+	batch batch[chan<- writeAnswer]
+}
+
+func newWriter(s *platform.Store, log *slog.Logger) *writer {
+	return &writer{store: s, log: log, began: time.Now()}
+}
+
+// serve takes the write of an agent and answers once its outcome is known.
+func (w *writer) serve(out http.ResponseWriter, r *http.Request) {
+	var write platform.Write
+	if err := json.NewDecoder(http.MaxBytesReader(out, r.Body, maxWriteBytes)).Decode(&write); err != nil || !ownWrite(write) {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	answer := make(chan writeAnswer, 1)
+	w.mu.Lock()
+	w.batch.add(pending[chan<- writeAnswer]{write, answer})
+	w.schedule()
+	w.mu.Unlock()
+	select {
+	case <-r.Context().Done(): // the agent has gone, or has given up: it reads what became of it
+	case a := <-answer:
+		out.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(out).Encode(a) // an error means that the other has gone
+	}
+}
+
+// ownWrite reports whether an agent writes so.
+func ownWrite(w platform.Write) bool {
+	_, err := decodeEntry(platform.Item{Key: w.Key, Value: w.Value, Lease: w.Lease})
+	return err == nil && !w.Delete
+}
+
+// schedule makes the next call when it is due. The caller holds mu.
+func (w *writer) schedule() {
+	wait, ok := w.batch.due(time.Since(w.began))
+	if !ok {
+		return
+	}
+	together := func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if _, ok := w.batch.due(time.Since(w.began)); ok {
+			go w.write(w.batch.take(time.Since(w.began) + 1))
+		}
+	}
+	time.AfterFunc(wait, together)
+}
+
+// write makes the writes and tells the outcomes.
+func (w *writer) write(all []pending[chan<- writeAnswer]) {
+	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+	defer cancel()
+	for _, group := range w.apply(ctx, all) {
+		for _, p := range group.members {
+			p.from <- group.writeAnswer
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.batch.done()
+	w.schedule()
+}
+
+// batchTimeout bounds all calls for a batch; a slow store answers one in some 240 ms.
+const batchTimeout = 3 * time.Second
+
+// applied is what has become of some writes.
+type applied struct {
+	members []pending[chan<- writeAnswer]
+	writeAnswer
+}
+
+// apply makes the writes in one call. Where the store refuses that for the sake of one of
+// them, halves of them are tried, so that one stale write among 32 costs ten calls.
+func (w *writer) apply(ctx context.Context, all []pending[chan<- writeAnswer]) []applied {
+	writes := make([]platform.Write, len(all))
+	for i, p := range all {
+		writes[i] = p.write
+	}
+	at, err := w.store.Apply(ctx, writes...)
+	batchCalls.Inc()
+	refused := errors.Is(err, store.ErrConflict) || errors.Is(err, platform.ErrLeaseEnded)
+	if refused && len(all) > 1 {
+		half := len(all) / 2
+		return append(w.apply(ctx, all[:half]), w.apply(ctx, all[half:])...)
+	}
+	if err != nil {
+		w.log.Warn("Entries of agents not written.", "entries", len(all), "error", err.Error())
+	} else {
+		batchedWrites.Add(len(all))
+		w.log.Info("Entries of agents written.", "entries", len(all), "at", at)
+	}
+	return []applied{{all, writeAnswer{outcomeOf(err), at}}}
+}
--- /dev/null
+++ b/internal/packetface/registry/writes_test.go
@@ -0,0 +1,124 @@
+package registry_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/registry"
+)
+
+// Tests of agents that write their entries by way of balancers.
+
+// serveNothing returns the address of a process that knows no call.
+func serveNothing(t *testing.T) netip.AddrPort {
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// throughSeeds returns how an agent is prepared that knows some balancers.
+func throughSeeds(seeds ...netip.AddrPort) func(*registry.Agent) {
+	return func(a *registry.Agent) { a.SetSeeds(seeds) }
+}
+
+func TestAgentsThatStartTogetherShareCalls(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	balancer := follow(t, fake, 1)
+	g.Eventually(balancer.reachedNow, patience).Should(BeTrue())
+	seed := serve(t, balancer)
+	const agents = 60
+	writes := fake.CallsOf("/kv-txn")
+	for n := range agents {
+		keeper, entry := runAgent(t, fake, fmt.Sprintf("10.0.0.%d:1", n+1), throughSeeds(seed))
+		keeper.Want(entry)
+	}
+	g.Eventually(balancer.sees(agents, ""), patience).Should(BeTrue())
+	g.Expect(fake.CallsOf("/kv-lease")).To(Equal(agents))
+	g.Expect(fake.CallsOf("/kv-txn") - writes).To(BeNumerically("<=", agents/4))
+	g.Expect(fake.CallsOf("/kv-key")).To(BeZero())
+}
+
+// One of many that write together has an entry there that it does not know of.
+func TestAStaleWriteKeepsNoOtherAway(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	balancer := follow(t, fake, 1)
+	g.Eventually(balancer.reachedNow, patience).Should(BeTrue())
+	seed := serve(t, balancer)
+	fake.Put("saltbend/agents/10.0.0.7:1", []byte("left by another writer"))
+	for n := range 20 {
+		keeper, entry := runAgent(t, fake, fmt.Sprintf("10.0.0.%d:1", n+1), throughSeeds(seed))
+		keeper.Want(entry)
+	}
+	g.Eventually(balancer.sees(20, ""), patience).Should(BeTrue())
+}
+
+// Balancers that are gone, that the store turns away, or that know no such call keep no
+// entry away.
+func TestAnEntryIsWrittenWithoutTheBalancers(t *testing.T) {
+	gone := netip.MustParseAddrPort("127.0.0.1:1")
+	for name, seed := range map[string]func(t *testing.T) netip.AddrPort{
+		"gone": func(*testing.T) netip.AddrPort { return gone },
+		"turned away": func(t *testing.T) netip.AddrPort {
+			refusing := newStore(t)
+			f := follow(t, refusing, 1)
+			NewWithT(t).Eventually(f.reachedNow, patience).Should(BeTrue())
+			refusing.Fail(http.StatusServiceUnavailable)
+			return serve(t, f)
+		},
+		"of an earlier version": func(t *testing.T) netip.AddrPort { return serveNothing(t) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			fake := newStore(t)
+			keeper, entry := runAgent(t, fake, "10.0.0.1:1", throughSeeds(seed(t)))
+			keeper.Want(entry)
+			g.Eventually(func() []string { return fake.Keys("saltbend/agents/") }, 3*time.Second).Should(HaveLen(1))
+		})
+	}
+}
+
+// The answer to a call for many is lost: each finds out what became of its own write.
+func TestEntriesAreThereAfterALostAnswerToManyWrites(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	balancer := follow(t, fake, 1)
+	g.Eventually(balancer.reachedNow, patience).Should(BeTrue())
+	seed := serve(t, balancer)
+	for n := range 5 {
+		keeper, entry := runAgent(t, fake, fmt.Sprintf("10.0.0.%d:1", n+1), throughSeeds(seed))
+		fake.LoseAnswers(1)
+		keeper.Want(entry)
+	}
+	g.Eventually(balancer.sees(5, ""), patience).Should(BeTrue())
+}
+
+// A balancer writes entries for agents and nothing else.
+func TestABalancerWritesNothingButEntries(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	f := follow(t, fake, 1)
+	g.Eventually(f.reachedNow, patience).Should(BeTrue())
+	seed := serve(t, f)
+	for name, body := range map[string]string{
+		"another key":  `{"Key":"saltbend/settled-era","Value":"MQ==","Lease":1}`,
+		"another host": `{"Key":"saltbend/agents/10.0.0.1:1","Value":"e30=","Lease":1}`,
+		"a deletion":   `{"Key":"saltbend/agents/10.0.0.1:1","Delete":true,"Lease":1}`,
+		"no JSON":      `x`,
+		"too much":     `{"Key":"` + strings.Repeat("x", 1<<20) + `"}`,
+	} {
+		res, err := http.Post("http://"+seed.String()+"/packet/entry", "application/json", strings.NewReader(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.Body.Close()).To(Succeed())
+		g.Expect(res.StatusCode).To(Equal(http.StatusBadRequest), name)
+	}
+	g.Expect(fake.CallsOf("/kv-txn")).To(BeZero())
+}
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -26,9 +26,6 @@
 const (
 	// tickAgent is the time between two looks at what is due.
 	tickAgent = 200 * time.Millisecond
-	// idleCheck is the time without a word of any balancer after which the
-	// agent looks whether the store lists it.
-	idleCheck = 2 * time.Second
 	// stopLinger is the least time that an agent carries on with its upstream's
 	// flows, so that balancers have heard that it stops.
 	stopLinger = 200 * time.Millisecond
@@ -55,7 +52,6 @@
 	notes  *notes
 	timer  timer
 	wanted gate.Registration
-	looked time.Duration
 	// ready tells that the store has once been seen.
 	ready bool
 	// era is that of the store as the registry was told last.
@@ -115,7 +111,7 @@
 	a.store = platform.NewStore(a.env.Host.Store)
 	a.store.LogTo(logging.Part(a.env.Logger, "registry"))
 	a.registry = registry.NewAgent(a.store, logging.Part(a.env.Logger, "registry"), a.clock, a.entry())
-	a.registry.SetSeeds(seeds(a.env.Host))
+	a.setSeeds()
 	a.registry.LeaseLeast = a.env.Host.LeaseLeast
 	a.registry.Seen = a.seen
 	if !a.env.Host.FirstStart && a.env.Policies.On(policy.InheritedEntries) {
@@ -238,8 +234,10 @@
 	now := a.clock()
 	a.do(a.core.Tick(now))
 	a.register()
-	if now-max(a.core.AskedAt(), a.looked) >= idleCheck && a.wanted.Listed {
-		a.looked = now
+	if a.wanted.Listed {
+		a.do(a.core.CheckListed(now))
+	}
+	if a.core.TakeAlone() {
 		a.registry.Idle()
 	}
 }
@@ -309,12 +307,26 @@
 func (a *agent) change(c platform.Changeable) {
 	a.store.SetAddress(c.Store)
 	a.env.Host.Changeable = c
-	a.registry.SetSeeds(seeds(a.env.Host))
+	a.setSeeds()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.SetTimes(times(c))
 }
 
+// setSeeds tells the registry and the core the seeds of the settings. Balancers take
+// datagrams at the same port on all hosts.
+func (a *agent) setSeeds() {
+	found := seeds(a.env.Host)
+	a.registry.SetSeeds(found)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	inner := make([]netip.AddrPort, len(found))
+	for i, seed := range found {
+		inner[i] = netip.AddrPortFrom(seed.Addr(), a.env.Host.InnerPorts[0])
+	}
+	a.core.SetSeeds(inner)
+}
+
 // finished reports whether nothing is left to do for the upstream, some time after
 // the request to stop.
 func (a *agent) finished(since time.Duration) bool {
--- a/internal/packetface/steer/return_test.go
+++ b/internal/packetface/steer/return_test.go
@@ -21,9 +21,7 @@
 	// verifyWithin that within which agents look for their entries once they have heard.
 	noticeWithin = 1500 * time.Millisecond
 	verifyWithin = 2 * time.Second
-	// idleTime is the time without a word of a balancer after which an agent looks for its
-	// entry, callTime what that takes.
-	idleTime = 2 * time.Second
+	// callTime is what a look for an entry takes.
 	callTime = 20 * time.Millisecond
 	// settleWithin is the time after which a balancer notes a return as settled.
 	settleWithin = 8 * time.Second
@@ -62,8 +60,9 @@
 	if era := s.gate.Era(); era > s.era {
 		s.era, s.verify = era, w.now+time.Duration(w.random.Int64N(int64(verifyWithin)))
 	}
-	idle := w.now-max(s.gate.AskedAt(), s.started) > idleTime
-	if s.lost && s.due == 0 && (s.gate.TakeUnlisted() || idle) && (s.verify == 0 || s.verify > soon) {
+	w.fromAgent(s, s.gate.CheckListed(w.now))
+	alone := s.gate.TakeAlone()
+	if s.lost && s.due == 0 && (s.gate.TakeUnlisted() || alone) && (s.verify == 0 || s.verify > soon) {
 		s.verify = soon
 	}
 	if s.verify == 0 || w.now < s.verify {
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -299,6 +299,9 @@
 		a = c.returnGone(now, from, b)
 	}
 	if a == nil {
+		if inner.KindOf(b) == inner.KindCheck {
+			c.pollStranger(from)
+		}
 		return &c.out, nil // it is not listed yet
 	}
 	if a.hear(now) {
@@ -317,6 +320,9 @@
 		return c.returned(now, a, b)
 	case inner.KindAnswer:
 		return c.answers(now, a, b)
+	case inner.KindCheck:
+		c.pollChecking(now, a)
+		return nil
 	}
 	return inner.ErrDatagram
 }
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -193,6 +193,13 @@
 	return n
 }
 
+// CallsOf returns how many calls of a path were made.
+func (s *Store) CallsOf(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
 // guard counts calls and refuses them while the store is to fail.
 func (s *Store) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
