registry: sixteen writes in a call, no check before the entry is written

Cause, from a trial's logs: the store refuses calls of more than 16 writes ("store: unavailable" for batches of more; at most 14 went through): it takes 32 entries, and a write with its expected position is two. And agents that had not been called yet asked a balancer whether they are listed while their write was on its way, heard that they are not, and read the entry: 35 of 39.

Change: platform.MaxWrites is 16, the stand-in store refuses more (TestAgentsThatStartTogetherShareCalls failed then); an agent asks nobody before its entry is written (TestAnAgentWaitsForItsEntryBeforeItAsks).

--- a/internal/packetface/gate/idle.go
+++ b/internal/packetface/gate/idle.go
@@ -63,10 +63,15 @@
 func (g *Gate) SetSeeds(seeds []netip.AddrPort) { g.idle.seeds = seeds }
 
 // CheckListed asks a balancer whether the store lists this agent, if none has called for
-// a while. TakeAlone tells when none answers.
-func (g *Gate) CheckListed(now time.Duration) *Result {
+// a while. written tells that nothing is left to be written: an entry that has only just
+// been is not known to balancers yet. TakeAlone tells when none answers.
+func (g *Gate) CheckListed(now time.Duration, written bool) *Result {
 	g.begin()
 	i := &g.idle
+	if !written {
+		i.checked, i.asked = now, 0
+		return &g.out
+	}
 	wait := idleCheck
 	if i.asked > 0 {
 		wait = checkPatience
--- a/internal/packetface/gate/idle_test.go
+++ b/internal/packetface/gate/idle_test.go
@@ -15,7 +15,7 @@
 func checks(t *testing.T, g *Gate, from, to time.Duration, poll func(netip.AddrPort) bool) (asked []netip.AddrPort, alone int) {
 	const tick = 200 * time.Millisecond
 	for now := from; now < to; now += tick {
-		for _, a := range g.CheckListed(now).Actions {
+		for _, a := range g.CheckListed(now, true).Actions {
 			NewWithT(t).Expect(inner.KindOf(a.Bytes)).To(Equal(inner.KindCheck))
 			asked = append(asked, a.To)
 			if poll(a.To) {
@@ -73,7 +73,7 @@
 	for now := time.Second; now < 20*time.Second; now += time.Second {
 		_, err := agent.FromBalancer(now, balancerA, inner.AppendPoll(nil, inner.Poll{}))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(agent.CheckListed(now + 900*time.Millisecond).Actions).To(BeEmpty())
+		g.Expect(agent.CheckListed(now+900*time.Millisecond, true).Actions).To(BeEmpty())
 	}
 }
 
@@ -83,3 +83,15 @@
 	_, alone := checks(t, New(Settings{Service: "s"}), 0, 9*time.Second, func(netip.AddrPort) bool { return false })
 	g.Expect(alone).To(BeNumerically("~", 4, 1))
 }
+
+// An entry that is on its way is not in the lists of balancers: their word that it is
+// missing would cost a reading.
+func TestAnAgentWaitsForItsEntryBeforeItAsks(t *testing.T) {
+	g := NewWithT(t)
+	agent := called(t)
+	for now := time.Duration(0); now < 5*time.Second; now += 200 * time.Millisecond {
+		g.Expect(agent.CheckListed(now, false).Actions).To(BeEmpty())
+	}
+	asked, _ := checks(t, agent, 5*time.Second, 6500*time.Millisecond, func(netip.AddrPort) bool { return true })
+	g.Expect(asked).To(BeEmpty())
+}
--- a/internal/packetface/registry/batch.go
+++ b/internal/packetface/registry/batch.go
@@ -14,13 +14,9 @@
 // that comes alone is written at once; those that follow within batchEvery are written
 // together.
 
-const (
-	// batchEvery is the least time between two calls: ten in the two seconds in which
-	// entries that were lost are to be back.
-	batchEvery = 200 * time.Millisecond
-	// batchMost is the number of writes that the store takes in one call.
-	batchMost = 32
-)
+// batchEvery is the least time between two calls: ten in the two seconds in which
+// entries that were lost are to be back.
+const batchEvery = 200 * time.Millisecond
 
 // batch collects writes of others. It is pure: T is whoever waits for the outcome.
 type batch[T any] struct {
@@ -44,7 +40,7 @@
 	if b.busy || len(b.waiting) == 0 {
 		return 0, false
 	}
-	if b.sent == 0 {
+	if b.sent == 0 || len(b.waiting) >= platform.MaxWrites {
 		return 0, true
 	}
 	return max(0, b.sent+batchEvery-now), true
@@ -57,7 +53,7 @@
 	keys := make(map[string]bool)
 	var left []pending[T]
 	for _, p := range b.waiting {
-		if len(together) == batchMost || keys[p.write.Key] {
+		if len(together) == platform.MaxWrites || keys[p.write.Key] {
 			left = append(left, p)
 			continue
 		}
--- a/internal/packetface/registry/batch_test.go
+++ b/internal/packetface/registry/batch_test.go
@@ -53,7 +53,7 @@
 				arrivals[(1000+time.Duration(n*3000/agents))*time.Millisecond]++
 			}
 			calls, longest := writes(arrivals)
-			g.Expect(calls).To(BeNumerically("<=", 3000/200+1+agents/batchMost))
+			g.Expect(calls).To(BeNumerically("<=", 3000/200+1+agents/platform.MaxWrites))
 			g.Expect(longest).To(BeNumerically("<=", 2*batchEvery))
 		})
 	}
@@ -65,7 +65,7 @@
 		t.Run(fmt.Sprint(agents), func(t *testing.T) {
 			g := NewWithT(t)
 			calls, longest := writes(map[time.Duration]int{time.Second: agents / 3})
-			g.Expect(calls).To(BeNumerically("<=", agents/3/batchMost+1))
+			g.Expect(calls).To(BeNumerically("<=", agents/3/platform.MaxWrites+1))
 			g.Expect(longest).To(BeNumerically("<", 2*time.Second))
 		})
 	}
--- a/internal/packetface/registry/writes.go
+++ b/internal/packetface/registry/writes.go
@@ -161,7 +161,7 @@
 }
 
 // apply makes the writes in one call. Where the store refuses that for the sake of one of
-// them, halves of them are tried, so that one stale write among 32 costs ten calls.
+// them, halves of them are tried, so that one stale write among 16 costs eight calls.
 func (w *writer) apply(ctx context.Context, all []pending[chan<- writeAnswer]) []applied {
 	writes := make([]platform.Write, len(all))
 	for i, p := range all {
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -235,7 +235,7 @@
 	a.do(a.core.Tick(now))
 	a.register()
 	if a.wanted.Listed {
-		a.do(a.core.CheckListed(now))
+		a.do(a.core.CheckListed(now, a.registry.Quiet()))
 	}
 	if a.core.TakeAlone() {
 		a.registry.Idle()
--- a/internal/packetface/steer/return_test.go
+++ b/internal/packetface/steer/return_test.go
@@ -60,7 +60,7 @@
 	if era := s.gate.Era(); era > s.era {
 		s.era, s.verify = era, w.now+time.Duration(w.random.Int64N(int64(verifyWithin)))
 	}
-	w.fromAgent(s, s.gate.CheckListed(w.now))
+	w.fromAgent(s, s.gate.CheckListed(w.now, true))
 	alone := s.gate.TakeAlone()
 	if s.lost && s.due == 0 && (s.gate.TakeUnlisted() || alone) && (s.verify == 0 || s.verify > soon) {
 		s.verify = soon
--- a/test/packetplatform/store.go
+++ b/test/packetplatform/store.go
@@ -53,6 +53,9 @@
 	operators []Item
 }
 
+// maxTxnEntries bounds the conditions, writes and deletions of one call together.
+const maxTxnEntries = 32
+
 // eraHeader names the store's era in all its answers.
 const eraHeader = "Store-Era"
 
@@ -329,6 +332,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if len(in.ExpectedRev)+len(in.Writes)+len(in.Deletes) > maxTxnEntries {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, expected := range in.ExpectedRev {
