--- a/internal/packetface/registry/publish.go
+++ b/internal/packetface/registry/publish.go
@@ -62,7 +62,7 @@
 // before Run.
 func NewAgent(s *platform.Store, log *slog.Logger, clock func() time.Duration, self Entry) *Agent {
 	return &Agent{
-		ways: ways{straight: s}, Log: log, Clock: clock, publisher: NewPublisher(agentKey(self.Addr)),
+		ways: newWays(s), Log: log, Clock: clock, publisher: NewPublisher(agentKey(self.Addr)),
 		wants: make(chan *Entry, 1), hints: make(chan struct{}, 1), idles: make(chan struct{}, 1),
 		eras: make(chan uint64, 1),
 	}
--- a/internal/packetface/registry/ways.go
+++ b/internal/packetface/registry/ways.go
@@ -50,6 +50,12 @@
 	until time.Duration
 }
 
+// newWays returns the straight way alone. Connections to balancers are not kept: an agent
+// writes rarely, and thousands do.
+func newWays(s *platform.Store) ways {
+	return ways{straight: s, peers: http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
 // setSeeds names the control addresses of balancers.
 func (w *ways) setSeeds(seeds []netip.AddrPort) {
 	detours := make([]*platform.Store, len(seeds))
