--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -82,6 +82,8 @@
 	// AwaitSource tells that Run begins with what another balancer knows: it waits for
 	// Listen, or for ReadStore if there is none to listen to.
 	AwaitSource bool
+	// Snapshots tells that the store may hold a snapshot: the whole system has run before.
+	Snapshots bool
 
 	listing *Listing
 	// at is the store's position from which the next watch goes on.
@@ -103,7 +105,9 @@
 	source atomic.Pointer[netip.AddrPort]
 	// readStore rings when there is none at the start; unconfirmed tells that the
 	// store has not answered since a source was given up.
-	readStore   chan struct{}
+	readStore chan struct{}
+	// snapshot is what is known of the one in the store.
+	snapshot    snapshot
 	unconfirmed atomic.Bool
 	// begunWith is the balancer that the first listing came from, invalid for the store;
 	// heardOfAgents tells that Asked was called.
@@ -111,11 +115,13 @@
 	heardOfAgents atomic.Bool
 	// kept are the last changes; log has them with the newest listing, for peers;
 	// peer is a balancer that knows more than this one.
-	kept  changes
-	log   atomic.Pointer[changeLog]
-	peer  atomic.Pointer[netip.AddrPort]
-	seeds atomic.Pointer[[]netip.AddrPort]
-	peers http.Client
+	kept changes
+	log  atomic.Pointer[changeLog]
+	// handedOn is the position of the last listing that Changed has taken, 0 for none.
+	handedOn atomic.Uint64
+	peer     atomic.Pointer[netip.AddrPort]
+	seeds    atomic.Pointer[[]netip.AddrPort]
+	peers    http.Client
 	// agents is the last answer with all known agents, of agentsAt; agentsMu guards both.
 	agentsMu sync.Mutex
 	agents   *document
@@ -148,11 +154,12 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
 		f.settle(ctx)
+		f.keepSnapshot(ctx)
 		first := f.listing == nil
 		err := f.step(ctx)
 		f.tell(err)
 		if first && f.listing != nil {
-			go f.askAgents(ctx, f.begunWith)
+			go f.askAgents(ctx, f.begunWith, f.listing.AsOf)
 		}
 		if err == nil {
 			backoff.Reset()
@@ -224,6 +231,7 @@
 		return f.read(ctx) // the changes are not all that there were since, or are of an era before
 	}
 	f.at = asOf
+	changes = f.takeSnapshot(changes)
 	if len(changes) == 0 {
 		return nil
 	}
@@ -347,6 +355,7 @@
 
 // takeWhole takes over all keys as they were at a position.
 func (f *Follower) takeWhole(all []platform.Item, asOf store.Position) {
+	all = f.takeSnapshot(all)
 	listing, unreadable := NewListing(all, asOf)
 	f.report(unreadable)
 	before := f.summary()
@@ -379,6 +388,7 @@
 	f.log.Store(&changeLog{shared: &shared, changes: f.kept})
 	f.tellSettled()
 	f.Changed(f.listing)
+	f.handedOn.Store(uint64(f.listing.AsOf))
 }
 
 // takeHint takes a hint that came before now; it reports whether one did.
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,7 +23,8 @@
 const (
 	listingPath = "/packet/listing"
 	agentsPath  = "/packet/agents"
-	// unlistedPath is for a balancer that has its listing from the one that it asks.
+	// unlistedPath has one parameter, the position of the asker's listing, and another one
+	// from a listener.
 	unlistedPath = "/packet/agents/unlisted"
 	// peerTimeout bounds a question to another balancer.
 	peerTimeout = time.Second
@@ -39,10 +41,10 @@
 	// 10 ms; after a common loss of power some are still dark, and the first packet
 	// to those is repeated after a second only.
 	seedTimeout = 250 * time.Millisecond
-	// unlistedTimeout bounds the question to the source for agents that are not listed,
-	// which it answers once it has asked itself; unlistedEvery is the time between tries.
+	// unlistedTimeout bounds the question for agents that are not listed, which others
+	// answer once they know as much of the store; askAgainEvery is the time between tries.
 	unlistedTimeout = 400 * time.Millisecond
-	unlistedEvery   = 25 * time.Millisecond
+	askAgainEvery   = 25 * time.Millisecond
 	// beginTimeout bounds the question for everything that a source knows, after which
 	// the store is read: after a common loss of power many ask at once.
 	beginTimeout = 400 * time.Millisecond
@@ -69,10 +71,17 @@
 	}
 }
 
-// serveUnlisted serves the agents that this balancer knows and the store does not list,
-// once it has heard of them itself.
+// serveUnlisted serves the agents that this balancer knows and the store does not list, to
+// one whose listing is of a position that it knows, too. One that has its listing from
+// this balancer is answered once this one has heard of agents itself.
 func (f *Follower) serveUnlisted(w http.ResponseWriter, r *http.Request) {
-	if !f.heardOfAgents.Load() {
+	query := r.URL.Query()
+	asOf, err := strconv.ParseUint(query.Get("asOf"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if f.handedOn.Load() < asOf || query.Has("heard") && !f.heardOfAgents.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -132,6 +141,9 @@
 		}
 		f.Log.Warn("Source not reached, reading the store.", "source", source.String(), "error", err.Error())
 	}
+	if f.Snapshots && f.beginWithSnapshot(ctx) {
+		return nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	read := make(chan reading, 1)
@@ -180,91 +192,94 @@
 
 // askAgents asks others for the agents that they know, as some may live though the
 // store does not list them. Without them a balancer that starts after a lapse would take
-// their flows for dead. The source that the listing came from tells what that lacks;
-// who has read the store itself asks the seeds for all.
-func (f *Follower) askAgents(ctx context.Context, source netip.AddrPort) {
-	known, err := f.askUnlisted(ctx, source)
-	if err != nil {
-		known = f.askSeedsForAgents(ctx)
+// their flows for dead. Others tell what a listing of the same position lacks; those of an
+// earlier version tell all that they know.
+func (f *Follower) askAgents(ctx context.Context, source netip.AddrPort, asOf store.Position) {
+	path := unlistedPath + "?asOf=" + strconv.FormatUint(uint64(asOf), 10)
+	seeds := f.seeds.Load()
+	known, failures := []steer.Agent(nil), []string{"no source"}
+	if source.IsValid() {
+		known, failures = agentsOf(askAll(ctx, &[]netip.AddrPort{source}, unlistedTimeout, askPatiently[[]steer.Agent](f, path+"&heard")))
+	}
+	if len(failures) > 0 {
+		known, failures = agentsOf(askAll(ctx, seeds, unlistedTimeout, askPatiently[[]steer.Agent](f, path)))
+	}
+	if seeds != nil && len(failures) == len(*seeds) {
+		known, failures = agentsOf(askAll(ctx, seeds, seedTimeout, askOnce[[]steer.Agent](f, agentsPath)))
 	}
 	if ctx.Err() != nil {
 		return
 	}
+	f.Log.Info("Others asked for agents.", "source", source.String(), "known", len(known), "errors", failures)
 	f.heardOfAgents.Store(true)
 	f.Asked(known)
 }
 
-// errNoSource says that the listing came from the store.
-var errNoSource = errors.New("registry: the listing came from no source")
-
-// askUnlisted asks the source of the listing, until it has itself heard of agents.
-func (f *Follower) askUnlisted(ctx context.Context, source netip.AddrPort) (known []steer.Agent, err error) {
-	if !source.IsValid() {
-		return nil, errNoSource
-	}
-	ctx, cancel := context.WithTimeout(ctx, unlistedTimeout)
-	defer cancel()
-	for {
-		err = f.fetch(ctx, source, unlistedPath, &known)
-		if err == nil {
-			f.Log.Info("Source asked for agents.", "source", source.String(), "known", len(known))
-			return known, nil
-		}
-		if wait.For(ctx, unlistedEvery) != nil {
-			f.Log.Warn("Source not asked for agents, asking the seeds.", "source", source.String(), "error", err.Error())
-			return nil, err
-		}
-	}
-}
-
-func (f *Follower) askSeedsForAgents(ctx context.Context) (known []steer.Agent) {
-	var failures []string
-	for _, a := range askAll[[]steer.Agent](ctx, f, agentsPath) {
+// agentsOf returns the agents that some have told, and why others did not.
+func agentsOf(answers []peerAnswer[[]steer.Agent]) (known []steer.Agent, failures []string) {
+	for _, a := range answers {
 		if a.err != nil {
 			failures = append(failures, a.failure())
 		}
 		known = append(known, a.answer...)
 	}
-	f.Log.Info("Seeds asked for agents.", "known", len(known), "errors", failures)
-	return known
+	return known, failures
 }
 
-// seedAnswer is what a seed answered.
-type seedAnswer[T any] struct {
+// peerAnswer is what another balancer answered.
+type peerAnswer[T any] struct {
 	answer T
 	from   netip.AddrPort
 	err    error
 }
 
-func (a *seedAnswer[T]) failure() string { return a.from.String() + ": " + a.err.Error() }
+func (a *peerAnswer[T]) failure() string { return a.from.String() + ": " + a.err.Error() }
 
-// askAll asks all seeds at once and returns their answers.
-func askAll[T any](ctx context.Context, f *Follower, path string) []seedAnswer[T] {
-	seeds := f.seeds.Load()
-	if seeds == nil {
+// askAll asks all peers at once and returns their answers.
+func askAll[T any](ctx context.Context, peers *[]netip.AddrPort, timeout time.Duration, ask func(context.Context, netip.AddrPort) peerAnswer[T]) []peerAnswer[T] {
+	if peers == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	answers := make(chan seedAnswer[T], len(*seeds))
-	for _, seed := range *seeds {
-		go func() {
-			a := seedAnswer[T]{from: seed}
-			a.err = f.fetch(ctx, seed, path, &a.answer)
-			answers <- a
-		}()
+	answers := make(chan peerAnswer[T], len(*peers))
+	for _, peer := range *peers {
+		go func() { answers <- ask(ctx, peer) }()
 	}
-	all := make([]seedAnswer[T], len(*seeds))
+	all := make([]peerAnswer[T], len(*peers))
 	for i := range all {
 		all[i] = <-answers
 	}
 	return all
 }
 
+// askOnce returns how a peer is asked once for what is at a path.
+func askOnce[T any](f *Follower, path string) func(context.Context, netip.AddrPort) peerAnswer[T] {
+	return func(ctx context.Context, peer netip.AddrPort) peerAnswer[T] {
+		a := peerAnswer[T]{from: peer}
+		a.err = f.fetch(ctx, peer, path, &a.answer)
+		return a
+	}
+}
+
+// askPatiently is the same for a peer that may not know it yet: it is asked again while
+// there is time.
+func askPatiently[T any](f *Follower, path string) func(context.Context, netip.AddrPort) peerAnswer[T] {
+	once := askOnce[T](f, path)
+	return func(ctx context.Context, peer netip.AddrPort) peerAnswer[T] {
+		for {
+			a := once(ctx, peer)
+			if !errors.Is(a.err, peercall.ErrRefused) || wait.For(ctx, askAgainEvery) != nil {
+				return a
+			}
+		}
+	}
+}
+
 // newest returns the newest listing that a seed knows, an empty one if none
 // answers, and why the others did not.
 func (f *Follower) newest(ctx context.Context) (best Shared, from netip.AddrPort, failures []string) {
-	for _, a := range askAll[Shared](ctx, f, listingPath) {
+	for _, a := range askAll(ctx, f.seeds.Load(), seedTimeout, askOnce[Shared](f, listingPath)) {
 		if a.err != nil {
 			failures = append(failures, a.failure())
 			continue
--- /dev/null
+++ b/internal/packetface/registry/snapshot_test.go
@@ -0,0 +1,158 @@
+package registry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/platform"
+	"github.com/saltbend/saltbend/test/packetplatform"
+)
+
+// Tests of balancers that start with the snapshot in the store.
+
+const (
+	snapshotKey = "saltbend/listing"
+	manyAgents  = 600
+)
+
+// register writes the entries of many agents under one lease.
+func register(t *testing.T, fake *packetplatform.Store, agents int) (lease uint64) {
+	g := NewWithT(t)
+	c := client(fake)
+	granted, err := c.Grant(t.Context(), time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	var writes []platform.Write
+	for n := range agents {
+		addr := fmt.Sprintf("10.0.%d.%d:1", n/250, n%250+1)
+		value := fmt.Sprintf(`{"addr":%q,"service":"s","dc":"a","slots":2}`, addr)
+		writes = append(writes, platform.Write{Key: "saltbend/agents/" + addr, Value: []byte(value), Lease: granted.ID})
+		if len(writes) == platform.MaxWrites || n == agents-1 {
+			_, err := c.Apply(t.Context(), writes...)
+			g.Expect(err).NotTo(HaveOccurred())
+			writes = nil
+		}
+	}
+	return granted.ID
+}
+
+// leading returns a balancer that others rely on.
+func leading(t *testing.T, fake *packetplatform.Store) *follower {
+	f := prepare(t, fake, 20)
+	f.Shared = func() bool { return true }
+	f.start(t)
+	return f
+}
+
+// starting returns a balancer that starts in a fleet that has run before.
+func starting(t *testing.T, fake *packetplatform.Store) *follower {
+	f := prepare(t, fake, 20)
+	f.Snapshots = true
+	f.start(t)
+	return f
+}
+
+// withSnapshot returns a store with many agents, a configuration and a snapshot of both.
+func withSnapshot(t *testing.T) *packetplatform.Store {
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	register(t, fake, manyAgents)
+	leading(t, fake)
+	NewWithT(t).Eventually(func() []byte { return fake.Value(snapshotKey) }, patience).ShouldNot(BeEmpty())
+	return fake
+}
+
+func TestABalancerStartsWithTheSnapshotAndWhatHasChangedSince(t *testing.T) {
+	g := NewWithT(t)
+	fake := withSnapshot(t)
+	g.Expect(len(fake.Value(snapshotKey))).To(BeNumerically("<", 20*manyAgents), "bytes, where its entries have 150 each")
+	fake.Put(platform.ConfigKey, config(2))
+	fake.Remove("saltbend/agents/10.0.0.7:1")
+	readings, watches := fake.Readings(), fake.CallsOf("/kv-watch")
+	f := starting(t, fake)
+	g.Eventually(f.sees(manyAgents-1, string(config(2))), patience).Should(BeTrue())
+	g.Expect(fake.Readings()).To(Equal(readings))
+	g.Expect(fake.CallsOf("/kv-key")).To(Equal(1))
+	g.Expect(fake.CallsOf("/kv-watch")-watches).To(BeNumerically("<=", 4), "some of the balancer that watches")
+}
+
+// Nothing changes any more, and the store has dropped its history: the snapshot holds on.
+func TestASnapshotOfACalmStoreNeedsNoHistory(t *testing.T) {
+	g := NewWithT(t)
+	fake := withSnapshot(t)
+	fake.Compact()
+	readings := fake.Readings()
+	f := starting(t, fake)
+	g.Eventually(f.sees(manyAgents, string(config(1))), patience).Should(BeTrue())
+	g.Expect(fake.Readings()-readings).To(BeNumerically("<=", 1), "of the balancer that watches, whose history is gone")
+}
+
+func TestABalancerReadsTheStoreWhereTheSnapshotIsOfNoUse(t *testing.T) {
+	for name, spoil := range map[string]func(fake *packetplatform.Store){
+		"history is gone": func(fake *packetplatform.Store) {
+			fake.Put(platform.ConfigKey, config(2))
+			fake.Compact()
+		},
+		"other writer":     func(fake *packetplatform.Store) { fake.Put(snapshotKey, []byte("not a snapshot")) },
+		"of the future":    func(fake *packetplatform.Store) { fake.Put(snapshotKey, []byte("\xff\xff\xff\xff\xff\xff\xff\xff")) },
+		"removed":          func(fake *packetplatform.Store) { fake.Remove(snapshotKey) },
+		"an empty listing": func(fake *packetplatform.Store) { fake.Put(snapshotKey, make([]byte, 8)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			fake := withSnapshot(t)
+			spoil(fake)
+			readings := fake.Readings()
+			f := starting(t, fake)
+			g.Eventually(func() int { agents, _ := f.view(); return agents }, patience).Should(Equal(manyAgents))
+			g.Expect(fake.Readings()).To(BeNumerically(">", readings))
+		})
+	}
+}
+
+// The store comes back from a copy. The snapshot that the copy holds tells of its own past;
+// one that was written after it is lost with the rest.
+func TestASnapshotOfACopyIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	fake := withSnapshot(t)
+	copied := fake.Copy()
+	fake.Remove("saltbend/agents/10.0.0.7:1")
+	fake.Return(copied)
+	fake.Put(platform.ConfigKey, config(3))
+	f := starting(t, fake)
+	g.Eventually(f.sees(manyAgents, string(config(3))), patience).Should(BeTrue())
+	g.Expect(f.listAge().AsOf.Era()).To(BeEquivalentTo(1))
+}
+
+// A fleet whose entries come in one call has no use for a snapshot.
+func TestASmallFleetHasNoSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	register(t, fake, 60)
+	f := leading(t, fake)
+	g.Eventually(f.sees(60, ""), patience).Should(BeTrue())
+	fake.Put(platform.ConfigKey, config(1))
+	g.Eventually(f.sees(60, string(config(1))), patience).Should(BeTrue())
+	g.Expect(fake.Value(snapshotKey)).To(BeEmpty())
+	late := starting(t, fake)
+	g.Eventually(late.sees(60, string(config(1))), patience).Should(BeTrue())
+}
+
+// Those that listen do not hear of snapshots, which only a balancer that starts needs.
+func TestListenersDoNotGetSnapshots(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	watcher := leading(t, fake)
+	g.Eventually(watcher.sees(0, string(config(1))), patience).Should(BeTrue())
+	before := watcher.listAge().AsOf
+	register(t, fake, manyAgents)
+	g.Eventually(func() []byte { return fake.Value(snapshotKey) }, patience).ShouldNot(BeEmpty())
+	fake.Put(platform.ConfigKey, config(2))
+	g.Eventually(watcher.sees(manyAgents, string(config(2))), patience).Should(BeTrue())
+	for _, item := range changesSince(t, serve(t, watcher), before) {
+		g.Expect(item.Key).NotTo(Equal(snapshotKey))
+	}
+}
--- a/internal/packetface/registry/start_test.go
+++ b/internal/packetface/registry/start_test.go
@@ -89,3 +89,23 @@
 	g.Expect(changesSince(t, source, before)).To(HaveLen(2), "the configuration, and the agent that is gone")
 	g.Eventually(func() bool { listener.News(); return listener.sees(1, "2")() }, patience).Should(BeTrue())
 }
+
+// A balancer that has read the store asks the seeds for what it lacks; one that knows
+// less of the store than it can't tell, and one of an earlier version tells all.
+func TestAFollowerAsksThoseThatKnowAsMuch(t *testing.T) {
+	g := NewWithT(t)
+	behind, fake := newStore(t), newStore(t)
+	lagging := prepare(t, behind, 20)
+	lagging.known = []steer.Agent{{Addr: netip.MustParseAddrPort("10.0.0.8:1"), Service: 1, DataCentre: "a"}}
+	lagging.start(t)
+	seed := prepare(t, fake, 20)
+	seed.known = []steer.Agent{{Addr: netip.MustParseAddrPort("10.0.0.9:1"), Service: 1, DataCentre: "a"}}
+	fake.Put(platform.ConfigKey, []byte("1"))
+	seed.start(t)
+	g.Eventually(seed.sees(0, "1"), patience).Should(BeTrue())
+	g.Eventually(lagging.reachedNow, patience).Should(BeTrue())
+	f := prepare(t, fake, 20)
+	f.SetSeeds([]netip.AddrPort{serve(t, lagging), serve(t, seed)})
+	f.start(t)
+	g.Eventually(f.asked, patience).Should(Receive(Equal(seed.known)))
+}
--- a/internal/packetface/role/balancer.go
+++ b/internal/packetface/role/balancer.go
@@ -144,6 +144,7 @@
 	b.follower.Asked = b.peersAsked
 	b.follower.Shared = b.shared
 	b.follower.AwaitSource = true
+	b.follower.Snapshots = !b.env.Host.FirstStart
 	b.follower.Heard = b.heard
 	b.gauges()
 	go b.follower.Run(ctx)
--- a/internal/packetface/watchshare/start.go
+++ b/internal/packetface/watchshare/start.go
@@ -15,11 +15,11 @@
 // Times of a start.
 const (
 	// startEvery is the time between two requests of a balancer that knows nothing.
-	startEvery = 25 * time.Millisecond
+	startEvery = 15 * time.Millisecond
 	// restartPatience is how long it waits for a seed's first word, fleetPatience for
 	// the seed's own reading where the fleet is known to be large: a reading of 1,000
 	// agents takes some 100 ms on a link of 20 Mbit/s.
-	restartPatience = 40 * time.Millisecond
+	restartPatience = 25 * time.Millisecond
 	fleetPatience   = 400 * time.Millisecond
 	// firstPatience is the same when the whole system starts for the first time: the
 	// seeds may come later, and callers later yet.
--- a/internal/packetface/watchshare/watchshare_test.go
+++ b/internal/packetface/watchshare/watchshare_test.go
@@ -20,7 +20,7 @@
 // or listen, and a network that delays and loses.
 
 const (
-	step = 10 * time.Millisecond
+	step = 4 * time.Millisecond
 	// firstStart is when the whole system starts for the first time.
 	firstStart = time.Second
 	// retry is the time after which a failed call is made again by one that others rely
