--- a/internal/packetface/peercall/peercall.go
+++ b/internal/packetface/peercall/peercall.go
@@ -12,9 +12,13 @@
 	"github.com/pkg/errors"
 )
 
-// ErrRefused says that the other has done nothing: it does not know the call, or not yet
-// what is asked for.
-var ErrRefused = errors.New("peercall: refused")
+// Errors of a call that the other has not taken.
+var (
+	// ErrRefused says that it does not know yet what is asked for.
+	ErrRefused = errors.New("peercall: refused")
+	// ErrUnknownCall says that it knows no such call, as one of an earlier version.
+	ErrUnknownCall = errors.New("peercall: unknown call")
+)
 
 // Get asks the process at a control address and decodes its answer, of at most some
 // bytes, into a value.
@@ -41,6 +45,9 @@
 		return errors.Wrap(err, "peercall: ask")
 	}
 	defer res.Body.Close()
+	if res.StatusCode == http.StatusNotFound {
+		return ErrUnknownCall
+	}
 	if res.StatusCode != http.StatusOK {
 		return errors.Wrapf(ErrRefused, "the other answers %s", res.Status)
 	}
--- a/internal/packetface/registry/changes.go
+++ b/internal/packetface/registry/changes.go
@@ -161,6 +161,29 @@
 	return netip.AddrPort{}, false
 }
 
+// expectSource waits a little for a balancer to listen to before the first watch: where
+// there is a snapshot the fleet is large, and one is found soon.
+func (f *Follower) expectSource(ctx context.Context) {
+	timer := time.NewTimer(sourceExpected)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-f.news:
+			if _, ok := f.listensTo(); ok {
+				ring(f.news)
+				return
+			}
+		}
+	}
+}
+
+// sourceExpected is well within the time for which the reading before it counts as new.
+const sourceExpected = 500 * time.Millisecond
+
 // beginWith takes over all that another balancer knows.
 func (f *Follower) beginWith(ctx context.Context, source netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
--- a/internal/packetface/registry/peer.go
+++ b/internal/packetface/registry/peer.go
@@ -43,7 +43,7 @@
 	seedTimeout = 250 * time.Millisecond
 	// unlistedTimeout bounds the question for agents that are not listed, which others
 	// answer once they know as much of the store; askAgainEvery is the time between tries.
-	unlistedTimeout = 400 * time.Millisecond
+	unlistedTimeout = 250 * time.Millisecond
 	askAgainEvery   = 25 * time.Millisecond
 	// beginTimeout bounds the question for everything that a source knows, after which
 	// the store is read: after a common loss of power many ask at once.
@@ -81,6 +81,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if f.log.Load() == nil {
+		f.tellNone(w, r) // it has only just started, too, and knows none
+		return
+	}
 	if f.handedOn.Load() < asOf || query.Has("heard") && !f.heardOfAgents.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -89,6 +93,12 @@
 	answer.write(w, r, func() any { return f.Unlisted() })
 }
 
+// tellNone answers that no agent is known.
+func (f *Follower) tellNone(w http.ResponseWriter, r *http.Request) {
+	var none document
+	none.write(w, r, func() any { return []steer.Agent{} })
+}
+
 // serveAgents serves all agents that this balancer knows, or has known a moment ago.
 func (f *Follower) serveAgents(w http.ResponseWriter, r *http.Request) {
 	if f.whole(w) == nil {
@@ -142,6 +152,7 @@
 		f.Log.Warn("Source not reached, reading the store.", "source", source.String(), "error", err.Error())
 	}
 	if f.Snapshots && f.beginWithSnapshot(ctx) {
+		f.expectSource(ctx)
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -192,20 +203,17 @@
 
 // askAgents asks others for the agents that they know, as some may live though the
 // store does not list them. Without them a balancer that starts after a lapse would take
-// their flows for dead. Others tell what a listing of the same position lacks; those of an
-// earlier version tell all that they know.
+// their flows for dead. The source tells what a listing of its own position lacks, and so
+// do the seeds to one that has read the store.
 func (f *Follower) askAgents(ctx context.Context, source netip.AddrPort, asOf store.Position) {
 	path := unlistedPath + "?asOf=" + strconv.FormatUint(uint64(asOf), 10)
-	seeds := f.seeds.Load()
-	known, failures := []steer.Agent(nil), []string{"no source"}
+	var known []steer.Agent
+	var failures []string
 	if source.IsValid() {
-		known, failures = agentsOf(askAll(ctx, &[]netip.AddrPort{source}, unlistedTimeout, askPatiently[[]steer.Agent](f, path+"&heard")))
-	}
-	if len(failures) > 0 {
-		known, failures = agentsOf(askAll(ctx, seeds, unlistedTimeout, askPatiently[[]steer.Agent](f, path)))
+		known, failures = agentsOf(askAll(ctx, &[]netip.AddrPort{source}, unlistedTimeout, f.askForAgents(path+"&heard")))
 	}
-	if seeds != nil && len(failures) == len(*seeds) {
-		known, failures = agentsOf(askAll(ctx, seeds, seedTimeout, askOnce[[]steer.Agent](f, agentsPath)))
+	if !source.IsValid() || len(failures) > 0 {
+		known, failures = agentsOf(askAll(ctx, f.seeds.Load(), unlistedTimeout, f.askForAgents(path)))
 	}
 	if ctx.Err() != nil {
 		return
@@ -215,6 +223,24 @@
 	f.Asked(known)
 }
 
+// askForAgents returns how a peer is asked for the agents that are not listed: again while
+// it does not know the position yet and there is time. One of an earlier version tells all
+// that it knows.
+func (f *Follower) askForAgents(path string) func(context.Context, netip.AddrPort) peerAnswer[[]steer.Agent] {
+	unlisted, all := askOnce[[]steer.Agent](f, path), askOnce[[]steer.Agent](f, agentsPath)
+	return func(ctx context.Context, peer netip.AddrPort) peerAnswer[[]steer.Agent] {
+		for {
+			a := unlisted(ctx, peer)
+			switch {
+			case errors.Is(a.err, peercall.ErrUnknownCall):
+				return all(ctx, peer)
+			case !errors.Is(a.err, peercall.ErrRefused) || wait.For(ctx, askAgainEvery) != nil:
+				return a
+			}
+		}
+	}
+}
+
 // agentsOf returns the agents that some have told, and why others did not.
 func agentsOf(answers []peerAnswer[[]steer.Agent]) (known []steer.Agent, failures []string) {
 	for _, a := range answers {
@@ -262,20 +288,6 @@
 	}
 }
 
-// askPatiently is the same for a peer that may not know it yet: it is asked again while
-// there is time.
-func askPatiently[T any](f *Follower, path string) func(context.Context, netip.AddrPort) peerAnswer[T] {
-	once := askOnce[T](f, path)
-	return func(ctx context.Context, peer netip.AddrPort) peerAnswer[T] {
-		for {
-			a := once(ctx, peer)
-			if !errors.Is(a.err, peercall.ErrRefused) || wait.For(ctx, askAgainEvery) != nil {
-				return a
-			}
-		}
-	}
-}
-
 // newest returns the newest listing that a seed knows, an empty one if none
 // answers, and why the others did not.
 func (f *Follower) newest(ctx context.Context) (best Shared, from netip.AddrPort, failures []string) {
--- a/internal/packetface/registry/ways.go
+++ b/internal/packetface/registry/ways.go
@@ -115,7 +115,7 @@
 	case err == nil:
 		w.past = answer.Outcome == outcomeNone
 		return answer.At, answer.err()
-	case !connected.Load() || errors.Is(err, peercall.ErrRefused):
+	case !connected.Load() || errors.Is(err, peercall.ErrRefused) || errors.Is(err, peercall.ErrUnknownCall):
 		return 0, errors.Wrap(errNotSent, err.Error())
 	}
 	return 0, errors.Wrap(store.ErrOutcomeUnknown, err.Error())
--- a/internal/packetface/watchshare/start.go
+++ b/internal/packetface/watchshare/start.go
@@ -16,6 +16,9 @@
 const (
 	// startEvery is the time between two requests of a balancer that knows nothing.
 	startEvery = 15 * time.Millisecond
+	// startLook is the time between two requests of one that has read the store itself:
+	// others that start at the same moment have become sources meanwhile.
+	startLook = 60 * time.Millisecond
 	// restartPatience is how long it waits for a seed's first word, fleetPatience for
 	// the seed's own reading where the fleet is known to be large: a reading of 1,000
 	// agents takes some 100 ms on a link of 20 Mbit/s.
--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -417,6 +417,9 @@
 		return nil
 	case now >= s.nextAsk:
 		s.lookLater(now)
+		if now < sizeKnown {
+			s.nextAsk = now + startLook
+		}
 		return s.askAny(now)
 	}
 	return nil
