gate, steer: after a loss of power agents know all flows of upstreams that began a moment before them

All 667 agents had heard heartbeat 2 or 3 of their upstreams within 72 ms of their start, not the first, so they could not tell which flows live, and each dead flow was probed at each agent: 667 probes at 24 a tick are 139 ms, 3,000 flows two million.

Ruled out: more probes a tick (two datagrams of a 0.2 core each; worked out at half of it already); the upstream's start by the host's own clock as proof: set back by as much as the upstream has lived, it takes living flows for dead (TestAHostsOwnClockProvesNothing fails with it, 20,000 histories did not find it).

Change: an agent tells what its upstream has left of the warm-up plus its age by the host's clock; balancers take the upper quartile of at least five agents and tell all. Three of four clocks would have to be set back for an upstream to look younger than it is. An agent that knows all flows says so, and is asked again at once.

--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -127,7 +127,7 @@
 		State: g.state(now), StateFor: now - g.stateSince, Incarnation: g.settings.Incarnation, Known: g.told(), Source: g.source,
 		Running: g.load(), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd, Evacuation: g.evacuation,
-		Answer: g.answerTime(now),
+		Answer: g.answerTime(now), Warmup: max(g.cold.reported, g.cold.estimate), Whole: u.whole,
 	}
 }
 
--- a/internal/packetface/gate/cold.go
+++ b/internal/packetface/gate/cold.go
@@ -18,6 +18,9 @@
 	// reported is what upstreams of the service have shown of their warm-up here: how
 	// long one is to be cold yet as it starts, 0 for nothing.
 	reported time.Duration
+	// estimate is the same by the age that the first heartbeat heard here told, 0 for none.
+	// A step of the host's clock falsifies it: balancers go by those of many hosts.
+	estimate time.Duration
 }
 
 // hearCold takes what a balancer knows of a service by a version of the configuration,
@@ -50,11 +53,23 @@
 // configuration has it.
 func (g *Gate) learnWarmup(beat platform.Heartbeat) {
 	if beat.Sequence <= firstHeartbeat {
-		steps := (beat.ColdFor + reportedStep - 1) / reportedStep
-		g.cold.reported = max(g.cold.reported, steps*reportedStep)
+		g.cold.reported = max(g.cold.reported, roundUp(beat.ColdFor))
 	}
 }
 
+// estimateWarmup takes how long upstreams are cold from the first heartbeat heard here of
+// one that started before.
+func (g *Gate) estimateWarmup(beat platform.Heartbeat) {
+	if beat.ColdFor > 0 && beat.Age > 0 {
+		g.cold.estimate = roundUp(beat.ColdFor + beat.Age)
+	}
+}
+
+// roundUp returns the next multiple of reportedStep.
+func roundUp(d time.Duration) time.Duration {
+	return (d + reportedStep - 1) / reportedStep * reportedStep
+}
+
 // hearWarmup takes how long upstreams of a service are cold after their start.
 func (g *Gate) hearWarmup(now time.Duration, service uint64, warmup time.Duration) {
 	if service != g.service || warmup == 0 || warmup == g.cold.warmup {
--- a/internal/packetface/gate/life.go
+++ b/internal/packetface/gate/life.go
@@ -151,6 +151,7 @@
 	g.upstream = upstream{life: beat.Life, dataCentre: beat.DataCentre, whole: seenAll, confirmed: seenAll}
 	if before.unknown() {
 		g.upstream.firstCold = beat.ColdFor
+		g.estimateWarmup(beat)
 		g.upstream.whole = seenAll || g.beganUnseen()
 	}
 	g.learnWarmup(beat)
--- a/internal/packetface/gate/unseen_test.go
+++ b/internal/packetface/gate/unseen_test.go
@@ -105,3 +105,21 @@
 	b.reports(2, second)
 	b.Expect(b.gate.Registration().Warmup).To(Equal(warmup))
 }
+
+// An upstream began 0.9 s before the process, which has led flows to it, ended; the host's
+// clock was set back by 0.8 s meanwhile. By that clock alone the upstream would have begun
+// a moment ago, and its flows would be taken for dead.
+func TestAHostsOwnClockProvesNothing(t *testing.T) {
+	b := newBench(t)
+	b.gate.SetSeen(b.now, 5)
+	const lives, byClock = 900 * time.Millisecond, 100 * time.Millisecond
+	_, ok := b.gate.Heartbeat(b.now, platform.Heartbeat{
+		Life: platform.Life{ID: "i-1"}, Slots: slots, Sequence: 2, ColdFor: warmup - lives, Age: byClock,
+	})
+	b.Expect(ok).To(BeTrue())
+	b.Expect(b.verdict(flow(1), 0)).To(Equal(inner.VerdictMaybe))
+	b.Expect(b.gate.Status(b.now).Warmup).To(Equal(warmup - lives + byClock), "what it tells")
+	b.hearWarmup() // what most others have told
+	b.Expect(b.verdict(flow(1), 0)).To(Equal(inner.VerdictMaybe))
+	b.Expect(b.gate.Status(b.now).Whole).To(BeFalse())
+}
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -30,7 +30,7 @@
 	KindAsk
 	// KindPoll asks an agent for its status (39 bytes).
 	KindPoll
-	// KindStatus tells a balancer how an agent and its upstream are (56 bytes).
+	// KindStatus tells a balancer how an agent and its upstream are (58 bytes).
 	KindStatus
 	// KindReturned gives a packet back to the balancer that sent it (12 bytes).
 	KindReturned
@@ -142,6 +142,11 @@
 	// Answer is the time from a request to its answer lately, in steps of 1 ms up to 65 s;
 	// 0 where there was none.
 	Answer time.Duration
+	// Warmup is how long upstreams of the service are cold after their start as far as the
+	// agent can tell, in steps of 1 ms up to 65 s; 0 where it can't.
+	Warmup time.Duration
+	// Whole tells that the agent knows all flows of its upstream.
+	Whole bool
 }
 
 // ErrDatagram says that a datagram could not be read.
@@ -160,7 +165,7 @@
 	verdictSize  = 1 + flowSize
 	answerHead   = 1 + 8
 	pollSize     = 2 + 8 + knownSize + wordSize + coldSize
-	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4 + wordSize + 2
+	statusSize   = 2 + 8 + knownSize + 2 + 2 + 4 + 4 + 2 + 1 + 4 + wordSize + 2 + 2
 	returnedSize = 2 + 8 + 2
 
 	// MaxBusyHops is how many agents may give an opening packet back as all slots
@@ -242,16 +247,19 @@
 	b = binary.BigEndian.AppendUint32(b, s.Flows)
 	b = binary.BigEndian.AppendUint32(b, uint32(s.StateFor/time.Millisecond))
 	b = binary.BigEndian.AppendUint16(b, s.Balancers)
-	cold := byte(0)
-	if s.Cold {
-		cold = 1
-	}
-	b = append(b, cold)
+	b = append(b, flag(s.Cold, statusCold)|flag(s.Whole, statusWhole))
 	b = append(b, s.Source[:]...)
 	b = appendWord(b, s.Evacuation)
-	return appendMillis(b, s.Answer)
+	b = appendMillis(b, s.Answer)
+	return appendMillis(b, s.Warmup)
 }
 
+// Bits of a status.
+const (
+	statusCold = 1 << iota
+	statusWhole
+)
+
 // ParseStatus reads a datagram of KindStatus.
 func ParseStatus(b []byte) (Status, error) {
 	if len(b) != statusSize || KindOf(b) != KindStatus {
@@ -266,10 +274,12 @@
 		Flows:       binary.BigEndian.Uint32(b[30:]),
 		StateFor:    time.Duration(binary.BigEndian.Uint32(b[34:])) * time.Millisecond,
 		Balancers:   binary.BigEndian.Uint16(b[38:]),
-		Cold:        b[40] != 0,
+		Cold:        b[40]&statusCold != 0,
+		Whole:       b[40]&statusWhole != 0,
 		Source:      [4]byte(b[41:]),
 		Evacuation:  parseWord(b[45:]),
 		Answer:      parseMillis(b[45+wordSize:]),
+		Warmup:      parseMillis(b[47+wordSize:]),
 	}, nil
 }
 
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -77,6 +77,8 @@
 	waiting, lastAsk time.Duration
 	unanswered       int
 	suspected        bool
+	// warmupTold is the warm-up that its last status told.
+	warmupTold time.Duration
 	// pending counts the flows placed since the last status.
 	pending int
 	// questions are those that wait to be sent.
--- a/internal/packetface/steer/lives_test.go
+++ b/internal/packetface/steer/lives_test.go
@@ -38,11 +38,20 @@
 
 func (w *world) heartbeat(s *site) {
 	s.sequence++
-	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{Life: s.lives[s.life], Slots: 2, Sequence: s.sequence, ColdFor: s.coldFor(w.now)})
+	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{Life: s.lives[s.life], Slots: 2, Sequence: s.sequence, ColdFor: s.coldFor(w.now), Age: s.age(w.now)})
 	s.heard = w.now
 	w.fromAgent(s, r)
 }
 
+// age returns how long ago the upstream began by its host's clock.
+func (s *site) age(now time.Duration) time.Duration { return max(0, now-s.born+s.stepped) }
+
+// stepClock sets a host's clock back or ahead, by little or by much.
+func (w *world) stepClock(s *site) {
+	most := []time.Duration{2 * time.Second, 10 * time.Second}[w.random.IntN(2)]
+	s.stepped += time.Duration(w.random.Int64N(int64(2*most))) - most
+}
+
 // coldFor returns what an upstream tells of its start. Real ones report at once when they
 // start, until they are heard, and then not for a heartbeat's time; where this one has
 // not, it tells nothing.
@@ -98,7 +107,7 @@
 func (w *world) replace(s *site, late bool) {
 	s.newLife(w.random)
 	s.life++
-	s.sequence, s.born, s.heard = 0, w.now, 0
+	s.sequence, s.born, s.heard, s.stepped = 0, w.now, 0, 0
 	s.held = map[platform.Flow]bool{}
 	if !late {
 		w.heartbeat(s)
--- a/internal/packetface/steer/property_test.go
+++ b/internal/packetface/steer/property_test.go
@@ -17,7 +17,7 @@
 func (w *world) step() {
 	s := w.sites[w.random.IntN(len(w.sites))]
 	w.tell("step at %s", s.addr)
-	switch rapid.IntRange(0, 16).Draw(w.t, "step") {
+	switch rapid.IntRange(0, 17).Draw(w.t, "step") {
 	case 0, 1:
 		id := platform.Flow{Caller: [4]byte{100, 64, 0, 1}, CallerPort: w.nextPort, Face: [4]byte{198, 18, 0, 1}, FacePort: 443}
 		w.nextPort++
@@ -72,6 +72,8 @@
 		w.restartAgents()
 	case 16:
 		w.losePower()
+	case 17:
+		w.stepClock(s)
 	}
 	w.run(time.Duration(rapid.SampledFrom([]int{1, 3, 20, 300, 900}).Draw(w.t, "ms")) * time.Millisecond)
 }
@@ -88,6 +90,55 @@
 	rapid.Check(t, func(t *rapid.T) { play(t, newWorld(t, mostLoss, steer.DefaultAbsentAfter)) })
 }
 
+// The same where the configuration does not tell for how long upstreams are cold, so that
+// agents estimate it by clocks, some of which are set back or ahead.
+func TestNoLivingFlowIsResetByAnEstimate(t *testing.T) {
+	const mostLoss = 0.1
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorldOf(t, rapid.IntRange(5, 7).Draw(t, "agents"), 2, mostLoss, steer.DefaultAbsentAfter)
+		for _, b := range w.balancers {
+			w.warmup = 0
+			w.startBalancer(b)
+		}
+		play(t, w)
+	})
+}
+
+// Agents whose upstreams began a moment before them know all flows once others have told
+// for how long upstreams are cold, though nobody has seen one start.
+func TestAgentsKnowTheirUpstreamsAfterALossOfPower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorldOf(t, 8, 2, 0, steer.DefaultAbsentAfter)
+		w.warmup = 0
+		for _, b := range w.balancers {
+			w.startBalancer(b)
+		}
+		w.run(time.Second)
+		for _, s := range w.sites { // each reports once before its agent is there
+			w.replace(s, true)
+			s.sequence = 1
+		}
+		w.run(30 * time.Millisecond)
+		for _, s := range w.sites {
+			w.startAgent(s)
+		}
+		w.stepClock(w.sites[0])
+		w.run(20 * time.Millisecond)
+		for _, s := range w.sites {
+			w.heartbeat(s)
+		}
+		for _, b := range w.balancers {
+			w.startBalancer(b)
+		}
+		w.run(200 * time.Millisecond)
+		for _, s := range w.sites {
+			if !s.gate.Status(w.now).Whole {
+				t.Fatalf("%s can't tell\n%s", s.addr, w.story(platform.Flow{}))
+			}
+		}
+	})
+}
+
 // The same for a fleet of the size of today's largest: what is bounded, batched and
 // put off there must not make a search more certain than it is.
 func TestNoLivingFlowIsResetInALargeFleet(t *testing.T) {
--- a/internal/packetface/steer/roster.go
+++ b/internal/packetface/steer/roster.go
@@ -27,6 +27,8 @@
 	first time.Duration
 	// warmups are the longest that entries of a service tell.
 	warmups map[uint64]time.Duration
+	// estimates are the same by what agents have told of upstreams that started before them.
+	estimates map[uint64]estimate
 	// age is how new the list is, newest the highest position of an entry that
 	// an agent has told of.
 	age    ListAge
@@ -66,7 +68,7 @@
 }
 
 func newRoster() roster {
-	return roster{agents: map[netip.AddrPort]*agent{}, byService: map[uint64][]*agent{}, gone: map[netip.AddrPort]goneAgent{}, warmups: map[uint64]time.Duration{}}
+	return roster{agents: map[netip.AddrPort]*agent{}, byService: map[uint64][]*agent{}, gone: map[netip.AddrPort]goneAgent{}, warmups: map[uint64]time.Duration{}, estimates: map[uint64]estimate{}}
 }
 
 func (r *roster) add(a *agent) {
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -335,11 +335,12 @@
 	if s.State != a.status.State {
 		c.note(Note{Kind: KindState, Agent: a.Addr, Reason: s.State.String(), Age: s.StateFor, Count: int(a.status.State)})
 	}
-	couldTell := a.status.State.Proven()
+	couldTell, knewAll := a.status.State.Proven(), a.status.Whole
 	a.setStatus(s, now)
+	c.roster.noteWarmup(a)
 	c.hearKnown(now, a, s.Known, s.Source)
 	c.hearOwnWord(now, a, s)
-	if !couldTell && s.State.Proven() {
+	if !couldTell && s.State.Proven() || !knewAll && s.Whole {
 		c.askHeard(a)
 	}
 	return nil
@@ -363,6 +364,9 @@
 	if cold.Warmup == 0 {
 		cold.Warmup = c.roster.warmups[service]
 	}
+	if cold.Warmup == 0 {
+		cold.Warmup = c.roster.estimates[service].warmup
+	}
 	return cold
 }
 
@@ -372,6 +376,7 @@
 	c.tickAsks(now)
 	c.flushAsks(now)
 	c.tickAgents(now)
+	c.tickWarmups(now)
 	c.tickNewer(now)
 	if now-c.swept >= sweepEvery {
 		c.sweep(now)
--- a/internal/packetface/steer/world_test.go
+++ b/internal/packetface/steer/world_test.go
@@ -47,6 +47,8 @@
 	lost   bool
 	era    uint64
 	verify time.Duration
+	// stepped is by how much the host's clock was set ahead since the upstream began.
+	stepped time.Duration
 	// held are the flows that the upstream holds: true once they are open.
 	held map[platform.Flow]bool
 }
@@ -91,7 +93,9 @@
 	cutEnd time.Duration
 	// absentAfter is the setting of all balancers.
 	absentAfter time.Duration
-	revision    store.Position
+	// warmup is the time for which upstreams are cold as the configuration tells it.
+	warmup   time.Duration
+	revision store.Position
 	// settleAt is when a return of the store is noted as settled, 0 for none.
 	settleAt time.Duration
 	// opened, if any, is called with each opening packet that an upstream gets, and
@@ -103,7 +107,10 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(host >> 8), byte(host)}), uint16(port))
 }
 
-func table() *routing.Table {
+func table() *routing.Table { return tableOf(warmup) }
+
+// tableOf returns a configuration that tells for how long upstreams are cold, 0 for not.
+func tableOf(warmup time.Duration) *routing.Table {
 	return routing.NewTable(platform.Configuration{Version: 1, Routes: []platform.Route{
 		{Name: "r", Face: face, Shares: []platform.Share{{Service: service, Weight: 1}}, Repeatable: true},
 	}, Services: []platform.Service{{Name: service, Warmup: warmup}}})
@@ -121,6 +128,9 @@
 		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 		loss:   rapid.Float64Range(0, mostLoss).Draw(t, "loss"),
 	}
+	if rapid.Bool().Draw(t, "tells warm-up") {
+		w.warmup = warmup
+	}
 	for range agents {
 		w.addSite()
 	}
@@ -165,7 +175,7 @@
 
 func (w *world) startBalancer(b *balancer) {
 	c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: w.random, AbsentAfter: w.absentAfter})
-	c.SetTable(w.now, table(), time.Minute)
+	c.SetTable(w.now, tableOf(w.warmup), time.Minute)
 	c.SetTableFresh(true)
 	b.core = c
 	w.fromBalancer(b.addr, c.SetEvacuations(w.now, b.told.Clone()))
