--- a/internal/packetface/registry/snapshot.go
+++ b/internal/packetface/registry/snapshot.go
@@ -103,7 +103,7 @@
 
 // readSnapshot reads everything by way of the snapshot: that, and the changes since.
 func (f *Follower) readSnapshot(ctx context.Context) (*Listing, []error, error) {
-	item, _, err := f.Store.Get(ctx, snapshotKey)
+	item, now, err := f.Store.Get(ctx, snapshotKey)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -115,6 +115,10 @@
 	if item.At.Revision() == from.Revision()+1 {
 		from = item.At // nothing came between: the store need not have that change any more
 	}
+	listing, foreign := NewListing(shared.Entries, from)
+	if now == from {
+		return listing, foreign, nil // nothing has changed since
+	}
 	changes, asOf, err := f.Store.Watch(ctx, everything, from, confirmWait)
 	if err != nil {
 		return nil, nil, err
@@ -122,7 +126,6 @@
 	if !asOf.SameEra(from) {
 		return nil, nil, errors.Wrapf(store.ErrUnavailable, "registry: changes at %s, snapshot at %s", asOf, from)
 	}
-	listing, foreign := NewListing(shared.Entries, shared.AsOf)
 	foreign = append(foreign, listing.Apply(f.takeSnapshot(changes), asOf)...)
 	return listing, foreign, nil
 }
--- a/internal/packetface/registry/snapshot_test.go
+++ b/internal/packetface/registry/snapshot_test.go
@@ -87,6 +87,7 @@
 	f := starting(t, fake)
 	g.Eventually(f.sees(manyAgents, string(config(1))), patience).Should(BeTrue())
 	g.Expect(fake.Readings()-readings).To(BeNumerically("<=", 1), "of the balancer that watches, whose history is gone")
+	g.Expect(f.listAge().AsOf).To(BeNumerically(">", f.listAge().Newest), "up to the snapshot itself")
 }
 
 func TestABalancerReadsTheStoreWhereTheSnapshotIsOfNoUse(t *testing.T) {
