registry: a call that others rely on is made again at once; retries of those alone, as a test

The watch of their source was cut after up to 1.4 s without a word, its next call came 0.2 s and more later, and what they had heard was 2 s old by then.

Tests: retry_test.go, which holds the pauses of those alone, too: 20 to 40 calls a second of 304 and of 608.

--- a/internal/packetface/gate/unseen_test.go
+++ b/internal/packetface/gate/unseen_test.go
@@ -118,7 +118,7 @@
 	})
 	b.Expect(ok).To(BeTrue())
 	b.Expect(b.verdict(flow(1), 0)).To(Equal(inner.VerdictMaybe))
-	b.Expect(b.gate.Status(b.now).Warmup).To(Equal(warmup - lives + byClock), "what it tells")
+	b.Expect(b.gate.Status(b.now).Warmup).To(Equal(warmup-lives+byClock), "what it tells")
 	b.hearWarmup() // what most others have told
 	b.Expect(b.verdict(flow(1), 0)).To(Equal(inner.VerdictMaybe))
 	b.Expect(b.gate.Status(b.now).Whole).To(BeFalse())
--- a/internal/packetface/registry/follow.go
+++ b/internal/packetface/registry/follow.go
@@ -45,6 +45,8 @@
 	// retryPart is the time that each balancer of the fleet adds to the pause after a
 	// failed call of one that nobody relies on.
 	retryPart = 50 * time.Millisecond
+	// retryAtOnce is the pause after the first failed call of one that others rely on.
+	retryAtOnce = 20 * time.Millisecond
 	// confirmWait is how long the first watch waits after a source was given up: its
 	// answer tells others at once that this balancer hears the store.
 	confirmWait = time.Millisecond
@@ -157,30 +159,38 @@
 		f.keepSnapshot(ctx)
 		first := f.listing == nil
 		err := f.step(ctx)
-		f.tell(err)
 		if first && f.listing != nil {
 			go f.askAgents(ctx, f.begunWith, f.listing.AsOf)
 		}
 		if err == nil {
+			f.tell(nil)
 			backoff.Reset()
 			continue
 		}
+		pause := f.retryAfter(&backoff, random)
+		f.tell(err)
 		if f.takeHint() {
 			f.learn(ctx)
 		}
-		f.waitToRetry(ctx, f.retryAfter(backoff.Next(random)))
+		f.waitToRetry(ctx, pause)
 	}
 }
 
-// retryAfter returns the pause after a failed call. While nobody relies on this process
-// the pauses of all balancers together make some 20 calls a second, however many they
-// are: the first that the store answers tells the others.
-func (f *Follower) retryAfter(backoff time.Duration) time.Duration {
-	if f.Shared == nil || f.isShared() || f.listing == nil {
-		return backoff
+// retryAfter returns the pause after a failed call. Others give up a balancer that has not
+// heard the store for 2 s, and a watch that is cut may have waited for most of them: so
+// one that they rely on tries again at once. While nobody relies on this process the
+// pauses of all balancers together make some 20 calls a second, however many they are: the
+// first that the store answers tells the others.
+func (f *Follower) retryAfter(backoff *seed.Backoff, random *rand.Rand) time.Duration {
+	shared, firstFailure := f.isShared(), f.told && f.reached
+	switch {
+	case shared && firstFailure:
+		return retryAtOnce
+	case f.Shared == nil || shared || f.listing == nil:
+		return backoff.Next(random)
 	}
 	longest := time.Duration(f.Balancers()) * retryPart
-	return max(backoff, longest/2+rand.N(longest/2+1))
+	return max(backoff.Next(random), longest/2+rand.N(longest/2+1))
 }
 
 // waitToRetry waits until the store is to be tried again, or another balancer is to be
--- /dev/null
+++ b/internal/packetface/registry/retry_test.go
@@ -0,0 +1,54 @@
+package registry
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/seed"
+	"github.com/saltbend/saltbend/internal/store"
+)
+
+// failing returns a follower of a fleet whose store has just failed, and the pauses before
+// its next calls, which fail, too.
+func failing(balancers int, shared bool) (pauses []time.Duration) {
+	f := NewFollower(nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	f.Shared = func() bool { return shared }
+	f.Balancers = func() int { return balancers }
+	f.Heard, f.Reached = func() {}, func(bool) {}
+	f.listing = emptyListing()
+	f.tell(nil)
+	backoff, random := seed.Backoff{Least: retryLeast, Most: retryMost}, rand.New(rand.NewPCG(1, 2))
+	for range 5 {
+		pauses = append(pauses, f.retryAfter(&backoff, random))
+		f.tell(store.ErrUnavailable)
+	}
+	return pauses
+}
+
+// A watch that is cut may have waited for most of the 2 s for which what was last heard
+// counts as new. If the next call came 200 ms later or more, those that rely on it would
+// all read the store themselves.
+func TestACallThatOthersRelyOnIsMadeAgainAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	pauses := failing(304, true)
+	g.Expect(pauses[0]).To(BeNumerically("<=", 50*time.Millisecond))
+	g.Expect(pauses[1:]).To(HaveEach(BeNumerically(">=", retryLeast/2)))
+	g.Expect(pauses[1:]).To(HaveEach(BeNumerically("<=", retryMost)))
+}
+
+// While the store is away each balancer is alone: all together make some 20 to 40 calls a
+// second, whatever their number.
+func TestBalancersAloneRetryTheMoreRarelyTheMoreTheyAre(t *testing.T) {
+	g := NewWithT(t)
+	for _, balancers := range []int{304, 608} {
+		for _, pause := range failing(balancers, false) {
+			g.Expect(float64(balancers) / pause.Seconds()).To(BeNumerically("<=", 41))
+		}
+	}
+	g.Expect(failing(4, false)).To(HaveEach(BeNumerically("<=", retryMost)), "a small fleet")
+}
