steer: a search asks every agent, however many; questions between two ticks are bounded instead

Cause: 1,024 agents at most were asked for a flow, so a balancer younger than three minutes reset nothing in a fleet of more: at twice the largest one in service (1,356 agents) every dead flow after a common loss of power would wait for its caller's deadline (TestAYoungBalancerResetsInALargeFleet: no reset in 2 s at 1,356 and at 3,000 agents).

Ruled out: a larger bound, which only moves the size; no bound, as a flood of unknown flows would be multiplied by the agents. Change: 32,768 questions between two ticks, the product of the two bounds before, to whichever agents; who gets no question gets it with the next round, and a flow is reset only once all have answered.

After: 32 flows are reset within the 2 s at 678, 1,356 and 3,000 agents.

--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -58,6 +58,9 @@
 	// goneMemory is how long an agent that was forgotten is known again when it
 	// speaks: frozen hosts wake within that time, and upstreams begin another life.
 	goneMemory = 30 * time.Second
+	// maxPolled is the number of agents beyond which only those of the service are polled
+	// when one falls silent.
+	maxPolled = 1024
 	// unlistedPoll is the time between two polls of an agent that the store no
 	// longer lists.
 	unlistedPoll = 200 * time.Millisecond
@@ -324,7 +327,7 @@
 // searched for.
 func (c *Core) pollIdle(now time.Duration, service uint64) {
 	idle := c.roster.list
-	if len(idle) > maxAsked {
+	if len(idle) > maxPolled {
 		idle = c.roster.byService[service] // flows that may live elsewhere, too, are not reset
 	}
 	for _, a := range idle {
--- a/internal/packetface/steer/ask.go
+++ b/internal/packetface/steer/ask.go
@@ -36,9 +36,10 @@
 	maxHeldPackets = 16
 	// maxAsks bounds the flows that are asked for at once.
 	maxAsks = 4096
-	// maxAsked bounds the agents that are asked for one flow: those of a fleet of
-	// some 1,500 hosts. With more, a young balancer resets no flow.
-	maxAsked = 1024
+	// questionsPerTick bounds the questions between two ticks, to whichever agents: some
+	// 480 datagrams. In a larger fleet fewer searches get all of theirs at once, and the
+	// others the rest with their next round.
+	questionsPerTick = 32 << 10
 )
 
 // ask is the search for the agent whose upstream holds a flow.
@@ -85,7 +86,8 @@
 	for ; q.search.Stage < search.End; q.search.Stage++ {
 		sent := 0
 		for _, a := range c.likely(now, id, q.search.Stage) {
-			if c.inStage(q.search.Stage, a) && q.search.Asked() < maxAsked && q.search.Ask(a.id) {
+			if c.inStage(q.search.Stage, a) && c.questions > 0 && q.search.Ask(a.id) {
+				c.questions--
 				c.sendAsk(id, q, a)
 				sent++
 			}
@@ -331,9 +333,9 @@
 // whose caller has given up.
 func (c *Core) tickAsks(now time.Duration) {
 	c.observePace(now)
-	c.probes, c.searches = probesPerTick, searchesPerTick
+	c.probes, c.searches, c.questions = probesPerTick, searchesPerTick, questionsPerTick
 	if !c.settings.Policies.On(policy.BoundedSearches) {
-		c.probes, c.searches, c.slow = math.MaxInt, math.MaxInt, 0
+		c.probes, c.searches, c.questions, c.slow = math.MaxInt, math.MaxInt, math.MaxInt, 0
 	}
 	for id, q := range c.asks {
 		switch {
--- a/internal/packetface/steer/search_test.go
+++ b/internal/packetface/steer/search_test.go
@@ -1,7 +1,9 @@
 package steer_test
 
 import (
+	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -198,3 +200,58 @@
 		b.Expect(b.core.Counts(b.now).Asks).To(BeZero())
 	}
 }
+
+// A balancer that has only just started has to ask every agent for a flow that nobody
+// holds, in the largest fleet in service, at twice that and beyond.
+func TestAYoungBalancerResetsInALargeFleet(t *testing.T) {
+	for _, agents := range []int{678, 1356, 3000} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			b := many(t, agents)
+			const flows = 32 // as many as begin between two ticks
+			resets, most := 0, 0
+			for n := range flows {
+				b.callerSends(caller(n+1), platform.FlagACK, 30)
+				_, reset := b.answerAll()
+				resets += reset
+			}
+			for end := b.now + 2*time.Second; b.now < end && resets < flows; b.now += 5 * time.Millisecond {
+				b.last = b.core.Tick(b.now)
+				asked, reset := b.answerAll()
+				most, resets = max(most, asked), resets+reset
+			}
+			b.Expect(resets).To(Equal(flows))
+			b.Expect(most).To(BeNumerically("<=", 2*32<<10), "questions between two ticks, repeated ones among them")
+		})
+	}
+}
+
+// answerAll answers the questions of the last result, and those that follow from that,
+// with no; it returns how many there were, and the resets.
+func (b *bench) answerAll() (asked, resets int) {
+	type question struct {
+		to    netip.AddrPort
+		bytes []byte
+	}
+	var queue []question
+	take := func() {
+		resets += b.resets()
+		for _, a := range b.last.Actions {
+			queue = append(queue, question{a.To, slices.Clone(a.Bytes)})
+		}
+	}
+	for take(); len(queue) > 0; queue = queue[1:] {
+		questions, _, err := inner.ParseAsk(nil, queue[0].bytes)
+		if err != nil {
+			continue
+		}
+		asked += len(questions)
+		answer := inner.AppendAnswerHead(nil, 1)
+		for _, q := range questions {
+			answer = inner.AppendAnswer(answer, inner.Answer{Flow: q.Flow, Verdict: inner.VerdictNone})
+		}
+		b.last, err = b.core.FromAgent(b.now, queue[0].to, answer)
+		b.Expect(err).NotTo(HaveOccurred())
+		take()
+	}
+	return asked, resets
+}
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -151,8 +151,8 @@
 	// then, slow how long after each other ticks come meanwhile, 0 for not known.
 	ticked, slow time.Duration
 	searching    bool
-	// probes and searches are how many of them may begin until the next tick.
-	probes, searches int
+	// probes, searches and questions are how many of them may begin until the next tick.
+	probes, searches, questions int
 	// called is when the Core was last called, 0 for not yet.
 	called time.Duration
 	// newer is the newest version that was heard of, toldNewer when one was told of, 0 for
@@ -183,7 +183,7 @@
 		asks:     make(map[platform.Flow]*ask),
 		dead:     make(map[platform.Flow]time.Duration),
 		probes:   probesPerTick,
-		searches: searchesPerTick,
+		searches: searchesPerTick, questions: questionsPerTick,
 	}
 }
 
