--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -80,8 +80,9 @@
 	waiting, lastAsk time.Duration
 	unanswered       int
 	suspected        bool
-	// warmupTold is the warm-up that its last status told.
-	warmupTold time.Duration
+	// warmupTold is the warm-up that its last status told, warmupSent the one that it was
+	// told with the last poll.
+	warmupTold, warmupSent time.Duration
 	// pending counts the flows placed since the last status.
 	pending int
 	// questions are those that wait to be sent.
@@ -290,9 +291,11 @@
 		flags |= inner.FlagUnlisted
 	}
 	a.asked(now)
+	cold := c.coldOf(a.Service)
+	a.warmupSent = cold.Warmup
 	start := len(c.buffer)
 	c.buffer = inner.AppendPoll(c.buffer, inner.Poll{
-		Flags: flags, Service: a.Service, Known: c.known(), Evacuation: a.evacuation, Cold: c.coldOf(a.Service),
+		Flags: flags, Service: a.Service, Known: c.known(), Evacuation: a.evacuation, Cold: cold,
 	})
 	c.send(a.Addr, start)
 }
--- a/internal/packetface/steer/warmup.go
+++ b/internal/packetface/steer/warmup.go
@@ -61,13 +61,10 @@
 		if !e.outdated {
 			continue
 		}
-		before := c.coldOf(service).Warmup
 		c.roster.estimates[service] = estimate{warmup: c.roster.estimate(service)}
-		if c.coldOf(service).Warmup == before {
-			continue
-		}
+		warmup := c.coldOf(service).Warmup
 		for _, a := range c.roster.byService[service] {
-			if a.statusAt != 0 && !a.status.Whole {
+			if a.statusAt != 0 && !a.status.Whole && a.warmupSent != warmup {
 				c.poll(now, a)
 			}
 		}
