registry: what is kept of an earlier era is not told as taken back; gate: turns in place of chance

Found in the reading of the diff: the changes that a reading makes named everything that it lacks as removed, also an evacuation that a balancer keeps after a return of the store until operators write it again. Those that listen would have taken it for withdrawn (TestAReadingAfterAReturnTakesNothingBack fails without the change).

An idle agent asks the balancers that it knows in turn: package gate takes no chance of its own.

--- a/internal/packetface/gate/idle.go
+++ b/internal/packetface/gate/idle.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -27,6 +26,9 @@
 type idle struct {
 	// recent are balancers that have called lately, seeds those that the settings name.
 	recent, seeds []netip.AddrPort
+	// heard and turn count balancers that were remembered and that were asked: each
+	// replaces the oldest, each is asked in its turn.
+	heard, turn int
 	// checked is when one was asked last, asked how many were since one has called.
 	checked time.Duration
 	asked   int
@@ -44,7 +46,8 @@
 		i.recent = append(i.recent, from)
 		return
 	}
-	i.recent[rand.IntN(maxRecent)] = from
+	i.recent[i.heard%maxRecent] = from
+	i.heard++
 }
 
 // next returns the balancer to ask; ok is false where none is known.
@@ -56,7 +59,8 @@
 	if len(known) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return known[rand.IntN(len(known))], true
+	i.turn++
+	return known[i.turn%len(known)], true
 }
 
 // SetSeeds names where balancers take datagrams that the settings name; they may be gone.
--- a/internal/packetface/registry/follow_test.go
+++ b/internal/packetface/registry/follow_test.go
@@ -33,6 +33,8 @@
 	config  string
 	reached []bool
 	age     steer.ListAge
+	// evacuations is the number of data centres that are to be emptied.
+	evacuations int
 
 	// known is what the follower tells others, asked takes what they told it.
 	known []steer.Agent
@@ -58,6 +60,12 @@
 	return f.age
 }
 
+func (f *follower) evacuated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations > 0
+}
+
 func (f *follower) reachedNow() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,6 +92,8 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.agents, f.config, f.age = len(l.Agents()), string(l.Config), l.Age()
+		evacuations := l.Evacuations()
+		f.evacuations = len(evacuations.Requests())
 	}
 	f.Reached = func(ok bool) {
 		f.mu.Lock()
--- a/internal/packetface/registry/listing.go
+++ b/internal/packetface/registry/listing.go
@@ -124,7 +124,7 @@
 
 // net returns the changes that lead from what was known at a position to a reading of all
 // keys: what is newer there, and what is missing as removed at the position of the
-// reading.
+// reading. What is kept of an earlier era until it is written again is not missing.
 func (l *Listing) net(all []platform.Item, known, asOf store.Position) (out []platform.Item) {
 	there := make(map[string]bool, len(all))
 	for _, item := range all {
@@ -134,7 +134,7 @@
 		}
 	}
 	for _, item := range l.Shared().Entries {
-		if !there[item.Key] {
+		if !there[item.Key] && item.At.SameEra(asOf) {
 			out = append(out, platform.Item{Key: item.Key, At: asOf, Removed: true})
 		}
 	}
--- a/internal/packetface/registry/return_test.go
+++ b/internal/packetface/registry/return_test.go
@@ -256,3 +256,28 @@
 	g.Eventually(func() uint64 { return young.listAge().AsOf.Era() }, patience).Should(BeEquivalentTo(1))
 	g.Expect(young.listAge().Relisting).To(BeFalse())
 }
+
+// After a return a balancer keeps the evacuation that the copy lacks. A second reading,
+// after a hint, must not tell those that listen that it was taken back.
+func TestAReadingAfterAReturnTakesNothingBack(t *testing.T) {
+	g := NewWithT(t)
+	fake := newStore(t)
+	fake.Put(platform.ConfigKey, config(1))
+	f := leading(t, fake)
+	g.Eventually(f.sees(0, string(config(1))), patience).Should(BeTrue())
+	copied := fake.Copy()
+	fake.Put(platform.EvacuationKey("a"), nil)
+	g.Eventually(f.evacuated, patience).Should(BeTrue())
+	fake.Return(copied)
+	fake.Put(platform.ConfigKey, config(2))
+	g.Eventually(f.sees(0, string(config(2))), patience).Should(BeTrue())
+	before := f.listAge().AsOf
+	fake.Put(platform.ConfigKey, config(3))
+	readings := fake.Readings()
+	g.Eventually(func() int { f.Hint(netip.AddrPort{}, 0); return fake.Readings() }, patience).Should(BeNumerically(">", readings))
+	g.Eventually(f.sees(0, string(config(3))), patience).Should(BeTrue())
+	for _, item := range changesSince(t, serve(t, f), before) {
+		g.Expect(item.Removed).To(BeFalse(), item.Key)
+	}
+	g.Expect(f.evacuated()).To(BeTrue())
+}
--- a/internal/packetface/registry/writes.go
+++ b/internal/packetface/registry/writes.go
@@ -126,14 +126,17 @@
 	if !ok {
 		return
 	}
-	together := func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if _, ok := w.batch.due(time.Since(w.began)); ok {
-			go w.write(w.batch.take(time.Since(w.began) + 1))
-		}
+	time.AfterFunc(wait, w.writeDue)
+}
+
+// writeDue makes the next call unless one is under way.
+func (w *writer) writeDue() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Since(w.began) + 1 // 0 stands for never
+	if wait, ok := w.batch.due(now); ok && wait == 0 {
+		go w.write(w.batch.take(now))
 	}
-	time.AfterFunc(wait, together)
 }
 
 // write makes the writes and tells the outcomes.
