--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,10 @@
 unit: ## unit, property and fuzz-seed tests under the race detector
 	$(GO) test -race -timeout 5m $${SKIP:+-skip "$$SKIP"} ./internal/... ./cmd/... ./platform
 
+# The tests build the programs that they start, which the cache of results does not see.
 integration: ## tests of the stand-ins, and with real processes on loopback
-	$(GO) test $${SKIP:+-skip "$$SKIP"} $$($(GO) list ./test/... | grep -v /test/integration)
-	$(GO) test -timeout 12m ./test/integration $${SKIP_SPECS:+-args -ginkgo.skip "$$SKIP_SPECS"}
+	$(GO) test -count=1 $${SKIP:+-skip "$$SKIP"} $$($(GO) list ./test/... | grep -v /test/integration)
+	$(GO) test -count=1 -timeout 12m ./test/integration $${SKIP_SPECS:+-args -ginkgo.skip "$$SKIP_SPECS"}
 
 demo: ## run a whole fleet on loopback under load while balancers die
 	$(GO) run ./test/cmd/demo
