Datagrams and design for overload: terms in openings, load in statuses

Cause: an agent learns a route's terms with the first request of an open flow, when nothing can be refused any more, and a balancer hears of running requests only. Change: an opening may carry the route's terms and an epoch, a status the load; each is sent only to a peer that has said that it takes it, so that builds may mix. No decision changes with this commit. Check: property test of the datagrams.

--- a/internal/packetface/inner/forward.go
+++ b/internal/packetface/inner/forward.go
@@ -29,8 +29,7 @@
 
 // AppendForward appends a datagram of KindForward.
 func AppendForward(b []byte, head Forward, packet []byte) []byte {
-	t := head.Terms
-	b = append(b, byte(KindForward), byte(head.Flags), t.Priority, inSteps(t.TargetLatency, targetLatencyStep), inSteps(t.Timeout, timeoutStep))
+	b = appendTerms(append(b, byte(KindForward), byte(head.Flags)), head.Terms)
 	return append(b, packet...)
 }
 
@@ -39,8 +38,18 @@
 	if len(b) < forwardSize || KindOf(b) != KindForward {
 		return Forward{}, nil, ErrDatagram
 	}
-	terms := Terms{Priority: b[2], TargetLatency: time.Duration(b[3]) * targetLatencyStep, Timeout: time.Duration(b[4]) * timeoutStep}
-	return Forward{Flags: Flags(b[1]), Terms: terms}, b[forwardSize:], nil
+	return Forward{Flags: Flags(b[1]), Terms: parseTerms(b[2:])}, b[forwardSize:], nil
+}
+
+// termsSize is the size of encoded Terms in bytes.
+const termsSize = 3
+
+func appendTerms(b []byte, t Terms) []byte {
+	return append(b, t.Priority, inSteps(t.TargetLatency, targetLatencyStep), inSteps(t.Timeout, timeoutStep))
+}
+
+func parseTerms(b []byte) Terms {
+	return Terms{Priority: b[0], TargetLatency: time.Duration(b[1]) * targetLatencyStep, Timeout: time.Duration(b[2]) * timeoutStep}
 }
 
 // inSteps converts a duration to a number of steps, capped at the maximum of a byte.
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -23,7 +23,7 @@
 
 // Kinds of datagrams. The sizes in parentheses don't include the encapsulated packet.
 const (
-	// KindOpen carries a packet that opens a flow to an agent (42 bytes).
+	// KindOpen carries a packet that opens a flow to an agent (42 bytes, 46 with terms).
 	KindOpen Kind = iota + 1
 	// KindForward carries any other packet of a flow to an agent (5 bytes).
 	KindForward
@@ -32,8 +32,8 @@
 	KindAsk
 	// KindPoll requests the status of an agent (39 bytes).
 	KindPoll
-	// KindStatus reports the status of an agent and its upstream to a balancer (58
-	// bytes).
+	// KindStatus reports the status of an agent and its upstream to a balancer (58 bytes,
+	// 71 with the load).
 	KindStatus
 	// KindReturned returns a packet to the balancer that sent it (12 bytes).
 	KindReturned
@@ -67,6 +67,11 @@
 	// FlagMayBeRetry reports that the caller may have opened an earlier flow for the same
 	// request.
 	FlagMayBeRetry
+	// FlagTerms reports that the header of KindOpen is followed by the route's terms. It
+	// is set only towards agents whose status has AcceptsTerms.
+	FlagTerms
+	// FlagLoad reports that the balancer accepts a Load at the end of a status.
+	FlagLoad
 )
 
 // Open is the header of a datagram with a packet that opens a flow.
@@ -86,6 +91,10 @@
 	Evacuation evacuation.State
 	// Cold describes how the service's upstreams warm up.
 	Cold Cold
+	// Terms are the terms of the packet's route and Epoch the balancer's epoch of ranks
+	// (package admission). Both are sent only with FlagTerms.
+	Terms Terms
+	Epoch uint8
 }
 
 // Cold is a balancer's information on how the upstreams of a service warm up.
@@ -161,6 +170,12 @@
 	Warmup time.Duration
 	// KnowsAllFlows reports that the agent knows all flows of its upstream.
 	KnowsAllFlows bool
+	// AcceptsTerms reports that the agent decodes FlagTerms.
+	AcceptsTerms bool
+	// Load is the room that the upstream has, valid if HasLoad is set: it is sent only to
+	// balancers that set FlagLoad.
+	Load    Load
+	HasLoad bool
 }
 
 // ErrDatagram is returned for a datagram that can't be decoded.
@@ -191,7 +206,7 @@
 	MaxQuestions = 70
 
 	// MaxSize is the size of the largest datagram.
-	MaxSize = openSize + platform.MaxPacketSize
+	MaxSize = openSize + termsSize + 1 + platform.MaxPacketSize
 )
 
 // ServiceID returns the ID that stands for a service in datagrams.
@@ -213,6 +228,9 @@
 	b = appendVersions(b, o.Versions)
 	b = appendEvacuation(b, o.Evacuation)
 	b = appendCold(b, o.Cold)
+	if o.Flags&FlagTerms != 0 {
+		b = append(appendTerms(b, o.Terms), o.Epoch)
+	}
 	return append(b, packet...)
 }
 
@@ -227,7 +245,14 @@
 		Evacuation: parseEvacuation(b[13+versionsSize:]),
 		Cold:       parseCold(b[13+versionsSize+evacuationSize:]),
 	}
-	return o, b[openSize:], nil
+	if o.Flags&FlagTerms == 0 {
+		return o, b[openSize:], nil
+	}
+	if len(b) < openSize+termsSize+1 {
+		return Open{}, nil, ErrDatagram
+	}
+	o.Terms, o.Epoch = parseTerms(b[openSize:]), b[openSize+termsSize]
+	return o, b[openSize+termsSize+1:], nil
 }
 
 // AppendPoll appends a datagram of KindPoll.
@@ -262,25 +287,30 @@
 	b = binary.BigEndian.AppendUint32(b, s.Flows)
 	b = binary.BigEndian.AppendUint32(b, uint32(s.StateFor/time.Millisecond))
 	b = binary.BigEndian.AppendUint16(b, s.Balancers)
-	b = append(b, flag(s.Cold, statusCold)|flag(s.KnowsAllFlows, statusAllFlows))
+	b = append(b, flag(s.Cold, statusCold)|flag(s.KnowsAllFlows, statusAllFlows)|flag(s.AcceptsTerms, statusTerms))
 	b = append(b, s.Source[:]...)
 	b = appendEvacuation(b, s.Evacuation)
 	b = appendMillis(b, s.ResponseTime)
-	return appendMillis(b, s.Warmup)
+	b = appendMillis(b, s.Warmup)
+	if s.HasLoad {
+		b = appendLoad(b, s.Load)
+	}
+	return b
 }
 
 // Bits of the flag byte of KindStatus.
 const (
 	statusCold = 1 << iota
 	statusAllFlows
+	statusTerms
 )
 
 // ParseStatus decodes a datagram of KindStatus.
 func ParseStatus(b []byte) (Status, error) {
-	if len(b) != statusSize || KindOf(b) != KindStatus {
+	if len(b) != statusSize && len(b) != statusSize+loadSize || KindOf(b) != KindStatus {
 		return Status{}, ErrDatagram
 	}
-	return Status{
+	s := Status{
 		State:         State(b[1]),
 		Incarnation:   binary.BigEndian.Uint64(b[2:]),
 		Versions:      parseVersions(b[10:]),
@@ -291,11 +321,16 @@
 		Balancers:     binary.BigEndian.Uint16(b[38:]),
 		Cold:          b[40]&statusCold != 0,
 		KnowsAllFlows: b[40]&statusAllFlows != 0,
+		AcceptsTerms:  b[40]&statusTerms != 0,
 		Source:        [4]byte(b[41:]),
 		Evacuation:    parseEvacuation(b[45:]),
 		ResponseTime:  parseMillis(b[45+evacuationSize:]),
 		Warmup:        parseMillis(b[47+evacuationSize:]),
-	}, nil
+	}
+	if len(b) > statusSize {
+		s.Load, s.HasLoad = parseLoad(b[statusSize:]), true
+	}
+	return s, nil
 }
 
 // Returned is the header of a datagram that returns a packet to the balancer that sent
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -33,6 +33,26 @@
 	return evacuation.State{Evacuated: rapid.Bool().Draw(t, "evacuated"), AsOf: store.Position(rapid.Uint64().Draw(t, "as of"))}
 }
 
+func drawTerms(t *rapid.T) inner.Terms {
+	return inner.Terms{
+		Priority: rapid.Byte().Draw(t, "priority"), TargetLatency: 8 * time.Millisecond * time.Duration(rapid.Byte().Draw(t, "target latency")),
+		Timeout: 64 * time.Millisecond * time.Duration(rapid.Byte().Draw(t, "timeout")),
+	}
+}
+
+func drawServiceTime(t *rapid.T) inner.ServiceTime {
+	return inner.ServiceTime{Priority: rapid.Byte().Draw(t, "priority"), Mean: 100 * time.Microsecond * time.Duration(rapid.Uint16().Draw(t, "mean"))}
+}
+
+func drawLoad(t *rapid.T) inner.Load {
+	return inner.Load{
+		Wait:        time.Duration(rapid.Uint16().Draw(t, "wait")) * time.Millisecond,
+		Utilization: float64(rapid.IntRange(0, 1000).Draw(t, "utilization")) * (1.0 / 1000),
+		Bar:         inner.Standing(rapid.Uint16().Draw(t, "bar")), Epoch: rapid.Byte().Draw(t, "epoch"),
+		Times: [2]inner.ServiceTime{drawServiceTime(t), drawServiceTime(t)},
+	}
+}
+
 func TestParsedDatagramsEqualWhatWasAppended(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
@@ -40,6 +60,9 @@
 		flags := inner.Flags(rapid.Byte().Draw(t, "flags"))
 
 		open := inner.Open{Flags: flags, Hops: rapid.Byte().Draw(t, "hops"), Service: rapid.Uint64().Draw(t, "service"), Slots: rapid.Uint16().Draw(t, "open slots"), Versions: drawVersions(t), Evacuation: drawEvacuation(t), Cold: drawCold(t)}
+		if flags&inner.FlagTerms != 0 {
+			open.Terms, open.Epoch = drawTerms(t), rapid.Byte().Draw(t, "epoch")
+		}
 		b := inner.AppendOpen(nil, open, packet)
 		g.Expect(len(b)).To(BeNumerically("<=", inner.MaxSize))
 		gotOpen, gotPacket, err := inner.ParseOpen(b)
@@ -47,10 +70,7 @@
 		g.Expect(gotOpen).To(Equal(open))
 		g.Expect(string(gotPacket)).To(Equal(string(packet)))
 
-		forward := inner.Forward{Flags: flags, Terms: inner.Terms{
-			Priority: rapid.Byte().Draw(t, "rank"), TargetLatency: 8 * time.Millisecond * time.Duration(rapid.Byte().Draw(t, "aim")),
-			Timeout: 64 * time.Millisecond * time.Duration(rapid.Byte().Draw(t, "timeout")),
-		}}
+		forward := inner.Forward{Flags: flags, Terms: drawTerms(t)}
 		gotForward, gotPacket, err := inner.ParseForward(inner.AppendForward(nil, forward, packet))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(gotForward).To(Equal(forward))
@@ -70,6 +90,10 @@
 			Source:     [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "source")),
 			Evacuation: drawEvacuation(t), ResponseTime: time.Duration(rapid.Uint16().Draw(t, "answer")) * time.Millisecond,
 		}
+		status.AcceptsTerms, status.HasLoad = rapid.Bool().Draw(t, "accepts terms"), rapid.Bool().Draw(t, "has load")
+		if status.HasLoad {
+			status.Load = drawLoad(t)
+		}
 		gotStatus, err := inner.ParseStatus(inner.AppendStatus(nil, status))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(gotStatus).To(Equal(status))
@@ -110,6 +134,14 @@
 	}
 }
 
+// The more urgent route has the higher standing whatever the ranks of the callers.
+func TestStandingOrdersByPriorityAndThenByRank(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(inner.StandingOf(1, 0)).To(BeNumerically(">", inner.StandingOf(2, 255)))
+	g.Expect(inner.StandingOf(2, 8)).To(BeNumerically(">", inner.StandingOf(2, 7)))
+	g.Expect(inner.StandingOf(255, 0)).To(BeNumerically(">", 0))
+}
+
 func TestLargestAskIsNoLongerThanMaxSize(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(len(inner.AppendAsk(nil, inner.AskHead{}, make([]inner.Question, inner.MaxQuestions)))).To(BeNumerically("<=", inner.MaxSize))
@@ -118,6 +150,8 @@
 // FuzzParse passes arbitrary bytes to every parser; none may panic.
 func FuzzParse(f *testing.F) {
 	f.Add(inner.AppendOpen(nil, inner.Open{}, []byte{1}))
+	f.Add(inner.AppendOpen(nil, inner.Open{Flags: inner.FlagTerms}, []byte{1}))
+	f.Add(inner.AppendStatus(nil, inner.Status{HasLoad: true}))
 	f.Add(inner.AppendAsk(nil, inner.AskHead{}, make([]inner.Question, 2)))
 	f.Add(inner.AppendStatus(nil, inner.Status{State: inner.StateReady}))
 	f.Add(inner.AppendAnswer(inner.AppendAnswerHead(nil, 1), inner.Answer{}))
--- a/internal/packetface/inner/state.go
+++ b/internal/packetface/inner/state.go
@@ -6,19 +6,20 @@
 
 // Reasons for returning a packet.
 const (
-	ReasonService   Reason = iota + 1 // the agent's upstream provides another service
-	ReasonDraining                    // the upstream or the agent is shutting down
-	ReasonDown                        // the agent has no running upstream
-	ReasonBusy                        // all slots are in use
-	ReasonBounced                     // the upstream returned the packet
-	ReasonUnknown                     // the upstream does not hold the flow
-	ReasonUnsure                      // like ReasonUnknown, but inconclusive for the reason given at VerdictUnsure
-	ReasonFailing                     // the upstream fails its requests
-	ReasonEvacuated                   // the data centre is being evacuated
-	ReasonCold                        // the upstream is cold and at its rate limit
+	ReasonService    Reason = iota + 1 // the agent's upstream provides another service
+	ReasonDraining                     // the upstream or the agent is shutting down
+	ReasonDown                         // the agent has no running upstream
+	ReasonBusy                         // all slots are in use
+	ReasonBounced                      // the upstream returned the packet
+	ReasonUnknown                      // the upstream does not hold the flow
+	ReasonUnsure                       // like ReasonUnknown, but inconclusive for the reason given at VerdictUnsure
+	ReasonFailing                      // the upstream fails its requests
+	ReasonEvacuated                    // the data centre is being evacuated
+	ReasonCold                         // the upstream is cold and at its rate limit
+	ReasonOverloaded                   // more requests wait than can be answered in time
 )
 
-var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing", "evacuated", "cold"}
+var reasonNames = [...]string{"none", "other-service", "draining", "down", "busy", "bounced", "unknown-flow", "unknown-flow-unsure", "failing", "evacuated", "cold", "overloaded"}
 
 // String returns the reason's name in logs and metrics.
 func (r Reason) String() string {
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -21,6 +21,9 @@
 	// EarlyOpenings buffers opening packets until a balancer that has just started knows
 	// routes and agents (steer).
 	EarlyOpenings Name = "early-openings"
+	// HeldOpenings holds opening packets at the agent while the upstream has no room, and
+	// refuses those that cannot be answered in time (admission, gate).
+	HeldOpenings Name = "held-openings"
 	// InheritedEntries lets an agent continue with the entry that the previous agent
 	// process left in the store (registry).
 	InheritedEntries Name = "inherited-entries"
@@ -35,6 +38,11 @@
 	// Repetition assumes that flows opened right after a start retry earlier requests,
 	// which have less time left than they appear to have (admission).
 	Repetition Name = "repetition"
+	// RoomPlacement places new flows by the room that upstreams are known to have (steer).
+	RoomPlacement Name = "room-placement"
+	// ServiceLevel refuses opening packets at the balancer while all agents of a service
+	// refuse such packets (steer).
+	ServiceLevel Name = "service-level"
 	// SharedWatches lets balancers receive changes of the store through the watch of
 	// another balancer (watchshare).
 	SharedWatches Name = "shared-watches"
@@ -48,7 +56,7 @@
 
 // names are all decisions that can be switched off.
 var names = []Name{
-	BoundedSearches, EarlyOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, SharedWatches, ShortestQueue, SlowUpstreams,
+	BoundedSearches, EarlyOpenings, HeldOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, RoomPlacement, ServiceLevel, SharedWatches, ShortestQueue, SlowUpstreams,
 }
 
 // Set is a set of decisions that are switched off. The zero value has all decisions
