--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		return err
 	}
+	g.noteCapabilities(from, head.Flags)
 	g.updateVersions(from, head.Versions)
 	g.updateEvacuation(now, from, head.Evacuation)
 	g.updateCold(now, head.Service, head.Versions.Version, head.Cold)
@@ -26,7 +27,7 @@
 	id := p.FromCaller()
 	reason := g.refusal(now, id, head)
 	if reason == 0 {
-		g.admit(now, from, id, p.CopyAge(), retryOffset(head.Flags), packet)
+		g.handleOpening(now, from, id, p.CopyAge(), head, packet)
 	}
 	if head.Flags&inner.FlagStatus != 0 || reason == inner.ReasonEvacuated {
 		g.sendStatus(now, from) // sent before the returned packet, which the balancer places by this status
@@ -48,7 +49,7 @@
 		return inner.ReasonDown
 	case g.blockedByEvacuation(id):
 		return inner.ReasonEvacuated
-	case g.flows[id] != nil && !g.upstream.draining:
+	case (g.flows[id] != nil || g.held[id] != nil) && !g.upstream.draining:
 		return 0 // retransmission of an admitted opening packet
 	case g.upstream.draining && (!lastChoice || now-g.upstream.drainingSince > g.settings.DrainTimeout-drainMargin):
 		return inner.ReasonDraining
@@ -89,6 +90,7 @@
 		f = g.addFlow(id, now, flowOpening)
 		g.cold.window.Add(now, g.coldBounds(now))
 		f.openingAge, f.retryOffset = age, offset
+		g.expectRequest(now, f)
 		g.note(now, Note{Kind: KindOpened, Flow: id, Peer: from})
 	}
 	f.balancer, f.lastPacket = from, now
@@ -109,12 +111,22 @@
 		return err
 	}
 	g.forwardPacket(now, from, head, &p, packet)
+	g.noteCapabilities(from, head.Flags)
 	if head.Flags&inner.FlagStatus != 0 {
 		g.sendStatus(now, from)
 	}
 	return nil
 }
 
+// noteCapabilities records whether a balancer accepts the load at the end of a status.
+func (g *Gate) noteCapabilities(from netip.AddrPort, flags inner.Flags) {
+	if flags&inner.FlagLoad != 0 {
+		g.loadReceivers[from] = struct{}{}
+	} else {
+		delete(g.loadReceivers, from) // an earlier build now runs at the address
+	}
+}
+
 // forwardPacket forwards a packet of a flow to the upstream if the upstream may hold the
 // flow, and returns it to the balancer otherwise. A packet of a flow that the agent does
 // not know is forwarded as a probe: the upstream's reply shows whether it holds the flow.
--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/outcome"
+	"github.com/saltbend/saltbend/internal/packetface/policy"
 	"github.com/saltbend/saltbend/internal/store"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -16,6 +17,7 @@
 	if err != nil {
 		return err
 	}
+	g.noteCapabilities(from, poll.Flags)
 	g.updateVersions(from, poll.Versions)
 	g.updateEvacuation(now, from, poll.Evacuation)
 	g.updateCold(now, poll.Service, poll.Versions.Version, poll.Cold)
@@ -137,6 +139,7 @@
 		Running: g.load(), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd, Evacuation: g.evacuation,
 		ResponseTime: g.responseTime(now), Warmup: max(g.cold.reported, g.cold.estimate), KnowsAllFlows: u.fullyObserved,
+		AcceptsTerms: g.settings.Policies.On(policy.HeldOpenings),
 	}
 }
 
@@ -146,10 +149,10 @@
 	return inner.Versions{Version: g.versions.Version, Listing: g.listing()}
 }
 
-// load returns the number of requests that the upstream is processing or that wait for a
-// slot.
+// load returns the number of requests that the upstream is processing, that wait for a slot,
+// or whose opening packets are held.
 func (g *Gate) load() uint16 {
-	return uint16(min(g.running+g.queue.Len(), math.MaxUint16))
+	return uint16(min(g.running+g.queue.Len()+len(g.held), math.MaxUint16))
 }
 
 // state returns the state of the upstream that is reported to balancers.
@@ -177,7 +180,11 @@
 }
 
 func (g *Gate) sendStatus(now time.Duration, to netip.AddrPort) {
+	status := g.Status(now)
+	if _, ok := g.loadReceivers[to]; ok {
+		status.Load, status.HasLoad = g.loadReport(now), true
+	}
 	start := len(g.buffer)
-	g.buffer = inner.AppendStatus(g.buffer, g.Status(now))
+	g.buffer = inner.AppendStatus(g.buffer, status)
 	g.sendBuffer(ToBalancer, to, start)
 }
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -52,6 +52,9 @@
 	terms   inner.Terms
 	served  bool
 	waiting *waiting
+	// expected is true from the admission of the flow until its first request arrives, for
+	// requestTimeout at most.
+	expected bool
 	// callerDone is true once the caller has closed its direction of the flow, upstreamDone
 	// once the upstream has.
 	callerDone, upstreamDone bool
@@ -101,6 +104,7 @@
 		g.open++
 	}
 	if state == flowClosed {
+		g.requestArrived(f)
 		g.setRunning(f, false)
 		g.dequeue(f)
 	}
@@ -140,12 +144,22 @@
 	if f.state != flowOpen {
 		return
 	}
+	g.noteRequest(f)
 	if !f.running {
 		f.requestedAt = now
 	}
 	g.setRunning(f, true)
 }
 
+// noteRequest records the arrival of a request. The first one of a flow has been counted
+// with the flow's opening packet.
+func (g *Gate) noteRequest(f *flow) {
+	g.requestArrived(f)
+	if f.served && !f.running {
+		g.openings.Demand().Arrived(f.terms.Priority)
+	}
+}
+
 // isNew reports whether a packet carries data that has not been forwarded to the upstream.
 func (f *flow) isNew(p *platform.Packet) bool {
 	end := p.Sequence + uint32(p.Length)
@@ -167,6 +181,7 @@
 	for balancer, at := range g.balancers {
 		if now-at > balancerTTL {
 			delete(g.balancers, balancer)
+			delete(g.loadReceivers, balancer)
 		}
 	}
 	for id, f := range g.flows {
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -97,6 +97,8 @@
 	// KindAbandoned is recorded for a request whose caller gave up while it waited for a
 	// slot.
 	KindAbandoned Kind = "abandoned"
+	// KindRefused is recorded for an opening packet that was held and is returned.
+	KindRefused Kind = "refused"
 )
 
 // Note records one decision for logs and metrics: its kind, the inputs with their age, and
@@ -223,7 +225,16 @@
 	service  uint64
 	flows    map[platform.Flow]*flow
 	queue    admission.Queue[*waiting]
-	upstream upstream
+	// openings are the opening packets that wait for room; held are their packets. expected
+	// are the flows whose first request is expected, in the order of their admission, and
+	// expectedCount is their number.
+	openings      admission.Openings[platform.Flow]
+	held          map[platform.Flow]*heldOpening
+	expected      []expectedRequest
+	expectedCount int
+	shares        admission.Shares
+	epochs        admission.Epochs
+	upstream      upstream
 	// ended are instances that have ended; candidate is an instance that has reported but is
 	// not adopted yet.
 	ended     []platform.Instance
@@ -272,10 +283,12 @@
 	// them did.
 	balancers    map[netip.AddrPort]time.Duration
 	lastDatagram time.Duration
-	idle         idle
-	swept        time.Duration
-	out          Result
-	buffer       []byte
+	// loadReceivers are the balancers that accept the load at the end of a status.
+	loadReceivers map[netip.AddrPort]struct{}
+	idle          idle
+	swept         time.Duration
+	out           Result
+	buffer        []byte
 	// questions is a buffer that is reused across calls.
 	questions []inner.Question
 }
@@ -285,6 +298,7 @@
 	return &Gate{
 		settings: s, service: inner.ServiceID(s.Service),
 		flows: make(map[platform.Flow]*flow), balancers: make(map[netip.AddrPort]time.Duration),
+		held: make(map[platform.Flow]*heldOpening), loadReceivers: make(map[netip.AddrPort]struct{}),
 		queue: admission.Queue[*waiting]{LateLast: !s.Policies.On(policy.LeastSlack)},
 	}
 }
@@ -360,11 +374,13 @@
 	// HeartbeatAge is the time since the upstream's last heartbeat, 0 if there was none.
 	HeartbeatAge                  time.Duration
 	Flows, Open, Running, Waiting int
+	// Held is the number of opening packets that wait for room.
+	Held int
 }
 
 // Counts returns the current sizes of the state.
 func (g *Gate) Counts(now time.Duration) Counts {
-	c := Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: g.queue.Len()}
+	c := Counts{Flows: len(g.flows), Open: g.open, Running: g.running, Waiting: g.queue.Len(), Held: len(g.held)}
 	if g.upstream.lastHeartbeat > 0 {
 		c.HeartbeatAge = now - g.upstream.lastHeartbeat
 	}
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -84,6 +84,7 @@
 		if !begins || !g.full() || g.queue.Len() >= maxHeldFlows {
 			return false
 		}
+		g.noteRequest(f)
 		f.waiting = &waiting{id: id, flow: f, since: now}
 		g.queue.Add(f.waiting.request(), f.waiting)
 	}
@@ -108,9 +109,15 @@
 	}
 }
 
-// release forwards waiting requests to the upstream while it has free slots. Requests whose
-// maximum wait is over are forwarded without a free slot, too.
+// release forwards waiting requests and held openings to the upstream while it has room.
 func (g *Gate) release(now time.Duration) {
+	g.releaseRequests(now)
+	g.releaseOpenings(now)
+}
+
+// releaseRequests forwards waiting requests to the upstream while it has free slots.
+// Requests whose maximum wait is over are forwarded without a free slot, too.
+func (g *Gate) releaseRequests(now time.Duration) {
 	for g.queue.Len() > 0 {
 		w, why := g.next(now)
 		if why == admission.None {
--- a/internal/packetface/inner/load.go
+++ b/internal/packetface/inner/load.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"math"
 	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 )
 
 // Load reports how much room the upstream of an agent has for new flows.
@@ -16,7 +18,7 @@
 	Utilization float64
 	// Bar is the bar below which the agent refuses opening packets, 0 while it refuses
 	// none.
-	Bar Standing
+	Bar admission.Standing
 	// Epoch is the agent's epoch of ranks.
 	Epoch uint8
 	// Times are the learned service times of the most frequent priorities.
@@ -30,16 +32,6 @@
 	Mean     time.Duration
 }
 
-// Standing orders opening packets under overload; the higher goes first. It is composed of
-// the urgency of the route in the upper byte (255 less the priority, at least 1) and of the
-// rank of the caller in the lower byte.
-type Standing uint16
-
-// StandingOf returns the Standing of an opening packet.
-func StandingOf(priority, rank uint8) Standing {
-	return Standing(math.MaxUint8-min(priority, math.MaxUint8-1))<<8 | Standing(rank)
-}
-
 const (
 	loadSize        = 2 + 2 + 2 + 1 + 2*3
 	utilizationStep = 1.0 / 1000
@@ -60,7 +52,7 @@
 func parseLoad(b []byte) (l Load) {
 	l.Wait = parseMillis(b)
 	l.Utilization = float64(binary.BigEndian.Uint16(b[2:])) * utilizationStep
-	l.Bar = Standing(binary.BigEndian.Uint16(b[4:]))
+	l.Bar = admission.Standing(binary.BigEndian.Uint16(b[4:]))
 	l.Epoch = b[6]
 	for i := range l.Times {
 		at := b[7+3*i:]
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -309,7 +309,7 @@
 }
 
 func (c *Core) poll(now time.Duration, a *agent) {
-	flags := inner.FlagStatus
+	flags := inner.FlagStatus | inner.FlagLoad
 	if a.unlistedSince != 0 || a.Damaged {
 		flags |= inner.FlagUnlisted
 	}
--- a/internal/packetface/steer/flows.go
+++ b/internal/packetface/steer/flows.go
@@ -23,6 +23,9 @@
 	// been tried and the best of them has been sent the packet again.
 	tried, busy []*agent
 	lastTry     bool
+	// refusals is the number of agents that have returned the opening packet as
+	// overloaded.
+	refusals int
 	// mayBeRetry is set if the caller may have sent the same request before, on another
 	// flow.
 	mayBeRetry bool
@@ -61,10 +64,10 @@
 // than the given age.
 func (c *Core) flagsFor(a *agent, now, age time.Duration) inner.Flags {
 	if !a.needsStatus(now, age) {
-		return 0
+		return inner.FlagLoad
 	}
 	a.noteRequest(now)
-	return inner.FlagStatus
+	return inner.FlagLoad | inner.FlagStatus
 }
 
 // reset sends a caller a reset of its flow. No request in the packet that caused the
--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -155,12 +155,15 @@
 	service, _ := route.Choose(id)
 	start := len(c.buffer)
 	flags |= c.flagsFor(a, now, maxStatusAgeOpen)
+	if a.status.AcceptsTerms {
+		flags |= inner.FlagTerms
+	}
 	if f.mayBeRetry {
 		flags |= inner.FlagMayBeRetry
 	}
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
 		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Slots: c.roster.slots(a), Versions: c.versions(),
-		Evacuation: a.evacuation, Cold: c.coldOf(service),
+		Evacuation: a.evacuation, Cold: c.coldOf(service), Terms: route.Terms, Epoch: c.epochs.At(now),
 	}, b)
 	c.send(a.Addr, start)
 }
@@ -186,10 +189,19 @@
 		c.reject(now, id, "all-returned-"+head.Reason.String(), packet)
 		return
 	}
-	if head.Reason == inner.ReasonBusy {
+	switch head.Reason {
+	case inner.ReasonBusy:
 		a.setRunning(now, head.Running)
 		f.busy = append(f.busy, a)
-	} else {
+	case inner.ReasonOverloaded:
+		a.setRunning(now, head.Running)
+		f.tried = append(f.tried, a)
+		f.refusals++
+		if f.refusals >= maxRefusals {
+			c.reject(now, id, "all-returned-"+head.Reason.String(), packet)
+			return
+		}
+	default:
 		f.tried = append(f.tried, a)
 	}
 	c.place(now, id, f, route, packet)
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -21,6 +21,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/policy"
@@ -113,6 +114,9 @@
 	// many agents do at once when hosts start whose upstreams are gone. 24 tries take
 	// some 70 ms, less than the time to the caller's next copy.
 	maxHops = 24
+	// maxRefusals is the number of agents that may return an opening packet as overloaded
+	// before it is refused.
+	maxRefusals = 3
 	// listSettleTime is how long the list of agents counts as incomplete after the first
 	// list arrived: agents whose entries expired may be about to be listed again.
 	listSettleTime = 250 * time.Millisecond
@@ -167,6 +171,7 @@
 	probeBudget, searchBudget, questionBudget int
 	// lastCall is when the Core was last called, 0 for not yet.
 	lastCall time.Duration
+	epochs   admission.Epochs
 	// newer is the newest version that an agent has reported; newerNotedAt is when the
 	// last note of something newer was added, 0 for never.
 	newer        newerVersion
@@ -352,6 +357,9 @@
 	}
 	couldTell, knewAll := a.status.State.Proven(), a.status.KnowsAllFlows
 	a.setStatus(s, now)
+	if s.HasLoad {
+		c.epochs.Observe(now, s.Load.Epoch)
+	}
 	c.roster.noteWarmup(a)
 	c.noteReported(now, a, s.Versions, s.Source)
 	c.applyReportedEvacuation(now, a, s)
