--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -45,7 +45,7 @@
 // until there is room.
 func (g *Gate) handleOpening(now time.Duration, from netip.AddrPort, id platform.Flow, age time.Duration, head inner.Open, packet []byte) {
 	if held := g.held[id]; held != nil {
-		held.balancer = from // the caller's retransmission of a packet that is held
+		held.balancer, held.packet = from, slices.Clone(packet) // a copy of the packet that is held
 		return
 	}
 	if g.flows[id] != nil || !g.mayHold(head) {
--- a/internal/packetface/steer/flows.go
+++ b/internal/packetface/steer/flows.go
@@ -23,6 +23,12 @@
 	// been tried and the best of them has been sent the packet again.
 	tried, busy []*agent
 	lastTry     bool
+	service     uint64
+	// sawFirst is set if this balancer received the first transmission of the opening packet
+	// and knows which agents have had it; copyAge is the age of the latest copy. toQueue is
+	// set if the flow is sent to an agent's queue because no agent has a free slot.
+	sawFirst, toQueue bool
+	copyAge           time.Duration
 	// refusals is the number of agents that have returned the opening packet as
 	// overloaded.
 	refusals int
--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -24,7 +24,9 @@
 	if f == nil {
 		f = c.addFlow(id, now)
 		f.mayBeRetry = c.mayBeRetry(now, b)
+		f.sawFirst = copyAge(b) == 0
 	}
+	f.copyAge = max(f.copyAge, copyAge(b))
 	f.seen, f.terms = now, route.Terms
 	if f.agent != nil && (f.open || !silentSincePlaced(f, now)) {
 		c.sendOpen(now, f, f.agent, route, id, b, 0)
@@ -32,10 +34,21 @@
 	}
 	if f.agent != nil {
 		f.tried = append(f.tried, f.agent)
+		f.sawFirst = false // the silent agent may have passed the first copy on
 	}
 	c.place(now, id, f, route, b)
 }
 
+// copyAge returns the time from the caller's first transmission of an opening packet to the
+// transmission of this copy.
+func copyAge(b []byte) time.Duration {
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		return 0
+	}
+	return p.CopyAge()
+}
+
 // hops returns how many agents have received the opening packet and not taken the flow.
 func (f *flow) hops() int { return len(f.tried) + len(f.busy) }
 
@@ -75,7 +88,12 @@
 		return
 	}
 	w := c.requirementsOf(route, service)
-	best := c.roster.choose(now, w, c.settings, c.excluded(f))
+	f.service = service
+	if f.hops() == 0 && c.refusedByLevel(now, id, route, w) {
+		c.refuse(now, id, f, "service-overloaded")
+		return
+	}
+	best := c.choose(now, f, route, w)
 	if best == nil || f.hops() >= maxHops {
 		c.placeLast(now, id, f, route, w, b)
 		return
@@ -94,6 +112,19 @@
 	c.sendOpen(now, f, best, route, id, b, flags)
 }
 
+// choose returns the agent to try next for a flow, nil if there is none. While the service is
+// short of room, a flow goes to a short queue at once.
+func (c *Core) choose(now time.Duration, f *flow, route *routing.Route, w requirements) *agent {
+	f.toQueue = false
+	if route.Terms.TargetLatency > 0 && c.settings.Policies.On(policy.ServiceLevel) && c.level(now, w).short() {
+		if best := c.roster.chooseShort(now, w, c.settings, f.tried); best != nil {
+			f.toQueue = true
+			return best
+		}
+	}
+	return c.roster.choose(now, w, c.settings, c.excluded(f))
+}
+
 // placeLast sends an opening packet that every agent has returned to the agent of last
 // resort, or rejects the flow if there is none.
 func (c *Core) placeLast(now time.Duration, id platform.Flow, f *flow, route *routing.Route, w requirements, b []byte) {
@@ -162,12 +193,22 @@
 		flags |= inner.FlagMayBeRetry
 	}
 	c.buffer = inner.AppendOpen(c.buffer, inner.Open{
-		Flags: flags, Hops: uint8(min(f.hops(), maxHops)), Service: service, Slots: c.roster.slots(a), Versions: c.versions(),
+		Flags: flags, Hops: f.reportedHops(), Service: service, Slots: c.roster.slots(a), Versions: c.versions(),
 		Evacuation: a.evacuation, Cold: c.coldOf(service), Terms: route.Terms, Epoch: c.epochs.At(now),
 	}, b)
 	c.send(a.Addr, start)
 }
 
+// reportedHops returns the number of hops that an agent is told. An agent does not return a
+// flow that is sent to its queue as busy.
+func (f *flow) reportedHops() uint8 {
+	hops := min(f.hops(), maxHops)
+	if f.toQueue {
+		hops = max(hops, inner.MaxBusyHops)
+	}
+	return uint8(hops)
+}
+
 // noRoute handles an opening packet for a face without a route: it resets the flow if the
 // configuration is known to be current, and drops the packet otherwise.
 func (c *Core) noRoute(id platform.Flow) {
@@ -185,6 +226,9 @@
 	if route == nil || f == nil || f.open || f.agent != a {
 		return // a later copy has been placed elsewhere, or the route is gone
 	}
+	if head.Reason == inner.ReasonOverloaded && f.copyAge > copyAge(packet) {
+		return // the agent has been sent a later copy, and decides on that one
+	}
 	if f.lastTry {
 		c.reject(now, id, "all-returned-"+head.Reason.String(), packet)
 		return
@@ -198,7 +242,7 @@
 		f.tried = append(f.tried, a)
 		f.refusals++
 		if f.refusals >= maxRefusals {
-			c.reject(now, id, "all-returned-"+head.Reason.String(), packet)
+			c.refuse(now, id, f, "all-returned-"+head.Reason.String())
 			return
 		}
 	default:
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -172,6 +172,8 @@
 	// lastCall is when the Core was last called, 0 for not yet.
 	lastCall time.Duration
 	epochs   admission.Epochs
+	// levels are the levels of services by their ids.
+	levels map[uint64]*serviceLevel
 	// newer is the newest version that an agent has reported; newerNotedAt is when the
 	// last note of something newer was added, 0 for never.
 	newer        newerVersion
@@ -199,6 +201,7 @@
 		flows:        make(map[platform.Flow]*flow),
 		searches:     make(map[platform.Flow]*ownerSearch),
 		dead:         make(map[platform.Flow]time.Duration),
+		levels:       make(map[uint64]*serviceLevel),
 		probeBudget:  probesPerTick,
 		searchBudget: searchesPerTick, questionBudget: questionsPerTick,
 	}
