--- a/internal/packetface/admission/admission.go
+++ b/internal/packetface/admission/admission.go
@@ -64,6 +64,9 @@
 	TargetLatency, Timeout time.Duration
 	// FirstTry is true if the request is certainly not a retry.
 	FirstTry bool
+	// Yields is true if the request runs after all others of its priority while overload
+	// lasts, because its caller has had more than its share.
+	Yields bool
 }
 
 // Pace describes how fast the upstream works.
--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -86,6 +86,7 @@
 	if o.candidates == nil {
 		o.candidates = make(map[T]Candidate)
 	}
+	r.Yields = c.Standing.rank() == heavyRank
 	o.queue.Add(r, item)
 	if floor := StandingOf(r.Priority, 0); o.least == 0 || floor < o.least {
 		o.least = floor
@@ -102,7 +103,7 @@
 // Next returns the opening to pass on when there is room and why it was chosen, or None if
 // none waits. The opening stays in the queue.
 func (o *Openings[T]) Next(now time.Duration, p Pace) (T, Choice) {
-	o.queue.LateLast = o.demand.Lasting()
+	o.queue.LateLast, o.queue.HeavyLast = o.demand.Lasting(), o.demand.Lasting()
 	return o.queue.Next(now, p)
 }
 
--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -13,7 +13,9 @@
 	// LateLast disables the handling of deadlines: requests past their target latency run
 	// last.
 	LateLast bool
-	waiting  []waiting[T]
+	// HeavyLast lets requests with Yields run after all others of their priority.
+	HeavyLast bool
+	waiting   []waiting[T]
 	// late and priorities are buffers that are reused across calls.
 	late       []lateRequest
 	priorities []uint8
@@ -163,12 +165,16 @@
 }
 
 // before reports whether a runs before b if no request is pressing. The criteria, in this
-// order: the more urgent route; requests that can meet their target latency; requests that
-// can be answered before their deadline; first tries; the earlier arrival.
+// order: the more urgent route; with HeavyLast, requests that do not yield; requests that can
+// meet their target latency; requests that can be answered before their deadline; first
+// tries; the earlier arrival.
 func (q *Queue[T]) before(now time.Duration, p Pace, a, b *Request) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if q.HeavyLast && a.Yields != b.Yields {
+		return b.Yields
+	}
 	if late := a.late(now, p); late != b.late(now, p) {
 		return !late
 	}
--- a/internal/packetface/admission/rank.go
+++ b/internal/packetface/admission/rank.go
@@ -34,9 +34,13 @@
 	return e.current
 }
 
-// Observe adopts an epoch that another process reports if it is newer.
+// Observe adopts an epoch that another process reports if it is newer. Of two that are
+// equally far apart in both directions the higher one is adopted, so that processes agree.
 func (e *Epochs) Observe(now time.Duration, reported uint8) {
-	if int8(reported-e.At(now)) > 0 {
+	current := e.At(now)
+	ahead := reported - current
+	opposite := ahead == 1<<7 && reported > current
+	if int8(ahead) > 0 || opposite {
 		e.current, e.began = reported, now
 	}
 }
@@ -54,6 +58,12 @@
 // Priority returns the priority of the route.
 func (s Standing) Priority() uint8 { return math.MaxUint8 - uint8(s>>8) }
 
+// rank returns the rank of the caller.
+func (s Standing) rank() uint8 { return uint8(s) }
+
+// heavyRank is the rank of callers that have had more than their share.
+const heavyRank = 0
+
 // Rank returns a caller's rank in an epoch; callers of lower ranks are refused first.
 func Rank(caller [4]byte, epoch uint8) uint8 {
 	return uint8(xxhash.Sum64([]byte{caller[0], caller[1], caller[2], caller[3], epoch}) >> 56)
@@ -65,18 +75,20 @@
 	shareBuckets = 256
 	// shareHalfLife is the time after which a request counts half.
 	shareHalfLife = time.Second
-	// heavyFactor is the multiple of the mean share from which on a caller is heavy:
-	// callers whose requests come at random rarely exceed it.
+	// heavyFactor is the multiple of the other callers' mean share from which on a caller is
+	// heavy: callers whose requests come at random rarely exceed it.
 	heavyFactor = 4
 	// heavyMinimum is the number of recent requests below which no caller is heavy.
 	heavyMinimum = 3
+	// leastShare is the count below which a bucket does not count among the others: its
+	// callers want nothing at present.
+	leastShare = 0.5
 )
 
 // Shares records how many requests of each caller an agent has admitted recently, in
 // bounded memory. The zero value is ready to use.
 type Shares struct {
 	buckets [shareBuckets]share
-	total   share
 }
 
 // share is a count that halves every shareHalfLife.
@@ -103,12 +115,31 @@
 // Add records a request that is admitted.
 func (s *Shares) Add(now time.Duration, caller [4]byte, epoch uint8) {
 	s.buckets[bucketOf(caller, epoch)].add(now)
-	s.total.add(now)
 }
 
 // Heavy reports whether a caller has recently had far more requests admitted than the mean
-// of the buckets.
+// of the other callers.
 func (s *Shares) Heavy(now time.Duration, caller [4]byte, epoch uint8) bool {
-	own := s.buckets[bucketOf(caller, epoch)].value(now)
-	return own >= heavyMinimum && own > heavyFactor*s.total.value(now)/shareBuckets
+	at := bucketOf(caller, epoch)
+	own := s.buckets[at].value(now)
+	if own < heavyMinimum {
+		return false
+	}
+	mean := s.meanOfOthers(now, at)
+	return mean > 0 && own > heavyFactor*mean
+}
+
+// meanOfOthers returns the mean count of the buckets in use other than the given one, 0 if
+// there is none.
+func (s *Shares) meanOfOthers(now time.Duration, own uint8) float32 {
+	var sum, used float32
+	for i := range s.buckets {
+		count := s.buckets[i].value(now)
+		if uint8(i) == own || count < leastShare {
+			continue
+		}
+		sum += count
+		used++
+	}
+	return sum / max(used, 1)
 }
