Refuse openings by the expected wait, and by how long an overload has lasted

Change: the refused share follows the expected wait of an opening that arrives, from none to all, without a state of its own. The allowed wait falls from half of the callers' timeout to what the target latency allows, over two timeouts. What is refused is refused on arrival.

--- /dev/null
+++ b/internal/packetface/admission/pressure.go
@@ -0,0 +1,73 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// pressure measures for one priority how long its openings have had to wait for a large
+// part of their target latency, and derives the wait from which on openings are refused.
+//
+// A burst, as after a common power loss, is best served to the last request: late is better
+// than never. Serving all of an overload that lasts makes every request late and loses as
+// many in the end. So the longer an overload lasts, the shorter the wait that is allowed:
+// from half of the time after which callers give up down to what lets requests be answered
+// within their target latency.
+type pressure struct {
+	at, age time.Duration
+}
+
+const (
+	// burstTime is the duration of waiting up to which nothing is refused for lack of room:
+	// the callers of hosts that were unavailable all return within some 600 ms, the time
+	// between two of their retransmissions.
+	burstTime = 750 * time.Millisecond
+	// patience is the duration of an overload, in timeouts of its callers, over which the
+	// allowed wait falls to the one that the target latency allows.
+	patience = 2.0
+	// recovery is how much faster an overload is forgotten than it was recognised.
+	recovery = 2
+	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
+	burstShare = 0.5
+	// targetSpare is the time reserved before a target latency, in mean answer times: one
+	// for the answer itself and one for its variation.
+	targetSpare = 2
+	// lowWait and highWait are the waits between which the refused share of the openings
+	// rises from none to all, relative to the allowed wait. At one and a half times the
+	// room a third has to be refused, with a wait that is still below the allowed one.
+	lowWait, highWait = 0.6, 1.6
+)
+
+// observe records whether openings wait at the given time.
+func (s *pressure) observe(now time.Duration, waits bool, r Request) {
+	passed := now - s.at
+	s.at = now
+	if !waits {
+		s.age = max(0, s.age-recovery*passed)
+		return
+	}
+	s.age = min(s.age+passed, burstTime+s.decline(r))
+}
+
+// decline returns the time over which the allowed wait falls.
+func (s *pressure) decline(r Request) time.Duration {
+	return time.Duration(patience * float64(r.Timeout))
+}
+
+// refusedShare returns the share of a route's openings to refuse when they are expected to
+// wait for the given time.
+func (s *pressure) refusedShare(wait time.Duration, r Request, p Pace) float64 {
+	if s.age < burstTime || r.Timeout == 0 || r.TargetLatency == 0 {
+		return 0
+	}
+	left := 1 - float64(s.age-burstTime)/float64(s.decline(r))
+	allowed := max(float64(inTimeWait(r, p)), burstShare*left*float64(r.Timeout))
+	share := (float64(wait)/allowed - lowWait) / (highWait - lowWait)
+	return math.Min(math.Max(share, 0), 1)
+}
+
+// inTimeWait returns the longest wait after which a request is usually answered within its
+// target latency.
+func inTimeWait(r Request, p Pace) time.Duration {
+	return max(r.TargetLatency-targetSpare*p.Answer-transitTime, p.Answer)
+}
--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -50,6 +50,16 @@
 	return true
 }
 
+// find returns the properties of a waiting request.
+func (q *Queue[T]) find(item T) (r Request, ok bool) {
+	for i := range q.waiting {
+		if q.waiting[i].item == item {
+			return q.waiting[i].Request, true
+		}
+	}
+	return Request{}, false
+}
+
 // Overdue returns a request that must be forwarded although no slot is free, or None if
 // there is no such request. The request stays in the queue.
 func (q *Queue[T]) Overdue(now time.Duration) (item T, why Choice) {
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -144,7 +144,7 @@
 	if f.state != flowOpen {
 		return
 	}
-	g.noteRequest(f)
+	g.noteRequest(now, f)
 	if !f.running {
 		f.requestedAt = now
 	}
@@ -153,10 +153,10 @@
 
 // noteRequest records the arrival of a request. The first one of a flow has been counted
 // with the flow's opening packet.
-func (g *Gate) noteRequest(f *flow) {
+func (g *Gate) noteRequest(now time.Duration, f *flow) {
 	g.requestArrived(f)
 	if f.served && !f.running {
-		g.openings.Demand().Arrived(f.terms.Priority)
+		g.openings.Arrived(now, f.terms.Priority)
 	}
 }
 
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -53,22 +53,31 @@
 		return
 	}
 	g.epochs.Observe(now, head.Epoch)
-	g.openings.Demand().Arrived(head.Terms.Priority)
+	g.openings.Arrived(now, head.Terms.Priority)
 	if g.openings.Len() == 0 && g.hasRoom(now) {
 		g.shares.Add(now, id.Caller, g.epochs.At(now))
 		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
 		return
 	}
-	if len(g.held) >= maxHeldOpenings {
-		g.returnPacket(now, from, id, inner.ReasonOverloaded, packet)
-		return
-	}
 	held := &heldOpening{
 		balancer: from, since: now, age: age, offset: retryOffset(head.Flags),
 		lastChoice: head.Flags&inner.FlagLastChoice != 0, packet: slices.Clone(packet),
 	}
+	request := held.request(now, head.Terms)
+	if why := g.judgeOpening(now, id, request); why != admission.NotRefused {
+		g.refuse(now, from, id, inner.ReasonOverloaded, string(why), 0, packet)
+		return
+	}
 	g.held[id] = held
-	g.openings.Add(held.request(now, head.Terms), g.standing(now, id, held, head.Terms), id)
+	g.openings.Add(request, now-age+attemptTimeout, id)
+}
+
+// judgeOpening reports whether an opening is refused instead of held.
+func (g *Gate) judgeOpening(now time.Duration, id platform.Flow, r admission.Request) admission.Refusal {
+	if len(g.held) >= maxHeldOpenings {
+		return admission.Overloaded
+	}
+	return g.openings.Judge(now, r, g.standing(now, id, r.Priority), g.pace(), g.ahead(now))
 }
 
 // mayHold reports whether an opening packet may wait: the balancer has to send the terms of
@@ -86,15 +95,15 @@
 	}
 }
 
-// standing returns what decides whether an opening is refused. A caller that has had far
-// more requests admitted than others goes first.
-func (g *Gate) standing(now time.Duration, id platform.Flow, h *heldOpening, terms inner.Terms) admission.Candidate {
+// standing returns the standing of an opening. A caller that has had far more requests
+// admitted than others is refused first.
+func (g *Gate) standing(now time.Duration, id platform.Flow, priority uint8) admission.Standing {
 	epoch := g.epochs.At(now)
 	rank := admission.Rank(id.Caller, epoch)
 	if g.shares.Heavy(now, id.Caller, epoch) {
 		rank = 0
 	}
-	return admission.Candidate{Standing: admission.StandingOf(terms.Priority, rank), AttemptEnds: now - h.age + attemptTimeout}
+	return admission.StandingOf(priority, rank)
 }
 
 // hasRoom reports whether another flow may be opened: as many flows as the upstream has
@@ -155,11 +164,11 @@
 	}) {
 	}
 	for {
-		id, why := g.openings.Refuse(now, g.pace(), g.ahead(now))
-		if why == admission.NotRefused {
+		id, found := g.openings.Hopeless(now, g.pace())
+		if !found {
 			return
 		}
-		g.refuseHeld(now, id, inner.ReasonOverloaded, string(why))
+		g.refuseHeld(now, id, inner.ReasonOverloaded, string(admission.Hopeless))
 	}
 }
 
@@ -204,8 +213,13 @@
 func (g *Gate) refuseHeld(now time.Duration, id platform.Flow, reason inner.Reason, detail string) {
 	h := g.held[id]
 	g.forget(id)
-	g.note(now, Note{Kind: KindRefused, Flow: id, Peer: h.balancer, Reason: detail, Took: now - h.since})
-	g.returnPacket(now, h.balancer, id, reason, h.packet)
+	g.refuse(now, h.balancer, id, reason, detail, now-h.since, h.packet)
+}
+
+// refuse returns an opening that was held for the given time.
+func (g *Gate) refuse(now time.Duration, balancer netip.AddrPort, id platform.Flow, reason inner.Reason, detail string, held time.Duration, packet []byte) {
+	g.note(now, Note{Kind: KindRefused, Flow: id, Peer: balancer, Reason: detail, Took: held})
+	g.returnPacket(now, balancer, id, reason, packet)
 }
 
 // returnHeld returns all held openings, as the upstream gets no new flows.
@@ -222,5 +236,6 @@
 
 // loadReport returns the room that the upstream has, as reported to balancers.
 func (g *Gate) loadReport(now time.Duration) inner.Load {
-	return inner.Load{Wait: g.openings.Wait(g.pace(), g.ahead(now)), Bar: g.openings.Bar(), Epoch: g.epochs.At(now)}
+	ahead := g.ahead(now)
+	return inner.Load{Wait: g.openings.LongestWait(g.pace(), ahead), Bar: g.openings.Bar(g.pace(), ahead), Epoch: g.epochs.At(now)}
 }
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -84,7 +84,7 @@
 		if !begins || !g.full() || g.queue.Len() >= maxHeldFlows {
 			return false
 		}
-		g.noteRequest(f)
+		g.noteRequest(now, f)
 		f.waiting = &waiting{id: id, flow: f, since: now}
 		g.queue.Add(f.waiting.request(), f.waiting)
 	}
