--- a/internal/packetface/admission/admission.go
+++ b/internal/packetface/admission/admission.go
@@ -11,7 +11,10 @@
 // then runs before all others.
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// MaxHold is the time after which a waiting request is forwarded in any case if its
@@ -64,6 +67,8 @@
 	TargetLatency, Timeout time.Duration
 	// FirstTry is true if the request is certainly not a retry.
 	FirstTry bool
+	// attemptEnds is when the caller abandons the attempt if it is not accepted.
+	attemptEnds time.Duration
 }
 
 // Pace describes how fast the upstream works.
@@ -99,6 +104,14 @@
 	return r.Asked + r.Timeout
 }
 
+// lastDeadline returns when the caller gives up if this is its first attempt.
+func (r *Request) lastDeadline() time.Duration {
+	if r.Timeout == 0 {
+		return math.MaxInt64
+	}
+	return r.Asked + r.Timeout
+}
+
 // missesTimeout reports whether the caller will give up before the answer arrives, if the
 // request is forwarded now and the upstream takes its mean response time.
 func (r *Request) missesTimeout(now time.Duration, p Pace) bool {
--- a/internal/packetface/admission/demand.go
+++ b/internal/packetface/admission/demand.go
@@ -20,6 +20,8 @@
 	trackedPriorities = 4
 	// maxUrgentShare bounds UrgentShare, so that expected waits stay finite.
 	maxUrgentShare = 0.9
+	// leastRate is the rate, in requests a second, below which a priority counts as unused.
+	leastRate = 0.1
 )
 
 // trackedPriority returns the index of a priority among the tracked ones.
@@ -54,3 +56,15 @@
 	}
 	return min(rate*p.Answer.Seconds()/float64(p.Slots), maxUrgentShare)
 }
+
+// leastUrgent returns the least urgent tracked priority with recent requests, 0 if there are
+// none: requests of that priority do not wait for those of the same priority that arrive
+// later.
+func (d *Demand) leastUrgent() uint8 {
+	for i := trackedPriorities - 1; i > 0; i-- {
+		if d.rates[i] >= leastRate || d.arrivals[i] > 0 {
+			return uint8(i)
+		}
+	}
+	return 0
+}
--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -10,8 +10,10 @@
 // run. The zero value is empty. Openings is not safe for concurrent use.
 type Openings[T comparable] struct {
 	queue  Queue[T]
-	ends   map[T]time.Duration
 	demand Demand
+	// nextEnd and nextDeadline are times before which no waiting opening's attempt ends and
+	// no caller gives up.
+	nextEnd, nextDeadline time.Duration
 	// waiting counts the openings by priority; routes are the terms of the latest opening
 	// of each priority.
 	waiting   [trackedPriorities]int
@@ -52,11 +54,13 @@
 // Add appends an opening whose caller abandons the attempt at the given time if it is not
 // accepted.
 func (o *Openings[T]) Add(r Request, attemptEnds time.Duration, item T) {
-	if o.ends == nil {
-		o.ends = make(map[T]time.Duration)
+	if o.Len() == 0 {
+		o.nextEnd, o.nextDeadline = math.MaxInt64, math.MaxInt64
 	}
+	r.attemptEnds = attemptEnds
+	o.nextEnd = min(o.nextEnd, attemptEnds)
+	o.nextDeadline = min(o.nextDeadline, r.lastDeadline())
 	o.queue.Add(r, item)
-	o.ends[item] = attemptEnds
 	o.waiting[trackedPriority(r.Priority)]++
 }
 
@@ -67,7 +71,6 @@
 		return false
 	}
 	o.waiting[trackedPriority(r.Priority)]--
-	delete(o.ends, item)
 	return o.queue.Remove(item)
 }
 
@@ -75,26 +78,41 @@
 // none waits. The opening stays in the queue.
 func (o *Openings[T]) Next(now time.Duration, p Pace) (T, Choice) { return o.queue.Next(now, p) }
 
-// AttemptEnding returns an opening whose caller is about to abandon its attempt, or None if
-// there is none: it has to be passed on without room.
+// AttemptEnding returns the opening whose caller abandons its attempt first, if that is about
+// to happen, or None if there is none: it has to be passed on without room.
 func (o *Openings[T]) AttemptEnding(now time.Duration) (item T, why Choice) {
-	for item, ends := range o.ends {
-		if now >= ends-attemptMargin {
-			return item, Overdue
-		}
+	item, found := o.earliest(now+attemptMargin, &o.nextEnd, func(r *Request) time.Duration { return r.attemptEnds })
+	if !found {
+		return item, None
 	}
-	return item, None
+	return item, Overdue
+}
+
+// Abandoned returns an opening whose caller has abandoned its attempt.
+func (o *Openings[T]) Abandoned(now time.Duration) (item T, found bool) {
+	return o.earliest(now, &o.nextEnd, func(r *Request) time.Duration { return r.attemptEnds })
 }
 
 // Hopeless returns an opening whose caller gives up before the answer can arrive, even if it
 // is passed on now.
 func (o *Openings[T]) Hopeless(now time.Duration, p Pace) (item T, found bool) {
+	return o.earliest(now+p.Answer+transitTime, &o.nextDeadline, (*Request).lastDeadline)
+}
+
+// earliest returns the opening with the earliest time if that is before the limit. least is
+// a time before which there is none; it is updated.
+func (o *Openings[T]) earliest(limit time.Duration, least *time.Duration, timeOf func(*Request) time.Duration) (item T, found bool) {
+	if o.Len() == 0 || limit < *least {
+		return item, false
+	}
+	*least = math.MaxInt64
 	for i := range o.queue.waiting {
-		if w := &o.queue.waiting[i]; w.missesTimeout(now, p) {
-			return w.item, true
+		w := &o.queue.waiting[i]
+		if at := timeOf(&w.Request); at < *least {
+			item, *least = w.item, at
 		}
 	}
-	return item, false
+	return item, *least <= limit
 }
 
 // Judge reports whether an opening that arrives now is refused. ahead is the number of
@@ -103,14 +121,21 @@
 	o.routes[trackedPriority(r.Priority)] = r
 	wait := o.Wait(r.Priority, p, ahead)
 	switch {
-	case standing < o.Bar(p, ahead):
+	case standing < o.Bar(p, ahead) || o.yields(standing):
 		return Overloaded
-	case r.missesTimeout(now+time.Duration(optimism*float64(wait)), p):
+	case r.lastDeadline() < now+time.Duration(optimism*float64(wait))+p.Answer+transitTime:
 		return Hopeless
 	}
 	return NotRefused
 }
 
+// yields reports whether an opening is refused because its caller has had more than its
+// share while the others of its priority have not enough. Were it refused only below the bar, the
+// room that others need would go to that caller whenever the bar is low.
+func (o *Openings[T]) yields(s Standing) bool {
+	return s.rank() == heavyRank && o.pressures[trackedPriority(s.Priority())].lasting()
+}
+
 // Wait returns how long an opening of the given priority that arrives now is expected to
 // wait until the upstream begins on its request. Requests of more urgent routes that arrive
 // meanwhile run before it.
@@ -128,7 +153,7 @@
 
 // LongestWait returns the expected wait of the least urgent openings.
 func (o *Openings[T]) LongestWait(p Pace, ahead int) time.Duration {
-	return o.Wait(trackedPriorities, p, ahead)
+	return o.Wait(o.demand.leastUrgent(), p, ahead)
 }
 
 // Observe records how long openings wait. It has to be called with every event.
@@ -157,7 +182,7 @@
 // Lasting reports whether openings have had to wait for longer than in a burst.
 func (o *Openings[T]) Lasting() bool {
 	for i := range o.pressures {
-		if o.pressures[i].age >= burstTime {
+		if o.pressures[i].lasting() {
 			return true
 		}
 	}
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -49,6 +49,9 @@
 	s.age = min(s.age+passed, burstTime+s.decline(r))
 }
 
+// lasting reports whether openings have waited for longer than in a burst.
+func (s *pressure) lasting() bool { return s.age >= burstTime }
+
 // decline returns the time over which the allowed wait falls.
 func (s *pressure) decline(r Request) time.Duration {
 	return time.Duration(patience * float64(r.Timeout))
@@ -57,7 +60,7 @@
 // refusedShare returns the share of a route's openings to refuse when they are expected to
 // wait for the given time.
 func (s *pressure) refusedShare(wait time.Duration, r Request, p Pace) float64 {
-	if s.age < burstTime || r.Timeout == 0 || r.TargetLatency == 0 {
+	if !s.lasting() || r.Timeout == 0 || r.TargetLatency == 0 {
 		return 0
 	}
 	left := 1 - float64(s.age-burstTime)/float64(s.decline(r))
--- a/internal/packetface/admission/rank.go
+++ b/internal/packetface/admission/rank.go
@@ -58,6 +58,12 @@
 // Priority returns the priority of the route.
 func (s Standing) Priority() uint8 { return math.MaxUint8 - uint8(s>>8) }
 
+// rank returns the rank of the caller.
+func (s Standing) rank() uint8 { return uint8(s) }
+
+// heavyRank is the rank of callers that have had more than their share.
+const heavyRank = 0
+
 // Rank returns a caller's rank in an epoch; callers of lower ranks are refused first.
 func Rank(caller [4]byte, epoch uint8) uint8 {
 	return uint8(xxhash.Sum64([]byte{caller[0], caller[1], caller[2], caller[3], epoch}) >> 56)
