Expect requests by the learned delay, and smooth the level of a service

Change: the wait for a request follows the mean delay of requests; balancers average the bars of a service's agents over 250 ms.

--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -126,9 +126,13 @@
 	return time.Duration(float64(behind) * each * float64(time.Second))
 }
 
-// LongestWait returns the expected wait of the least urgent openings.
+// LongestWait returns the expected wait of an opening of the least urgent route.
 func (o *Openings[T]) LongestWait(p Pace, ahead int) time.Duration {
-	return o.Wait(trackedPriorities, p, ahead)
+	var least uint8
+	for i := range o.routes {
+		least = max(least, o.routes[i].Priority)
+	}
+	return o.Wait(least, p, ahead)
 }
 
 // Observe records how long openings wait. It has to be called with every event.
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -11,7 +11,7 @@
 // A burst, as after a common power loss, is best served to the last request: late is better
 // than never. Serving all of an overload that lasts makes every request late and loses as
 // many in the end. So the longer an overload lasts, the shorter the wait that is allowed:
-// from half of the time after which callers give up down to what lets requests be answered
+// from a part of the time after which callers give up down to what lets requests be answered
 // within their target latency.
 type pressure struct {
 	at, age time.Duration
@@ -22,13 +22,13 @@
 	// the callers of hosts that were unavailable all return within some 600 ms, the time
 	// between two of their retransmissions.
 	burstTime = 750 * time.Millisecond
-	// patience is the duration of an overload, in timeouts of its callers, over which the
+	// patience is the duration of an overload, in timeouts of its callers, during which the
 	// allowed wait falls to the one that the target latency allows.
-	patience = 2.0
+	patience = 1.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
-	burstShare = 0.5
+	burstShare = 0.4
 	// targetSpare is the time reserved before a target latency, in mean answer times: one
 	// for the answer itself and one for its variation.
 	targetSpare = 2
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -104,7 +104,7 @@
 		g.open++
 	}
 	if state == flowClosed {
-		g.requestArrived(f)
+		g.unexpect(f)
 		g.setRunning(f, false)
 		g.dequeue(f)
 	}
@@ -140,11 +140,13 @@
 	if !f.isNew(p) {
 		return
 	}
+	if f.state == flowOpen {
+		g.noteRequest(now, f)
+	}
 	f.sent, f.sentKnown = p.Sequence+uint32(p.Length), true
 	if f.state != flowOpen {
 		return
 	}
-	g.noteRequest(now, f)
 	if !f.running {
 		f.requestedAt = now
 	}
@@ -154,7 +156,7 @@
 // noteRequest records the arrival of a request. The first one of a flow has been counted
 // with the flow's opening packet.
 func (g *Gate) noteRequest(now time.Duration, f *flow) {
-	g.requestArrived(f)
+	g.requestArrived(now, f)
 	if f.served && !f.running {
 		g.openings.Arrived(now, f.terms.Priority)
 	}
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -232,9 +232,11 @@
 	held          map[platform.Flow]*heldOpening
 	expected      []expectedRequest
 	expectedCount int
-	shares        admission.Shares
-	epochs        admission.Epochs
-	upstream      upstream
+	// requestDelay is the mean time from the admission of a flow to its first request.
+	requestDelay time.Duration
+	shares       admission.Shares
+	epochs       admission.Epochs
+	upstream     upstream
 	// ended are instances that have ended; candidate is an instance that has reported but is
 	// not adopted yet.
 	ended     []platform.Instance
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -18,9 +18,14 @@
 const (
 	// maxHeldOpenings bounds the opening packets that wait.
 	maxHeldOpenings = 1024
-	// requestTimeout is the time after the admission of a flow within which its request is
-	// expected: some round trips to the caller.
-	requestTimeout = 100 * time.Millisecond
+	// minRequestTimeout and maxRequestTimeout bound the time after the admission of a flow
+	// within which its request is expected. In between it is requestDelays times the mean
+	// time that requests take to arrive.
+	minRequestTimeout = 20 * time.Millisecond
+	maxRequestTimeout = 100 * time.Millisecond
+	requestDelays     = 3
+	// requestDelayWeight is the weight of the newest request in the mean.
+	requestDelayWeight = 0.05
 	// attemptTimeout is the time after which a caller abandons an opening that has not been
 	// accepted.
 	attemptTimeout = 1400 * time.Millisecond
@@ -124,12 +129,22 @@
 func (g *Gate) expectRequest(now time.Duration, f *flow) {
 	f.expected = true
 	g.expectedCount++
-	g.expected = append(g.expected, expectedRequest{f, now + requestTimeout})
+	timeout := min(max(requestDelays*g.requestDelay, minRequestTimeout), maxRequestTimeout)
+	g.expected = append(g.expected, expectedRequest{f, now + timeout})
 }
 
-// requestArrived records that the first request of a flow has arrived, or that it is no
-// longer expected.
-func (g *Gate) requestArrived(f *flow) {
+// requestArrived records the arrival of the first request of a flow.
+func (g *Gate) requestArrived(now time.Duration, f *flow) {
+	if f.sentKnown || f.served {
+		return
+	}
+	delay := min(now-f.openedAt, maxRequestTimeout)
+	g.requestDelay += time.Duration(requestDelayWeight * float64(delay-g.requestDelay))
+	g.unexpect(f)
+}
+
+// unexpect ends the wait for the first request of a flow.
+func (g *Gate) unexpect(f *flow) {
 	if f.expected {
 		f.expected = false
 		g.expectedCount--
@@ -140,7 +155,7 @@
 func (g *Gate) dropExpected(now time.Duration) {
 	passed := 0
 	for passed < len(g.expected) && (now >= g.expected[passed].until || !g.expected[passed].flow.expected) {
-		g.requestArrived(g.expected[passed].flow)
+		g.unexpect(g.expected[passed].flow)
 		passed++
 	}
 	g.expected = slices.Delete(g.expected, 0, passed)
--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,12 @@
 	levelMaxAge = 300 * time.Millisecond
 	// levelInterval is the time for which a computed level is used.
 	levelInterval = 5 * time.Millisecond
+	// levelTime is the time over which bars are averaged: the agents' queues take up what
+	// changes faster.
+	levelTime = 250 * time.Millisecond
+	// levelMargin lowers the level of the service below the mean bar of its agents, so that
+	// their queues do not run empty.
+	levelMargin = 0.8
 	// levelProbes is the number of openings below the level of which one is tried, so that
 	// new room is found.
 	levelProbes = 16
@@ -41,6 +48,9 @@
 	// refused counts the openings below the bar.
 	refused int
 	bars    []admission.Standing
+	// mean is the mean of the bars above the floor of their priority, averaged over
+	// levelTime.
+	mean float64
 }
 
 // short reports whether no agent is known to have room for another request.
@@ -60,6 +70,7 @@
 }
 
 func (l *serviceLevel) update(now time.Duration, agents []*agent, w requirements) {
+	passed := now - l.at
 	l.at, l.known, l.free, l.total, l.bar, l.bars = now, 0, 0, 0, 0, l.bars[:0]
 	for _, a := range agents {
 		if !w.allows(a) || !a.acceptsFlows() || a.isSuspect(now) {
@@ -75,11 +86,35 @@
 			l.free++
 		}
 	}
-	if !l.short() {
+	if !l.short() || len(l.bars) == 0 {
+		l.mean = 0
 		return
 	}
-	slices.Sort(l.bars)
-	l.bar = l.bars[len(l.bars)/4]
+	l.bar = l.smoothed(passed)
+}
+
+// smoothed returns the mean of the bars, averaged over levelTime and lowered by
+// levelMargin.
+func (l *serviceLevel) smoothed(passed time.Duration) admission.Standing {
+	floor := admission.Standing(0)
+	for _, bar := range l.bars {
+		if bar > 0 && (floor == 0 || bar < floor) {
+			floor = bar
+		}
+	}
+	floor &^= math.MaxUint8
+	sum := 0.0
+	for _, bar := range l.bars {
+		if bar > 0 {
+			sum += float64(bar - floor)
+		}
+	}
+	weight := min(passed.Seconds()/levelTime.Seconds(), 1)
+	l.mean += weight * (sum/float64(len(l.bars)) - l.mean)
+	if floor == 0 {
+		return 0
+	}
+	return floor + admission.Standing(levelMargin*l.mean)
 }
 
 // hasFreeSlot reports whether the agent has a slot for another request, as far as is known.
