Assume that the queue of an agent that is not heard of drains

Cause, from the state of all agents of a data centre each 0.2 s: three agents refused 150 openings each in 0.2 s while six had no request at all. Balancers hear of an agent only when they send it an opening, and an agent that was full once was not tried again. Change: the expected wait falls with the age of the figure, and an agent whose queue may be empty counts as one that refuses nothing.

--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -116,7 +116,7 @@
 // short of room, a flow goes to a short queue at once.
 func (c *Core) choose(now time.Duration, f *flow, route *routing.Route, w requirements) *agent {
 	f.toQueue = false
-	if route.Terms.TargetLatency > 0 && c.settings.Policies.On(policy.ServiceLevel) && c.level(now, w).short() {
+	if route.Terms.TargetLatency > 0 && c.settings.Policies.On(policy.ServiceLevel) && c.level(now, w).scarce() {
 		if best := c.roster.chooseShort(now, w, c.settings, f.tried); best != nil {
 			f.toQueue = true
 			return best
--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -34,15 +34,21 @@
 	// shortCandidates is the number of agents from which the one with the shortest wait is
 	// chosen while the service is short of room. Balancers that all chose the best of all
 	// agents would choose the same one.
-	shortCandidates = 4
+	shortCandidates = 6
+	// freeMaxAge is the age up to which a report of a free slot counts as certain.
+	freeMaxAge = 50 * time.Millisecond
+	// scarceShare is the share of agents with a free slot below which flows go to the
+	// shortest of a few queues: above it, a free slot is found by chance.
+	scarceShare = 0.25
 )
 
 // serviceLevel sums up what the agents that a flow may use report on their room.
 type serviceLevel struct {
 	at time.Duration
-	// known is the number of agents with recent figures, free how many of them have a free
-	// slot, and total the number of agents that accept flows.
-	known, free, total int
+	// known is the number of agents with recent figures, free how many of them certainly
+	// have a free slot, drained how many may have emptied their queues since, and total the
+	// number of agents that accept flows.
+	known, free, drained, total int
 	// bar is the standing below which the service refuses openings, 0 for none.
 	bar admission.Standing
 	// refused counts the openings below the bar.
@@ -56,6 +62,11 @@
 // short reports whether no agent is known to have room for another request.
 func (l *serviceLevel) short() bool { return l.free == 0 && 2*l.known > l.total }
 
+// scarce reports whether few agents are known to have room for another request.
+func (l *serviceLevel) scarce() bool {
+	return 2*l.known > l.total && float64(l.free+l.drained) < scarceShare*float64(l.total)
+}
+
 // level returns the level of a service for flows with the given requirements.
 func (c *Core) level(now time.Duration, w requirements) *serviceLevel {
 	l := c.levels[w.service]
@@ -71,7 +82,7 @@
 
 func (l *serviceLevel) update(now time.Duration, agents []*agent, w requirements) {
 	passed := now - l.at
-	l.at, l.known, l.free, l.total, l.bar, l.bars = now, 0, 0, 0, 0, l.bars[:0]
+	l.at, l.known, l.free, l.drained, l.total, l.bar, l.bars = now, 0, 0, 0, 0, 0, l.bars[:0]
 	for _, a := range agents {
 		if !w.allows(a) || !a.acceptsFlows() || a.isSuspect(now) {
 			continue
@@ -81,9 +92,15 @@
 			continue
 		}
 		l.known++
-		l.bars = append(l.bars, a.status.Load.Bar)
-		if a.hasFreeSlot() {
+		switch {
+		case a.hasFreeSlot() && now-a.statusAt <= freeMaxAge:
 			l.free++
+			l.bars = append(l.bars, 0)
+		case a.expectedWait(now) == 0:
+			l.drained++
+			l.bars = append(l.bars, 0)
+		default:
+			l.bars = append(l.bars, a.status.Load.Bar)
 		}
 	}
 	if !l.short() || len(l.bars) == 0 {
@@ -160,7 +177,7 @@
 			continue
 		}
 		found++
-		if wait := a.expectedWait(s); best == nil || wait < least {
+		if wait := a.waitFor(now, s); best == nil || wait < least {
 			best, least = a, wait
 		}
 	}
@@ -183,16 +200,24 @@
 	return a
 }
 
-// expectedWait returns how long a flow that is placed now is expected to wait at an agent,
-// with the load that stands for distance.
-func (a *agent) expectedWait(s Settings) time.Duration {
-	slots := float64(max(int(a.status.Slots), a.Slots, 1))
-	load := float64(a.pending) / slots
+// waitFor returns the expected wait at an agent, with the loads that stand for distance and
+// for the risk of an upstream that has not proved itself.
+func (a *agent) waitFor(now time.Duration, s Settings) time.Duration {
+	load := 0.0
 	if a.DataCentre != s.DataCentre {
 		load += weightFar
 	}
 	if a.status.State == inner.StateProbation || a.status.State == inner.StateUnproven {
 		load += weightProbation
 	}
-	return a.status.Load.Wait + time.Duration(load*float64(a.status.ResponseTime))
+	return a.expectedWait(now) + time.Duration(load*float64(a.status.ResponseTime))
+}
+
+// expectedWait returns how long a flow that is placed now is expected to wait at an agent. An
+// agent that nothing is heard of is assumed to work off its queue: otherwise it would never
+// be tried again.
+func (a *agent) expectedWait(now time.Duration) time.Duration {
+	slots := max(int(a.status.Slots), a.Slots, 1)
+	placed := time.Duration(a.pending) * a.status.ResponseTime / time.Duration(slots)
+	return max(a.status.Load.Wait+placed-(now-a.statusAt), 0)
 }
