Tests of held openings, and mends of what they found

- When the upstream began to drain, left, died, was contested or its agent was asked to stop, held openings waited for the next tick or datagram (200 ms) before they were returned.
They go with the announcement of the new state now, after the status.
- When the address was taken over by an instance of another service, held openings of the former service were passed on to it.
They are returned as other-service.
- An opening that no other upstream takes, and that an upstream without room may get while it drains or its agent stops, was held and returned at once.
It is forwarded as before.

--- a/internal/packetface/gate/instance.go
+++ b/internal/packetface/gate/instance.go
@@ -96,6 +96,7 @@
 	}
 	if !g.contested && !beat.Instance.MayBeSame(g.upstream.instance) {
 		g.contested = true
+		g.returnHeldIfClosed(now)
 		g.note(now, Note{Kind: KindUpstream, Reason: "contested by " + beat.Instance.String() + " of service " + beat.Service})
 	}
 	return &g.out, true
@@ -143,6 +144,7 @@
 	g.candidate, g.contested = candidate{}, false
 	if !g.sameService(beat) {
 		g.note(now, Note{Kind: KindUpstream, Reason: "serves " + beat.Service})
+		g.returnHeld(now, inner.ReasonService)
 		g.service = inner.ServiceID(beat.Service)
 		g.settings.Service = beat.Service
 		g.cold = cold{}
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -53,7 +53,7 @@
 		held.balancer, held.packet = from, slices.Clone(packet) // a copy of the packet that is held
 		return
 	}
-	if g.flows[id] != nil || !g.mayHold(head) {
+	if g.flows[id] != nil || !g.mayHold(now, head) {
 		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
 		return
 	}
@@ -86,9 +86,11 @@
 }
 
 // mayHold reports whether an opening packet may wait: the balancer has to send the terms of
-// its route, and these have to state how long the caller waits.
-func (g *Gate) mayHold(head inner.Open) bool {
-	return head.Terms.TargetLatency > 0 && head.Terms.Timeout > 0 && g.settings.Policies.On(policy.HeldOpenings)
+// its route, and these have to state how long the caller waits. An upstream that is leaving
+// gets only flows that no other one takes; these do not wait.
+func (g *Gate) mayHold(now time.Duration, head inner.Open) bool {
+	stated := head.Terms.TargetLatency > 0 && head.Terms.Timeout > 0
+	return stated && g.closedReason(now) == 0 && g.settings.Policies.On(policy.HeldOpenings)
 }
 
 // request returns the properties of an opening that determine its order.
@@ -165,13 +167,10 @@
 // be answered in time.
 func (g *Gate) releaseOpenings(now time.Duration) {
 	g.openings.Observe(now, g.pace(), g.ahead(now))
+	g.returnHeldIfClosed(now)
 	if len(g.held) == 0 {
 		return
 	}
-	if reason := g.closedReason(now); reason != 0 {
-		g.returnHeld(now, reason)
-		return
-	}
 	for g.hasRoom(now) && g.passOn(now, g.openings.Next) {
 	}
 	for g.passOn(now, func(now time.Duration, _ admission.Pace) (platform.Flow, admission.Choice) {
@@ -202,6 +201,16 @@
 	}
 }
 
+// returnHeldIfClosed returns the held openings if the upstream gets no new flows at present.
+func (g *Gate) returnHeldIfClosed(now time.Duration) {
+	if len(g.held) == 0 {
+		return
+	}
+	if reason := g.closedReason(now); reason != 0 {
+		g.returnHeld(now, reason)
+	}
+}
+
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
 func (g *Gate) closedReason(now time.Duration) inner.Reason {
 	switch {
--- /dev/null
+++ b/internal/packetface/gate/openings_test.go
@@ -0,0 +1,340 @@
+package gate_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/saltbend/saltbend/internal/packetface/evacuation"
+	"github.com/saltbend/saltbend/internal/packetface/gate"
+	"github.com/saltbend/saltbend/internal/packetface/inner"
+	"github.com/saltbend/saltbend/platform"
+)
+
+const ms = time.Millisecond
+
+var otherBalancer = netip.MustParseAddrPort("10.0.0.2:7000")
+
+// routeTerms are the terms of a route whose openings may wait.
+var routeTerms = inner.Terms{Priority: ordinary, TargetLatency: 152 * ms, Timeout: 2496 * ms}
+
+func withTerms(t inner.Terms) inner.Open {
+	return inner.Open{Flags: inner.FlagTerms, Terms: t, Hops: inner.MaxBusyHops}
+}
+
+// openTerms delivers the opening packet of a flow of a route with terms.
+func (b *bench) openTerms(n int) { b.opening(flow(n), withTerms(routeTerms)) }
+
+// crowded returns a bench whose upstream has no room: two requests run, two wait.
+func crowded(t *testing.T) *bench {
+	b := filled(t, 2*slots)
+	for n := slots; n < 2*slots; n++ {
+		b.requestOn(n, 2, routeTerms)
+	}
+	b.Expect(b.gate.Counts(b.now).Waiting).To(Equal(slots))
+	return b
+}
+
+// hold delivers opening packets that have to wait.
+func (b *bench) hold(flows ...int) *bench {
+	held := b.gate.Counts(b.now).Held
+	for i, n := range flows {
+		b.openTerms(n)
+		b.Expect(b.toUpstream()).To(BeZero())
+		b.Expect(b.gate.Counts(b.now).Held).To(Equal(held + i + 1))
+	}
+	return b
+}
+
+// accept lets the upstream accept the opening packet of a flow.
+func (b *bench) accept(n int) {
+	b.upstreamSends(fromUpstream(flow(n), 100, 2, platform.FlagSYN|platform.FlagACK, 0))
+}
+
+func (b *bench) tick() {
+	b.last = b.gate.Tick(b.now)
+	b.Expect(b.gate.CheckOpenings()).To(Succeed())
+}
+
+// returnedAll returns the reasons of the packets that were returned, by their caller's port,
+// and the balancer they were returned to.
+func (b *bench) returnedAll() (reasons map[uint16]inner.Reason, to map[uint16]netip.AddrPort) {
+	reasons, to = map[uint16]inner.Reason{}, map[uint16]netip.AddrPort{}
+	for _, a := range b.last.Actions {
+		if a.Target != gate.ToBalancer || inner.KindOf(a.Bytes) != inner.KindReturned {
+			continue
+		}
+		head, packet, err := inner.ParseReturned(a.Bytes)
+		b.Expect(err).NotTo(HaveOccurred())
+		p, err := platform.ParsePacket(packet)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(reasons).NotTo(HaveKey(p.FromPort), "returned twice")
+		reasons[p.FromPort], to[p.FromPort] = head.Reason, a.To
+	}
+	return reasons, to
+}
+
+// An opening waits while the upstream has no room. It is passed on when a request has been
+// answered, so that its own request is there when a slot becomes free.
+func TestHeldOpeningIsPassedOnAheadOfAFreeSlot(t *testing.T) {
+	b := crowded(t).hold(9)
+	b.answer(flow(0))
+	b.Expect(b.ran()).To(Equal([]uint16{2, 9}))
+	b.Expect(b.gate.Counts(b.now)).To(And(HaveField("Held", 0), HaveField("Running", slots)))
+	b.accept(9)
+	b.Expect(b.count(gate.ToCaller)).To(Equal(1))
+	b.requestOn(9, 2, routeTerms)
+	b.answer(flow(1))
+	b.Expect(b.ran()).To(Equal([]uint16{3}))
+	b.answer(flow(2))
+	b.Expect(b.ran()).To(Equal([]uint16{9}))
+}
+
+func TestOpeningOfAMoreUrgentRouteIsPassedOnFirst(t *testing.T) {
+	b := crowded(t).hold(7)
+	first := routeTerms
+	first.Priority = urgent
+	b.opening(flow(8), withTerms(first))
+	b.answer(flow(0))
+	b.Expect(b.ran()).To(Equal([]uint16{2, 8}))
+	b.answer(flow(1))
+	b.Expect(b.ran()).To(Equal([]uint16{3, 7}))
+}
+
+// A copy of an opening packet that is held does not wait a second time. The balancer that sent
+// the latest copy gets the opening packet back if it is returned.
+func TestCopyOfAHeldOpeningThroughAnotherBalancer(t *testing.T) {
+	b := crowded(t).hold(9)
+	b.now += 200 * ms
+	head := withTerms(routeTerms)
+	head.Service = inner.ServiceID(service)
+	r, err := b.gate.FromBalancer(b.now, otherBalancer, inner.AppendOpen(nil, head, fromCaller(flow(9), 1, 1, platform.FlagSYN, 0)))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.last = r
+	b.Expect(b.toUpstream()).To(BeZero())
+	b.Expect(b.gate.Counts(b.now).Held).To(Equal(1))
+	b.heartbeat("i-1", true)
+	_, to := b.returnedAll()
+	b.Expect(to).To(Equal(map[uint16]netip.AddrPort{9: otherBalancer}))
+}
+
+// Once the upstream gets no new flows, held openings are returned at once, with the reason, so
+// that they are placed elsewhere. Nothing of them has reached the upstream.
+func TestHeldOpeningsAreReturnedWhenTheUpstreamGetsNoNewFlows(t *testing.T) {
+	other := platform.Heartbeat{Instance: platform.Instance{ID: "i-2"}, Service: "other", Slots: slots, Sequence: 1}
+	cases := []struct {
+		name string
+		do   func(*bench)
+		want inner.Reason
+	}{
+		{"draining", func(b *bench) { b.heartbeat("i-1", true) }, inner.ReasonDraining},
+		{"left", func(b *bench) {
+			b.last, _ = b.gate.HandleLeave(b.now, platform.Instance{ID: "i-1"})
+		}, inner.ReasonDown},
+		{"dead", func(b *bench) {
+			b.gate.HandleRefusedPacket(b.now)
+			b.now += 50 * ms
+			b.last = b.gate.HandleRefusedPacket(b.now)
+		}, inner.ReasonDown},
+		{"silent", func(b *bench) {
+			b.now += 5 * second
+			b.tick()
+		}, inner.ReasonDown},
+		{"evacuated", func(b *bench) { b.poll(evacuation.State{Evacuated: true, AsOf: 7}) }, inner.ReasonEvacuated},
+		{"stopping", func(b *bench) { b.last = b.gate.Stop(b.now) }, inner.ReasonDraining},
+		{"contested", func(b *bench) {
+			b.last, _ = b.gate.HandleUncheckedHeartbeat(b.now, other)
+		}, inner.ReasonDown},
+		{"of another service", func(b *bench) {
+			b.last, _ = b.gate.Heartbeat(b.now, other)
+		}, inner.ReasonService},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := crowded(t).hold(7, 8, 9)
+			c.do(b)
+			reasons, _ := b.returnedAll()
+			b.Expect(reasons).To(Equal(map[uint16]inner.Reason{7: c.want, 8: c.want, 9: c.want}))
+			b.Expect(b.toUpstream()).To(BeZero())
+			b.Expect(b.gate.Counts(b.now).Held).To(BeZero())
+			b.tick()
+			reasons, _ = b.returnedAll()
+			b.Expect(reasons).To(BeEmpty())
+		})
+	}
+}
+
+func TestHeldOpeningsAreReturnedWhenTheUpstreamFails(t *testing.T) {
+	b := newBench(t)
+	b.now = longUptime
+	b.begin("i-1")
+	for n := range 2 * slots {
+		b.open(callerAt(n))
+	}
+	for n := range 2 * slots {
+		b.send(callerAt(n), 2, platform.FlagACK, 30)
+	}
+	b.hold(8, 9)
+	for n := range 2 { // its requests are reset before they are answered; the first frees a place
+		b.upstreamSends(fromUpstream(callerAt(n), 101, 32, platform.FlagRST|platform.FlagACK, 0))
+	}
+	reasons, _ := b.returnedAll()
+	b.Expect(reasons).To(Equal(map[uint16]inner.Reason{9: inner.ReasonFailing}))
+	b.Expect(b.gate.Counts(b.now).Held).To(BeZero())
+}
+
+// The packets of the callers of a dead upstream's full queue are each returned once, and none
+// reaches the next instance.
+func TestDeathOfAnUpstreamWithAFullQueue(t *testing.T) {
+	b := crowded(t)
+	const first, count = 100, 60
+	for n := range count {
+		b.hold(first + n)
+	}
+	b.now += 10 * ms
+	b.gate.HandleRefusedPacket(b.now)
+	b.now += 50 * ms
+	b.last = b.gate.HandleRefusedPacket(b.now)
+	reasons, _ := b.returnedAll()
+	b.Expect(reasons).To(HaveLen(count))
+	b.Expect(resets(b)).To(HaveLen(2*slots), "the flows that the upstream held")
+	b.begin("i-2")
+	for range 20 {
+		b.now += 200 * ms
+		b.tick()
+		b.Expect(b.toUpstream()).To(BeZero())
+		b.Expect(b.returned()).To(BeZero())
+	}
+}
+
+// An opening that no other upstream can take is not held back by an upstream that is leaving.
+func TestLastChoiceReachesAnUpstreamWithoutRoomThatDrains(t *testing.T) {
+	cases := map[string]func(*bench){
+		"draining": func(b *bench) { b.heartbeat("i-1", true) },
+		"stopping": func(b *bench) { b.gate.Stop(b.now) },
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := crowded(t)
+			leave(b)
+			head := withTerms(routeTerms)
+			head.Flags |= inner.FlagLastChoice
+			b.opening(flow(9), head)
+			b.Expect(b.returned()).To(BeZero())
+			b.Expect(b.toUpstream()).To(Equal(1))
+		})
+	}
+}
+
+// Held openings reach a cold upstream no faster than others.
+func TestHeldOpeningsRespectTheColdRate(t *testing.T) {
+	b := newBench(t)
+	b.now = longUptime
+	r, _ := b.gate.Heartbeat(b.now, platform.Heartbeat{Instance: platform.Instance{ID: "i-1"}, Slots: slots, Sequence: 1, WarmupLeft: 5 * second})
+	b.last = r
+	cold := func(n int) {
+		head := withTerms(routeTerms)
+		head.Cold, head.Versions = inner.Cold{Rate: 6}, inner.Versions{Version: 3}
+		b.opening(flow(n), head)
+	}
+	for n := range 2 * slots {
+		cold(n)
+		b.accept(n)
+		b.requestOn(n, 2, routeTerms)
+	}
+	for n := 10; n < 14; n++ {
+		cold(n)
+		b.Expect(b.toUpstream()).To(BeZero())
+	}
+	b.Expect(b.gate.Counts(b.now).Held).To(Equal(4))
+	passed := 0
+	for n := range 2 * slots {
+		b.now += 20 * ms
+		b.answer(flow(n))
+		for _, port := range b.ran() {
+			if port >= 10 {
+				passed++
+			}
+		}
+	}
+	b.Expect(passed).To(Equal(2), "6 in the first second")
+	b.now += second
+	b.tick()
+	b.Expect(b.ran()).To(HaveLen(2))
+}
+
+// If even the end of its attempt does not let an opening pass, it is dropped then: its caller
+// does not wait for it any more.
+func TestHeldOpeningIsDroppedAfterItsAttempt(t *testing.T) {
+	b := newBench(t)
+	b.now = longUptime
+	r, _ := b.gate.Heartbeat(b.now, platform.Heartbeat{Instance: platform.Instance{ID: "i-1"}, Slots: slots, Sequence: 1, WarmupLeft: time.Minute})
+	b.last = r
+	for n := range 2*slots + 1 {
+		head := withTerms(routeTerms)
+		head.Cold, head.Versions = inner.Cold{Rate: 2*slots + 1}, inner.Versions{Version: 3}
+		b.opening(flow(n), head)
+	}
+	b.Expect(b.gate.Counts(b.now).Held).To(Equal(1))
+	for range 6 { // other flows take the cold rate of each second
+		b.now += 300 * ms
+		for n := range 3 {
+			b.opening(flow(int(b.now/ms)+n), inner.Open{Hops: inner.MaxBusyHops})
+		}
+		b.tick()
+	}
+	b.Expect(b.gate.Counts(b.now).Held).To(BeZero())
+}
+
+// An opening whose caller's attempt is about to end is passed on, as its caller has time left.
+func TestHeldOpeningIsPassedOnBeforeItsAttemptEnds(t *testing.T) {
+	b := crowded(t).hold(9)
+	b.now += 1200 * ms
+	b.tick()
+	b.Expect(b.toUpstream()).To(BeZero())
+	b.now += 180 * ms
+	b.tick()
+	b.Expect(b.ran()).To(Equal([]uint16{9}))
+}
+
+// An opening that waits although its caller has no time left is refused.
+func TestHeldOpeningIsRefusedWhenItsCallerGivesUp(t *testing.T) {
+	b := crowded(t)
+	hasty := routeTerms
+	hasty.Timeout = 640 * ms
+	b.opening(flow(9), withTerms(hasty))
+	b.now += 600 * ms
+	b.tick()
+	b.Expect(b.toUpstream()).To(BeZero())
+	b.now += 50 * ms
+	b.tick()
+	b.Expect(b.returned()).To(Equal(inner.ReasonOverloaded))
+	b.Expect(b.last.Notes).To(ContainElement(And(HaveField("Kind", gate.KindRefused), HaveField("Reason", "hopeless"))))
+}
+
+// A caller that opens flows and sends nothing occupies the room for a moment only.
+func TestFlowWithoutARequestFreesItsPlace(t *testing.T) {
+	b := newBench(t)
+	b.now = longUptime
+	b.begin("i-1")
+	for n := range 2 * slots {
+		b.openTerms(n)
+		b.Expect(b.toUpstream()).To(Equal(1))
+		b.accept(n)
+	}
+	b.hold(9)
+	b.now += 100 * ms
+	b.tick()
+	b.Expect(b.ran()).To(Equal([]uint16{9}))
+}
+
+func TestNoMoreThanAThousandOpeningsAreHeld(t *testing.T) {
+	b := crowded(t)
+	for n := range 1100 {
+		b.opening(flow(100+n), withTerms(inner.Terms{Priority: ordinary, TargetLatency: 2 * second, Timeout: 16 * second}))
+	}
+	b.Expect(b.returned()).To(Equal(inner.ReasonOverloaded))
+	b.Expect(b.gate.Counts(b.now).Held).To(Equal(1024))
+}
--- a/internal/packetface/gate/upstream.go
+++ b/internal/packetface/gate/upstream.go
@@ -207,7 +207,7 @@
 }
 
 // announce sends the status to all balancers that use this agent, and records when the
-// state changed.
+// state changed. Openings that the upstream does not get any more are returned.
 func (g *Gate) announce(now time.Duration) {
 	if state := g.state(now); state != g.announced {
 		g.announced, g.stateSince = state, now
@@ -215,4 +215,5 @@
 	for to := range g.balancers {
 		g.sendStatus(now, to)
 	}
+	g.returnHeldIfClosed(now) // after the status, by which balancers place what is returned
 }
