--- a/internal/packetface/gate/admit.go
+++ b/internal/packetface/gate/admit.go
@@ -132,6 +132,9 @@
 // not know is forwarded as a probe: the upstream's reply shows whether it holds the flow.
 func (g *Gate) forwardPacket(now time.Duration, from netip.AddrPort, head inner.Forward, p *platform.Packet, packet []byte) {
 	id := p.FromCaller()
+	if g.held[id] != nil { // the caller has reset the flow, or another upstream has accepted it
+		g.dropHeld(now, id, "caller-moved-on")
+	}
 	f := g.flows[id]
 	if g.upstream.down || (f == nil && g.upstream.fullyObserved) || (f != nil && !g.owns(f, p.Acknowledge)) {
 		g.returnPacket(now, from, id, g.notHeldReason(), packet)
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -195,12 +195,17 @@
 		if !found {
 			return
 		}
-		h := g.held[id]
-		g.forget(id)
-		g.note(now, Note{Kind: KindAbandoned, Flow: id, Reason: "attempt-ended", Took: now - h.since})
+		g.dropHeld(now, id, "attempt-ended")
 	}
 }
 
+// dropHeld drops a held opening that its caller does not wait for any more.
+func (g *Gate) dropHeld(now time.Duration, id platform.Flow, reason string) {
+	h := g.held[id]
+	g.forget(id)
+	g.note(now, Note{Kind: KindAbandoned, Flow: id, Reason: reason, Took: now - h.since})
+}
+
 // returnHeldIfClosed returns the held openings if the upstream gets no new flows at present.
 func (g *Gate) returnHeldIfClosed(now time.Duration) {
 	if len(g.held) == 0 {
--- a/internal/packetface/gate/openings_test.go
+++ b/internal/packetface/gate/openings_test.go
@@ -299,6 +299,18 @@
 	b.Expect(b.ran()).To(Equal([]uint16{9}))
 }
 
+// A caller that resets its flow, or that another upstream has accepted, does not wait for its held
+// opening any more.
+func TestHeldOpeningIsDroppedWhenItsCallerMovesOn(t *testing.T) {
+	for _, flags := range []platform.Flags{platform.FlagRST, platform.FlagACK} {
+		b := crowded(t).hold(9)
+		b.send(flow(9), 2, flags, 0)
+		b.Expect(b.gate.Counts(b.now).Held).To(BeZero())
+		b.answer(flow(0))
+		b.Expect(b.ran()).To(Equal([]uint16{2}))
+	}
+}
+
 // An opening that waits although its caller has no time left is refused.
 func TestHeldOpeningIsRefusedWhenItsCallerGivesUp(t *testing.T) {
 	b := crowded(t)
