--- a/internal/packetface/gate/openings_test.go
+++ b/internal/packetface/gate/openings_test.go
@@ -272,19 +272,29 @@
 	b.now = longUptime
 	r, _ := b.gate.Heartbeat(b.now, platform.Heartbeat{Instance: platform.Instance{ID: "i-1"}, Slots: slots, Sequence: 1, WarmupLeft: time.Minute})
 	b.last = r
-	for n := range 2*slots + 1 {
-		head := withTerms(routeTerms)
-		head.Cold, head.Versions = inner.Cold{Rate: 2*slots + 1}, inner.Versions{Version: 3}
-		b.opening(flow(n), head)
+	cold := inner.Open{Cold: inner.Cold{Rate: 2 * slots}, Versions: inner.Versions{Version: 3}, Hops: inner.MaxBusyHops}
+	for n := range 2 * slots {
+		b.opening(flow(n), cold)
+		b.accept(n)
+		b.requestOn(n, 2, routeTerms)
 	}
+	head := withTerms(routeTerms)
+	head.Cold, head.Versions, head.Flags = cold.Cold, cold.Versions, head.Flags|inner.FlagLastChoice
+	b.now += second
+	b.opening(flow(9), head)
 	b.Expect(b.gate.Counts(b.now).Held).To(Equal(1))
-	for range 6 { // other flows take the cold rate of each second
-		b.now += 300 * ms
-		for n := range 3 {
-			b.opening(flow(int(b.now/ms)+n), inner.Open{Hops: inner.MaxBusyHops})
-		}
+	b.now += second
+	for n := range 2 * slots { // other flows take what the cold upstream gets
+		b.opening(flow(20+n), cold)
+		b.Expect(b.toUpstream()).To(Equal(1))
+	}
+	for range 4 {
+		b.now += 100 * ms
 		b.tick()
+		b.Expect(b.toUpstream()).To(BeZero())
+		b.Expect(b.returned()).To(BeZero())
 	}
+	b.Expect(b.last.Notes).To(ContainElement(And(HaveField("Kind", gate.KindAbandoned), HaveField("Reason", "attempt-ended"))))
 	b.Expect(b.gate.Counts(b.now).Held).To(BeZero())
 }
 
