--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -46,9 +46,12 @@
 // Len returns the number of waiting openings.
 func (o *Openings[T]) Len() int { return o.queue.Len() }
 
-// Arrived records a request that is admitted or that waits.
+// Arrived records a request that is admitted, that waits or that is refused.
 func (o *Openings[T]) Arrived(now time.Duration, priority uint8) { o.demand.Arrived(now, priority) }
 
+// Answered records an answered request.
+func (o *Openings[T]) Answered(now time.Duration) { o.demand.Answered(now) }
+
 // Add appends an opening whose caller abandons the attempt at the given time if it is not
 // accepted.
 func (o *Openings[T]) Add(r Request, attemptEnds time.Duration, item T) {
@@ -146,8 +149,12 @@
 }
 
 // Bar returns the standing below which openings are refused, 0 if none is: all of the less
-// urgent routes are refused before any opening of a more urgent one.
+// urgent routes are refused before any opening of a more urgent one. None is refused while
+// the backlog falls.
 func (o *Openings[T]) Bar(p Pace, ahead int) Standing {
+	if o.demand.Falling() {
+		return 0
+	}
 	for i := range o.pressures {
 		r := o.routes[i]
 		share := o.pressures[i].refusedShare(o.Wait(uint8(i), p, ahead), r, p)
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -28,14 +28,17 @@
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
-	burstShare = 0.4
+	burstShare = 0.5
 	// targetSpare is the time reserved before a target latency, in mean answer times: one
 	// for the answer itself and one for its variation.
 	targetSpare = 2
-	// lowWait and highWait are the waits between which the refused share of the openings
-	// rises from none to all, relative to the allowed wait. At one and a half times the
-	// room a third has to be refused, with a wait that is still below the allowed one.
-	lowWait, highWait = 0.6, 1.6
+	// lowWait is the wait from which on openings are refused under an overload that lasts,
+	// relative to the one that the target latency allows. At one and a half times the room
+	// a third has to be refused, with a wait that is still below the allowed one.
+	lowWait = 0.6
+	// waitBand is the further wait, relative to the same, over which the refused share of
+	// the openings rises from none to all.
+	waitBand = 1.0
 )
 
 // observe records whether openings wait at the given time.
@@ -61,8 +64,9 @@
 		return 0
 	}
 	left := 1 - float64(s.age-burstTime)/float64(s.decline(r))
-	allowed := max(float64(inTimeWait(r, p)), burstShare*left*float64(r.Timeout))
-	share := (float64(wait)/allowed - lowWait) / (highWait - lowWait)
+	inTime := float64(inTimeWait(r, p))
+	allowed := max(lowWait*inTime, burstShare*left*float64(r.Timeout))
+	share := (float64(wait) - allowed) / (waitBand * inTime)
 	return math.Min(math.Max(share, 0), 1)
 }
 
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -103,6 +103,7 @@
 func (g *Gate) recordAnswer(now time.Duration, id platform.Flow, f *flow) {
 	g.setRunning(f, false)
 	f.served = true
+	g.openings.Answered(now)
 	g.addLatency(now, now-f.requestedAt)
 	change, changed := g.judge.Answered(now, f.requestedAt, now-f.requestedAt, id)
 	g.applyVerdictChange(now, change, changed)
