--- a/internal/packetface/admission/demand_test.go
+++ b/internal/packetface/admission/demand_test.go
@@ -33,7 +33,7 @@
 		}
 		m.steady(begins+600*ms, begins+6*second, m.room()/2)
 		m.Run()
-		g.Expect(refused/asked).To(BeNumerically("<", 0.1), "refused")
+		g.Expect(refused/asked).To(BeNumerically("<", 0.02), "refused")
 		g.Expect(late).To(BeZero(), "answered after the timeout")
 	})
 }
@@ -96,7 +96,7 @@
 		c := m.count(4*second, 9*second)
 		m.Run()
 		t.Logf("in time %.3f of asked", c.inTime/c.asked)
-		g.Expect(c.inTime / c.asked).To(BeNumerically(">", 0.55/times))
+		g.Expect(c.inTime / c.asked).To(BeNumerically(">", 0.7/times))
 	})
 }
 
--- a/internal/packetface/admission/model_test.go
+++ b/internal/packetface/admission/model_test.go
@@ -132,6 +132,7 @@
 func (m *model) finish(r *modelRequest) {
 	r.end = m.Now
 	m.running--
+	m.Answered(m.Now)
 	m.answered(r)
 	m.run()
 	m.settle()
--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -136,7 +136,7 @@
 // share while the others of its priority have not enough. Were it refused only below the bar, the
 // room that others need would go to that caller whenever the bar is low.
 func (o *Openings[T]) yields(s Standing) bool {
-	return s.rank() == heavyRank && o.pressures[trackedPriority(s.Priority())].lasting()
+	return s.rank() == heavyRank && !o.demand.Falling() && o.pressures[trackedPriority(s.Priority())].lasting()
 }
 
 // Wait returns how long an opening of the given priority that arrives now is expected to
