--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -40,6 +40,17 @@
 	q.waiting = append(q.waiting, waiting[T]{r, item})
 }
 
+// Late returns the number of requests that are past their target latency.
+func (q *Queue[T]) Late(now time.Duration, p Pace) int {
+	n := 0
+	for i := range q.waiting {
+		if q.waiting[i].late(now, p) {
+			n++
+		}
+	}
+	return n
+}
+
 // Remove removes a request from the queue and reports whether it was in it.
 func (q *Queue[T]) Remove(item T) bool {
 	at := slices.IndexFunc(q.waiting, func(w waiting[T]) bool { return w.item == item })
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -113,11 +113,24 @@
 	return admission.StandingOf(priority, rank)
 }
 
-// hasRoom reports whether another flow may be opened: as many flows as the upstream has
-// slots may be ahead of the slots, so that the next request is there when a slot becomes
-// free.
+// hasRoom reports whether another flow may be opened whose request can be answered in time:
+// as many flows as the upstream has slots may be ahead of the slots, so that the next request
+// is there when a slot becomes free. Late requests that wait do not run before it.
 func (g *Gate) hasRoom(now time.Duration) bool {
-	return g.slots() == 0 || g.ahead(now) < 2*g.slots()
+	return g.slots() == 0 || g.ahead(now)-g.queue.Late(now, g.pace()) < 2*g.slots()
+}
+
+// nextWithRoom returns the opening to pass on if there is room for it. One that is late has
+// to wait behind late requests, too.
+func (g *Gate) nextWithRoom(now time.Duration, p admission.Pace) (id platform.Flow, why admission.Choice) {
+	if !g.hasRoom(now) {
+		return id, admission.None
+	}
+	id, why = g.openings.Next(now, p)
+	if why != admission.InTime && g.slots() > 0 && g.ahead(now) >= 2*g.slots() {
+		return id, admission.None
+	}
+	return id, why
 }
 
 // ahead returns the number of requests that the upstream processes, that wait for a slot, or
@@ -171,7 +184,7 @@
 	if len(g.held) == 0 {
 		return
 	}
-	for g.hasRoom(now) && g.passOn(now, g.openings.Next) {
+	for g.passOn(now, g.nextWithRoom) {
 	}
 	for g.passOn(now, func(now time.Duration, _ admission.Pace) (platform.Flow, admission.Choice) {
 		return g.openings.AttemptEnding(now)
