Take a possible retry for hopeless only by its own deadline; wait longer in a burst

Cause: in the same loss of power 100 openings were refused as hopeless by the deadline of an attempt that their callers may have made before, and 250 as overloaded while 1.3 s of work waited, which callers with a timeout of 2.25 s would have waited for.

--- a/internal/packetface/admission/admission.go
+++ b/internal/packetface/admission/admission.go
@@ -105,6 +105,12 @@
 	return r.Timeout > 0 && r.deadline(now) < now+p.Answer+transitTime
 }
 
+// hopeless reports whether the caller has certainly given up before the answer arrives, if
+// the request is forwarded at the given time: it is not assumed to be a retry.
+func (r *Request) hopeless(forwarded time.Duration, p Pace) bool {
+	return r.Timeout > 0 && r.Asked+r.Timeout < forwarded+p.Answer+transitTime
+}
+
 // overdue reports whether a request must be forwarded although no slot is free.
 func (r *Request) overdue(now time.Duration) bool {
 	limit := r.Timeout
--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -93,7 +93,7 @@
 // is passed on now.
 func (o *Openings[T]) Hopeless(now time.Duration, p Pace) (item T, found bool) {
 	for i := range o.queue.waiting {
-		if w := &o.queue.waiting[i]; w.missesTimeout(now, p) {
+		if w := &o.queue.waiting[i]; w.hopeless(now, p) {
 			return w.item, true
 		}
 	}
@@ -108,7 +108,7 @@
 	switch {
 	case standing < o.Bar(p, ahead):
 		return Overloaded
-	case r.missesTimeout(now+time.Duration(optimism*float64(wait)), p):
+	case r.hopeless(now+time.Duration(optimism*float64(wait)), p):
 		return Hopeless
 	}
 	return NotRefused
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -28,7 +28,7 @@
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
-	burstShare = 0.5
+	burstShare = 0.8
 	// targetSpare is the time reserved before a target latency, in mean answer times: one
 	// for the answer itself and one for its variation.
 	targetSpare = 2
