--- a/internal/packetface/admission/admission.go
+++ b/internal/packetface/admission/admission.go
@@ -121,6 +121,12 @@
 	return r.Timeout > 0 && r.deadline(now) < now+p.Answer+transitTime
 }
 
+// hopeless reports whether the caller has certainly given up before the answer arrives, if
+// the request is forwarded at the given time: it is not assumed to be a retry.
+func (r *Request) hopeless(forwarded time.Duration, p Pace) bool {
+	return r.lastDeadline() < forwarded+p.Answer+transitTime
+}
+
 // overdue returns why a request does not wait for a slot any longer, None if it does.
 func (r *Request) overdue(now time.Duration) Choice {
 	waited := now - r.Arrived
--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -126,7 +126,7 @@
 	switch {
 	case standing < o.Bar(p, ahead) || o.yields(standing):
 		return Overloaded
-	case r.lastDeadline() < now+time.Duration(optimism*float64(wait))+p.Answer+transitTime:
+	case r.hopeless(now+time.Duration(optimism*float64(wait)), p):
 		return Hopeless
 	}
 	return NotRefused
