--- a/internal/packetface/gate/overload_sim_test.go
+++ b/internal/packetface/gate/overload_sim_test.go
@@ -70,9 +70,12 @@
 type simUpstream struct {
 	gate    *gate.Gate
 	started time.Duration
+	dead    bool
 	load    int
 	running int
 	queue   []*try
+	// bar is the one that the agent has reported last.
+	bar admission.Standing
 }
 
 // overloadSim simulates one service.
@@ -87,27 +90,49 @@
 	// back is when all hosts are available again after a loss of power, 0 if there is none;
 	// until cold, requests take coldTimes as long.
 	back, cold time.Duration
+	// level is the mean bar of the agents, averaged over levelTime, as of levelAt. refused
+	// counts the openings below it.
+	level   float64
+	levelAt time.Duration
+	refused int
+	// reasons counts why agents refused or dropped what waited.
+	reasons map[string]int
 }
 
+const (
+	// levelTime, levelMargin and levelProbes are as in package steer: openings below the
+	// level of the service are refused at the balancer, but for some that find new room.
+	levelTime   = 250 * ms
+	levelMargin = 0.8
+	levelProbes = 16
+)
+
 const coldTimes = 1.6
 
 func newOverloadSim(upstreams int, seed uint64, off ...string) *overloadSim {
-	s := &overloadSim{random: rand.New(rand.NewPCG(seed, 3)), tries: map[platform.Flow]*try{}, off: off}
-	for range upstreams {
-		s.upstreams = append(s.upstreams, &simUpstream{})
-	}
+	s := &overloadSim{random: rand.New(rand.NewPCG(seed, 3)), tries: map[platform.Flow]*try{}, off: off, reasons: map[string]int{}}
+	s.upstreams = make([]*simUpstream, upstreams)
 	s.start()
 	return s
 }
 
+// fail ends all agents and upstreams until back.
+func (s *overloadSim) fail(back time.Duration) {
+	s.back = back
+	for _, u := range s.upstreams {
+		u.dead = true
+	}
+}
+
 // start starts all agents and upstreams anew.
 func (s *overloadSim) start() {
 	policies, _ := policy.Without(s.off)
-	for _, u := range s.upstreams {
-		*u = simUpstream{started: s.Now - ms, gate: gate.New(gate.Settings{
+	for i := range s.upstreams {
+		u := &simUpstream{started: s.Now - ms, gate: gate.New(gate.Settings{
 			Policies: policies, Service: service, CallerPort: 9000, Incarnation: 5,
 			Times: gate.Times{DrainTimeout: 3 * second, FlowMaxAge: time.Minute, HeartbeatInterval: time.Hour},
 		})}
+		s.upstreams[i] = u
 		u.gate.Heartbeat(ms, platform.Heartbeat{Instance: platform.Instance{ID: "i"}, Slots: slots, Sequence: 1})
 	}
 }
@@ -137,9 +162,7 @@
 	for t := 200 * ms; t < until; t += 200 * ms {
 		s.At(t, func() {
 			for _, u := range s.upstreams {
-				if s.up() {
-					s.handle(u, u.gate.Tick(s.Now-u.started))
-				}
+				s.handle(u, u.gate.Tick(s.Now-u.started))
 			}
 		})
 	}
@@ -162,6 +185,9 @@
 	}
 	s.After(attemptTime, func() {
 		if !t.accepted {
+			if !t.over && s.up() {
+				s.reasons["attempt over"]++
+			}
 			s.again(t)
 		}
 	})
@@ -201,6 +227,14 @@
 	if t.over || t.accepted || !s.up() {
 		return
 	}
+	if t.at != nil && t.at.dead {
+		t.at = nil
+	}
+	if t.at == nil && s.refuses(t) {
+		s.reasons["by the balancer"]++
+		s.After(hop, func() { s.again(t) })
+		return
+	}
 	if t.at == nil {
 		s.place(t, copies, nil)
 		return
@@ -208,6 +242,25 @@
 	s.sendOpening(t, copies)
 }
 
+// refuses reports whether the balancer refuses an opening by the bars of all agents.
+func (s *overloadSim) refuses(t *try) bool {
+	sum := 0.0
+	for _, u := range s.upstreams {
+		sum += float64(u.bar)
+	}
+	passed := min((s.Now-s.levelAt).Seconds()/levelTime.Seconds(), 1)
+	s.level += passed * (sum/float64(len(s.upstreams)) - s.level)
+	s.levelAt = s.Now
+	floor := admission.StandingOf(t.kind.terms.Priority, 0)
+	epoch := uint8(s.Now / admission.EpochLength)
+	own := admission.StandingOf(t.kind.terms.Priority, admission.Rank(t.caller, epoch))
+	if float64(own-floor) >= levelMargin*(s.level-float64(floor)) {
+		return false
+	}
+	s.refused++
+	return s.refused%levelProbes != 0
+}
+
 func (s *overloadSim) place(t *try, copies uint32, not *simUpstream) {
 	best := slices.MinFunc(s.upstreams, func(a, b *simUpstream) int {
 		if (a == not) != (b == not) {
@@ -224,7 +277,7 @@
 }
 
 func (s *overloadSim) sendOpening(t *try, copies uint32) {
-	head := inner.Open{Service: inner.ServiceID(service), Flags: inner.FlagTerms, Terms: t.kind.terms, Hops: t.hops}
+	head := inner.Open{Service: inner.ServiceID(service), Flags: inner.FlagTerms | inner.FlagLoad | inner.FlagStatus, Terms: t.kind.terms, Hops: t.hops}
 	if s.back > 0 && admission.MayBeRetry(t.began-s.back) {
 		head.Flags |= inner.FlagMayBeRetry
 	}
@@ -238,7 +291,7 @@
 // forward sends a packet of an accepted flow to the agent.
 func (s *overloadSim) forward(u *simUpstream, t *try, flags platform.Flags, size int) {
 	s.After(hop, func() {
-		if !s.up() {
+		if u.dead {
 			return
 		}
 		r, err := u.gate.FromBalancer(s.Now-u.started, balancer, inner.AppendForward(nil, inner.Forward{Terms: t.kind.terms}, fromCaller(t.id, 2, 101, flags, size)))
@@ -251,6 +304,14 @@
 
 // handle performs what an agent has decided.
 func (s *overloadSim) handle(u *simUpstream, r *gate.Result) {
+	if u.dead {
+		return
+	}
+	for _, n := range r.Notes {
+		if n.Kind == gate.KindRefused || n.Kind == gate.KindAbandoned {
+			s.reasons[n.Reason]++
+		}
+	}
 	for _, a := range r.Actions {
 		b := slices.Clone(a.Bytes)
 		switch {
@@ -260,10 +321,18 @@
 			s.After(hop, func() { s.toCaller(u, b) })
 		case inner.KindOf(b) == inner.KindReturned:
 			s.After(ms, func() { s.returned(u, b) })
+		default:
+			s.After(ms, func() { s.status(u, b) })
 		}
 	}
 }
 
+func (s *overloadSim) status(u *simUpstream, b []byte) {
+	if status, err := inner.ParseStatus(b); err == nil {
+		u.bar = status.Load.Bar
+	}
+}
+
 func (s *overloadSim) returned(u *simUpstream, b []byte) {
 	head, packet, _ := inner.ParseReturned(b)
 	p, _ := platform.ParsePacket(packet)
