Open flows at once in a burst, and hold openings only under overload that lasts

Change: openings are held once the overload counts as lasting and the backlog does not fall. A held opening that runs before what waits on open flows is passed on past it.

--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -47,7 +47,12 @@
 func (o *Openings[T]) Len() int { return o.queue.Len() }
 
 // Arrived records a request that is admitted, that waits or that is refused.
-func (o *Openings[T]) Arrived(now time.Duration, priority uint8) { o.demand.Arrived(now, priority) }
+func (o *Openings[T]) Arrived(now time.Duration, r Request) {
+	o.demand.Arrived(now, r.Priority)
+	if r.TargetLatency > 0 && r.Timeout > 0 {
+		o.routes[trackedPriority(r.Priority)] = r
+	}
+}
 
 // Answered records an answered request.
 func (o *Openings[T]) Answered(now time.Duration) { o.demand.Answered(now) }
@@ -74,6 +79,9 @@
 	return o.queue.Remove(item)
 }
 
+// Find returns the properties of a waiting opening.
+func (o *Openings[T]) Find(item T) (Request, bool) { return o.queue.find(item) }
+
 // Next returns the opening to pass on when there is room and why it was chosen, or None if
 // none waits. The opening stays in the queue.
 func (o *Openings[T]) Next(now time.Duration, p Pace) (T, Choice) { return o.queue.Next(now, p) }
@@ -103,7 +111,6 @@
 // Judge reports whether an opening that arrives now is refused. ahead is the number of
 // requests that the upstream processes or that wait for its slots.
 func (o *Openings[T]) Judge(now time.Duration, r Request, standing Standing, p Pace, ahead int) Refusal {
-	o.routes[trackedPriority(r.Priority)] = r
 	wait := o.Wait(r.Priority, p, ahead)
 	switch {
 	case standing < o.Bar(p, ahead):
@@ -165,8 +172,15 @@
 	return 0
 }
 
-// Lasting reports whether openings have had to wait for longer than in a burst.
-func (o *Openings[T]) Lasting() bool {
+// Holds reports whether openings have to wait while there is no room: more requests have
+// arrived than could be answered for longer than in a burst, or some wait already. In a
+// burst flows are opened at once, as callers that give up on an open flow close it.
+func (o *Openings[T]) Holds() bool {
+	return o.Len() > 0 || o.lasting() && !o.demand.Falling()
+}
+
+// lasting reports whether openings have had to wait for longer than in a burst.
+func (o *Openings[T]) lasting() bool {
 	for i := range o.pressures {
 		if o.pressures[i].age >= burstTime {
 			return true
--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -60,6 +60,17 @@
 	return Request{}, false
 }
 
+// CountBefore returns how many waiting requests would run before r.
+func (q *Queue[T]) CountBefore(now time.Duration, p Pace, r Request) int {
+	n := 0
+	for i := range q.waiting {
+		if !q.before(now, p, &r, &q.waiting[i].Request) {
+			n++
+		}
+	}
+	return n
+}
+
 // Overdue returns a request that must be forwarded although no slot is free, or None if
 // there is no such request. The request stays in the queue.
 func (q *Queue[T]) Overdue(now time.Duration) (item T, why Choice) {
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/platform"
 )
@@ -158,7 +159,7 @@
 func (g *Gate) noteRequest(now time.Duration, f *flow) {
 	g.requestArrived(now, f)
 	if f.served && !f.running {
-		g.openings.Arrived(now, f.terms.Priority)
+		g.openings.Arrived(now, admission.Request{Priority: f.terms.Priority})
 	}
 }
 
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -58,21 +58,22 @@
 		return
 	}
 	g.epochs.Observe(now, head.Epoch)
-	g.openings.Arrived(now, head.Terms.Priority)
-	if g.openings.Len() == 0 && g.hasRoom(now) {
-		g.shares.Add(now, id.Caller, g.epochs.At(now))
-		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
-		return
-	}
 	held := &heldOpening{
 		balancer: from, since: now, age: age, offset: retryOffset(head.Flags),
-		lastChoice: head.Flags&inner.FlagLastChoice != 0, packet: slices.Clone(packet),
+		lastChoice: head.Flags&inner.FlagLastChoice != 0,
 	}
 	request := held.request(now, head.Terms)
+	g.openings.Arrived(now, request)
+	if !g.openings.Holds() || g.openings.Len() == 0 && g.hasRoom(now, request) {
+		g.shares.Add(now, id.Caller, g.epochs.At(now))
+		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
+		return
+	}
 	if why := g.judgeOpening(now, id, request); why != admission.NotRefused {
 		g.refuse(now, from, id, inner.ReasonOverloaded, string(why), 0, packet)
 		return
 	}
+	held.packet = slices.Clone(packet)
 	g.held[id] = held
 	g.openings.Add(request, now-age+attemptTimeout, id)
 }
@@ -111,11 +112,14 @@
 	return admission.StandingOf(priority, rank)
 }
 
-// hasRoom reports whether another flow may be opened: as many flows as the upstream has
-// slots may be ahead of the slots, so that the next request is there when a slot becomes
-// free.
-func (g *Gate) hasRoom(now time.Duration) bool {
-	return g.slots() == 0 || g.ahead(now) < 2*g.slots()
+// hasRoom reports whether a flow may be opened: as many requests as the upstream has slots
+// may be ahead of the slots, so that the next request is there when a slot becomes free.
+func (g *Gate) hasRoom(now time.Duration, r admission.Request) bool {
+	if g.slots() == 0 {
+		return true
+	}
+	g.dropExpected(now)
+	return g.running+g.expectedCount+g.queue.CountBefore(now, g.pace(), r) < 2*g.slots()
 }
 
 // ahead returns the number of requests that the upstream processes, that wait for a slot, or
@@ -172,7 +176,7 @@
 		g.returnHeld(now, reason)
 		return
 	}
-	for g.hasRoom(now) && g.passOn(now, g.openings.Next) {
+	for g.passOn(now, g.nextWithRoom) {
 	}
 	for g.passOn(now, func(now time.Duration, _ admission.Pace) (platform.Flow, admission.Choice) {
 		return g.openings.AttemptEnding(now)
@@ -187,6 +191,16 @@
 	}
 }
 
+// nextWithRoom returns the held opening to pass on now, admission.None if there is no room
+// for any.
+func (g *Gate) nextWithRoom(now time.Duration, p admission.Pace) (platform.Flow, admission.Choice) {
+	id, why := g.openings.Next(now, p)
+	if r, ok := g.openings.Find(id); !ok || !g.hasRoom(now, r) {
+		return id, admission.None
+	}
+	return id, why
+}
+
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
 func (g *Gate) closedReason(now time.Duration) inner.Reason {
 	switch {
