--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -27,6 +27,9 @@
 	patience = 1.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
+	// shareMemory is for how much longer an overload lasts because of a caller that asks for
+	// more than its share.
+	shareMemory = 500 * time.Millisecond
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
 	burstShare = 0.8
 	// targetSpare is the time reserved before a target latency, in mean answer times: one
@@ -52,6 +55,10 @@
 	s.age = min(s.age+passed, burstTime+s.decline(r))
 }
 
+// prolong keeps an overload lasting for a moment, because a caller asks for more than its
+// share. What that caller is refused does not wait, but it would at once if it were admitted.
+func (s *pressure) prolong() { s.age = max(s.age, burstTime+shareMemory) }
+
 // lasting reports whether openings have waited for longer than in a burst.
 func (s *pressure) lasting() bool { return s.age >= burstTime }
 
--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -40,17 +40,6 @@
 	q.waiting = append(q.waiting, waiting[T]{r, item})
 }
 
-// Late returns the number of requests that are past their target latency.
-func (q *Queue[T]) Late(now time.Duration, p Pace) int {
-	n := 0
-	for i := range q.waiting {
-		if q.waiting[i].late(now, p) {
-			n++
-		}
-	}
-	return n
-}
-
 // Remove removes a request from the queue and reports whether it was in it.
 func (q *Queue[T]) Remove(item T) bool {
 	at := slices.IndexFunc(q.waiting, func(w waiting[T]) bool { return w.item == item })
@@ -71,6 +60,17 @@
 	return Request{}, false
 }
 
+// CountBefore returns how many waiting requests would run before r.
+func (q *Queue[T]) CountBefore(now time.Duration, p Pace, r Request) int {
+	n := 0
+	for i := range q.waiting {
+		if !q.before(now, p, &r, &q.waiting[i].Request) {
+			n++
+		}
+	}
+	return n
+}
+
 // Overdue returns a request that waits no longer although no slot is free, and whether it
 // is forwarded (Overdue) or dropped (Expired), or None if there is no such request. The
 // request stays in the queue.
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -58,21 +58,22 @@
 		return
 	}
 	g.epochs.Observe(now, head.Epoch)
-	g.openings.Arrived(now, head.Terms.Priority)
-	if g.openings.Len() == 0 && g.hasRoom(now) {
-		g.shares.Add(now, id.Caller, g.epochs.At(now))
-		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
-		return
-	}
 	held := &heldOpening{
 		balancer: from, since: now, age: age, offset: retryOffset(head.Flags),
-		lastChoice: head.Flags&inner.FlagLastChoice != 0, packet: slices.Clone(packet),
+		lastChoice: head.Flags&inner.FlagLastChoice != 0,
 	}
 	request := held.request(now, head.Terms)
+	g.openings.Arrived(now, request)
+	if !g.openings.Holds() || g.openings.Len() == 0 && g.hasRoomFor(now, id, request) {
+		g.shares.Add(now, id.Caller, g.epochs.At(now))
+		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
+		return
+	}
 	if why := g.judgeOpening(now, id, request); why != admission.NotRefused {
 		g.refuse(now, from, id, inner.ReasonOverloaded, string(why), 0, packet)
 		return
 	}
+	held.packet = slices.Clone(packet)
 	g.held[id] = held
 	g.openings.Add(request, now-age+attemptTimeout, id)
 }
@@ -113,24 +114,23 @@
 	return admission.StandingOf(priority, rank)
 }
 
-// hasRoom reports whether another flow may be opened whose request can be answered in time:
-// as many flows as the upstream has slots may be ahead of the slots, so that the next request
-// is there when a slot becomes free. Late requests that wait do not run before it.
-func (g *Gate) hasRoom(now time.Duration) bool {
-	return g.slots() == 0 || g.ahead(now)-g.queue.Late(now, g.pace()) < 2*g.slots()
+// hasRoom reports whether a flow may be opened: as many requests as the upstream has slots
+// may be ahead of the slots, so that the next request is there when a slot becomes free.
+func (g *Gate) hasRoom(now time.Duration, r admission.Request) bool {
+	if g.slots() == 0 {
+		return true
+	}
+	g.dropExpected(now)
+	return g.running+g.expectedCount+g.queue.CountBefore(now, g.pace(), r) < 2*g.slots()
 }
 
-// nextWithRoom returns the opening to pass on if there is room for it. One that is late has
-// to wait behind late requests, too.
-func (g *Gate) nextWithRoom(now time.Duration, p admission.Pace) (id platform.Flow, why admission.Choice) {
-	if !g.hasRoom(now) {
-		return id, admission.None
-	}
-	id, why = g.openings.Next(now, p)
-	if why != admission.InTime && g.slots() > 0 && g.ahead(now) >= 2*g.slots() {
-		return id, admission.None
+// hasRoomFor reports whether a caller's flow may be opened. For one that has had far more
+// requests admitted than others, there is room only if no request waits, late or not.
+func (g *Gate) hasRoomFor(now time.Duration, id platform.Flow, r admission.Request) bool {
+	if !g.hasRoom(now, r) {
+		return false
 	}
-	return id, why
+	return g.ahead(now) < 2*g.slots() || !g.shares.Heavy(now, id.Caller, g.epochs.At(now))
 }
 
 // ahead returns the number of requests that the upstream processes, that wait for a slot, or
@@ -229,6 +229,16 @@
 	}
 }
 
+// nextWithRoom returns the held opening to pass on now, admission.None if there is no room
+// for any.
+func (g *Gate) nextWithRoom(now time.Duration, p admission.Pace) (platform.Flow, admission.Choice) {
+	id, why := g.openings.Next(now, p)
+	if r, ok := g.openings.Find(id); !ok || !g.hasRoom(now, r) {
+		return id, admission.None
+	}
+	return id, why
+}
+
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
 func (g *Gate) closedReason(now time.Duration) inner.Reason {
 	switch {
