Refuse a flow at the balancer only while no upstream can have accepted it

Agents hold openings for some hundred milliseconds, and the caller's next copy may be at another balancer's agent by then, accepted.

Change: a flow is refused only within 150 ms of the arrival of its first transmission, while no other copy has arrived and no agent has been sent the packet twice; otherwise the flow is left alone. A held opening that no agent takes is not reset either. Levels are kept by service and allowed regions, bounded; a status without load counts with a free slot or a bar of 0; the first status of another agent process counts for nothing; a sample of agents stands for a service of which a balancer hears little. The note of a refusal has the bar, the standing and the number and age of the figures.

Ruled out: a flow refused after its second copy was returned by the agent that had both: the first may still be on its way to the agent. A double of the datagram with an opening is not covered: an agent that has refused it may accept the double.

--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -92,6 +92,12 @@
 	// warmupReported is the warm-up in the agent's last status, warmupSent the one in the
 	// last poll sent to the agent.
 	warmupReported, warmupSent time.Duration
+	// loadAt is when the last status arrived; statusAt may also be when the agent returned
+	// a packet with its number of running requests.
+	loadAt time.Duration
+	// newProcess is set if the last status is from another process of the agent than the
+	// one before.
+	newProcess bool
 	// pending counts the flows placed on the agent since its last status.
 	pending int
 	// questions holds the questions that are to be sent to the agent.
@@ -123,7 +129,8 @@
 }
 
 func (a *agent) setStatus(s inner.Status, now time.Duration) {
-	a.status, a.statusAt, a.pending = s, now, 0
+	a.newProcess = a.statusAt != 0 && s.Incarnation != a.status.Incarnation
+	a.status, a.statusAt, a.loadAt, a.pending = s, now, now, 0
 }
 
 // setRunning records the load that an agent reports with a packet returned as busy. The
--- a/internal/packetface/steer/early_openings.go
+++ b/internal/packetface/steer/early_openings.go
@@ -49,7 +49,7 @@
 			c.note(Note{Kind: KindDropped, Flow: e.id, Reason: "kept-too-long", Age: now - e.at})
 			continue
 		}
-		c.open(now, e.id, e.packet)
+		c.open(now, e.at, e.id, e.packet)
 	}
 	c.early = nil
 }
--- a/internal/packetface/steer/flows.go
+++ b/internal/packetface/steer/flows.go
@@ -24,11 +24,10 @@
 	tried, busy []*agent
 	lastTry     bool
 	service     uint64
-	// sawFirst is set if this balancer received the first transmission of the opening packet
-	// and knows which agents have had it; copyAge is the age of the latest copy. toQueue is
-	// set if the flow is sent to an agent's queue because no agent has a free slot.
-	sawFirst, toQueue bool
-	copyAge           time.Duration
+	// copies is what is known of the copies of the opening packet. toQueue is set if the flow
+	// is sent to an agent's queue because no agent has a free slot.
+	copies  openingCopies
+	toQueue bool
 	// refusals is the number of agents that have returned the opening packet as
 	// overloaded.
 	refusals int
--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -11,8 +11,9 @@
 	"github.com/saltbend/saltbend/platform"
 )
 
-// open places a flow, or forwards another copy of its opening packet.
-func (c *Core) open(now time.Duration, id platform.Flow, b []byte) {
+// open places a flow, or forwards another copy of its opening packet, which has arrived at
+// the given time.
+func (c *Core) open(now, arrived time.Duration, id platform.Flow, b []byte) {
 	route := c.route(id)
 	if route == nil {
 		if !c.settings.Policies.On(policy.EarlyOpenings) || !c.bufferEarly(now, id, b) {
@@ -24,9 +25,8 @@
 	if f == nil {
 		f = c.addFlow(id, now)
 		f.mayBeRetry = c.mayBeRetry(now, b)
-		f.sawFirst = copyAge(b) == 0
 	}
-	f.copyAge = max(f.copyAge, copyAge(b))
+	f.copies.add(arrived, copyAge(b))
 	f.seen, f.terms = now, route.Terms
 	if f.agent != nil && (f.open || !silentSincePlaced(f, now)) {
 		c.sendOpen(now, f, f.agent, route, id, b, 0)
@@ -34,7 +34,6 @@
 	}
 	if f.agent != nil {
 		f.tried = append(f.tried, f.agent)
-		f.sawFirst = false // the silent agent may have passed the first copy on
 	}
 	c.place(now, id, f, route, b)
 }
@@ -90,10 +89,14 @@
 	w := c.requirementsOf(route, service)
 	f.service = service
 	if f.hops() == 0 && c.refusedByLevel(now, id, route, w) {
-		c.refuse(now, id, f, "service-overloaded")
+		c.refuse(now, id, f, w, reasonServiceOverloaded)
 		return
 	}
 	best := c.choose(now, f, route, w)
+	if best == nil && f.refusals > 0 {
+		c.refuse(now, id, f, w, reasonAllOverloaded)
+		return
+	}
 	if best == nil || f.hops() >= maxHops {
 		c.placeLast(now, id, f, route, w, b)
 		return
@@ -104,6 +107,7 @@
 	}
 	c.note(note)
 	f.agent, f.placed = best, now
+	f.copies.repeated = f.copies.repeated || slices.Contains(f.busy, best)
 	best.pending++
 	flags := inner.Flags(0)
 	if best.isFailing() {
@@ -116,7 +120,7 @@
 // short of room, a flow goes to a short queue at once.
 func (c *Core) choose(now time.Duration, f *flow, route *routing.Route, w requirements) *agent {
 	f.toQueue = false
-	if route.Terms.TargetLatency > 0 && c.settings.Policies.On(policy.ServiceLevel) && c.level(now, w).short() {
+	if c.usesLevel(route) && c.level(now, w).short() {
 		if best := c.roster.chooseShort(now, w, c.settings, f.tried); best != nil {
 			f.toQueue = true
 			return best
@@ -135,6 +139,7 @@
 	}
 	c.note(Note{Kind: KindPlacedAgain, Flow: id, Agent: last.Addr, Age: now - last.lastReceived, Took: now - f.placed, Reason: "last", Count: f.hops()})
 	f.agent, f.placed, f.lastTry = last, now, true
+	f.copies.repeated = true
 	c.sendOpen(now, f, last, route, id, b, inner.FlagLastChoice)
 }
 
@@ -158,9 +163,15 @@
 // reject resets a flow that no agent takes, so that its caller knows at once; no request
 // of the flow has run. While the list of agents may be incomplete, the packet is dropped
 // instead unless it is the last copy: the caller's next copy is placed anew, and the
-// caller does not use up one of its retries.
+// caller does not use up one of its retries. A packet that an agent has held is dropped if
+// an upstream may have received another copy meanwhile.
 func (c *Core) reject(now time.Duration, id platform.Flow, reason string, b []byte) {
+	f := c.flows[id]
 	delete(c.flows, id)
+	if f != nil && f.wasHeld(now) && !f.copies.mayRefuse(now) {
+		c.note(Note{Kind: KindDropped, Flow: id, Reason: reason + "-copy", Age: now - f.copies.firstAt})
+		return
+	}
 	p, err := platform.ParsePacket(b)
 	if err == nil && !c.listComplete(now) && !p.IsLastCopy() {
 		c.note(Note{Kind: KindDropped, Flow: id, Reason: "next-copy-tries-again", Age: now - c.roster.firstListAt})
@@ -169,6 +180,12 @@
 	c.reset(id, 0, reason)
 }
 
+// wasHeld reports whether an agent has held the opening packet: agents return packets at
+// once otherwise.
+func (f *flow) wasHeld(now time.Duration) bool {
+	return f.terms.TargetLatency > 0 && now-f.copies.firstAt > copyTimeout
+}
+
 // listComplete reports whether the list has every agent that the store or other balancers
 // know of.
 func (c *Core) listComplete(now time.Duration) bool {
@@ -226,9 +243,13 @@
 	if route == nil || f == nil || f.open || f.agent != a {
 		return // a later copy has been placed elsewhere, or the route is gone
 	}
-	if head.Reason == inner.ReasonOverloaded && f.copyAge > copyAge(packet) {
+	if head.Reason == inner.ReasonOverloaded && f.copies.age > copyAge(packet) {
 		return // the agent has been sent a later copy, and decides on that one
 	}
+	if f.lastTry && head.Reason == inner.ReasonOverloaded {
+		c.refuse(now, id, f, c.requirementsOf(route, f.service), reasonAllOverloaded)
+		return
+	}
 	if f.lastTry {
 		c.reject(now, id, "all-returned-"+head.Reason.String(), packet)
 		return
@@ -242,7 +263,7 @@
 		f.tried = append(f.tried, a)
 		f.refusals++
 		if f.refusals >= maxRefusals {
-			c.refuse(now, id, f, "all-returned-"+head.Reason.String())
+			c.refuse(now, id, f, c.requirementsOf(route, f.service), reasonAllOverloaded)
 			return
 		}
 	default:
--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/policy"
@@ -21,58 +23,95 @@
 	levelMaxAge = 300 * time.Millisecond
 	// levelInterval is the time for which a computed level is used.
 	levelInterval = 5 * time.Millisecond
+	// levelAgentTime is added to levelInterval for each agent of the service: reading an
+	// agent's figures takes less than a fiftieth of it.
+	levelAgentTime = time.Microsecond
+	// levelSample is the number of agents with recent figures from which on these stand for
+	// the service. One balancer of hundreds hears from a few agents at a time.
+	levelSample = 8
 	// levelProbes is the number of openings below the level of which one is tried, so that
 	// new room is found.
 	levelProbes = 16
+	// maxLevels bounds the services and sets of regions with a level. Beyond it, all levels
+	// are computed anew.
+	maxLevels = 1024
 	// shortCandidates is the number of agents from which the one with the shortest wait is
 	// chosen while the service is short of room. Balancers that all chose the best of all
 	// agents would choose the same one.
 	shortCandidates = 4
 )
 
+// Reasons for the refusal of a flow.
+const (
+	// reasonServiceOverloaded: no agent has been tried, as the service refuses such flows.
+	reasonServiceOverloaded = "service-overloaded"
+	// reasonAllOverloaded: the agents that were tried have refused the flow.
+	reasonAllOverloaded = "all-returned-overloaded"
+	// suffixCopy is appended if the flow is not reset, as an upstream may have accepted it.
+	suffixCopy = "-copy"
+)
+
+// levelKey identifies the agents that a flow may use: those of a service in some regions.
+type levelKey struct {
+	service, regions uint64
+}
+
+func keyOf(w requirements) levelKey {
+	k := levelKey{service: w.service}
+	for _, region := range w.allowedRegions {
+		k.regions = k.regions*31 + xxhash.Sum64String(region)
+	}
+	return k
+}
+
 // serviceLevel sums up what the agents that a flow may use report on their room.
 type serviceLevel struct {
-	at time.Duration
+	// at is when the level was computed, until when it is used next.
+	at, until time.Duration
 	// known is the number of agents with recent figures, free how many of them have a free
 	// slot, and total the number of agents that accept flows.
 	known, free, total int
+	// oldest is when the oldest of the figures arrived.
+	oldest time.Duration
 	// bar is the standing below which the service refuses openings, 0 for none.
 	bar admission.Standing
-	// refused counts the openings below the bar.
-	refused int
-	bars    []admission.Standing
+	// below counts the openings below the bar.
+	below int
+	bars  []admission.Standing
 }
 
 // short reports whether no agent is known to have room for another request.
-func (l *serviceLevel) short() bool { return l.free == 0 && 2*l.known > l.total }
+func (l *serviceLevel) short() bool {
+	return l.known > 0 && l.free == 0 && l.known >= min(l.total/2+1, levelSample)
+}
 
 // level returns the level of a service for flows with the given requirements.
 func (c *Core) level(now time.Duration, w requirements) *serviceLevel {
-	l := c.levels[w.service]
+	key := keyOf(w)
+	l := c.levels[key]
 	if l == nil {
-		l = &serviceLevel{at: -levelInterval}
-		c.levels[w.service] = l
+		if len(c.levels) >= maxLevels {
+			clear(c.levels)
+		}
+		l = &serviceLevel{}
+		c.levels[key] = l
 	}
-	if now-l.at >= levelInterval {
+	if now >= l.until {
 		l.update(now, c.roster.byService[w.service], w)
 	}
 	return l
 }
 
 func (l *serviceLevel) update(now time.Duration, agents []*agent, w requirements) {
-	l.at, l.known, l.free, l.total, l.bar, l.bars = now, 0, 0, 0, 0, l.bars[:0]
+	l.at, l.until = now, now+levelInterval+time.Duration(len(agents))*levelAgentTime
+	l.known, l.free, l.total, l.oldest, l.bar, l.bars = 0, 0, 0, now, 0, l.bars[:0]
 	for _, a := range agents {
 		if !w.allows(a) || !a.acceptsFlows() || a.isSuspect(now) {
 			continue
 		}
 		l.total++
-		if !a.status.HasLoad || now-a.statusAt > levelMaxAge {
-			continue
-		}
-		l.known++
-		l.bars = append(l.bars, a.status.Load.Bar)
-		if a.hasFreeSlot() {
-			l.free++
+		if a.hasRecentFigures(now) {
+			l.add(a)
 		}
 	}
 	if !l.short() {
@@ -82,6 +121,28 @@
 	l.bar = l.bars[len(l.bars)/4]
 }
 
+// add adds the figures of an agent. An agent of an earlier build reports no bar and refuses
+// nothing.
+func (l *serviceLevel) add(a *agent) {
+	l.known++
+	l.oldest = min(l.oldest, a.loadAt)
+	if a.hasFreeSlot() {
+		l.free++
+	}
+	bar := admission.Standing(0)
+	if a.status.HasLoad {
+		bar = a.status.Load.Bar
+	}
+	l.bars = append(l.bars, bar)
+}
+
+// hasRecentFigures reports whether the level may rely on the agent's last status: it is
+// recent, it states the number of slots, and it is not the first of its process, which may
+// also be a delayed one of a former process.
+func (a *agent) hasRecentFigures(now time.Duration) bool {
+	return a.loadAt != 0 && now-a.loadAt <= levelMaxAge && a.status.Slots > 0 && !a.newProcess
+}
+
 // hasFreeSlot reports whether the agent has a slot for another request, as far as is known.
 func (a *agent) hasFreeSlot() bool {
 	return int(a.status.Running)+a.pending < int(a.status.Slots)
@@ -89,28 +150,42 @@
 
 // refusedByLevel reports whether an opening packet is refused without being tried.
 func (c *Core) refusedByLevel(now time.Duration, id platform.Flow, route *routing.Route, w requirements) bool {
-	if !c.settings.Policies.On(policy.ServiceLevel) || route.Terms.TargetLatency == 0 {
+	if !c.usesLevel(route) {
 		return false
 	}
 	l := c.level(now, w)
-	standing := admission.StandingOf(route.Terms.Priority, admission.Rank(id.Caller, c.epochs.At(now)))
-	if standing > l.bar || l.bar == 0 {
+	if l.bar == 0 || c.standingOf(now, id, route.Terms) > l.bar {
 		return false
 	}
-	l.refused++
-	return l.refused%levelProbes != 0
+	l.below++
+	return l.below%levelProbes != 0
 }
 
-// refuse resets a flow for which its service has no room. A copy of an opening packet whose
-// first transmission another balancer received is dropped instead: an upstream may have
-// accepted the flow by then.
-func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, reason string) {
+// usesLevel reports whether the flows of a route are placed and refused by the level of
+// their service.
+func (c *Core) usesLevel(route *routing.Route) bool {
+	return route.Terms.TargetLatency > 0 && route.Terms.Timeout > 0 && c.settings.Policies.On(policy.ServiceLevel)
+}
+
+func (c *Core) standingOf(now time.Duration, id platform.Flow, terms inner.Terms) admission.Standing {
+	return admission.StandingOf(terms.Priority, admission.Rank(id.Caller, c.epochs.At(now)))
+}
+
+// refuse resets a flow for which its service has no room. If an upstream may have received a
+// copy of the opening packet, the flow is left alone instead.
+func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, w requirements, reason string) {
 	delete(c.flows, id)
-	if !f.sawFirst {
-		c.note(Note{Kind: KindDropped, Flow: id, Reason: reason + "-copy"})
+	l := c.level(now, w)
+	note := Note{
+		Kind: KindReset, Flow: id, Reason: reason, Age: now - l.oldest, Count: f.hops(),
+		Bar: l.bar, Standing: c.standingOf(now, id, f.terms), Agents: l.known,
+	}
+	if !f.copies.mayRefuse(now) {
+		note.Kind, note.Reason = KindDropped, reason+suffixCopy
+		c.note(note)
 		return
 	}
-	c.resetWithNote(id, 0, Note{Reason: reason, Age: now - c.level(now, requirements{service: f.service}).at, Count: f.hops()})
+	c.resetWithNote(id, 0, note)
 }
 
 // chooseShort returns the agent with the shortest expected wait among a few.
--- a/internal/packetface/steer/sim_fleet_test.go
+++ b/internal/packetface/steer/sim_fleet_test.go
@@ -106,6 +106,22 @@
 	// opened, if not nil, is called for each opening packet that an upstream receives;
 	// held is whether the upstream holds the flow already.
 	opened func(s *simAgent, held bool)
+	// terms are the target latency and the timeout of the route, workTime is the time that
+	// upstreams take for an answer, and answers are those that are due later.
+	terms    inner.Terms
+	workTime time.Duration
+	answers  []dueAnswer
+	// onReset, if not nil, is called for each reset that a balancer sends, before it counts.
+	onReset func(n steer.Note)
+	// neverDoubled reports, if not nil, which datagrams the network does not double.
+	neverDoubled func(b []byte) bool
+}
+
+// dueAnswer is an answer that an upstream sends later.
+type dueAnswer struct {
+	due   time.Duration
+	from  *simAgent
+	bytes []byte
 }
 
 func address(host, port int) netip.AddrPort {
@@ -115,9 +131,15 @@
 func table() *routing.Table { return tableOf(warmup) }
 
 // tableOf returns a configuration with the time for which upstreams are cold, 0 for none.
-func tableOf(warmup time.Duration) *routing.Table {
+func tableOf(warmup time.Duration) *routing.Table { return tableWith(warmup, inner.Terms{}) }
+
+// tableWith returns a configuration whose route has terms.
+func tableWith(warmup time.Duration, terms inner.Terms) *routing.Table {
 	return routing.NewTable(platform.Configuration{Version: 1, Routes: []platform.Route{
-		{Name: "r", Face: face, Shares: []platform.Share{{Service: service, Weight: 1}}, Idempotent: true},
+		{
+			Name: "r", Face: face, Shares: []platform.Share{{Service: service, Weight: 1}}, Idempotent: true,
+			TargetLatency: terms.TargetLatency, Timeout: terms.Timeout,
+		},
 	}, Services: []platform.Service{{Name: service, Warmup: warmup}}})
 }
 
@@ -181,7 +203,7 @@
 
 func (w *simFleet) startBalancer(b *balancer) {
 	c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: w.random, AbsentAfter: w.absentAfter})
-	c.SetTable(w.now, tableOf(w.warmup), time.Minute)
+	c.SetTable(w.now, tableWith(w.warmup, w.terms), time.Minute)
 	c.SetTableFresh(true)
 	b.core = c
 	w.fromBalancer(b.addr, c.SetEvacuations(w.now, b.evacuations.Clone()))
@@ -211,6 +233,9 @@
 
 func (w *simFleet) fromBalancer(addr netip.AddrPort, r *steer.Result) {
 	for _, n := range r.Notes {
+		if n.Kind == steer.KindReset && w.onReset != nil {
+			w.onReset(n)
+		}
 		w.logEvent("balancer %s %s %s agent %s %s", addr, n.Kind, n.Flow, n.Agent, n.Reason)
 	}
 	for _, a := range r.Actions {
@@ -305,7 +330,12 @@
 		}
 		s.held[id] = true
 		if p.Length > 0 {
-			w.reply(s, packet(reversed(id), 100, p.Sequence+uint32(p.Length), platform.FlagACK, 20))
+			answer := packet(reversed(id), 100, p.Sequence+uint32(p.Length), platform.FlagACK, 20)
+			if w.workTime > 0 {
+				w.answers = append(w.answers, dueAnswer{w.now + w.workTime, s, answer})
+				break
+			}
+			w.reply(s, answer)
 		}
 	}
 }
--- a/internal/packetface/steer/sim_network_test.go
+++ b/internal/packetface/steer/sim_network_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/saltbend/saltbend/platform"
 )
 
 // The simulated network: it loses, duplicates and delays datagrams, and cuts links.
@@ -26,7 +28,7 @@
 	if w.random.Float64() < w.loss {
 		copies = 0
 	}
-	if w.random.Float64() < w.loss/2 {
+	if w.random.Float64() < w.loss/2 && (w.neverDoubled == nil || !w.neverDoubled(b)) {
 		copies++
 	}
 	for range copies {
@@ -77,6 +79,7 @@
 			}
 			w.deliver(l)
 		}
+		w.answer()
 		if w.now%(5*time.Millisecond) == 0 {
 			for _, b := range w.balancers {
 				w.readRestoredStore(b)
@@ -90,6 +93,21 @@
 	}
 }
 
+// answer sends the answers that are due, of upstreams that still hold the flow.
+func (w *simFleet) answer() {
+	due := w.answers
+	w.answers = nil
+	for _, a := range due {
+		if a.due > w.now {
+			w.answers = append(w.answers, a)
+			continue
+		}
+		if p, err := platform.ParsePacket(a.bytes); err == nil && a.from.held[p.FromUpstream()] {
+			w.reply(a.from, a.bytes)
+		}
+	}
+}
+
 func (w *simFleet) deliver(l datagram) {
 	if b := w.balancerByAddr[l.to]; b != nil {
 		r, err := b.core.FromAgent(w.now, l.from, l.bytes)
--- a/internal/packetface/steer/sim_restarts_test.go
+++ b/internal/packetface/steer/sim_restarts_test.go
@@ -31,7 +31,7 @@
 	s.started = w.now
 	s.listedAt = w.now + time.Duration(w.random.Int64N(int64(50*time.Millisecond)))
 	s.gate = gate.New(gate.Settings{
-		Service: service, CallerPort: callerPort,
+		Service: service, CallerPort: callerPort, Incarnation: s.incarnation,
 		Times: gate.Times{DrainTimeout: 3 * time.Second, FlowMaxAge: time.Minute, HeartbeatInterval: 1200 * time.Millisecond},
 	})
 }
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -96,6 +96,11 @@
 	// Count depends on the kind: the hops of a placement, the number of agents asked, or
 	// the previous state (0: none was known).
 	Count int
+	// Bar, Standing and Agents describe the refusal of a flow for lack of room: the bar of
+	// its service (0 for none), the flow's standing, and the number of agents from whose
+	// figures the bar was computed. Age is the age of the oldest of these figures.
+	Bar, Standing admission.Standing
+	Agents        int
 }
 
 // Result holds what a call decided. It is valid until the next call of the Core.
@@ -172,8 +177,8 @@
 	// lastCall is when the Core was last called, 0 for not yet.
 	lastCall time.Duration
 	epochs   admission.Epochs
-	// levels are the levels of services by their ids.
-	levels map[uint64]*serviceLevel
+	// levels are the levels of services.
+	levels map[levelKey]*serviceLevel
 	// newer is the newest version that an agent has reported; newerNotedAt is when the
 	// last note of something newer was added, 0 for never.
 	newer        newerVersion
@@ -201,7 +206,7 @@
 		flows:        make(map[platform.Flow]*flow),
 		searches:     make(map[platform.Flow]*ownerSearch),
 		dead:         make(map[platform.Flow]time.Duration),
-		levels:       make(map[uint64]*serviceLevel),
+		levels:       make(map[levelKey]*serviceLevel),
 		probeBudget:  probesPerTick,
 		searchBudget: searchesPerTick, questionBudget: questionsPerTick,
 	}
@@ -299,7 +304,7 @@
 	}
 	id := p.FromCaller()
 	if p.IsOpening() {
-		c.open(now, id, b)
+		c.open(now, now, id, b)
 	} else {
 		c.forwardOrSearch(now, id, &p, b)
 	}
