Try more agents while some have room

Change: after a refusal the shortest known queue is tried; a flow is refused after three refusals only while few agents have room, else after eight.

--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -117,10 +117,10 @@
 }
 
 // choose returns the agent to try next for a flow, nil if there is none. While the service is
-// short of room, a flow goes to a short queue at once.
+// short of room, or an agent has refused the flow, it goes to a short queue at once.
 func (c *Core) choose(now time.Duration, f *flow, route *routing.Route, w requirements) *agent {
 	f.toQueue = false
-	if c.usesLevel(route) && c.level(now, w).scarce() {
+	if c.usesLevel(route) && (f.refusals > 0 || c.level(now, w).scarce()) {
 		if best := c.roster.chooseShort(now, w, c.settings, f.tried); best != nil {
 			f.toQueue = true
 			return best
@@ -262,8 +262,8 @@
 		a.setRunning(now, head.Running)
 		f.tried = append(f.tried, a)
 		f.refusals++
-		if f.refusals >= maxRefusals {
-			c.refuse(now, id, f, c.requirementsOf(route, f.service), reasonAllOverloaded)
+		if w := c.requirementsOf(route, f.service); c.refusedEverywhere(now, f, w) {
+			c.refuse(now, id, f, w, reasonAllOverloaded)
 			return
 		}
 	default:
--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -226,6 +226,15 @@
 	return admission.StandingOf(terms.Priority, admission.Rank(id.Caller, c.epochs.At(now)))
 }
 
+// refusedEverywhere reports whether a flow that agents have refused is not tried at another
+// one. While some agents have room, more are tried.
+func (c *Core) refusedEverywhere(now time.Duration, f *flow, w requirements) bool {
+	if c.level(now, w).scarce() {
+		return f.refusals >= maxRefusals
+	}
+	return f.refusals >= maxRefusalsWithRoom
+}
+
 // refuse resets a flow for which its service has no room. If an upstream may have received a
 // copy of the opening packet, the flow is left alone instead.
 func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, w requirements, reason string) {
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -122,6 +122,8 @@
 	// maxRefusals is the number of agents that may return an opening packet as overloaded
 	// before it is refused.
 	maxRefusals = 3
+	// maxRefusalsWithRoom replaces maxRefusals while other agents are known to have room.
+	maxRefusalsWithRoom = 8
 	// listSettleTime is how long the list of agents counts as incomplete after the first
 	// list arrived: agents whose entries expired may be about to be listed again.
 	listSettleTime = 250 * time.Millisecond
