--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -24,7 +24,7 @@
 	burstTime = 750 * time.Millisecond
 	// patience is the duration of an overload, in timeouts of its callers, during which the
 	// allowed wait falls to the one that the target latency allows.
-	patience = 1.0
+	patience = 3.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
