--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -178,8 +178,8 @@
 	for i := range o.pressures {
 		r := o.routes[i]
 		limit := time.Duration(lowWait * float64(inTimeWait(r, p)))
-		waits := r.TargetLatency > 0 && o.Wait(uint8(i), p, ahead) > limit
-		o.pressures[i].observe(now, waits, r)
+		wait := o.Wait(uint8(i), p, ahead)
+		o.pressures[i].observe(now, wait, r.TargetLatency > 0 && wait > limit, r)
 	}
 }
 
@@ -192,7 +192,7 @@
 	}
 	for i := range o.pressures {
 		r := o.routes[i]
-		share := o.pressures[i].refusedShare(o.Wait(uint8(i), p, ahead), r, p)
+		share := o.pressures[i].refusedShare(r, p)
 		if share > 0 {
 			return StandingOf(r.Priority, uint8(share*math.MaxUint8))
 		}
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -15,6 +15,8 @@
 // within their target latency.
 type pressure struct {
 	at, age time.Duration
+	// wait is the expected wait of an opening, averaged over waitTime.
+	wait time.Duration
 }
 
 const (
@@ -24,7 +26,7 @@
 	burstTime = 750 * time.Millisecond
 	// patience is the duration of an overload, in timeouts of its callers, during which the
 	// allowed wait falls to the one that the target latency allows.
-	patience = 3.0
+	patience = 1.5
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// shareMemory is for how much longer an overload lasts because of a caller that asks for
@@ -38,16 +40,20 @@
 	// lowWait is the wait from which on openings are refused under an overload that lasts,
 	// relative to the one that the target latency allows. At one and a half times the room
 	// a third has to be refused, with a wait that is still below the allowed one.
-	lowWait = 0.6
-	// waitBand is the further wait, relative to the same, over which the refused share of
-	// the openings rises from none to all.
-	waitBand = 1.0
+	lowWait = 0.8
+	// waitBand is the wait, relative to the allowed one, at which all openings are refused.
+	waitBand = 2.0
+	// waitTime is the time over which the expected wait is averaged. If the share followed
+	// each change of the wait, many callers would be refused once, return, and be late.
+	waitTime = 150 * time.Millisecond
 )
 
-// observe records whether openings wait at the given time.
-func (s *pressure) observe(now time.Duration, waits bool, r Request) {
+// observe records the expected wait at the given time, and whether it is a large part of the
+// target latency.
+func (s *pressure) observe(now, wait time.Duration, waits bool, r Request) {
 	passed := now - s.at
 	s.at = now
+	s.wait += time.Duration((1 - math.Exp(-float64(passed)/float64(waitTime))) * float64(wait-s.wait))
 	if !waits {
 		s.age = max(0, s.age-recovery*passed)
 		return
@@ -67,16 +73,15 @@
 	return time.Duration(patience * float64(r.Timeout))
 }
 
-// refusedShare returns the share of a route's openings to refuse when they are expected to
-// wait for the given time.
-func (s *pressure) refusedShare(wait time.Duration, r Request, p Pace) float64 {
+// refusedShare returns the share of a route's openings to refuse.
+func (s *pressure) refusedShare(r Request, p Pace) float64 {
 	if !s.lasting() || r.Timeout == 0 || r.TargetLatency == 0 {
 		return 0
 	}
 	left := 1 - float64(s.age-burstTime)/float64(s.decline(r))
 	inTime := float64(inTimeWait(r, p))
 	allowed := max(lowWait*inTime, burstShare*left*float64(r.Timeout))
-	share := (float64(wait) - allowed) / (waitBand * inTime)
+	share := (float64(s.wait)/allowed - 1) / (waitBand - 1)
 	return math.Min(math.Max(share, 0), 1)
 }
 
