Take a backlog of a cold upstream for a burst, and a pause of the process for nothing

After a common loss of power all upstreams are cold.

The time between two observations counted in full: after a pause of the process an overload seemed to have lasted throughout it.

--- a/internal/packetface/admission/openings_test.go
+++ b/internal/packetface/admission/openings_test.go
@@ -208,6 +208,21 @@
 	}
 }
 
+// What arrived during a pause of the process is a burst, not an overload that has lasted.
+func TestPauseOfTheProcessIsNoOverload(t *testing.T) {
+	g := NewWithT(t)
+	var o admission.Openings[int]
+	o.Arrived(second, terms(2, second))
+	o.Observe(second, pace, 0)
+	o.Observe(20*second, pace, 100)
+	g.Expect(o.Holds()).To(BeFalse())
+	g.Expect(o.Bar(pace, 100)).To(BeZero())
+	for n := range 20 {
+		o.Observe(20*second+time.Duration(n)*100*ms, pace, 100)
+	}
+	g.Expect(o.Holds()).To(BeTrue())
+}
+
 // The bar rises while overload lasts, and falls to 0 soon after demand has fallen.
 func TestBarFollowsDemand(t *testing.T) {
 	for _, slots := range []int{2, 8} {
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -27,6 +27,9 @@
 	patience = 3.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
+	// longestGap is the longest time between two observations that counts: what happened
+	// during a pause of the process is not known.
+	longestGap = 300 * time.Millisecond
 	// shareMemory is for how much longer an overload lasts because of a caller that asks for
 	// more than its share.
 	shareMemory = 500 * time.Millisecond
@@ -46,7 +49,7 @@
 
 // observe records whether openings wait at the given time.
 func (s *pressure) observe(now time.Duration, waits bool, r Request) {
-	passed := now - s.at
+	passed := min(now-s.at, longestGap)
 	s.at = now
 	if !waits {
 		s.age = max(0, s.age-recovery*passed)
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -179,7 +179,7 @@
 // releaseOpenings passes held openings on while there is room, and refuses those that cannot
 // be answered in time.
 func (g *Gate) releaseOpenings(now time.Duration) {
-	g.openings.Observe(now, g.pace(), g.ahead(now))
+	g.openings.Observe(now, g.pace(), g.pressing(now))
 	g.returnHeldIfClosed(now)
 	if len(g.held) == 0 {
 		return
@@ -239,6 +239,16 @@
 	return id, why
 }
 
+// pressing returns the number of requests ahead that count as a sign of overload. A cold upstream
+// becomes faster by itself, and after a common power loss all are cold: the backlog is then
+// served to the last request.
+func (g *Gate) pressing(now time.Duration) int {
+	if now < g.upstream.coldEnd {
+		return 0
+	}
+	return g.ahead(now)
+}
+
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
 func (g *Gate) closedReason(now time.Duration) inner.Reason {
 	switch {
--- a/internal/packetface/gate/openings_test.go
+++ b/internal/packetface/gate/openings_test.go
@@ -287,6 +287,25 @@
 	b.Expect(b.ran()).To(HaveLen(2))
 }
 
+// While an upstream is cold, as all are after a common power loss, its openings do not wait:
+// callers are served late rather than never.
+func TestNothingIsHeldForAColdUpstream(t *testing.T) {
+	b := newBench(t)
+	b.now = longUptime
+	beat := platform.Heartbeat{Instance: platform.Instance{ID: "i-1"}, Slots: slots, Sequence: 1, WarmupLeft: 5 * second}
+	_, ok := b.gate.Heartbeat(b.now, beat)
+	b.Expect(ok).To(BeTrue())
+	for n := range 60 {
+		b.openTerms(n)
+		b.Expect(b.toUpstream()).To(Equal(1))
+		b.accept(n)
+		b.requestOn(n, 2, routeTerms)
+		b.now += 50 * ms
+		b.answer(flow(n / 2)) // half as fast as they arrive
+		b.Expect(b.gate.Counts(b.now).Held).To(BeZero())
+	}
+}
+
 // If even the end of its attempt does not let an opening pass, it is dropped then: its caller
 // does not wait for it any more.
 func TestHeldOpeningIsDroppedAfterItsAttempt(t *testing.T) {
--- a/internal/packetface/gate/overload_sim_test.go
+++ b/internal/packetface/gate/overload_sim_test.go
@@ -133,7 +133,7 @@
 			Times: gate.Times{DrainTimeout: 3 * second, FlowMaxAge: time.Minute, HeartbeatInterval: time.Hour},
 		})}
 		s.upstreams[i] = u
-		u.gate.Heartbeat(ms, platform.Heartbeat{Instance: platform.Instance{ID: "i"}, Slots: slots, Sequence: 1})
+		u.gate.Heartbeat(ms, platform.Heartbeat{Instance: platform.Instance{ID: "i"}, Slots: slots, Sequence: 1, WarmupLeft: max(s.cold-s.Now, 0)})
 	}
 }
 
