Test that flows closed by their callers do not shut an upstream out (fails)

Cause, from the log of an agent under overload: "verdict" "shut-fast" took_ms=400 of a working upstream, after callers had given up just after their requests began: the upstream closes such flows at once, which counts as unbelievably fast answers.

--- a/internal/packetface/gate/verdict_test.go
+++ b/internal/packetface/gate/verdict_test.go
@@ -209,3 +209,29 @@
 	}
 	b.Expect(b.state()).To(Equal(inner.StateReady))
 }
+
+// Under overload callers give up just after the upstream has begun on their requests. The
+// upstream then closes the flow within a millisecond, which must not count as a failure: a
+// log showed a working upstream shut out for 400 ms ("verdict", "shut-fast") while requests
+// waited.
+func TestUpstreamIsNotJudgedByFlowsThatItsCallersHaveClosed(t *testing.T) {
+	b := newBench(t)
+	b.begin("i-1")
+	for n := range 80 {
+		id := callerAt(n + 100)
+		b.open(id)
+		b.send(id, 2, platform.FlagACK, 30)
+		b.now += 30 * time.Millisecond
+		b.answer(id)
+	}
+	for n := range 4 {
+		id := callerAt(n + 1)
+		b.open(id)
+		b.send(id, 2, platform.FlagACK, 30)
+		b.send(id, 32, platform.FlagACK|platform.FlagFIN, 0)
+		b.upstreamSends(fromUpstream(id, 101, 33, platform.FlagACK|platform.FlagFIN, 0))
+		b.now += time.Millisecond
+	}
+	b.Expect(b.state()).To(Equal(inner.StateReady))
+	b.Expect(b.gate.Counts(b.now).Running).To(BeZero())
+}
