--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -104,6 +104,9 @@
 	g.setRunning(f, false)
 	f.served = true
 	g.openings.Answered(now)
+	if f.callerDone {
+		return // the caller has given up, so the end of the flow tells nothing of the upstream
+	}
 	g.addLatency(now, now-f.requestedAt)
 	change, changed := g.judge.Answered(now, f.requestedAt, now-f.requestedAt, id)
 	g.applyVerdictChange(now, change, changed)
