--- a/internal/packetface/gate/openings_property_test.go
+++ b/internal/packetface/gate/openings_property_test.go
@@ -143,8 +143,8 @@
 	return held
 }
 
-// left returns how often the opening packet of a flow was passed on, returned or dropped in the last
-// call.
+// left returns how often the opening packet of a flow was passed on, returned or dropped in
+// the last call.
 func (b *bench) left(n int) (times int) {
 	for _, a := range b.last.Actions {
 		packet := a.Bytes
@@ -196,8 +196,8 @@
 	NewWithT(t).Expect(held).To(BeNumerically(">", 100), "the histories hold openings")
 }
 
-// decided returns what a bench decided in its last call, in any order. The capability to hold openings is
-// left out of statuses.
+// decided returns what a bench decided in its last call, in any order. The capability to hold
+// openings is left out of statuses.
 func (b *bench) decided() []string {
 	var out []string
 	for _, a := range b.last.Actions {
