--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -57,6 +57,7 @@
 	passed := min(now-s.at, longestGap)
 	s.at = now
 	s.wait += time.Duration((1 - math.Exp(-float64(passed)/float64(waitTime))) * float64(wait-s.wait))
+	passed = min(passed, longestGap)
 	if !waits {
 		s.age = max(0, s.age-recovery*passed)
 		return
