--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -26,7 +26,7 @@
 	burstTime = 750 * time.Millisecond
 	// patience is the duration of an overload, in timeouts of its callers, during which the
 	// allowed wait falls to the one that the target latency allows.
-	patience = 1.5
+	patience = 2.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// longestGap is the longest time between two observations that counts: what happened
@@ -43,9 +43,9 @@
 	// lowWait is the wait from which on openings are refused under an overload that lasts,
 	// relative to the one that the target latency allows. At one and a half times the room
 	// a third has to be refused, with a wait that is still below the allowed one.
-	lowWait = 0.8
+	lowWait = 0.6
 	// waitBand is the wait, relative to the allowed one, at which all openings are refused.
-	waitBand = 2.0
+	waitBand = 2.5
 	// waitTime is the time over which the expected wait is averaged. If the share followed
 	// each change of the wait, many callers would be refused once, return, and be late.
 	waitTime = 150 * time.Millisecond
@@ -54,10 +54,9 @@
 // observe records the expected wait at the given time, and whether it is a large part of the
 // target latency.
 func (s *pressure) observe(now, wait time.Duration, waits bool, r Request) {
-	passed := now - s.at
+	passed := min(now-s.at, longestGap)
 	s.at = now
 	s.wait += time.Duration((1 - math.Exp(-float64(passed)/float64(waitTime))) * float64(wait-s.wait))
-	passed = min(passed, longestGap)
 	if !waits {
 		s.age = max(0, s.age-recovery*passed)
 		return
