--- a/internal/packetface/watchshare/size_test.go
+++ b/internal/packetface/watchshare/size_test.go
@@ -142,3 +142,62 @@
 		g.Expect(f.calls-before).To(BeNumerically("<=", 12*callsPerSecond+30), "calls of 12 s, and 30 for the restarts of the three seeds")
 	})
 }
+
+// idleFleet is a fleet whose members start one after the other and in which no agent
+// reports the number of balancers: agents count balancers by their datagrams of the last
+// 10 s, which are rare while there are no callers.
+func idleFleet(size int, loss float64) *fleet {
+	const startInterval = 2 * time.Second
+	f := newFleet(size, 11)
+	f.sizeUnreported, f.loss = true, loss
+	for _, m := range f.members {
+		m.dead = true
+	}
+	for _, m := range f.members {
+		f.start(m)
+		f.run(startInterval)
+	}
+	return f
+}
+
+func TestBalancersOfIdleFleetLearnItsSizeFromEachOther(t *testing.T) {
+	for _, loss := range []float64{0, 0.2} {
+		t.Run(fmt.Sprintf("loss %v", loss), func(t *testing.T) {
+			g := NewWithT(t)
+			f := idleFleet(14, loss)
+			f.run(20 * time.Second)
+			f.loss = 0
+			f.run(2 * time.Second)
+			g.Expect(f.watchers()).To(BeNumerically("<=", 3))
+		})
+	}
+}
+
+// The seeds restart together and know nothing of the fleet any more. A balancer that starts
+// after them must still learn that watches are shared.
+func TestSizeOfIdleFleetSurvivesRestartOfAllSeeds(t *testing.T) {
+	g := NewWithT(t)
+	f := idleFleet(14, 0)
+	f.run(20 * time.Second)
+	for _, m := range f.members[:3] {
+		f.start(m)
+	}
+	f.run(6 * time.Second)
+	f.start(f.members[13])
+	f.run(6 * time.Second)
+	g.Expect(f.watchers()).To(BeNumerically("<=", 3))
+}
+
+// A fleet that is too small to share watches keeps its long watches: a balancer that is
+// asked for the size of the fleet must not take the asking one as a listener.
+func TestBalancersOfSmallIdleFleetHaveNoListeners(t *testing.T) {
+	g := NewWithT(t)
+	f := idleFleet(11, 0)
+	for range 50 {
+		f.run(200 * time.Millisecond)
+		g.Expect(f.watchers()).To(Equal(11))
+		for _, m := range f.members {
+			g.Expect(m.share.Listeners(f.clock(m))).To(BeZero())
+		}
+	}
+}
--- a/internal/packetface/watchshare/watchshare_test.go
+++ b/internal/packetface/watchshare/watchshare_test.go
@@ -71,6 +71,8 @@
 	// takes to answer a member without a listing.
 	down        bool
 	readingTime time.Duration
+	// sizeUnreported is set if agents do not report the number of balancers.
+	sizeUnreported bool
 }
 
 func host(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
@@ -182,7 +184,7 @@
 // size is the number of balancers that a member knows of. It learns the number from
 // agents, which it knows once it has a listing.
 func (f *fleet) size(m *member) int {
-	if m.knownRevision == 0 {
+	if m.knownRevision == 0 || f.sizeUnreported {
 		return 1
 	}
 	return len(f.members)
