watchshare: balancers learn the fleet's size from each other, too

Balancers share watches only if they know of 12 balancers or more, and the one source of that number was the statuses of agents, which count the balancers that sent them a datagram in the last 10 s. A balancer sends datagrams while it starts and when it has packets. In a fleet without callers nobody has the number: balancers that start one after the other see the counts of few, and one that gets no packet after an agent has counted 12 is never told. It watches the store itself as long as there are no callers. The set-up of the integration spec opens 30 flows through random balancers once and then waits without traffic, so the wait is for something that can no longer happen.

Ruled out: balancers that were not ready (14 were, in each trace).

A balancer that watches and knows of no large fleet asks each seed for the size every 5 s (watch request with a new flag: no listener is registered, so watches of a small fleet stay long). Seeds count those that ask, for 16 s. A balancer that knows of a large fleet says so in its ordinary requests, so that seeds that restart together in an idle fleet learn it from their listeners.

--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -120,6 +120,19 @@
 	})
 }
 
+func TestParsedWatchRequestEqualsWhatWasAppended(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		request := inner.WatchRequest{
+			Redirected: rapid.Bool().Draw(t, "redirected"), Root: rapid.Bool().Draw(t, "root"),
+			SizeOnly: rapid.Bool().Draw(t, "size only"), LargeFleet: rapid.Bool().Draw(t, "large fleet"),
+		}
+		got, err := inner.ParseWatchRequest(inner.AppendWatchRequest(nil, request))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(request))
+	})
+}
+
 func TestTermsAreRoundedDownToSteps(t *testing.T) {
 	g := NewWithT(t)
 	cases := []struct{ targetLatency, timeout, wantTargetLatency, wantTimeout time.Duration }{
--- a/internal/packetface/inner/peer.go
+++ b/internal/packetface/inner/peer.go
@@ -40,7 +40,7 @@
 }
 
 // WatchRequest asks a balancer for its current store update and registers the sender as its
-// listener.
+// listener, unless SizeOnly is set.
 type WatchRequest struct {
 	// Redirected reports that the receiver's source referred the sender to the receiver. The
 	// receiver then accepts the sender as a listener or names one of its own listeners,
@@ -48,6 +48,12 @@
 	Redirected bool
 	// Root reports that the sender watches the store and has listeners.
 	Root bool
+	// SizeOnly reports that the sender asks only for the size of the fleet. The receiver
+	// does not register it as a listener.
+	SizeOnly bool
+	// LargeFleet reports that the sender knows the fleet to be large enough to share
+	// watches.
+	LargeFleet bool
 }
 
 const (
@@ -65,11 +71,15 @@
 const (
 	watchRequestRedirected = 1 << iota
 	watchRequestRoot
+	watchRequestSizeOnly
+	watchRequestLargeFleet
 )
 
 // AppendWatchRequest appends a datagram of KindWatchRequest.
 func AppendWatchRequest(b []byte, r WatchRequest) []byte {
-	return append(b, byte(KindWatchRequest), flag(r.Redirected, watchRequestRedirected)|flag(r.Root, watchRequestRoot))
+	flags := flag(r.Redirected, watchRequestRedirected) | flag(r.Root, watchRequestRoot) |
+		flag(r.SizeOnly, watchRequestSizeOnly) | flag(r.LargeFleet, watchRequestLargeFleet)
+	return append(b, byte(KindWatchRequest), flags)
 }
 
 // ParseWatchRequest decodes a datagram of KindWatchRequest.
@@ -77,7 +87,10 @@
 	if len(b) != watchRequestSize || KindOf(b) != KindWatchRequest {
 		return WatchRequest{}, ErrDatagram
 	}
-	return WatchRequest{Redirected: b[1]&watchRequestRedirected != 0, Root: b[1]&watchRequestRoot != 0}, nil
+	return WatchRequest{
+		Redirected: b[1]&watchRequestRedirected != 0, Root: b[1]&watchRequestRoot != 0,
+		SizeOnly: b[1]&watchRequestSizeOnly != 0, LargeFleet: b[1]&watchRequestLargeFleet != 0,
+	}, nil
 }
 
 // flag returns the bit if set is true, otherwise 0.
--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -23,7 +23,8 @@
 // listener without a store update younger than StaleAfter watches the store itself.
 //
 // A balancer that has just started asks for a source before it reads the store; see
-// start.go.
+// start.go. How balancers learn whether the fleet is large enough to share watches is in
+// size.go.
 package watchshare
 
 import (
@@ -134,15 +135,17 @@
 	// sent a store update.
 	listeners    map[netip.Addr]time.Duration
 	lastNotified time.Duration
-	// fleetSize is the highest number of balancers that was reported so far.
+	// fleetSize is the highest number of balancers that was reported or counted so far.
+	// size is how this process counts them and asks others for their counts.
 	fleetSize int
+	size      sizeCount
 	// leaving is set once the process has been asked to stop.
 	leaving bool
 }
 
 // New returns the state of a balancer that watches the store itself.
 func New(self netip.Addr, random *rand.Rand) *State {
-	return &State{self: self, random: random, listeners: make(map[netip.Addr]time.Duration)}
+	return &State{self: self, random: random, listeners: make(map[netip.Addr]time.Duration), size: newSizeCount()}
 }
 
 // SetSeeds sets the hosts of the seeds. They may be down.
@@ -258,6 +261,10 @@
 	if from == s.self {
 		return nil
 	}
+	s.countRequest(now, from, r)
+	if r.SizeOnly {
+		return []Send{{To: from, StoreUpdate: s.storeUpdate(now)}}
+	}
 	_, listens := s.listeners[from]
 	if s.source.IsValid() && !r.Redirected && !listens {
 		return s.referToSource(now, from)
@@ -321,10 +328,13 @@
 	return netip.Addr{}
 }
 
-// HandleStoreUpdate handles a store update of another balancer. It ignores a store update
-// whose sender is neither the source nor the balancer asked last, unless awaitsSeed allows
-// the sender.
+// HandleStoreUpdate handles a store update of another balancer. Of a store update whose
+// sender is neither the source nor the balancer asked last, it uses only the size of the
+// fleet, and that only if the sender is a seed, unless awaitsSeed allows the sender.
 func (s *State) HandleStoreUpdate(now time.Duration, from netip.Addr, u inner.StoreUpdate) []Send {
+	if slices.Contains(s.seeds, from) {
+		s.fleetSize = max(s.fleetSize, int(u.Balancers))
+	}
 	if from != s.source && from != s.asked && !s.awaitsSeed(from) {
 		return nil
 	}
@@ -413,7 +423,7 @@
 	s.asked = host
 	s.nextAsk = max(s.nextAsk, now+startRequestInterval)
 	root := !s.source.IsValid() && s.Listeners(now) > 0
-	return []Send{{To: host, WatchRequest: inner.WatchRequest{Redirected: redirected, Root: root}}}
+	return []Send{s.watchRequest(host, inner.WatchRequest{Redirected: redirected, Root: root})}
 }
 
 // askAny asks a random seed. After maxUnansweredSeeds requests without an answer, or if
@@ -453,7 +463,9 @@
 		return s.tickListening(now)
 	case s.lacksListing():
 		return s.tickStarting(now)
-	case s.fleetSize < minFleetToShare || s.start.seed && s.Listeners(now) > 0:
+	case s.fleetSize < minFleetToShare:
+		return s.tickSize(now)
+	case s.start.seed && s.Listeners(now) > 0:
 		return nil
 	case now >= s.nextAsk:
 		s.scheduleSearch(now)
@@ -477,7 +489,7 @@
 	}
 	if now-s.lastStoreUpdate <= silenceTimeout {
 		s.nextAsk = now + renewInterval
-		return []Send{{To: s.source, WatchRequest: inner.WatchRequest{Redirected: s.depth > 1}}}
+		return []Send{s.watchRequest(s.source, inner.WatchRequest{Redirected: s.depth > 1})}
 	}
 	s.nextAsk = now + askInterval
 	return s.askAny(now)
