Flags for held openings, service level and placement by room

Values are checked with the other settings, so that all findings come together; a choice of the flag parser would report the first one alone. Check: tests of cmd/saltbendd; the page of flags is written from the program.

--- a/cmd/saltbendd/packet.go
+++ b/cmd/saltbendd/packet.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -29,7 +30,8 @@
 	LogLevel  string   `long:"log-level" env:"SALTBEND_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
 	Metrics   uint16   `long:"metrics-port" env:"SALTBEND_METRICS_PORT" value-name:"PORT" default:"0" description:"port for metrics at the host's address, beside the one for readiness (0: none)"`
 	Without   []string `long:"without" env:"SALTBEND_WITHOUT" env-delim:"," value-name:"POLICY" description:"switch a decision off, to measure what it is worth; may be given several times"`
-	CheckOnly bool     `long:"check" env:"SALTBEND_CHECK" description:"check the settings, report all findings and exit"`
+	partSettings
+	CheckOnly bool `long:"check" env:"SALTBEND_CHECK" description:"check the settings, report all findings and exit"`
 
 	// needsUpstream is set for an agent: its settings file must describe the upstream.
 	needsUpstream bool
@@ -79,13 +81,20 @@
 	} else if err != nil {
 		f.Add("settings", err.Error(), "name a file that can be read")
 	}
-	_, unknown := policy.Without(s.Without)
+	s.partSettings.check(&f)
+	_, unknown := s.policies()
 	for _, name := range unknown {
 		f.Add("without", fmt.Sprintf("%q is no decision that can be switched off", name), "name one of "+strings.Join(policy.Names(), ", "))
 	}
 	return f
 }
 
+// policies returns the decisions that are switched on, and those of the names given with
+// --without that are unknown.
+func (s *packetSettings) policies() (on policy.Set, unknown []string) {
+	return policy.Without(slices.Concat(s.Without, s.partSettings.off(s.Without)))
+}
+
 const (
 	// logQueueLines is the number of log lines that can wait while nobody reads standard
 	// output. Further lines are dropped, so that logging never blocks the role.
@@ -130,7 +139,7 @@
 // again on SIGHUP and every settingsPollInterval.
 func runPacket(name string, s *packetSettings, run func(packet.Env) error, logger, daemon *slog.Logger, signals <-chan os.Signal) int {
 	host, err := s.host()
-	policies, _ := policy.Without(s.Without) // check has reported unknown names
+	policies, _ := s.policies() // check has reported unknown names
 	if err != nil {
 		daemon.Error("Settings refused.", "error", err.Error())
 		return exit.Usage
