Operators see the room of services, agents and data centres

Cause: under overload operators ask who is refused and why, since when, and what room there is; a balancer's report had running requests and slots only, and the waits of held openings were counted among those of requests that can no longer be refused. Metrics for held openings, lasting overload, the bar and short services; the waits of openings have a histogram of their own. Check: tests of steer, gate, report and cmd/saltbend; a report of 7,000 agents with all fields at their longest stays below the bound of 8 MB (test).

--- a/cmd/saltbend/packetstatus.go
+++ b/cmd/saltbend/packetstatus.go
@@ -17,15 +17,17 @@
 
 const packetStatusHelp = `Asks balancers of the packet face at their control addresses, and the seeds that
 they know, what they believe: the configuration in force, their list of agents, and
-each agent's state and load.
+each agent's state and load; with --services the room of each service: free slots,
+since when it has been short of room, what is refused, and on how old figures.
 Exit code 0: all answered and are ready with one version; 1: one didn't answer or is
 not ready; 2: wrong flags; 5: none answered; 6: one has an older configuration.`
 
 type packetStatusCommand struct {
 	outputFlags
-	Timeout time.Duration `long:"timeout" env:"SALTBEND_PEER_TIMEOUT" value-name:"DURATION" default:"3s" description:"time for one balancer to answer"`
-	Agents  bool          `long:"agents" description:"also show what each balancer believes of each agent"`
-	Args    struct {
+	Timeout  time.Duration `long:"timeout" env:"SALTBEND_PEER_TIMEOUT" value-name:"DURATION" default:"3s" description:"time for one balancer to answer"`
+	Agents   bool          `long:"agents" description:"also show what each balancer believes of each agent"`
+	Services bool          `long:"services" description:"also show the room of each service and data centre as each balancer believes"`
+	Args     struct {
 		Control []settings.Address `positional-arg-name:"IP:PORT" description:"control address of a balancer" required:"1"`
 	} `positional-args:"yes"`
 }
@@ -49,6 +51,10 @@
 		printJSON(out, views)
 	} else {
 		printBalancers(out, views)
+		if c.Services {
+			printServices(out, views)
+			printDataCentres(out, views)
+		}
 		if c.Agents {
 			printAgents(out, views)
 		}
@@ -129,8 +135,9 @@
 
 // balancerNote returns the NOTE column of a balancer: an older configuration, data centres
 // under evacuation, an era of the store that has not settled yet (the store was restored
-// from a copy, and lost data may still be written again), and whether the balancer
-// receives changes of the store through another balancer or passes them on to others.
+// from a copy, and lost data may still be written again), services that are short of room,
+// and whether the balancer receives changes of the store through another balancer or passes
+// them on to others.
 func balancerNote(v balancerView) string {
 	var notes []string
 	if v.Late {
@@ -143,6 +150,7 @@
 	if v.Settling {
 		notes = append(notes, fmt.Sprintf("settling in era %d", v.Era))
 	}
+	notes = append(notes, shortServices(v.Balancer)...)
 	if v.ListensTo != "" {
 		notes = append(notes, "listens to "+v.ListensTo)
 	}
@@ -154,14 +162,14 @@
 
 func printAgents(out streams, views []balancerView) {
 	w := tabwriter.NewWriter(out.out, 0, 0, tablePadding, ' ', 0)
-	fmt.Fprintln(w, "BALANCER\tAGENT\tDATA CENTRE\tSERVICE\tSTATE\tRUNNING\tSLOTS\tFLOWS\tHEARD\tNOTE")
+	fmt.Fprintln(w, "BALANCER\tAGENT\tDATA CENTRE\tSERVICE\tSTATE\tRUNNING\tSLOTS\tFLOWS\tHEARD\tWAIT\tIN USE\tSERVICE TIMES\tLOAD\tBAR\tNOTE")
 	for _, v := range views {
 		if v.Balancer == nil {
 			continue
 		}
 		for _, a := range v.Balancer.Agents {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", v.Host, a.Address, a.DataCentre, a.Service, a.State,
-				a.Running, a.Slots, a.Flows, formatAge(a.HeardAgeMS), dash(agentNote(a)))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n", v.Host, a.Address, a.DataCentre, a.Service, a.State,
+				a.Running, a.Slots, a.Flows, formatAge(a.HeardAgeMS), formatLoad(a.Load), dash(agentNote(a)))
 		}
 	}
 	w.Flush()
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -126,8 +126,9 @@
 	Actions []Action
 	Notes   []Note
 	// Answered holds the response times of requests that were answered, Waited the times
-	// that requests waited for a slot.
-	Answered, Waited []time.Duration
+	// that requests waited for a slot, and OpeningsWaited the times that opening packets
+	// waited for room.
+	Answered, Waited, OpeningsWaited []time.Duration
 }
 
 // Limits and timeouts.
@@ -309,6 +310,7 @@
 func (g *Gate) resetResult() {
 	g.out.Actions, g.out.Notes = g.out.Actions[:0], g.out.Notes[:0]
 	g.out.Answered, g.out.Waited = g.out.Answered[:0], g.out.Waited[:0]
+	g.out.OpeningsWaited = g.out.OpeningsWaited[:0]
 	g.buffer = g.buffer[:0]
 }
 
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -200,7 +200,7 @@
 	}
 	g.forget(id)
 	waited := now - h.since
-	g.out.Waited = append(g.out.Waited, waited)
+	g.out.OpeningsWaited = append(g.out.OpeningsWaited, waited)
 	if waited >= longWait {
 		g.note(now, Note{Kind: KindWaited, Flow: id, Reason: "opening-" + string(why), Took: waited})
 	}
--- a/internal/packetface/report/report.go
+++ b/internal/packetface/report/report.go
@@ -46,6 +46,9 @@
 	Flows     int     `json:"flows"`
 	Searches  int     `json:"searches"`
 	Agents    []Agent `json:"agents"`
+	// Services and DataCentres are the room for new flows.
+	Services    []Service    `json:"services,omitempty"`
+	DataCentres []DataCentre `json:"data_centres,omitempty"`
 	// Evacuations are the data centres that operators have asked to evacuate.
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// Seeds are the control addresses of other balancers.
@@ -71,6 +74,8 @@
 	// Evacuated reports that the agent receives no new flows because its data centre is
 	// being evacuated.
 	Evacuated bool `json:"evacuated,omitempty"`
+	// Load is the room that the agent reports, nil if its build reports none.
+	Load *Load `json:"load,omitempty"`
 }
 
 // Evacuation is an operator's request to evacuate a data centre, as a balancer knows it.
@@ -85,8 +90,8 @@
 
 const (
 	path = "/packet/status"
-	// maxBytes bounds the size of a report. A report has about 200 bytes for each agent, so
-	// that of 7,000 agents is far below the bound.
+	// maxBytes bounds the size of a report. A report has 300 to 500 bytes for each agent,
+	// so that of 7,000 agents is far below the bound.
 	maxBytes = 8 << 20
 	// Never is the age of an event that has not happened.
 	Never = -1
--- a/internal/packetface/role/metrics.go
+++ b/internal/packetface/role/metrics.go
@@ -46,10 +46,14 @@
 	for _, d := range r.Waited {
 		waitSeconds.Update(d.Seconds())
 	}
+	for _, d := range r.OpeningsWaited {
+		openingWaitSeconds.Update(d.Seconds())
+	}
 }
 
 // registerGauges registers the gauges of a balancer's state.
 func (b *balancer) registerGauges() {
+	b.registerRoomGauges()
 	count := func(pick func(steer.Counts) int) func() float64 {
 		return func() float64 {
 			b.mu.Lock()
@@ -78,6 +82,7 @@
 
 // registerGauges registers the gauges of an agent's state.
 func (a *agent) registerGauges() {
+	a.registerRoomGauges()
 	count := func(pick func(gate.Counts) float64) func() float64 {
 		return func() float64 {
 			a.mu.Lock()
--- a/internal/packetface/role/status.go
+++ b/internal/packetface/role/status.go
@@ -26,6 +26,7 @@
 		out.ListensTo = b.source.String()
 	}
 	out.Listeners = b.watchShare.Listeners(now)
+	out.Services, out.DataCentres = reportServices(view.Services), reportDataCentres(view.DataCentres)
 	for i := range view.Agents {
 		out.Agents = append(out.Agents, reportAgent(now, &view.Agents[i]))
 	}
@@ -37,5 +38,6 @@
 		Address: a.Addr, DataCentre: a.DataCentre, Service: a.Service,
 		State: a.Status.State.String(), Running: int(a.Status.Running), Slots: int(a.Status.Slots), Flows: int(a.Status.Flows),
 		HeardAgeMS: report.AgeMS(now, a.LastReceived), Suspected: a.Suspected, Unlisted: a.Unlisted, Evacuated: a.Evacuated,
+		Load: reportLoad(&a.Status, a.StatusAge),
 	}
 }
--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -89,6 +89,7 @@
 	}
 	w := c.requirementsOf(route, service)
 	f.service = service
+	c.services.countOpening(f, route)
 	if f.hops() == 0 && c.refusedByLevel(now, id, route, w) {
 		c.refuse(now, id, f, "service-overloaded")
 		return
--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -106,6 +106,7 @@
 // accepted the flow by then.
 func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, reason string) {
 	delete(c.flows, id)
+	c.services.countRefused(f.service)
 	if !f.sawFirst {
 		c.note(Note{Kind: KindDropped, Flow: id, Reason: reason + "-copy"})
 		return
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -76,6 +76,10 @@
 	KindUnlisted    Kind = "agent-unlisted"
 	KindRemoved     Kind = "agent-gone"
 	KindNewer       Kind = "newer-version-heard"
+	// KindShort and KindRoom: a service has had no free slot for some time, and has room
+	// again.
+	KindShort Kind = "service-short"
+	KindRoom  Kind = "service-has-room"
 )
 
 // Note describes a decision: its kind, its inputs with their age, and its outcome.
@@ -89,7 +93,7 @@
 	// Age is the age of the information on the agent on which the decision is based.
 	Age time.Duration
 	// Took is how long the previous agent had an opening packet that is sent to another
-	// agent.
+	// agent, or how long a service has been short of room.
 	Took time.Duration
 	// Source is the host of a balancer that has a newer version.
 	Source netip.Addr
@@ -173,7 +177,8 @@
 	lastCall time.Duration
 	epochs   admission.Epochs
 	// levels are the levels of services by their ids.
-	levels map[uint64]*serviceLevel
+	levels   map[uint64]*serviceLevel
+	services serviceRecords
 	// newer is the newest version that an agent has reported; newerNotedAt is when the
 	// last note of something newer was added, 0 for never.
 	newer        newerVersion
@@ -202,6 +207,7 @@
 		searches:     make(map[platform.Flow]*ownerSearch),
 		dead:         make(map[platform.Flow]time.Duration),
 		levels:       make(map[uint64]*serviceLevel),
+		services:     serviceRecords{records: make(map[uint64]*serviceRecord)},
 		probeBudget:  probesPerTick,
 		searchBudget: searchesPerTick, questionBudget: questionsPerTick,
 	}
@@ -406,6 +412,7 @@
 	c.tickAgents(now)
 	c.tickWarmups(now)
 	c.tickNewer(now)
+	c.observeServices(now)
 	if now-c.lastSweep >= sweepInterval {
 		c.sweep(now)
 	}
--- a/internal/packetface/steer/view.go
+++ b/internal/packetface/steer/view.go
@@ -21,6 +21,8 @@
 	// Evacuations are the operators' requests to evacuate data centres.
 	Evacuations []evacuation.Request
 	Agents      []AgentView
+	Services    []ServiceView
+	DataCentres []DataCentreView
 }
 
 // AgentView is a snapshot of the state of one agent.
@@ -33,7 +35,9 @@
 	// Status is the agent's last status; Status.State is 0 before the first status.
 	Status inner.Status
 	// LastReceived is when the last datagram arrived from the agent, 0 for never.
-	LastReceived        time.Duration
+	LastReceived time.Duration
+	// StatusAge is the age of Status, 0 before the first one.
+	StatusAge           time.Duration
 	Suspected, Unlisted bool
 	// Evacuated is set if the agent gets no new flows because its data centre is
 	// evacuated.
@@ -46,11 +50,16 @@
 	if c.table != nil {
 		v.Routes = c.table.Len()
 	}
+	v.Services, v.DataCentres = c.serviceViews(now), c.dataCentreViews(now)
 	for _, a := range c.roster.list {
-		v.Agents = append(v.Agents, AgentView{
+		view := AgentView{
 			Addr: a.Addr, Service: c.serviceName(a.Service), DataCentre: a.DataCentre, Status: a.status, LastReceived: a.lastReceived,
 			Suspected: a.isSuspect(now), Unlisted: a.unlistedSince != 0, Evacuated: a.evacuation.Evacuated,
-		})
+		}
+		if a.statusAt != 0 {
+			view.StatusAge = now - a.statusAt
+		}
+		v.Agents = append(v.Agents, view)
 	}
 	return v
 }
