explain: why a flow was refused or late for lack of room

Cause: the lines refused, returned, waited opening-..., and the resets and drops of balancers name a reason each; who decided, on whose figures and how old these were had to be put together by hand. Change: sentences before the table (causes in JSON): the agent that refused and what it knew of its upstream, the balancer that refused, after which agents, the age of the figures, and since when it had found the service short of room. Check: tests of internal/explain with the lines of a balancer and two agents.

--- a/cmd/saltbend/explain.go
+++ b/cmd/saltbend/explain.go
@@ -17,7 +17,9 @@
 const explainHelp = `Reads logs of processes of the packet face, one file a process or all on standard
 input, and prints what happened to one flow: its own lines and the changes of
 belief about the agents that it met, in one order by the hosts' clocks. Where an
-effect is logged before its cause, the skew of the clocks is told first.
+effect is logged before its cause, the skew of the clocks is told first. If the flow
+was refused or waited because there was too little room, sentences say who decided
+that, why, and on how old figures.
 Exit code 0: printed; 1: no line is about the flow, or a file could not be read;
 2: wrong flags.`
 
@@ -79,6 +81,9 @@
 	for _, s := range history.Skews {
 		fmt.Fprintf(out.out, "The clock of %s is at least %s behind that of %s.\n", s.Behind, s.Minimum, s.Ahead)
 	}
+	for _, sentence := range history.Causes {
+		fmt.Fprintln(out.out, sentence)
+	}
 	w := tabwriter.NewWriter(out.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "TIME\tHOST\tWHAT\tREASON\tFLOW\tPEER\tMORE")
 	for _, l := range history.Lines {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -110,9 +110,11 @@
 }
 
 // History holds the log lines on a flow, by time, and the clock skews that show in them.
+// Causes are sentences that explain why a flow was refused or waited for lack of room.
 type History struct {
-	Lines []Line `json:"lines"`
-	Skews []Skew `json:"skews"`
+	Lines  []Line   `json:"lines"`
+	Skews  []Skew   `json:"skews"`
+	Causes []string `json:"causes,omitempty"`
 }
 
 // storeRestoredPrefix is the start of the message that a process logs when the store was
@@ -144,7 +146,8 @@
 	hosts := hostsOf(all, agents)
 	first, last := span(flowLines)
 	first, last = first.Add(-around), last.Add(around)
-	history := History{Lines: append(flowLines, lastRestores(all, flowLines, first)...), Skews: skews(flowLines, all)}
+	history := History{Skews: skews(flowLines, all), Causes: causes(all, flowLines)}
+	history.Lines = append(flowLines, lastRestores(all, flowLines, first)...)
 	for _, line := range all {
 		related := line.Flow == "" && (agents[line.Agent] || hosts[line.Host] || line.Agent == "")
 		if related && !line.At.Before(first) && !line.At.After(last) {
