soak: rushes of callers beside the other faults

Cause: the soak's load had room at all times, so its promises were not checked while openings are held and refused. Change: plans have rushes: 204 callers at 12 addresses ask in addition, each for one or two requests on a flow, on routes of two priorities. They give up an opening after 1.4 s and a request after 4 s, and open up to three flows for one request. Upstreams take 40 ms for a request, so that room is bounded; before, they answered at once. Checked as well: no request is reset that had run at an upstream that lives on, each request of a rush ends, by the callers' own timeouts at the latest. The other faults of a seed stay the same. Ruled out: slower upstreams during rushes only (trial): when they became fast again, all were shut out for answering too fast, which hid the overload.

--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -90,8 +90,8 @@
 		return err
 	}
 	total := report.Total()
-	fmt.Printf("seed %d: %d faults, %d asked, %d answered (%d late), %d reset, %d timed out, recovered in %s, %d findings\n", seed, len(report.Faults),
-		total.Asked, total.Answered, total.Late, total.Reset, total.TimedOut, report.Recovery.Round(time.Millisecond), len(report.Findings)+len(report.Late))
+	fmt.Printf("seed %d: %d faults, %d asked, %d answered (%d late), %d reset, %d timed out, %s, recovered in %s, %d findings\n", seed, len(report.Faults),
+		total.Asked, total.Answered, total.Late, total.Reset, total.TimedOut, report.Rush, report.Recovery.Round(time.Millisecond), len(report.Findings)+len(report.Late))
 	for _, finding := range append(report.Findings, report.Late...) {
 		fmt.Println("  " + finding)
 	}
--- a/test/packetplatform/caller.go
+++ b/test/packetplatform/caller.go
@@ -145,7 +145,10 @@
 
 // Open opens a flow to a face. It returns the flow also with an error, so that the flow's
 // id is available.
-func (c *Caller) Open(face netip.AddrPort) (*Flow, error) {
+func (c *Caller) Open(face netip.AddrPort) (*Flow, error) { return c.OpenWithin(face, c.timeout()) }
+
+// OpenWithin is Open for a caller that gives up after the given time.
+func (c *Caller) OpenWithin(face netip.AddrPort, timeout time.Duration) (*Flow, error) {
 	c.mu.Lock()
 	c.next++
 	f := &Flow{
@@ -155,7 +158,7 @@
 	c.flows[f.local] = f
 	c.mu.Unlock()
 	copies := uint32(0)
-	answer, err := f.exchange(func() *packet {
+	answer, err := f.exchange(timeout, func() *packet {
 		copies++
 		return f.packet(syn, f.seq, copies-1, nil)
 	}, func(p *packet) bool { return p.flags&syn != 0 })
@@ -171,7 +174,7 @@
 func (f *Flow) Request(text string) (string, error) {
 	data := []byte(text)
 	want := f.seq + uint32(len(data))
-	answer, err := f.exchange(func() *packet { return f.packet(ack, f.seq, f.ack, data) },
+	answer, err := f.exchange(f.caller.timeout(), func() *packet { return f.packet(ack, f.seq, f.ack, data) },
 		func(p *packet) bool { return len(p.data) > 0 && p.ack == want })
 	if err != nil {
 		return "", err
@@ -185,9 +188,9 @@
 }
 
 // exchange sends the packet returned by next and retransmits it with doubling intervals
-// until its answer arrives, the flow is reset, or the request times out.
-func (f *Flow) exchange(next func() *packet, isAnswer func(*packet) bool) (packet, error) {
-	end := time.After(f.caller.timeout())
+// until its answer arrives, the flow is reset, or the timeout has passed.
+func (f *Flow) exchange(timeout time.Duration, next func() *packet, isAnswer func(*packet) bool) (packet, error) {
+	end := time.After(timeout)
 	wait := firstRetransmit
 	for {
 		f.caller.send(next())
--- a/test/packetplatform/site.go
+++ b/test/packetplatform/site.go
@@ -1,6 +1,7 @@
 package packetplatform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -175,8 +176,12 @@
 	Face    netip.AddrPort
 	Service string
 	Safe    bool
+	// Priority is the priority of the route, defaultPriority if it is 0.
+	Priority int
 }
 
+const defaultPriority = 2
+
 // Configure writes a configuration to the store, as an operator does.
 func (s *Site) Configure(version int, routes ...Route) {
 	var rows []map[string]any
@@ -187,7 +192,7 @@
 		}
 		rows = append(rows, map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "hostname": r.Face.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.Face.Port()),
-			"type": kind, "service": r.Service, "timeoutMs": 4000, "targetLatencyMs": 250, "priority": 2,
+			"type": kind, "service": r.Service, "timeoutMs": 4000, "targetLatencyMs": 250, "priority": cmp.Or(r.Priority, defaultPriority),
 		})
 	}
 	text, err := json.Marshal(map[string]any{
--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -30,7 +30,10 @@
 	// late are findings that can also occur when the machine is overloaded.
 	late    []string
 	seconds []Second
-	began   time.Time
+	rush    RushCounts
+	// refusals are the requests in rushes that were reset after they had been sent.
+	refusals map[string]refusal
+	began    time.Time
 }
 
 // Second counts requests and their outcomes within one second of a run.
@@ -42,7 +45,9 @@
 // lateAfter is the response time above which an answer counts as late.
 const lateAfter = 500 * time.Millisecond
 
-func newChecker() *checker { return &checker{instances: make(map[string]*instance), began: time.Now()} }
+func newChecker() *checker {
+	return &checker{instances: make(map[string]*instance), refusals: make(map[string]refusal), began: time.Now()}
+}
 
 // addFinding records a violation that must never occur. The caller holds mu.
 func (j *checker) addFinding(format string, args ...any) {
@@ -61,6 +66,7 @@
 
 // begin records a new instance of an upstream.
 func (j *checker) begin(u *packetplatform.Upstream, service string) {
+	u.SetWork(usualWork)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.instances[u.ID] = &instance{upstream: u, service: service}
@@ -140,6 +146,7 @@
 func (j *checker) checkUpstreams() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.checkRushes()
 	runs := make(map[string]int)
 	for id, l := range j.instances {
 		for request, n := range l.upstream.Runs() {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -17,15 +17,18 @@
 	storeSubject  = "store"
 	fabricSubject = "fabric"
 	annexSubject  = "annex" // a data centre with every third agent
+	rushSubject   = "rush"
 )
 
 // Parameters of the faults.
 const (
 	fabricLoss     = 0.1
 	fabricMaxDelay = 20 * time.Millisecond
-	slowWork       = 150 * time.Millisecond
-	lostWrites     = 3
-	slowStore      = 600 * time.Millisecond
+	// usualWork and slowWork are the processing times of upstreams.
+	usualWork  = 40 * time.Millisecond
+	slowWork   = 150 * time.Millisecond
+	lostWrites = 3
+	slowStore  = 600 * time.Millisecond
 	// drainTime is how long an upstream continues to serve after the start of its drain.
 	drainTime = 3500 * time.Millisecond
 )
@@ -58,6 +61,8 @@
 		return fabricSubject
 	case Evacuate:
 		return annexSubject
+	case Rush:
+		return rushSubject
 	case Configure:
 		return f // unique to the fault, so never reserved by another
 	}
@@ -79,9 +84,11 @@
 	case CrashUpstream, DrainUpstream, SlowUpstream:
 		r.injectUpstream(ctx, f, node)
 	case LossyFabric:
-		r.caller.SetFabric(fabricLoss, fabricMaxDelay)
+		r.eachCaller(func(c *packetplatform.Caller) { c.SetFabric(fabricLoss, fabricMaxDelay) })
 		_ = wait.For(ctx, f.For) // the fault ends also if ctx is cancelled
-		r.caller.SetFabric(0, 0)
+		r.eachCaller(func(c *packetplatform.Caller) { c.SetFabric(0, 0) })
+	case Rush:
+		r.rush(ctx, f)
 	case Configure:
 		r.configure()
 	case Evacuate:
@@ -133,7 +140,7 @@
 	case SlowUpstream:
 		u.SetWork(slowWork)
 		_ = wait.For(ctx, f.For) // the fault ends also if ctx is cancelled
-		u.SetWork(0)
+		u.SetWork(usualWork)
 		return
 	case DrainUpstream:
 		u.Drain()
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -26,13 +26,14 @@
 
 // face is a public address and the service behind it.
 type face struct {
-	addr    netip.AddrPort
-	service string
+	addr     netip.AddrPort
+	service  string
+	priority int
 }
 
 var faces = []face{
-	{netip.MustParseAddrPort("198.18.0.1:443"), "results"},
-	{netip.MustParseAddrPort("198.18.0.2:443"), "exams"},
+	{netip.MustParseAddrPort("198.18.0.1:443"), "results", 2},
+	{netip.MustParseAddrPort("198.18.0.2:443"), "exams", 1},
 }
 
 // furtherFace is a face that only every second version of the configuration contains.
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -33,6 +33,7 @@
 	StoreCut        Kind = "store-cut" // connections stay open and carry no data
 	Configure       Kind = "configure"
 	LossyFabric     Kind = "lossy-fabric" // callers' packets are dropped and delayed
+	Rush            Kind = "rush"         // many more callers than there is room for
 
 	// Kinds that only plans of PlanReturns contain.
 	StoreReturns      Kind = "store-returns" // restored from a copy taken at the start of the fault
@@ -81,8 +82,11 @@
 }
 
 // Plan returns the faults of a seed, all of which end within length. They may overlap.
-func Plan(seed uint64, length time.Duration) (out []Fault) {
-	return plan(rand.New(rand.NewPCG(seed, seed)), kinds, meanGap, length)
+func Plan(seed uint64, length time.Duration) []Fault {
+	all := plan(rand.New(rand.NewPCG(seed, seed)), kinds, meanGap, length)
+	all = append(all, planRushes(rand.New(rand.NewPCG(^seed, seed)), length)...)
+	slices.SortStableFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return all
 }
 
 // plan generates random faults of the kinds.
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -42,6 +42,7 @@
 	Seed    uint64
 	Faults  []Fault
 	Seconds []Second
+	Rush    RushCounts
 	// Findings are violations that must never occur. Late are violations that may occur
 	// only if the machine is overloaded: resets of flows of a running upstream, flows
 	// after a drain, a late recovery or configuration.
@@ -72,8 +73,10 @@
 	storeLink *harness.Link
 	checker   *checker
 	caller    *packetplatform.Caller
-	// busy are the subjects under a fault: nodes, or one of the names "store", "fabric"
-	// and "annex".
+	// rushCallers are the callers of rushes.
+	rushCallers []*packetplatform.Caller
+	// busy are the subjects under a fault: nodes, or one of the names "store", "fabric",
+	// "annex" and "rush".
 	mu      sync.Mutex
 	busy    map[any]bool
 	version int
@@ -102,7 +105,7 @@
 	if err := r.start(ctx); err != nil {
 		return Report{}, err
 	}
-	defer r.caller.Close()
+	defer r.eachCaller((*packetplatform.Caller).Close)
 	plan := Plan(o.Seed, o.For)
 	if o.Returns {
 		plan = PlanReturns(o.Seed, o.For)
@@ -124,7 +127,7 @@
 	load.Wait()
 	r.checkVersions(ctx)
 	r.checker.checkUpstreams()
-	return Report{Seed: o.Seed, Faults: plan, Seconds: r.checker.seconds, Findings: r.checker.findings, Late: r.checker.late, Recovery: recovery}, nil
+	return Report{Seed: o.Seed, Faults: plan, Seconds: r.checker.seconds, Rush: r.checker.rush, Findings: r.checker.findings, Late: r.checker.late, Recovery: recovery}, nil
 }
 
 // start starts all processes and waits until they are ready.
@@ -147,10 +150,26 @@
 		return err
 	}
 	r.caller.SetRequestTimeout(requestTimeout)
-	r.caller.Use(r.fleet.Ready()...)
+	for range rushAddresses {
+		c, err := r.fleet.Caller()
+		if err != nil {
+			return err
+		}
+		c.SetRequestTimeout(rushTimeout)
+		r.rushCallers = append(r.rushCallers, c)
+	}
+	r.eachCaller(func(c *packetplatform.Caller) { c.Use(r.fleet.Ready()...) })
 	return nil
 }
 
+// eachCaller calls f for all callers.
+func (r *run) eachCaller(f func(*packetplatform.Caller)) {
+	f(r.caller)
+	for _, c := range r.rushCallers {
+		f(c)
+	}
+}
+
 // configure writes the next version of the configuration; every second version has a
 // further face.
 func (r *run) configure() {
@@ -160,7 +179,7 @@
 	r.mu.Unlock()
 	var routes []packetplatform.Route
 	for _, f := range faces {
-		routes = append(routes, packetplatform.Route{Face: f.addr, Service: f.service, Safe: true})
+		routes = append(routes, packetplatform.Route{Face: f.addr, Service: f.service, Safe: true, Priority: f.priority})
 	}
 	if version%2 == 0 {
 		routes = append(routes, packetplatform.Route{Face: furtherFace, Service: faces[0].service})
@@ -172,7 +191,7 @@
 func (r *run) followReady(ctx context.Context) {
 	for wait.For(ctx, readyPollInterval) == nil {
 		if ready := r.fleet.Ready(); len(ready) > 0 {
-			r.caller.Use(ready...)
+			r.eachCaller(func(c *packetplatform.Caller) { c.Use(ready...) })
 		}
 	}
 }
