--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -120,7 +120,7 @@
 func refusedFor(before []Line, line Line) string {
 	if strings.HasPrefix(line.Reason, "service-") {
 		text := " without trying an agent, as the agents of the service refuse callers of this rank"
-		return text + figuresAge(line)
+		return text + figures(line)
 	}
 	text := ""
 	if count, ok := line.value("count"); ok {
@@ -135,16 +135,31 @@
 	if len(who) > 0 {
 		text += ", refused by " + strings.Join(who, ", ")
 	}
-	return text + figuresAge(line)
+	return text + figures(line)
 }
 
-// figuresAge says how old the figures of agents were that a decision was based on.
-func figuresAge(line Line) string {
-	age, ok := line.value("age_ms")
-	if !ok {
+// figures says on the figures of how many agents a decision was based, how old these were,
+// and which bar followed from them.
+func figures(line Line) string {
+	var parts []string
+	if age, ok := line.value("age_ms"); ok {
+		agents, _ := line.value("agents")
+		parts = append(parts, strings.TrimSpace("figures of "+agents)+" agents up to "+age+"ms old")
+	}
+	if bar, ok := line.value("bar"); ok {
+		standing, _ := line.value("standing")
+		parts = append(parts, "bar "+inWords(bar)+", this flow "+inWords(standing))
+	}
+	if len(parts) == 0 {
 		return ""
 	}
-	return " (figures of agents up to " + age + "ms old)"
+	return " (" + strings.Join(parts, "; ") + ")"
+}
+
+// inWords returns a standing that is logged as PRIORITY/RANK.
+func inWords(standing string) string {
+	priority, rank, _ := strings.Cut(standing, "/")
+	return "priority " + priority + " rank " + rank
 }
 
 // shortages says since when the services have been short of room that the host of a line
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -18,7 +18,7 @@
 {"time":"2026-03-10T15:00:01Z","msg":"placed","part":"packet-balancer","flow":"100.64.0.1:5>198.18.0.1:443","agent":"10.0.0.2:7000","version":7}
 {"time":"2026-03-10T15:00:01.12Z","msg":"placed-again","part":"packet-balancer","flow":"100.64.0.1:5>198.18.0.1:443","agent":"10.0.0.3:7000","count":1}
 {"time":"2026-03-10T15:00:01.13Z","msg":"reset","part":"packet-balancer","flow":"100.64.0.1:5>198.18.0.1:443","reason":"all-returned-overloaded","age_ms":12,"count":2}
-{"time":"2026-03-10T15:00:01.25Z","msg":"reset","part":"packet-balancer","flow":"100.64.0.1:6>198.18.0.1:443","reason":"service-overloaded","age_ms":210}
+{"time":"2026-03-10T15:00:01.25Z","msg":"reset","part":"packet-balancer","flow":"100.64.0.1:6>198.18.0.1:443","reason":"service-overloaded","age_ms":210,"agents":3,"bar":"2/131","standing":"2/40"}
 {"time":"2026-03-10T15:00:01.5Z","msg":"dropped","part":"packet-balancer","flow":"100.64.0.1:7>198.18.0.1:443","reason":"service-overloaded-copy"}
 {"time":"2026-03-10T15:00:02Z","msg":"reset","part":"packet-balancer","flow":"100.64.0.1:8>198.18.0.1:443","reason":"held-by-none","age_ms":20}`
 	side2Log = `{"time":"2026-03-10T14:59:00Z","msg":"Started.","part":"packet-agent","host":"side-2","data":"10.0.0.2:7000"}
@@ -44,7 +44,7 @@
 			"15:00:01.130 front-1 refused the flow after 2 agents had returned it, refused by side-2, side-3 (figures of agents up to 12ms old). No request of the flow has run. It had found exams short of room for 3.38s.",
 		}},
 		{"refused by the balancer", "100.64.0.1:6>", []string{
-			"15:00:01.250 front-1 refused the flow without trying an agent, as the agents of the service refuse callers of this rank (figures of agents up to 210ms old). No request of the flow has run. It had found exams short of room for 3.5s.",
+			"15:00:01.250 front-1 refused the flow without trying an agent, as the agents of the service refuse callers of this rank (figures of 3 agents up to 210ms old; bar priority 2 rank 131, this flow priority 2 rank 40). No request of the flow has run. It had found exams short of room for 3.5s.",
 		}},
 		{"a copy", "100.64.0.1:7>", []string{
 			"15:00:01.500 front-1 dropped a copy of the opening packet without trying an agent, as the agents of the service refuse callers of this rank; it sent no reset, as an upstream may have accepted an earlier copy. It had found exams short of room for 3.75s.",
--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -46,8 +46,16 @@
 // Len returns the number of waiting openings.
 func (o *Openings[T]) Len() int { return o.queue.Len() }
 
-// Arrived records a request that is admitted or that waits.
-func (o *Openings[T]) Arrived(now time.Duration, priority uint8) { o.demand.Arrived(now, priority) }
+// Arrived records a request that is admitted, that waits or that is refused.
+func (o *Openings[T]) Arrived(now time.Duration, r Request) {
+	o.demand.Arrived(now, r.Priority)
+	if r.TargetLatency > 0 && r.Timeout > 0 {
+		o.routes[trackedPriority(r.Priority)] = r
+	}
+}
+
+// Answered records an answered request.
+func (o *Openings[T]) Answered(now time.Duration) { o.demand.Answered(now) }
 
 // Add appends an opening whose caller abandons the attempt at the given time if it is not
 // accepted.
@@ -71,6 +79,9 @@
 	return o.queue.Remove(item)
 }
 
+// Find returns the properties of a waiting opening.
+func (o *Openings[T]) Find(item T) (Request, bool) { return o.queue.find(item) }
+
 // Next returns the opening to pass on when there is room and why it was chosen, or None if
 // none waits. The opening stays in the queue.
 func (o *Openings[T]) Next(now time.Duration, p Pace) (T, Choice) { return o.queue.Next(now, p) }
@@ -90,7 +101,7 @@
 // is passed on now.
 func (o *Openings[T]) Hopeless(now time.Duration, p Pace) (item T, found bool) {
 	for i := range o.queue.waiting {
-		if w := &o.queue.waiting[i]; w.missesTimeout(now, p) {
+		if w := &o.queue.waiting[i]; w.hopeless(now, p) {
 			return w.item, true
 		}
 	}
@@ -100,12 +111,11 @@
 // Judge reports whether an opening that arrives now is refused. ahead is the number of
 // requests that the upstream processes or that wait for its slots.
 func (o *Openings[T]) Judge(now time.Duration, r Request, standing Standing, p Pace, ahead int) Refusal {
-	o.routes[trackedPriority(r.Priority)] = r
 	wait := o.Wait(r.Priority, p, ahead)
 	switch {
 	case standing < o.Bar(p, ahead):
 		return Overloaded
-	case r.missesTimeout(now+time.Duration(optimism*float64(wait)), p):
+	case r.hopeless(now+time.Duration(optimism*float64(wait)), p):
 		return Hopeless
 	}
 	return NotRefused
@@ -126,9 +136,13 @@
 	return time.Duration(float64(behind) * each * float64(time.Second))
 }
 
-// LongestWait returns the expected wait of the least urgent openings.
+// LongestWait returns the expected wait of an opening of the least urgent route.
 func (o *Openings[T]) LongestWait(p Pace, ahead int) time.Duration {
-	return o.Wait(trackedPriorities, p, ahead)
+	var least uint8
+	for i := range o.routes {
+		least = max(least, o.routes[i].Priority)
+	}
+	return o.Wait(least, p, ahead)
 }
 
 // Observe records how long openings wait. It has to be called with every event.
@@ -142,8 +156,12 @@
 }
 
 // Bar returns the standing below which openings are refused, 0 if none is: all of the less
-// urgent routes are refused before any opening of a more urgent one.
+// urgent routes are refused before any opening of a more urgent one. None is refused while
+// the backlog falls.
 func (o *Openings[T]) Bar(p Pace, ahead int) Standing {
+	if o.demand.Falling() {
+		return 0
+	}
 	for i := range o.pressures {
 		r := o.routes[i]
 		share := o.pressures[i].refusedShare(o.Wait(uint8(i), p, ahead), r, p)
@@ -154,8 +172,15 @@
 	return 0
 }
 
-// Lasting reports whether openings have had to wait for longer than in a burst.
-func (o *Openings[T]) Lasting() bool {
+// Holds reports whether openings have to wait while there is no room: more requests have
+// arrived than could be answered for longer than in a burst, or some wait already. In a
+// burst flows are opened at once, as callers that give up on an open flow close it.
+func (o *Openings[T]) Holds() bool {
+	return o.Len() > 0 || o.lasting() && !o.demand.Falling()
+}
+
+// lasting reports whether openings have had to wait for longer than in a burst.
+func (o *Openings[T]) lasting() bool {
 	for i := range o.pressures {
 		if o.pressures[i].age >= burstTime {
 			return true
--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -11,7 +11,7 @@
 // A burst, as after a common power loss, is best served to the last request: late is better
 // than never. Serving all of an overload that lasts makes every request late and loses as
 // many in the end. So the longer an overload lasts, the shorter the wait that is allowed:
-// from half of the time after which callers give up down to what lets requests be answered
+// from a part of the time after which callers give up down to what lets requests be answered
 // within their target latency.
 type pressure struct {
 	at, age time.Duration
@@ -22,20 +22,23 @@
 	// the callers of hosts that were unavailable all return within some 600 ms, the time
 	// between two of their retransmissions.
 	burstTime = 750 * time.Millisecond
-	// patience is the duration of an overload, in timeouts of its callers, over which the
+	// patience is the duration of an overload, in timeouts of its callers, during which the
 	// allowed wait falls to the one that the target latency allows.
-	patience = 2.0
+	patience = 1.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
-	burstShare = 0.5
+	burstShare = 0.8
 	// targetSpare is the time reserved before a target latency, in mean answer times: one
 	// for the answer itself and one for its variation.
 	targetSpare = 2
-	// lowWait and highWait are the waits between which the refused share of the openings
-	// rises from none to all, relative to the allowed wait. At one and a half times the
-	// room a third has to be refused, with a wait that is still below the allowed one.
-	lowWait, highWait = 0.6, 1.6
+	// lowWait is the wait from which on openings are refused under an overload that lasts,
+	// relative to the one that the target latency allows. At one and a half times the room
+	// a third has to be refused, with a wait that is still below the allowed one.
+	lowWait = 0.6
+	// waitBand is the further wait, relative to the same, over which the refused share of
+	// the openings rises from none to all.
+	waitBand = 1.0
 )
 
 // observe records whether openings wait at the given time.
@@ -61,8 +64,9 @@
 		return 0
 	}
 	left := 1 - float64(s.age-burstTime)/float64(s.decline(r))
-	allowed := max(float64(inTimeWait(r, p)), burstShare*left*float64(r.Timeout))
-	share := (float64(wait)/allowed - lowWait) / (highWait - lowWait)
+	inTime := float64(inTimeWait(r, p))
+	allowed := max(lowWait*inTime, burstShare*left*float64(r.Timeout))
+	share := (float64(wait) - allowed) / (waitBand * inTime)
 	return math.Min(math.Max(share, 0), 1)
 }
 
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -18,9 +18,14 @@
 const (
 	// maxHeldOpenings bounds the opening packets that wait.
 	maxHeldOpenings = 1024
-	// requestTimeout is the time after the admission of a flow within which its request is
-	// expected: some round trips to the caller.
-	requestTimeout = 100 * time.Millisecond
+	// minRequestTimeout and maxRequestTimeout bound the time after the admission of a flow
+	// within which its request is expected. In between it is requestDelays times the mean
+	// time that requests take to arrive.
+	minRequestTimeout = 20 * time.Millisecond
+	maxRequestTimeout = 100 * time.Millisecond
+	requestDelays     = 3
+	// requestDelayWeight is the weight of the newest request in the mean.
+	requestDelayWeight = 0.05
 	// attemptTimeout is the time after which a caller abandons an opening that has not been
 	// accepted.
 	attemptTimeout = 1400 * time.Millisecond
@@ -53,21 +58,22 @@
 		return
 	}
 	g.epochs.Observe(now, head.Epoch)
-	g.openings.Arrived(now, head.Terms.Priority)
-	if g.openings.Len() == 0 && g.hasRoom(now) {
-		g.shares.Add(now, id.Caller, g.epochs.At(now))
-		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
-		return
-	}
 	held := &heldOpening{
 		balancer: from, since: now, age: age, offset: retryOffset(head.Flags),
-		lastChoice: head.Flags&inner.FlagLastChoice != 0, packet: slices.Clone(packet),
+		lastChoice: head.Flags&inner.FlagLastChoice != 0,
 	}
 	request := held.request(now, head.Terms)
+	g.openings.Arrived(now, request)
+	if !g.openings.Holds() || g.openings.Len() == 0 && g.hasRoom(now, request) {
+		g.shares.Add(now, id.Caller, g.epochs.At(now))
+		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
+		return
+	}
 	if why := g.judgeOpening(now, id, request); why != admission.NotRefused {
 		g.refuse(now, from, id, inner.ReasonOverloaded, string(why), 0, packet)
 		return
 	}
+	held.packet = slices.Clone(packet)
 	g.held[id] = held
 	g.openings.Add(request, now-age+attemptTimeout, id)
 }
@@ -106,11 +112,14 @@
 	return admission.StandingOf(priority, rank)
 }
 
-// hasRoom reports whether another flow may be opened: as many flows as the upstream has
-// slots may be ahead of the slots, so that the next request is there when a slot becomes
-// free.
-func (g *Gate) hasRoom(now time.Duration) bool {
-	return g.slots() == 0 || g.ahead(now) < 2*g.slots()
+// hasRoom reports whether a flow may be opened: as many requests as the upstream has slots
+// may be ahead of the slots, so that the next request is there when a slot becomes free.
+func (g *Gate) hasRoom(now time.Duration, r admission.Request) bool {
+	if g.slots() == 0 {
+		return true
+	}
+	g.dropExpected(now)
+	return g.running+g.expectedCount+g.queue.CountBefore(now, g.pace(), r) < 2*g.slots()
 }
 
 // ahead returns the number of requests that the upstream processes, that wait for a slot, or
@@ -124,12 +133,22 @@
 func (g *Gate) expectRequest(now time.Duration, f *flow) {
 	f.expected = true
 	g.expectedCount++
-	g.expected = append(g.expected, expectedRequest{f, now + requestTimeout})
+	timeout := min(max(requestDelays*g.requestDelay, minRequestTimeout), maxRequestTimeout)
+	g.expected = append(g.expected, expectedRequest{f, now + timeout})
+}
+
+// requestArrived records the arrival of the first request of a flow.
+func (g *Gate) requestArrived(now time.Duration, f *flow) {
+	if f.sentKnown || f.served {
+		return
+	}
+	delay := min(now-f.openedAt, maxRequestTimeout)
+	g.requestDelay += time.Duration(requestDelayWeight * float64(delay-g.requestDelay))
+	g.unexpect(f)
 }
 
-// requestArrived records that the first request of a flow has arrived, or that it is no
-// longer expected.
-func (g *Gate) requestArrived(f *flow) {
+// unexpect ends the wait for the first request of a flow.
+func (g *Gate) unexpect(f *flow) {
 	if f.expected {
 		f.expected = false
 		g.expectedCount--
@@ -140,7 +159,7 @@
 func (g *Gate) dropExpected(now time.Duration) {
 	passed := 0
 	for passed < len(g.expected) && (now >= g.expected[passed].until || !g.expected[passed].flow.expected) {
-		g.requestArrived(g.expected[passed].flow)
+		g.unexpect(g.expected[passed].flow)
 		passed++
 	}
 	g.expected = slices.Delete(g.expected, 0, passed)
@@ -157,7 +176,7 @@
 		g.returnHeld(now, reason)
 		return
 	}
-	for g.hasRoom(now) && g.passOn(now, g.openings.Next) {
+	for g.passOn(now, g.nextWithRoom) {
 	}
 	for g.passOn(now, func(now time.Duration, _ admission.Pace) (platform.Flow, admission.Choice) {
 		return g.openings.AttemptEnding(now)
@@ -172,6 +191,16 @@
 	}
 }
 
+// nextWithRoom returns the held opening to pass on now, admission.None if there is no room
+// for any.
+func (g *Gate) nextWithRoom(now time.Duration, p admission.Pace) (platform.Flow, admission.Choice) {
+	id, why := g.openings.Next(now, p)
+	if r, ok := g.openings.Find(id); !ok || !g.hasRoom(now, r) {
+		return id, admission.None
+	}
+	return id, why
+}
+
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
 func (g *Gate) closedReason(now time.Duration) inner.Reason {
 	switch {
--- a/internal/packetface/gate/pressure.go
+++ b/internal/packetface/gate/pressure.go
@@ -10,7 +10,8 @@
 type Pressure struct {
 	// Held is the number of opening packets that wait for room.
 	Held int
-	// Lasting is set while openings have had to wait for longer than in a burst.
+	// Lasting is set while openings have to wait because more requests have arrived than
+	// could be answered for longer than in a burst.
 	Lasting bool
 	// Bar is the bar below which openings are refused, 0 for none.
 	Bar admission.Standing
@@ -19,5 +20,5 @@
 // Pressure returns the current pressure.
 func (g *Gate) Pressure(now time.Duration) Pressure {
 	load := g.loadReport(now)
-	return Pressure{Held: len(g.held), Lasting: g.openings.Lasting(), Bar: load.Bar}
+	return Pressure{Held: len(g.held), Lasting: g.openings.Holds(), Bar: load.Bar}
 }
--- a/internal/packetface/steer/service_view.go
+++ b/internal/packetface/steer/service_view.go
@@ -59,11 +59,11 @@
 	r.agents++
 	slots := max(int(a.status.Slots), a.Slots)
 	r.slots += slots
-	if a.statusAt == 0 {
+	if a.loadAt == 0 {
 		return
 	}
 	r.freeSlots += max(slots-int(a.status.Running)-a.pending, 0)
-	age := now - a.statusAt
+	age := now - a.loadAt
 	if r.figures == 0 {
 		r.newest = age
 	}
@@ -92,6 +92,17 @@
 	return r.utilized / r.reporting
 }
 
+// barInUse returns the highest bar by which flows of the service are refused at present.
+// Routes that are bound to regions have bars of their own.
+func (c *Core) barInUse(now time.Duration, service uint64) (bar admission.Standing) {
+	for key, l := range c.levels {
+		if key.service == service && now-l.at <= levelMaxAge {
+			bar = max(bar, l.bar)
+		}
+	}
+	return bar
+}
+
 // accepts reports whether an agent gets new flows.
 func (c *Core) accepts(now time.Duration, a *agent) bool {
 	return !a.evacuation.Evacuated && a.acceptsFlows() && !a.isSuspect(now)
@@ -118,7 +129,7 @@
 	level := c.currentLevel(now, service)
 	v := ServiceView{
 		Service: c.serviceName(service), Agents: sum.agents, Recent: level.known, Slots: sum.slots, FreeSlots: sum.freeSlots,
-		Bar: level.bar, ShortestWait: sum.shortest, LongestWait: sum.longest, NewestAge: sum.newest, OldestAge: sum.oldest,
+		Bar: c.barInUse(now, service), ShortestWait: sum.shortest, LongestWait: sum.longest, NewestAge: sum.newest, OldestAge: sum.oldest,
 	}
 	if r := c.services.records[service]; r != nil {
 		v.RefusedShare = r.refusedShare()
