--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -11,6 +11,7 @@
 const (
 	messageRefused = "refused"
 	messageWaited  = "waited"
+	messageAbandon = "abandoned"
 	messageReset   = "reset"
 	messageDropped = "dropped"
 	messageShort   = "service-short"
@@ -40,6 +41,14 @@
 	"overdue":  "its caller was about to abandon the attempt",
 }
 
+// abandonments are the reasons for which an agent drops an opening packet or a request that
+// has waited.
+var abandonments = map[string]string{
+	"attempt-ended":   "dropped the opening packet: its caller no longer waited for the flow to be accepted",
+	"caller-moved-on": "dropped the opening packet: its caller had reset the flow, or another upstream had accepted it",
+	"deadline-passed": "dropped the request: it had waited for its route's whole timeout",
+}
+
 // notRun ends the sentences on flows that were refused.
 const notRun = "No request of the flow has run."
 
@@ -66,6 +75,8 @@
 		return refusedBy(all, line)
 	case line.Message == messageWaited && strings.HasPrefix(line.Reason, openingPrefix):
 		return heldBy(line)
+	case line.Message == messageAbandon && abandonments[line.Reason] != "":
+		return fmt.Sprintf("%s. It had waited for %s%s and has not run here.", abandonments[line.Reason], line.millis("took_ms"), upstreamFigures(line))
 	case line.Message == messageReset && isShortage(line.Reason):
 		return "refused the flow" + refusedFor(before, line) + ". " + notRun + shortages(all, line)
 	case line.Message == messageDropped && isShortage(strings.TrimSuffix(line.Reason, copySuffix)):
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -25,7 +25,8 @@
 {"time":"2026-03-10T15:00:01.12Z","msg":"refused","part":"packet-agent","flow":"100.64.0.1:5>198.18.0.1:443","balancer":"10.0.0.1:7100","reason":"hopeless","running":4,"heartbeat_age_ms":90,"took_ms":119}
 {"time":"2026-03-10T15:00:01.12Z","msg":"returned","part":"packet-agent","flow":"100.64.0.1:5>198.18.0.1:443","balancer":"10.0.0.1:7100","reason":"overloaded","running":4}
 {"time":"2026-03-10T15:00:03Z","msg":"waited","part":"packet-agent","flow":"100.64.0.1:9>198.18.0.1:443","reason":"opening-late","running":4,"took_ms":1300}
-{"time":"2026-03-10T15:00:04Z","msg":"waited","part":"packet-agent","flow":"100.64.0.1:9>198.18.0.1:443","reason":"late","running":4,"took_ms":200}`
+{"time":"2026-03-10T15:00:04Z","msg":"waited","part":"packet-agent","flow":"100.64.0.1:9>198.18.0.1:443","reason":"late","running":4,"took_ms":200}
+{"time":"2026-03-10T15:00:05Z","msg":"abandoned","part":"packet-agent","flow":"100.64.0.1:10>198.18.0.1:443","reason":"attempt-ended","running":4,"took_ms":1400}`
 	side3Log = `{"time":"2026-03-10T15:00:01.125Z","msg":"refused","part":"packet-agent","host":"side-3","flow":"100.64.0.1:5>198.18.0.1:443","balancer":"10.0.0.9:7100","reason":"overloaded","running":4}`
 )
 
@@ -49,6 +50,9 @@
 		{"a copy", "100.64.0.1:7>", []string{
 			"15:00:01.500 front-1 dropped a copy of the opening packet without trying an agent, as the agents of the service refuse callers of this rank; it sent no reset, as an upstream may have accepted an earlier copy. It had found exams short of room for 3.75s.",
 		}},
+		{"given up", "100.64.0.1:10>", []string{
+			"15:00:05.000 side-2 dropped the opening packet: its caller no longer waited for the flow to be accepted. It had waited for 1.4s (4 requests running) and has not run here.",
+		}},
 		{"another cause", "100.64.0.1:8>", nil},
 		{"late, not refused", "100.64.0.1:9>", []string{
 			"15:00:03.000 side-2 held the opening packet for 1.3s, as its upstream had no room (4 requests running), and passed it on because there was room and nothing in time waited.",
--- a/internal/packetface/admission/admission.go
+++ b/internal/packetface/admission/admission.go
@@ -11,7 +11,10 @@
 // then runs before all others.
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// MaxHold is the time after which a waiting request is forwarded in any case if its
@@ -27,6 +30,9 @@
 	transitTime = 15 * time.Millisecond
 	// minLateAge is the age below which no request counts as late.
 	minLateAge = 20 * time.Millisecond
+	// timeoutRounding is by how much a timeout may be known too short: balancers pass it on
+	// in steps of 64 ms.
+	timeoutRounding = 64 * time.Millisecond
 	// spareAnswers is the time reserved before a deadline, in mean response times: response
 	// times vary, and a pressing request has to wait for a slot to become free. In the
 	// simulated burst at half the upstreams' rate, values of 3, 6, 10 and 15 lose 35, 6, 3
@@ -64,6 +70,8 @@
 	TargetLatency, Timeout time.Duration
 	// FirstTry is true if the request is certainly not a retry.
 	FirstTry bool
+	// attemptEnds is when the caller abandons the attempt if it is not accepted.
+	attemptEnds time.Duration
 }
 
 // Pace describes how fast the upstream works.
@@ -99,6 +107,14 @@
 	return r.Asked + r.Timeout
 }
 
+// lastDeadline returns when the caller gives up if this is its first attempt.
+func (r *Request) lastDeadline() time.Duration {
+	if r.Timeout == 0 {
+		return math.MaxInt64
+	}
+	return r.Asked + r.Timeout
+}
+
 // missesTimeout reports whether the caller will give up before the answer arrives, if the
 // request is forwarded now and the upstream takes its mean response time.
 func (r *Request) missesTimeout(now time.Duration, p Pace) bool {
@@ -108,14 +124,17 @@
 // hopeless reports whether the caller has certainly given up before the answer arrives, if
 // the request is forwarded at the given time: it is not assumed to be a retry.
 func (r *Request) hopeless(forwarded time.Duration, p Pace) bool {
-	return r.Timeout > 0 && r.Asked+r.Timeout < forwarded+p.Answer+transitTime
+	return r.lastDeadline() < forwarded+p.Answer+transitTime
 }
 
-// overdue reports whether a request must be forwarded although no slot is free.
-func (r *Request) overdue(now time.Duration) bool {
-	limit := r.Timeout
-	if limit == 0 {
-		limit = MaxHold
+// overdue returns why a request does not wait for a slot any longer, None if it does.
+func (r *Request) overdue(now time.Duration) Choice {
+	waited := now - r.Arrived
+	switch {
+	case r.Timeout == 0 && waited >= MaxHold:
+		return Overdue
+	case r.Timeout > 0 && waited >= r.Timeout+timeoutRounding:
+		return Expired
 	}
-	return now-r.Arrived >= limit
+	return None
 }
