--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -239,6 +239,7 @@
 // copy of the opening packet, the flow is left alone instead.
 func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, w requirements, reason string) {
 	delete(c.flows, id)
+	c.services.countRefused(f.service)
 	l := c.level(now, w)
 	note := Note{
 		Kind: KindReset, Flow: id, Reason: reason, Age: now - l.oldest, Count: f.hops(),
