--- a/internal/packetface/role/decisionlog.go
+++ b/internal/packetface/role/decisionlog.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/saltbend/saltbend/internal/logging"
+	"github.com/saltbend/saltbend/internal/packetface/admission"
 	"github.com/saltbend/saltbend/internal/packetface/gate"
 	"github.com/saltbend/saltbend/internal/packetface/steer"
 	"github.com/saltbend/saltbend/platform"
@@ -90,10 +91,28 @@
 		if note.Count != 0 {
 			attrs = append(attrs, slog.Int("count", note.Count))
 		}
+		attrs = append(attrs, refusalAttrs(note)...)
 		n.log.LogAttrs(context.Background(), slog.LevelInfo, string(note.Kind), attrs...)
 	}
 }
 
+// refusalAttrs returns what a balancer refused a flow by: the bar of its service and the
+// flow's standing, as priority and rank, and the number of agents that reported figures.
+func refusalAttrs(note *steer.Note) (attrs []slog.Attr) {
+	if note.Agents > 0 {
+		attrs = append(attrs, slog.Int("agents", note.Agents))
+	}
+	if note.Bar != 0 {
+		attrs = append(attrs, slog.String("bar", formatStanding(note.Bar)), slog.String("standing", formatStanding(note.Standing)))
+	}
+	return attrs
+}
+
+// formatStanding returns a standing as PRIORITY/RANK.
+func formatStanding(s admission.Standing) string {
+	return fmt.Sprintf("%d/%d", s.Priority(), uint8(s))
+}
+
 // logAgent logs the decisions of an agent.
 func (n *decisionLog) logAgent(all []gate.Note) {
 	for i := range all {
--- a/internal/packetface/steer/flows.go
+++ b/internal/packetface/steer/flows.go
@@ -106,7 +106,12 @@
 			break
 		}
 	}
-	f := &flow{seen: now}
+	f := c.spareFlow
+	if f == nil {
+		f = new(flow)
+	}
+	c.spareFlow = nil
+	*f = flow{seen: now}
 	c.flows[id] = f
 	return f
 }
--- a/internal/packetface/steer/packets_test.go
+++ b/internal/packetface/steer/packets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/saltbend/saltbend/platform"
 )
@@ -25,3 +26,6 @@
 func reversed(id platform.Flow) platform.Flow {
 	return platform.Flow{Caller: id.Face, CallerPort: id.FacePort, Face: id.Caller, FacePort: id.CallerPort}
 }
+
+// addrPort returns the face at another port.
+func addrPort(port uint16) netip.AddrPort { return netip.AddrPortFrom(face.Addr(), port) }
--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -230,6 +230,7 @@
 // copy of the opening packet, the flow is left alone instead.
 func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, w requirements, reason string) {
 	delete(c.flows, id)
+	c.spareFlow = f
 	l := c.level(now, w)
 	note := Note{
 		Kind: KindReset, Flow: id, Reason: reason, Age: now - l.oldest, Count: f.hops(),
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -164,9 +164,11 @@
 	// evacuations are the operators' requests to evacuate data centres.
 	evacuations evacuation.Record
 	flows       map[platform.Flow]*flow
-	searches    map[platform.Flow]*ownerSearch
-	dead        map[platform.Flow]time.Duration
-	lastSweep   time.Duration
+	// spareFlow is the state of a flow that was refused, for the next flow.
+	spareFlow *flow
+	searches  map[platform.Flow]*ownerSearch
+	dead      map[platform.Flow]time.Duration
+	lastSweep time.Duration
 	// lastTick is when the last tick was; searching is true if searches were running then;
 	// tickInterval is the time between two ticks while searches run, 0 if not known.
 	lastTick, tickInterval time.Duration
