--- a/internal/packetface/admission/pressure.go
+++ b/internal/packetface/admission/pressure.go
@@ -24,11 +24,14 @@
 	burstTime = 750 * time.Millisecond
 	// patience is the duration of an overload, in timeouts of its callers, during which the
 	// allowed wait falls to the one that the target latency allows.
-	patience = 1.0
+	patience = 3.0
 	// recovery is how much faster an overload is forgotten than it was recognised.
 	recovery = 2
+	// shareMemory is for how much longer an overload lasts because of a caller that asks for
+	// more than its share.
+	shareMemory = 500 * time.Millisecond
 	// burstShare is the allowed wait at the start of an overload, as a share of the timeout.
-	burstShare = 0.5
+	burstShare = 0.8
 	// targetSpare is the time reserved before a target latency, in mean answer times: one
 	// for the answer itself and one for its variation.
 	targetSpare = 2
@@ -52,6 +55,13 @@
 	s.age = min(s.age+passed, burstTime+s.decline(r))
 }
 
+// prolong keeps an overload lasting for a moment, because a caller asks for more than its
+// share. What that caller is refused does not wait, but it would at once if it were admitted.
+func (s *pressure) prolong() { s.age = max(s.age, burstTime+shareMemory) }
+
+// lasting reports whether openings have waited for longer than in a burst.
+func (s *pressure) lasting() bool { return s.age >= burstTime }
+
 // decline returns the time over which the allowed wait falls.
 func (s *pressure) decline(r Request) time.Duration {
 	return time.Duration(patience * float64(r.Timeout))
@@ -60,7 +70,7 @@
 // refusedShare returns the share of a route's openings to refuse when they are expected to
 // wait for the given time.
 func (s *pressure) refusedShare(wait time.Duration, r Request, p Pace) float64 {
-	if s.age < burstTime || r.Timeout == 0 || r.TargetLatency == 0 {
+	if !s.lasting() || r.Timeout == 0 || r.TargetLatency == 0 {
 		return 0
 	}
 	left := 1 - float64(s.age-burstTime)/float64(s.decline(r))
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -53,26 +53,27 @@
 		held.balancer, held.packet = from, slices.Clone(packet) // a copy of the packet that is held
 		return
 	}
-	if g.flows[id] != nil || !g.mayHold(head) {
+	if g.flows[id] != nil || !g.mayHold(now, head) {
 		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
 		return
 	}
 	g.epochs.Observe(now, head.Epoch)
-	g.openings.Arrived(now, head.Terms.Priority)
-	if g.openings.Len() == 0 && g.hasRoom(now) {
-		g.shares.Add(now, id.Caller, g.epochs.At(now))
-		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
-		return
-	}
 	held := &heldOpening{
 		balancer: from, since: now, age: age, offset: retryOffset(head.Flags),
-		lastChoice: head.Flags&inner.FlagLastChoice != 0, packet: slices.Clone(packet),
+		lastChoice: head.Flags&inner.FlagLastChoice != 0,
 	}
 	request := held.request(now, head.Terms)
+	g.openings.Arrived(now, request)
+	if !g.openings.Holds() || g.openings.Len() == 0 && g.hasRoomFor(now, id, request) {
+		g.shares.Add(now, id.Caller, g.epochs.At(now))
+		g.admit(now, from, id, age, retryOffset(head.Flags), packet)
+		return
+	}
 	if why := g.judgeOpening(now, id, request); why != admission.NotRefused {
 		g.refuse(now, from, id, inner.ReasonOverloaded, string(why), 0, packet)
 		return
 	}
+	held.packet = slices.Clone(packet)
 	g.held[id] = held
 	g.openings.Add(request, now-age+attemptTimeout, id)
 }
@@ -86,9 +87,11 @@
 }
 
 // mayHold reports whether an opening packet may wait: the balancer has to send the terms of
-// its route, and these have to state how long the caller waits.
-func (g *Gate) mayHold(head inner.Open) bool {
-	return head.Terms.TargetLatency > 0 && head.Terms.Timeout > 0 && g.settings.Policies.On(policy.HeldOpenings)
+// its route, and these have to state how long the caller waits. An upstream that is leaving
+// gets only flows that no other one takes; these do not wait.
+func (g *Gate) mayHold(now time.Duration, head inner.Open) bool {
+	stated := head.Terms.TargetLatency > 0 && head.Terms.Timeout > 0
+	return stated && g.closedReason(now) == 0 && g.settings.Policies.On(policy.HeldOpenings)
 }
 
 // request returns the properties of an opening that determine its order.
@@ -111,11 +114,23 @@
 	return admission.StandingOf(priority, rank)
 }
 
-// hasRoom reports whether another flow may be opened: as many flows as the upstream has
-// slots may be ahead of the slots, so that the next request is there when a slot becomes
-// free.
-func (g *Gate) hasRoom(now time.Duration) bool {
-	return g.slots() == 0 || g.ahead(now) < 2*g.slots()
+// hasRoom reports whether a flow may be opened: as many requests as the upstream has slots
+// may be ahead of the slots, so that the next request is there when a slot becomes free.
+func (g *Gate) hasRoom(now time.Duration, r admission.Request) bool {
+	if g.slots() == 0 {
+		return true
+	}
+	g.dropExpected(now)
+	return g.running+g.expectedCount+g.queue.CountBefore(now, g.pace(), r) < 2*g.slots()
+}
+
+// hasRoomFor reports whether a caller's flow may be opened. For one that has had far more
+// requests admitted than others, there is room only if no request waits, late or not.
+func (g *Gate) hasRoomFor(now time.Duration, id platform.Flow, r admission.Request) bool {
+	if !g.hasRoom(now, r) {
+		return false
+	}
+	return g.ahead(now) < 2*g.slots() || !g.shares.Heavy(now, id.Caller, g.epochs.At(now))
 }
 
 // ahead returns the number of requests that the upstream processes, that wait for a slot, or
@@ -165,19 +180,17 @@
 // be answered in time.
 func (g *Gate) releaseOpenings(now time.Duration) {
 	g.openings.Observe(now, g.pace(), g.ahead(now))
+	g.returnHeldIfClosed(now)
 	if len(g.held) == 0 {
 		return
 	}
-	if reason := g.closedReason(now); reason != 0 {
-		g.returnHeld(now, reason)
-		return
-	}
-	for g.hasRoom(now) && g.passOn(now, g.openings.Next) {
+	for g.passOn(now, g.nextWithRoom) {
 	}
 	for g.passOn(now, func(now time.Duration, _ admission.Pace) (platform.Flow, admission.Choice) {
 		return g.openings.AttemptEnding(now)
 	}) {
 	}
+	g.dropAbandoned(now)
 	for {
 		id, found := g.openings.Hopeless(now, g.pace())
 		if !found {
@@ -187,6 +200,45 @@
 	}
 }
 
+// dropAbandoned drops held openings whose callers have abandoned the attempt, which could
+// not be passed on before. Another agent could do nothing for them either.
+func (g *Gate) dropAbandoned(now time.Duration) {
+	for {
+		id, found := g.openings.Abandoned(now)
+		if !found {
+			return
+		}
+		g.dropHeld(now, id, "attempt-ended")
+	}
+}
+
+// dropHeld drops a held opening that its caller does not wait for any more.
+func (g *Gate) dropHeld(now time.Duration, id platform.Flow, reason string) {
+	h := g.held[id]
+	g.forget(id)
+	g.note(now, Note{Kind: KindAbandoned, Flow: id, Reason: reason, Took: now - h.since})
+}
+
+// returnHeldIfClosed returns the held openings if the upstream gets no new flows at present.
+func (g *Gate) returnHeldIfClosed(now time.Duration) {
+	if len(g.held) == 0 {
+		return
+	}
+	if reason := g.closedReason(now); reason != 0 {
+		g.returnHeld(now, reason)
+	}
+}
+
+// nextWithRoom returns the held opening to pass on now, admission.None if there is no room
+// for any.
+func (g *Gate) nextWithRoom(now time.Duration, p admission.Pace) (platform.Flow, admission.Choice) {
+	id, why := g.openings.Next(now, p)
+	if r, ok := g.openings.Find(id); !ok || !g.hasRoom(now, r) {
+		return id, admission.None
+	}
+	return id, why
+}
+
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
 func (g *Gate) closedReason(now time.Duration) inner.Reason {
 	switch {
