Crowd simulation: measure the steady state of the agents' new limits

Agents now let the allowed wait fall over three timeouts of the callers, so the simulation measures after four.

--- a/internal/packetface/steer/crowd_test.go
+++ b/internal/packetface/steer/crowd_test.go
@@ -25,7 +25,6 @@
 	crowdSlots    = 2
 	crowdWork     = 40 * time.Millisecond
 	crowdTarget   = 400 * time.Millisecond
-	crowdTimeout  = 2 * time.Second
 	crowdAttempts = 3
 	crowdUrgent   = 0.3 // share of the requests on the urgent route
 )
@@ -38,6 +37,8 @@
 	agents   []*crowdAgent
 	waiting  map[platform.Flow]*crowdRequest
 	requests []*crowdRequest
+	// timeout is the time after which callers give up.
+	timeout time.Duration
 	// opened counts the datagrams with opening packets that agents get.
 	opened int
 }
@@ -63,19 +64,19 @@
 	return r.answered != 0 && r.answered-r.began <= crowdTarget
 }
 
-func crowdTable() *routing.Table {
+func crowdTable(timeout time.Duration) *routing.Table {
 	route := func(port uint16, priority int) platform.Route {
 		return platform.Route{
 			Name: "r", Face: netip.AddrPortFrom(face.Addr(), port), Shares: []platform.Share{{Service: service, Weight: 1}},
-			Priority: priority, TargetLatency: crowdTarget, Timeout: crowdTimeout,
+			Priority: priority, TargetLatency: crowdTarget, Timeout: timeout,
 		}
 	}
 	return routing.NewTable(platform.Configuration{Version: 1, Routes: []platform.Route{route(443, 0), route(444, 2)}})
 }
 
-func newCrowd(agents, balancers int, off []string) *crowd {
+func newCrowd(agents, balancers int, timeout time.Duration, off []string) *crowd {
 	policies, _ := policy.Without(off)
-	w := &crowd{Clock: simclock.Clock{Now: time.Second}, random: rand.New(rand.NewPCG(3, 4)), waiting: make(map[platform.Flow]*crowdRequest)}
+	w := &crowd{Clock: simclock.Clock{Now: time.Second}, random: rand.New(rand.NewPCG(3, 4)), waiting: make(map[platform.Flow]*crowdRequest), timeout: timeout}
 	var list []steer.Agent
 	for n := range agents {
 		g := gate.New(gate.Settings{
@@ -89,7 +90,7 @@
 	}
 	for n := range balancers {
 		c := steer.New(steer.Settings{DataCentre: "a", CallerPort: callerPort, Random: w.random, Policies: policies})
-		c.SetTable(w.Now, crowdTable(), time.Minute)
+		c.SetTable(w.Now, crowdTable(w.timeout), time.Minute)
 		w.cores = append(w.cores, c)
 		w.fromCore(n, c.SetAgents(w.Now, list, listAge(1)))
 	}
@@ -239,7 +240,7 @@
 func (w *crowd) attemptEnded(id platform.Flow, r *crowdRequest) {
 	delete(w.waiting, id)
 	pause := 20*time.Millisecond + time.Duration(w.random.Int64N(int64(230*time.Millisecond)))
-	if r.attempts < crowdAttempts && w.Now+pause < r.began+crowdTimeout {
+	if r.attempts < crowdAttempts && w.Now+pause < r.began+w.timeout {
 		w.After(pause, func() { w.attempt(r) })
 	}
 }
@@ -306,12 +307,11 @@
 func notUrgent(r *crowdRequest) bool  { return !r.urgent }
 func anyRequest(_ *crowdRequest) bool { return true }
 
-// crowdCase is a crowd with a demand of 1.2 times the room for some seconds and then 0.9.
+// crowdCase is a crowd with a demand of 1.2 times the room until it is steady, and then 0.9.
 type crowdCase struct {
 	agents, balancers int
+	timeout           time.Duration
 	off               []string
-	// change is when the demand falls, end when it ends.
-	change, end time.Duration
 }
 
 // figures are shares of requests in time, and the number of datagrams with the opening
@@ -321,13 +321,16 @@
 }
 
 func (c crowdCase) run(t *testing.T) (f figures) {
-	const demand, lower, warm = 1.2, 0.9, 3 * time.Second
-	w := newCrowd(c.agents, c.balancers, c.off)
-	w.press(demand, lower, c.change, c.end)
+	const demand, lower = 1.2, 0.9
+	warm := 4*c.timeout + time.Second // agents allow longer waits at first
+	change := warm + c.timeout
+	end := change + 2*time.Second
+	w := newCrowd(c.agents, c.balancers, c.timeout, c.off)
+	w.press(demand, lower, change, end)
 	f = figures{
-		ofRoom: w.share(warm, c.change, anyRequest) * demand,
-		urgent: w.share(warm, c.change, urgent), other: w.share(warm, c.change, notUrgent),
-		after:    w.share(c.change+time.Second, c.end, anyRequest),
+		ofRoom: w.share(warm, change, anyRequest) * demand,
+		urgent: w.share(warm, change, urgent), other: w.share(warm, change, notUrgent),
+		after:    w.share(change+time.Second, end, anyRequest),
 		openings: float64(w.opened) / float64(len(w.requests)),
 	}
 	t.Logf("%d agents, %d balancers, without %v: %.3f of the room in time, urgent %.3f, other %.3f, afterwards %.4f, %.2f openings a request",
@@ -338,14 +341,14 @@
 func TestRoomIsUsedUnderLastingOverload(t *testing.T) {
 	const agents, balancers = 37, 17
 	g := NewWithT(t)
-	f := crowdCase{agents, balancers, nil, 6 * time.Second, 8 * time.Second}.run(t)
-	g.Expect(f.ofRoom).To(BeNumerically(">", 0.8))
+	f := crowdCase{agents, balancers, 2 * time.Second, nil}.run(t)
+	g.Expect(f.ofRoom).To(BeNumerically(">", 0.9))
 	g.Expect(f.urgent).To(BeNumerically(">=", f.other))
 	g.Expect(f.urgent).To(BeNumerically(">", 0.99))
 	g.Expect(f.after).To(BeNumerically(">", 0.995))
 	g.Expect(f.openings).To(BeNumerically("<", 4))
 	for _, off := range []policy.Name{policy.ServiceLevel, policy.HeldOpenings} {
-		without := crowdCase{agents, balancers, []string{string(off)}, 6 * time.Second, 8 * time.Second}.run(t)
+		without := crowdCase{agents, balancers, 2 * time.Second, []string{string(off)}}.run(t)
 		g.Expect(without.ofRoom).To(BeNumerically("<", 0.75), string(off))
 		g.Expect(without.after).To(BeNumerically("<", 0.9), string(off))
 	}
@@ -357,8 +360,8 @@
 		t.Skip("takes a minute of processor time")
 	}
 	g := NewWithT(t)
-	f := crowdCase{543, 304, nil, 4500 * time.Millisecond, 6 * time.Second}.run(t)
-	g.Expect(f.ofRoom).To(BeNumerically(">", 0.7))
+	f := crowdCase{543, 304, time.Second, nil}.run(t)
+	g.Expect(f.ofRoom).To(BeNumerically(">", 0.8))
 	g.Expect(f.urgent).To(BeNumerically(">=", f.other))
 	g.Expect(f.after).To(BeNumerically(">", 0.995))
 }
