--- a/internal/packetface/steer/service_level.go
+++ b/internal/packetface/steer/service_level.go
@@ -240,6 +240,7 @@
 // copy of the opening packet, the flow is left alone instead.
 func (c *Core) refuse(now time.Duration, id platform.Flow, f *flow, w requirements, reason string) {
 	delete(c.flows, id)
+	c.services.countRefused(f.service)
 	c.spareFlow = f
 	l := c.level(now, w)
 	note := Note{
