Property of refusals: callers with a short timeout, so that agents refuse soon again

With the agents' present limits no flow was refused in 20 checks, which the test reports as a failure.

--- a/internal/packetface/steer/refusal_property_test.go
+++ b/internal/packetface/steer/refusal_property_test.go
@@ -50,7 +50,9 @@
 
 func newPressedFleet(t *rapid.T, maxLoss float64) *pressedFleet {
 	f := newSimFleetOf(t, rapid.IntRange(1, 4).Draw(t, "agents"), rapid.IntRange(1, 3).Draw(t, "balancers"), maxLoss, 0)
-	f.terms = inner.Terms{TargetLatency: time.Duration(rapid.SampledFrom([]int{120, 250, 500}).Draw(t, "target")) * time.Millisecond, Timeout: 2 * time.Second}
+	// Agents allow long waits at first, in proportion to the timeout; with a short one they
+	// refuse soon.
+	f.terms = inner.Terms{TargetLatency: time.Duration(rapid.SampledFrom([]int{120, 250, 500}).Draw(t, "target")) * time.Millisecond, Timeout: 600 * time.Millisecond}
 	f.workTime = 40 * time.Millisecond
 	room := float64(2*len(f.agents)) / f.workTime.Seconds()
 	w := &pressedFleet{simFleet: f, interval: time.Duration(float64(time.Second) / (room * rapid.Float64Range(0.8, 3).Draw(t, "demand")))}
@@ -176,7 +178,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newPressedFleet(t, maxLoss)
 		w.neverDoubled = isOpen
-		w.press(1500 * time.Millisecond)
+		w.press(2500 * time.Millisecond)
 		for range rapid.IntRange(0, 6).Draw(t, "steps") {
 			w.disturb()
 			w.press(time.Duration(rapid.SampledFrom([]int{3, 50, 400}).Draw(t, "ms")) * time.Millisecond)
