watchshare: a refused balancer listens once the sender can serve

In an outage of the store every balancer refuses listeners, but records those that ask and sends them a store update when the store answers again. A refused balancer forgot whom it had asked and ignored that store update; it found a source only with its next search, up to 1 s later. Until then it refused those that a seed without room referred to it, and they ignored its store update in turn. So after a seed's retry pause of up to 1 s some balancers needed two searches and got a change 2.0 to 2.3 s after the outage, at 304 balancers.

A balancer without a source also accepts a store update from the host that last refused it without naming another. No message and no call is added.

Ruled out: the length of the retry pause and of the search; both are unchanged.

--- a/internal/packetface/watchshare/size_test.go
+++ b/internal/packetface/watchshare/size_test.go
@@ -109,6 +109,24 @@
 	})
 }
 
+// At these seeds a balancer without listeners was referred, just after the outage, to a
+// balancer that had not found a source itself yet, and had to search twice.
+func TestBalancersWithoutListenersReceiveChangeAfterOutage(t *testing.T) {
+	for _, seed := range []uint64{2, 24, 54, 58} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(sizes[0], seed)
+			f.run(6 * time.Second)
+			f.down = true
+			f.run(watchshare.StaleAfter + 4500*time.Millisecond)
+			f.down = false
+			f.change()
+			g.Expect(f.callsDuring(watchshare.StaleAfter)).To(BeNumerically("<=", 2*outageCallsPerSecond))
+			g.Expect(f.behind()).To(BeEmpty())
+		})
+	}
+}
+
 func TestListenersFindSourcesAfterAllWatchersFail(t *testing.T) {
 	forEachSize(t, func(g *WithT, f *fleet) {
 		f.run(6 * time.Second)
--- a/internal/packetface/watchshare/start.go
+++ b/internal/packetface/watchshare/start.go
@@ -1,10 +1,6 @@
 package watchshare
 
-import (
-	"net/netip"
-	"slices"
-	"time"
-)
+import "time"
 
 // A balancer has no listing when it starts. In a large fleet most balancers start together,
 // at the first start or after a simultaneous loss of power. If each of them read all keys,
@@ -56,12 +52,6 @@
 // listing yet.
 func (s *State) lacksListing() bool { return s.asOf == 0 }
 
-// awaitsSeed reports whether the process accepts a store update from a host that it did not
-// ask last. It accepts one from any seed while it has neither a listing nor a source.
-func (s *State) awaitsSeed(host netip.Addr) bool {
-	return s.lacksListing() && !s.source.IsValid() && slices.Contains(s.seeds, host)
-}
-
 // ShouldReadStore reports whether a process without a listing should read the store itself.
 // A seed reads the store at once, another balancer when no source has answered in time.
 func (s *State) ShouldReadStore(now time.Duration) bool {
--- a/internal/packetface/watchshare/watchshare.go
+++ b/internal/packetface/watchshare/watchshare.go
@@ -28,6 +28,7 @@
 package watchshare
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -124,10 +125,11 @@
 	// source's last store update arrived.
 	sourceAsOf                 store.Position
 	confirmed, lastStoreUpdate time.Duration
-	// asked is the balancer that was asked last and has not answered yet. nextAsk is when
-	// the next balancer is asked.
-	asked   netip.Addr
-	nextAsk time.Duration
+	// asked is the balancer that was asked last and has not answered yet. awaited is the one
+	// that last refused without naming another: it sends a store update once it can serve.
+	// nextAsk is when the next balancer is asked.
+	asked, awaited netip.Addr
+	nextAsk        time.Duration
 	// unanswered counts the requests to seeds since a seed last answered.
 	unanswered int
 	// listeners are the balancers that rely on this one, or wait until it has a listing,
@@ -206,12 +208,18 @@
 func (s *State) notifyListeners(now time.Duration) []Send {
 	s.lastNotified = now
 	var out []Send
-	for host := range s.listeners {
+	for _, host := range s.sortedListeners() {
 		out = append(out, s.storeUpdateFor(now, host))
 	}
 	return out
 }
 
+// sortedListeners returns the listeners in the order of their addresses, so that decisions
+// depend on the random source only, not on the order of a map.
+func (s *State) sortedListeners() []netip.Addr {
+	return slices.SortedFunc(maps.Keys(s.listeners), netip.Addr.Compare)
+}
+
 // storeUpdateFor returns a message with a store update for a balancer. The store update
 // names another listener that the receiver can ask for a source when this balancer fails.
 func (s *State) storeUpdateFor(now time.Duration, to netip.Addr) Send {
@@ -318,24 +326,17 @@
 	if len(s.listeners) == 0 {
 		return netip.Addr{}
 	}
-	skip := s.random.IntN(len(s.listeners))
-	for host := range s.listeners {
-		if skip == 0 {
-			return host
-		}
-		skip--
-	}
-	return netip.Addr{}
+	return s.sortedListeners()[s.random.IntN(len(s.listeners))]
 }
 
 // HandleStoreUpdate handles a store update of another balancer. Of a store update whose
 // sender is neither the source nor the balancer asked last, it uses only the size of the
-// fleet, and that only if the sender is a seed, unless awaitsSeed allows the sender.
+// fleet, and that only if the sender is a seed, unless awaits allows the sender.
 func (s *State) HandleStoreUpdate(now time.Duration, from netip.Addr, u inner.StoreUpdate) []Send {
 	if slices.Contains(s.seeds, from) {
 		s.fleetSize = max(s.fleetSize, int(u.Balancers))
 	}
-	if from != s.source && from != s.asked && !s.awaitsSeed(from) {
+	if from != s.source && from != s.asked && !s.awaits(from) {
 		return nil
 	}
 	s.remember(from)
@@ -399,6 +400,15 @@
 	return s.self.Less(other)
 }
 
+// awaits reports whether this balancer, which has no source, accepts a store update from a
+// host that it did not ask last: from any seed while it has no listing, and from the host
+// that last refused. In an outage of the store all balancers refuse. Without the store
+// update that follows the outage, a balancer would find a source only with its next search,
+// and not even then if it is referred to another one that still searches.
+func (s *State) awaits(host netip.Addr) bool {
+	return !s.source.IsValid() && (host == s.awaited || s.lacksListing() && slices.Contains(s.seeds, host))
+}
+
 // handleRefusal handles a store update whose sender cannot become or remain the source of
 // this balancer. It asks the balancer that the sender names instead, if any. If the sender is
 // the source, handleRefusal also makes the next tick ask other balancers.
@@ -414,6 +424,7 @@
 		s.remember(other)
 		return s.ask(now, other, u.Redirects)
 	}
+	s.awaited = from
 	return nil
 }
 
@@ -506,7 +517,7 @@
 
 // abandonSource makes the balancer watch the store itself.
 func (s *State) abandonSource(now time.Duration) {
-	s.source, s.asked, s.sourceAsOf, s.depth = netip.Addr{}, netip.Addr{}, 0, 0
+	s.source, s.asked, s.awaited, s.sourceAsOf, s.depth = netip.Addr{}, netip.Addr{}, netip.Addr{}, 0, 0
 	s.scheduleSearch(now)
 }
 
--- a/internal/packetface/watchshare/watchshare_test.go
+++ b/internal/packetface/watchshare/watchshare_test.go
@@ -301,6 +301,26 @@
 	g.Expect(listens).To(BeFalse())
 }
 
+// A balancer that cannot serve yet records the asking one and sends it a store update as
+// soon as the store has answered.
+func TestRefusedBalancerListensOnceSenderCanServe(t *testing.T) {
+	g := NewWithT(t)
+	s := watchshare.New(host(9), rand.New(rand.NewPCG(1, 2)))
+	s.SetSeeds([]netip.Addr{host(1)})
+	now := time.Second
+	s.StoreAnswered(now)
+	s.SetKnown(now, 5)
+	g.Expect(s.Tick(now, 20)).To(HaveLen(1))
+	s.HandleStoreUpdate(now, host(1), inner.StoreUpdate{AsOf: 5, Age: 5 * time.Second})
+	now += 100 * time.Millisecond
+	s.HandleStoreUpdate(now, host(2), inner.StoreUpdate{AcceptsListeners: true, AsOf: 6})
+	g.Expect(s.Behind()).To(BeFalse(), "this balancer was never asked")
+	s.HandleStoreUpdate(now, host(1), inner.StoreUpdate{AcceptsListeners: true, AsOf: 6})
+	source, _ := s.Source()
+	g.Expect(source).To(Equal(host(1)))
+	g.Expect(s.Behind()).To(BeTrue())
+}
+
 func TestNumberOfListenersIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	s := watchshare.New(host(9), rand.New(rand.NewPCG(1, 2)))
