--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -47,6 +47,9 @@
 	// is when it was forwarded.
 	running     bool
 	requestedAt time.Duration
+	// timed is set if the upstream began on the running request at once, so that the time
+	// until the answer is its service time.
+	timed bool
 	// terms are the terms of the flow's route; served is true once a request of the flow
 	// has been answered; waiting is the request that is queued for a slot, nil if none.
 	terms   inner.Terms
@@ -145,10 +148,12 @@
 		return
 	}
 	g.noteRequest(f)
-	if !f.running {
-		f.requestedAt = now
+	if f.running {
+		return
 	}
+	f.requestedAt = now
 	g.setRunning(f, true)
+	f.timed = g.hasTime(f)
 }
 
 // noteRequest records the arrival of a request. The first one of a flow has been counted
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/saltbend/saltbend/internal/packetface/admission"
+	"github.com/saltbend/saltbend/internal/packetface/capacity"
 	"github.com/saltbend/saltbend/internal/packetface/evacuation"
 	"github.com/saltbend/saltbend/internal/packetface/inner"
 	"github.com/saltbend/saltbend/internal/packetface/outcome"
@@ -234,7 +235,10 @@
 	expectedCount int
 	shares        admission.Shares
 	epochs        admission.Epochs
-	upstream      upstream
+	// use is the learned use of the upstream's slots, times are its service times.
+	use      capacity.Use
+	times    capacity.Times
+	upstream upstream
 	// ended are instances that have ended; candidate is an instance that has reported but is
 	// not adopted yet.
 	ended     []platform.Instance
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -219,8 +219,3 @@
 	g.openings.Remove(id)
 	delete(g.held, id)
 }
-
-// loadReport returns the room that the upstream has, as reported to balancers.
-func (g *Gate) loadReport(now time.Duration) inner.Load {
-	return inner.Load{Wait: g.openings.Wait(g.pace(), g.ahead(now)), Bar: g.openings.Bar(), Epoch: g.epochs.At(now)}
-}
--- a/internal/packetface/gate/queue.go
+++ b/internal/packetface/gate/queue.go
@@ -109,10 +109,12 @@
 	}
 }
 
-// release forwards waiting requests and held openings to the upstream while it has room.
+// release forwards waiting requests and held openings to the upstream while it has room. It
+// ends every call that begins or ends requests, so the use of the slots is observed here.
 func (g *Gate) release(now time.Duration) {
 	g.releaseRequests(now)
 	g.releaseOpenings(now)
+	g.use.Observe(now, g.running, g.slots())
 }
 
 // releaseRequests forwards waiting requests to the upstream while it has free slots.
@@ -149,6 +151,7 @@
 		g.note(now, Note{Kind: KindWaited, Flow: w.id, Reason: string(why), Took: now - w.since})
 	}
 	g.setRunning(w.flow, !w.flow.callerDone)
+	w.flow.timed = g.hasTime(w.flow)
 	for _, packet := range w.packets {
 		g.sendHeld(w.flow, packet)
 	}
--- a/internal/packetface/gate/reply.go
+++ b/internal/packetface/gate/reply.go
@@ -102,6 +102,9 @@
 // recordAnswer records that the upstream answers the running request of a flow.
 func (g *Gate) recordAnswer(now time.Duration, id platform.Flow, f *flow) {
 	g.setRunning(f, false)
+	if f.timed {
+		g.times.Add(now, id.Caller, f.terms.Priority, now-f.requestedAt)
+	}
 	f.served = true
 	g.openings.Demand().Answered()
 	g.addLatency(now, now-f.requestedAt)
--- a/internal/packetface/steer/agent_choice.go
+++ b/internal/packetface/steer/agent_choice.go
@@ -67,6 +67,8 @@
 	// go to all. regions maps data centres to their regions.
 	allowedRegions []string
 	regions        map[string]string
+	// byRoom is set if the flow is placed by the room that agents report.
+	byRoom bool
 }
 
 // inHomeRegion reports whether the agent is in a region to which the flow may go.
@@ -81,6 +83,7 @@
 func (r *roster) choose(now time.Duration, w requirements, s Settings, tried []*agent) *agent {
 	var best *agent
 	least, mean, panicking := 0.0, r.means(w.service, s), r.panicking(w)
+	mean.byTime = w.byRoom
 	for _, a := range r.byService[w.service] {
 		if !w.allows(a) || !a.acceptsFlows() && !(panicking && a.isFailing()) || slices.Contains(tried, a) {
 			continue
@@ -160,6 +163,8 @@
 	// average time that an upstream takes to answer, 0 if answer times are to be ignored.
 	running float64
 	answer  time.Duration
+	// byTime is set if a request counts by the service time of its upstream.
+	byTime bool
 }
 
 // means returns the averages of a service.
@@ -209,6 +214,9 @@
 func (a *agent) score(now time.Duration, s Settings, long bool, mean means) float64 {
 	slots := float64(max(int(a.status.Slots), a.Slots, 1))
 	load := (a.running(now, mean.running) + float64(a.pending)) / slots
+	if mean.byTime {
+		load *= a.relativeTime(now)
+	}
 	if long {
 		load += weightFlow * (float64(a.status.Flows) + float64(a.pending)) / slots
 	}
@@ -218,7 +226,12 @@
 	if a.status.Cold {
 		load += weightCold
 	}
-	load += mean.slownessLoad(a)
+	load += mean.slownessLoad(a) + a.stateLoad(now)
+	return load + weightRandom*s.Random.Float64()
+}
+
+// stateLoad returns the load added for the state of an agent and its upstream.
+func (a *agent) stateLoad(now time.Duration) (load float64) {
 	switch a.status.State {
 	case inner.StateUnproven:
 		load += weightUnproven
@@ -233,5 +246,5 @@
 	if a.isSuspect(now) {
 		load += weightSuspect
 	}
-	return load + weightRandom*s.Random.Float64()
+	return load
 }
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -94,6 +94,8 @@
 	warmupReported, warmupSent time.Duration
 	// pending counts the flows placed on the agent since its last status.
 	pending int
+	// room is what the agent has reported on its room.
+	room reportedRoom
 	// questions holds the questions that are to be sent to the agent.
 	questions []inner.Question
 	// evacuation is the newest known evacuation state of the agent's data centre.
@@ -124,6 +126,9 @@
 
 func (a *agent) setStatus(s inner.Status, now time.Duration) {
 	a.status, a.statusAt, a.pending = s, now, 0
+	if s.HasLoad {
+		a.room.at, a.room.known = now, true
+	}
 }
 
 // setRunning records the load that an agent reports with a packet returned as busy. The
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -174,6 +174,8 @@
 	epochs   admission.Epochs
 	// levels are the levels of services by their ids.
 	levels map[uint64]*serviceLevel
+	// rooms are what agents report on their room, by the ids of services.
+	rooms map[uint64]*serviceRoom
 	// newer is the newest version that an agent has reported; newerNotedAt is when the
 	// last note of something newer was added, 0 for never.
 	newer        newerVersion
@@ -202,6 +204,7 @@
 		searches:     make(map[platform.Flow]*ownerSearch),
 		dead:         make(map[platform.Flow]time.Duration),
 		levels:       make(map[uint64]*serviceLevel),
+		rooms:        make(map[uint64]*serviceRoom),
 		probeBudget:  probesPerTick,
 		searchBudget: searchesPerTick, questionBudget: questionsPerTick,
 	}
