--- a/internal/packetface/capacity/times.go
+++ b/internal/packetface/capacity/times.go
@@ -13,16 +13,18 @@
 	// few requests that take long by nature do not make the upstream look slow. All agents
 	// limit their samples alike, so the ratios between upstreams stay comparable.
 	tailLimit = 3
+	// recentLimit does the same in the recent mean, of which a sample is a larger part.
+	recentLimit = 2.5
 	// steadyWeight is the least weight of a sample in the mean.
-	steadyWeight = 1.0 / 100
+	steadyWeight = 1.0 / 400
 	// recentWeight is the least weight of a sample in the recent mean, which shows a change
 	// of the upstream's speed.
-	recentWeight = 1.0 / 16
+	recentWeight = 1.0 / 12
 	// changeRatio is the ratio between the recent mean and the mean from which on the
 	// upstream's speed has changed.
 	changeRatio = 1.5
-	// recentSamples is the number of samples that the recent mean stands for.
-	recentSamples = 2/recentWeight - 1
+	// recentSamples is the number of samples that a mean stands for after a change.
+	recentSamples = 20
 	// minSamples is the number of samples below which a mean is not reported.
 	minSamples = 8
 	// timesMaxAge is the time without a sample after which a mean is not reported, so that
@@ -131,7 +133,7 @@
 	}
 	weight := 2 / (l.samples + 1)
 	l.mean += max(weight, steadyWeight) * (min(sample, tailLimit*l.mean) - l.mean)
-	l.recent += max(weight, recentWeight) * (min(sample, tailLimit*l.recent) - l.recent)
+	l.recent += max(weight, recentWeight) * (min(sample, recentLimit*l.recent) - l.recent)
 	if l.recent > changeRatio*l.mean || l.mean > changeRatio*l.recent {
 		l.mean, l.samples = l.recent, min(l.samples, recentSamples)
 	}
--- a/internal/packetface/steer/agent_choice.go
+++ b/internal/packetface/steer/agent_choice.go
@@ -215,7 +215,7 @@
 	slots := float64(max(int(a.status.Slots), a.Slots, 1))
 	load := (a.running(now, mean.running) + float64(a.pending)) / slots
 	if mean.byTime {
-		load *= a.relativeTime(now)
+		load *= a.requestTime(now)
 	}
 	if long {
 		load += weightFlow * (float64(a.status.Flows) + float64(a.pending)) / slots
--- a/internal/packetface/steer/room.go
+++ b/internal/packetface/steer/room.go
@@ -30,15 +30,21 @@
 	// maxRelativeTime limits the ratio of an upstream's service time to the mean of its
 	// service, and its inverse.
 	maxRelativeTime = 3
+	// timeTolerance is the ratio up to which relative times count as equal when a flow of one
+	// request is placed.
+	timeTolerance = 1.3
 	// maxFlowUse limits how many slots an open flow is expected to take: it has one request
 	// at a time.
 	maxFlowUse = 1
 	// countShare is the share of the estimate from the number of open flows in the expected
 	// use of slots. That estimate is exact for flows placed just now, which the measured use
 	// does not show yet, but takes all flows for equally busy.
-	countShare = 0.5
-	// noRoomUse is the use of slots from which on the requests that wait count as well.
-	noRoomUse = 0.95
+	countShare = 0.3
+	// crowdedUse is the use of slots from which on requests wait noticeably, because now and
+	// then all slots are taken; each share beyond it counts weightCrowded times in addition.
+	// Below, a flow stays near; above, room elsewhere is worth more than a short way.
+	crowdedUse    = 0.7
+	weightCrowded = 4
 )
 
 // reportedRoom is what a balancer derives from the figures of one agent.
@@ -68,6 +74,14 @@
 	return a.room.relativeTime
 }
 
+// requestTime returns how much a request counts at the agent's upstream, relative to the
+// mean of its service. Differences that may come from measuring count for nothing: all
+// balancers would prefer the same upstream by them.
+func (a *agent) requestTime(now time.Duration) float64 {
+	time := a.relativeTime(now)
+	return max(1, time/timeTolerance) * min(1, time*timeTolerance)
+}
+
 func (a *agent) slots() float64 { return float64(max(int(a.status.Slots), a.Slots, 1)) }
 
 // serviceRoom sums up what the agents of a service report on their room.
@@ -235,9 +249,7 @@
 	use := trust*a.status.Load.Utilization + (1-trust)*m.use
 	count := trust*float64(a.status.Flows) + (1-trust)*m.flows*a.slots()
 	load := (1-countShare)*use + (countShare*count+float64(a.pending))*perFlow
-	if use > noRoomUse {
-		load += max(0, a.running(now, 0)/a.slots()-1)
-	}
+	load += weightCrowded * max(0, load-crowdedUse)
 	if a.DataCentre != s.DataCentre {
 		load += weightFarLong
 	}
--- a/test/simclock/simclock.go
+++ b/test/simclock/simclock.go
@@ -29,6 +29,16 @@
 	}
 }
 
+// RunUntil runs the events before the time t, including those that they schedule.
+func (c *Clock) RunUntil(t time.Duration) {
+	for len(c.events) > 0 && c.events[0].at < t {
+		e := heap.Pop(&c.events).(event)
+		c.Now = e.at
+		e.do()
+	}
+	c.Now = t
+}
+
 type event struct {
 	at time.Duration
 	do func()
