--- a/internal/packetface/steer/agent_choice.go
+++ b/internal/packetface/steer/agent_choice.go
@@ -69,6 +69,8 @@
 	regions        map[string]string
 	// byRoom is set if the flow is placed by the room that agents report.
 	byRoom bool
+	// terms are the terms of the route.
+	terms inner.Terms
 }
 
 // inHomeRegion reports whether the agent is in a region to which the flow may go.
--- a/internal/packetface/steer/placement.go
+++ b/internal/packetface/steer/placement.go
@@ -116,16 +116,14 @@
 // short of room, a flow goes to a short queue at once.
 func (c *Core) choose(now time.Duration, f *flow, route *routing.Route, w requirements) *agent {
 	f.toQueue = false
-	short := route.Terms.TargetLatency > 0 && c.settings.Policies.On(policy.ServiceLevel) && c.level(now, w).short()
-	if w.byRoom {
-		if best := c.chooseByRoom(now, w, c.excludedFrom(f, short)); best != nil {
-			f.toQueue = short
+	if route.Terms.TargetLatency > 0 && c.settings.Policies.On(policy.ServiceLevel) && c.level(now, w).short() {
+		if best := c.roster.chooseShort(now, w, c.settings, f.tried); best != nil {
+			f.toQueue = true
 			return best
 		}
 	}
-	if short {
-		if best := c.roster.chooseShort(now, w, c.settings, f.tried); best != nil {
-			f.toQueue = true
+	if w.byRoom {
+		if best := c.chooseByRoom(now, w, c.excluded(f)); best != nil {
 			return best
 		}
 	}
@@ -160,7 +158,7 @@
 // requirementsOf returns what a new flow of a route requires of its agent.
 func (c *Core) requirementsOf(route *routing.Route, service uint64) requirements {
 	return requirements{
-		service: service, long: route.Idempotent, allowedRegions: route.AllowedRegions, regions: c.settings.Regions,
+		service: service, long: route.Idempotent, allowedRegions: route.AllowedRegions, regions: c.settings.Regions, terms: route.Terms,
 		byRoom: c.settings.Policies.On(policy.RoomPlacement) && route.Terms.TargetLatency > 0 && route.Terms.Timeout > 0,
 	}
 }
--- a/internal/packetface/steer/room.go
+++ b/internal/packetface/steer/room.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/saltbend/saltbend/internal/packetface/inner"
 )
 
 // Agents report which share of their upstream's slots is in use and how long the upstream
@@ -45,6 +47,9 @@
 	// Below, a flow stays near; above, room elsewhere is worth more than a short way.
 	crowdedUse    = 0.7
 	weightCrowded = 4
+	// longTimes is the multiple of the mean service time that one in some ten requests
+	// takes.
+	longTimes = 2.5
 )
 
 // reportedRoom is what a balancer derives from the figures of one agent.
@@ -234,7 +239,7 @@
 			continue
 		}
 		found++
-		if load := a.expectedUse(now, m, c.settings); best == nil || load < least {
+		if load := a.expectedUse(now, m, w, c.settings); best == nil || load < least {
 			best, least = a, load
 		}
 	}
@@ -243,7 +248,7 @@
 
 // expectedUse returns the expected share of the upstream's slots in use, with the flows
 // placed since the agent's last report and the loads for distance and state.
-func (a *agent) expectedUse(now time.Duration, m *serviceRoom, s Settings) float64 {
+func (a *agent) expectedUse(now time.Duration, m *serviceRoom, w requirements, s Settings) float64 {
 	perFlow := m.flowUse * a.relativeTime(now) / a.slots()
 	trust := a.trust(now)
 	use := trust*a.status.Load.Utilization + (1-trust)*m.use
@@ -256,15 +261,20 @@
 	if a.status.Cold {
 		load += weightCold
 	}
-	load += weightSlow * max(0, a.relativeTime(now)-slowThreshold)
-	return load + a.stateLoad(now) + weightRandom*s.Random.Float64()
+	load += a.missedTarget(now, w.terms)
+	return load + a.stateLoad(now)
 }
 
-// excludedFrom returns the agents to which a flow that stays open is not sent, as excluded
-// does. A flow that goes to a queue may go to one that has returned it as busy.
-func (c *Core) excludedFrom(f *flow, short bool) []*agent {
-	if short {
-		return f.tried
+// missedTarget returns the load added for an upstream so slow that requests miss the target
+// latency of their route even if they need not wait.
+func (a *agent) missedTarget(now time.Duration, terms inner.Terms) float64 {
+	if a.trust(now) == 0 {
+		return 0
+	}
+	for _, t := range a.status.Load.Times {
+		if t.Priority == terms.Priority && t.Mean > 0 {
+			return weightSlow * max(0, longTimes*t.Mean.Seconds()/terms.TargetLatency.Seconds()-1)
+		}
 	}
-	return c.excluded(f)
+	return 0
 }
--- a/internal/packetface/steer/sim_room_test.go
+++ b/internal/packetface/steer/sim_room_test.go
@@ -46,6 +46,11 @@
 	// held is the longest time for which a status may be held up, 0 for none.
 	delay, held time.Duration
 	loss        float64
+	// callersIn is the data centre of all balancers, empty if they are distributed as agents
+	// are.
+	callersIn string
+	// noTerms is set if routes state no target latency.
+	noTerms bool
 	// report changes the statuses of agents, nil for no change.
 	report func(n int, s *inner.Status)
 }
@@ -62,24 +67,24 @@
 	speed   float64
 	running int
 	queue   []roomRequest
-	feeds   int
-	queries int
-	open    int
-	use     capacity.Use
-	times   capacity.Times
-	// worked is the service time of all requests since measurements began, answered and
-	// late how many were answered and how many of them took longer than lateAfter.
-	worked         time.Duration
+	// feeds is the number of open feeds, open that of all open flows.
+	feeds, open int
+	use         capacity.Use
+	times       capacity.Times
+	// asked is the service time of all requests that arrived since measurements began,
+	// answered and late how many were answered and how many of them took longer than
+	// lateAfter.
+	asked          time.Duration
 	answered, late int
 }
 
 const lateAfter = 300 * time.Millisecond
 
 type roomRequest struct {
-	priority uint8
-	caller   [4]byte
-	arrived  time.Duration
-	done     func()
+	priority      uint8
+	caller        [4]byte
+	arrived, took time.Duration
+	done          func()
 }
 
 // roomSimulation runs feeds and queries.
@@ -94,41 +99,62 @@
 	pace float64
 	// choices are the agents to which flows were placed, in order.
 	choices []int
-	// end is when the simulation ends, measured when its measurements began.
-	end, measured time.Duration
+	// near and far count the flows placed in the data centre of their balancer and in others.
+	near, far int
+	// end is when the simulation ends.
+	end time.Duration
 }
 
 var feedFace, queryFace = netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.1:444")
 
-func roomTable() *routing.Table {
+func (w *roomSimulation) table() *routing.Table {
 	shares := []platform.Share{{Service: service, Weight: 1}}
-	return routing.NewTable(platform.Configuration{Version: 1, Routes: []platform.Route{
-		{Name: "feeds", Face: feedFace, Shares: shares, Idempotent: true, Priority: feedPriority, TargetLatency: lateAfter, Timeout: 3 * time.Second},
-		{Name: "queries", Face: queryFace, Shares: shares, Priority: queryPriority, TargetLatency: 400 * time.Millisecond, Timeout: 3 * time.Second},
-	}, Services: []platform.Service{{Name: service}}})
+	feeds := platform.Route{Name: "feeds", Face: feedFace, Shares: shares, Idempotent: true, Priority: feedPriority}
+	queries := platform.Route{Name: "queries", Face: queryFace, Shares: shares, Priority: queryPriority}
+	if !w.noTerms {
+		feeds.TargetLatency, feeds.Timeout = lateAfter, 3*time.Second
+		queries.TargetLatency, queries.Timeout = 400*time.Millisecond, 3*time.Second
+	}
+	return routing.NewTable(platform.Configuration{Version: 1, Routes: []platform.Route{feeds, queries}, Services: []platform.Service{{Name: service}}})
 }
 
 func newRoomSimulation(s roomSettings) *roomSimulation {
 	w := &roomSimulation{roomSettings: s, random: rand.New(rand.NewPCG(s.seed, 1)), pace: 1, Clock: simclock.Clock{Now: time.Second}}
-	var listed []steer.Agent
 	for n := range s.agents {
-		a := &roomAgent{n: n, addr: address(n, 1), speed: s.speeds[n%len(s.speeds)]}
-		w.agents = append(w.agents, a)
-		entry := agentAt(n, s.centres[n*len(s.centres)/s.agents])
-		entry.Slots = roomSlots
-		listed = append(listed, entry)
+		w.agents = append(w.agents, &roomAgent{n: n, addr: address(n, 1), speed: s.speeds[n%len(s.speeds)]})
 	}
 	policies, _ := policy.Without(s.off)
 	for n := range s.balancers {
-		w.cores = append(w.cores, w.newCore(n, policies, listed))
+		w.cores = append(w.cores, w.newCore(n, policies, w.listed()))
 	}
 	return w
 }
 
+// listed returns the store's list of agents.
+func (w *roomSimulation) listed() []steer.Agent {
+	var listed []steer.Agent
+	for n := range w.agents {
+		entry := agentAt(n, w.centreOf(n, len(w.agents)))
+		entry.Slots = roomSlots
+		listed = append(listed, entry)
+	}
+	return listed
+}
+
+// centreOf returns the data centre of the n-th of some agents or balancers.
+func (w *roomSimulation) centreOf(n, of int) string { return w.centres[n*len(w.centres)/of] }
+
+func (w *roomSimulation) centreOfBalancer(n int) string {
+	if w.callersIn != "" {
+		return w.callersIn
+	}
+	return w.centreOf(n, w.balancers)
+}
+
 // newCore starts a balancer, which polls all agents once.
 func (w *roomSimulation) newCore(n int, policies policy.Set, listed []steer.Agent) *steer.Core {
-	c := steer.New(steer.Settings{DataCentre: w.centres[n%len(w.centres)], CallerPort: callerPort, Random: rand.New(rand.NewPCG(w.seed, uint64(n)+2)), Policies: policies})
-	c.SetTable(w.Now, roomTable(), time.Minute)
+	c := steer.New(steer.Settings{DataCentre: w.centreOfBalancer(n), CallerPort: callerPort, Random: rand.New(rand.NewPCG(w.seed, uint64(n)+2)), Policies: policies})
+	c.SetTable(w.Now, w.table(), time.Minute)
 	w.deliver(c, c.SetAgents(w.Now, listed, listAge(1)), nil)
 	return c
 }
@@ -175,8 +201,7 @@
 	}
 	w.open(queryFace, func(a *roomAgent, id platform.Flow, _ *steer.Core) {
 		a.open++
-		a.queries++
-		w.ask(a, roomRequest{queryPriority, id.Caller, w.Now, func() { a.open-- }})
+		w.ask(a, roomRequest{priority: queryPriority, caller: id.Caller, done: func() { a.open-- }})
 	})
 	w.After(time.Duration(w.random.ExpFloat64()/(rate*w.pace)*float64(time.Second)), func() { w.query(rate) })
 }
@@ -207,7 +232,7 @@
 	}
 	r, _ := c.FromCaller(w.Now, packet(id, 1, 77, platform.FlagACK, 30))
 	w.deliver(c, r, nil)
-	w.ask(a, roomRequest{feedPriority, id.Caller, w.Now, nil})
+	w.ask(a, roomRequest{priority: feedPriority, caller: id.Caller})
 	pause := w.random.ExpFloat64() * feedPause.Seconds() / w.pace
 	w.After(time.Duration(pause*float64(time.Second)), func() { w.feedAsks(a, id, c, closes) })
 }
@@ -245,7 +270,7 @@
 			w.reply(c, a, inner.AppendReturned(nil, inner.Returned{Reason: inner.ReasonBusy, Running: uint16(a.running + len(a.queue))}, packet), opened)
 			return
 		}
-		w.choices = append(w.choices, a.n)
+		w.notePlaced(c, a)
 		opened(a)
 		return
 	}
@@ -254,6 +279,15 @@
 	}
 }
 
+func (w *roomSimulation) notePlaced(c *steer.Core, a *roomAgent) {
+	w.choices = append(w.choices, a.n)
+	if w.centreOfBalancer(slices.Index(w.cores, c)) == w.centreOf(a.n, len(w.agents)) {
+		w.near++
+	} else {
+		w.far++
+	}
+}
+
 // reply sends a datagram to a balancer.
 func (w *roomSimulation) reply(c *steer.Core, a *roomAgent, b []byte, opened func(*roomAgent)) {
 	isStatus := inner.KindOf(b) == inner.KindStatus
@@ -286,6 +320,8 @@
 
 // ask sends a request to an upstream, where it waits for a slot.
 func (w *roomSimulation) ask(a *roomAgent, r roomRequest) {
+	r.arrived, r.took = w.Now, time.Duration(w.work()/a.speed*float64(time.Second))
+	a.asked += r.took
 	a.queue = append(a.queue, r)
 	w.begin(a)
 }
@@ -295,57 +331,38 @@
 		r := a.queue[0]
 		a.queue = a.queue[1:]
 		a.running++
-		took := time.Duration(w.work() / a.speed * float64(time.Second))
-		w.After(took, func() { w.answer(a, r, took) })
+		w.After(r.took, func() { w.answer(a, r) })
 	}
 	a.use.Observe(w.Now, a.running, roomSlots)
 }
 
-func (w *roomSimulation) answer(a *roomAgent, r roomRequest, took time.Duration) {
+func (w *roomSimulation) answer(a *roomAgent, r roomRequest) {
 	a.running--
-	a.worked += took
 	a.answered++
 	if w.Now-r.arrived > lateAfter {
 		a.late++
 	}
-	a.times.Add(w.Now, r.caller, r.priority, took)
+	a.times.Add(w.Now, r.caller, r.priority, r.took)
 	w.begin(a)
 	if r.done != nil {
 		r.done()
 	}
 }
 
-// loadByRoom returns the requests that are expected at each upstream, of its feeds and as
-// many queries as since resetMeasures, by its room, divided by the mean.
-func (w *roomSimulation) loadByRoom() []float64 {
-	var loads []float64
-	sum, speed, passed := 0.0, 0.0, (w.Now - w.measured).Seconds()
-	for _, a := range w.agents {
-		load := float64(a.feeds)/(feedPause.Seconds()) + float64(a.queries)/passed/w.pace
-		loads = append(loads, load/a.speed)
-		sum, speed = sum+load, speed+a.speed
-	}
-	for i := range loads {
-		loads[i] *= speed / sum
-	}
-	return loads
-}
-
 // resetMeasures begins the measurement of service times.
 func (w *roomSimulation) resetMeasures() {
-	w.measured = w.Now
 	for _, a := range w.agents {
-		a.worked, a.answered, a.late, a.queries = 0, 0, 0, 0
+		a.asked, a.answered, a.late = 0, 0, 0
 	}
 }
 
-// busiest returns the largest service time since resetMeasures of an upstream divided by the
-// mean of all, and the share of answers that were late.
+// busiest returns the largest service time asked for at an upstream since resetMeasures,
+// divided by the mean of all, and the share of answers that were late.
 func (w *roomSimulation) busiest() (ratio, late float64) {
 	most, sum, answered, lateAnswers := 0.0, 0.0, 0, 0
 	for _, a := range w.agents {
-		most = max(most, a.worked.Seconds())
-		sum += a.worked.Seconds()
+		most = max(most, a.asked.Seconds())
+		sum += a.asked.Seconds()
 		answered += a.answered
 		lateAnswers += a.late
 	}
