--- a/internal/packetface/capacity/times.go
+++ b/internal/packetface/capacity/times.go
@@ -16,7 +16,7 @@
 	// recentLimit does the same in the recent mean, of which a sample is a larger part.
 	recentLimit = 2.5
 	// steadyWeight is the least weight of a sample in the mean.
-	steadyWeight = 1.0 / 400
+	steadyWeight = 1.0 / 200
 	// recentWeight is the least weight of a sample in the recent mean, which shows a change
 	// of the upstream's speed.
 	recentWeight = 1.0 / 12
--- a/internal/packetface/steer/room.go
+++ b/internal/packetface/steer/room.go
@@ -32,16 +32,18 @@
 	// maxRelativeTime limits the ratio of an upstream's service time to the mean of its
 	// service, and its inverse.
 	maxRelativeTime = 3
-	// timeTolerance is the ratio up to which relative times count as equal when a flow of one
-	// request is placed.
+	// timeTolerance is the relative time up to which upstreams count as equal when a flow of
+	// one request is placed. If small differences counted, or faster upstreams were
+	// preferred while they are as busy, all balancers would send most such flows to the same
+	// few upstreams.
 	timeTolerance = 1.3
 	// maxFlowUse limits how many slots an open flow is expected to take: it has one request
 	// at a time.
 	maxFlowUse = 1
-	// countShare is the share of the estimate from the number of open flows in the expected
+	// countShare is the weight of the estimate from the number of open flows in the expected
 	// use of slots. That estimate is exact for flows placed just now, which the measured use
 	// does not show yet, but takes all flows for equally busy.
-	countShare = 0.3
+	countShare = 0.5
 	// crowdedUse is the use of slots from which on requests wait noticeably, because now and
 	// then all slots are taken; each share beyond it counts weightCrowded times in addition.
 	// Below, a flow stays near; above, room elsewhere is worth more than a short way.
@@ -80,11 +82,10 @@
 }
 
 // requestTime returns how much a request counts at the agent's upstream, relative to the
-// mean of its service. Differences that may come from measuring count for nothing: all
-// balancers would prefer the same upstream by them.
+// mean of its service: more at one that is slower beyond timeTolerance, the same at all
+// others.
 func (a *agent) requestTime(now time.Duration) float64 {
-	time := a.relativeTime(now)
-	return max(1, time/timeTolerance) * min(1, time*timeTolerance)
+	return max(1, a.relativeTime(now)/timeTolerance)
 }
 
 func (a *agent) slots() float64 { return float64(max(int(a.status.Slots), a.Slots, 1)) }
--- a/internal/packetface/steer/room_test.go
+++ b/internal/packetface/steer/room_test.go
@@ -38,8 +38,8 @@
 	return w.busiest()
 }
 
-// A quarter of the upstreams has half the speed of the others. Of three slots each, half are
-// in use on average, and then three quarters. Statuses take up to half a second.
+// A quarter of the upstreams has half the speed of the others. Of three slots each,
+// half are in use on average, and then three quarters. Statuses take up to half a second.
 func TestOpenFlowsSpreadByRoom(t *testing.T) {
 	for _, balancers := range []int{17, 304} {
 		t.Run(fmt.Sprintf("balancers=%d", balancers), func(t *testing.T) {
@@ -58,6 +58,20 @@
 	}
 }
 
+// A quarter of the upstreams is twice as fast as the others. Without the policy, flows of
+// one request fill most of their room, so there is less to gain.
+func TestFastUpstreamsAreFilled(t *testing.T) {
+	g := NewWithT(t)
+	s := usualRoom
+	s.speeds = []float64{1 / 0.55, 1 / 1.2, 1 / 1.2, 1 / 1.2}
+	ratio, late := afterRise(s)
+	s.off = withoutRoom
+	ratioWithout, lateWithout := afterRise(s)
+	t.Logf("busiest to mean %.2f, without the policy %.2f; late %.1f%%, without %.1f%%", ratio, ratioWithout, 100*late, 100*lateWithout)
+	g.Expect(ratio).To(BeNumerically("<=", 1.15))
+	g.Expect(late).To(BeNumerically("<", lateWithout))
+}
+
 // Statuses are lost, arrive late or overtake each other.
 func TestLostAndReorderedFiguresAreBorne(t *testing.T) {
 	g := NewWithT(t)
