--- a/internal/packetface/capacity/capacity.go
+++ b/internal/packetface/capacity/capacity.go
@@ -9,8 +9,8 @@
 )
 
 // useWindow is the time constant of the averages of Use: long against a request, short
-// against the life of a flow that stays open.
-const useWindow = 4 * time.Second
+// against the time in which demand doubles when callers come in a rush.
+const useWindow = 2 * time.Second
 
 // Use averages the share of an upstream's slots in use over time. An average is exact
 // whenever and however often it is observed: each share counts for as long as it lasted. The
--- a/internal/packetface/inner/load.go
+++ b/internal/packetface/inner/load.go
@@ -13,7 +13,7 @@
 	// Wait is how long an opening packet that arrives now is expected to wait before the
 	// upstream begins on its request, in steps of 1 ms up to 65 s.
 	Wait time.Duration
-	// Utilization is the share of the upstream's slots in use, averaged over some seconds:
+	// Utilization is the share of the upstream's slots in use, averaged over a few seconds:
 	// 0 to 1, in steps of 1/1000. Requests that wait for a slot do not count.
 	Utilization float64
 	// Bar is the bar below which the agent refuses opening packets, 0 while it refuses
--- a/internal/packetface/steer/room.go
+++ b/internal/packetface/steer/room.go
@@ -32,10 +32,9 @@
 	// maxRelativeTime limits the ratio of an upstream's service time to the mean of its
 	// service, and its inverse.
 	maxRelativeTime = 3
-	// timeTolerance is the relative time up to which upstreams count as equal when a flow of
-	// one request is placed. If small differences counted, or faster upstreams were
-	// preferred while they are as busy, all balancers would send most such flows to the same
-	// few upstreams.
+	// timeTolerance is the ratio up to which relative times count as equal when a flow of one
+	// request is placed. If errors of measuring counted, all balancers would prefer the same
+	// upstream.
 	timeTolerance = 1.3
 	// maxFlowUse limits how many slots an open flow is expected to take: it has one request
 	// at a time.
@@ -82,10 +81,10 @@
 }
 
 // requestTime returns how much a request counts at the agent's upstream, relative to the
-// mean of its service: more at one that is slower beyond timeTolerance, the same at all
-// others.
+// mean of its service. Differences up to timeTolerance count for nothing.
 func (a *agent) requestTime(now time.Duration) float64 {
-	return max(1, a.relativeTime(now)/timeTolerance)
+	time := a.relativeTime(now)
+	return max(1, time/timeTolerance) * min(1, time*timeTolerance)
 }
 
 func (a *agent) slots() float64 { return float64(max(int(a.status.Slots), a.Slots, 1)) }
