--- a/internal/packetface/capacity/times.go
+++ b/internal/packetface/capacity/times.go
@@ -50,8 +50,8 @@
 
 // Times learns service times by priority. The zero value is ready to use.
 //
-// A caller alone moves a mean by 15% at most while 16 other callers are answered between two
-// of its own answers that count: its samples are one of 17 and limited to tailLimit times
+// A caller alone moves a mean by 20% at most, on average over time, while 16 other callers
+// are answered within callerMaxAge: its samples are one of 17 and limited to tailLimit times
 // the mean.
 type Times struct {
 	learned []learned
--- a/internal/packetface/capacity/times_test.go
+++ b/internal/packetface/capacity/times_test.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// Whatever a caller does, it alone moves the mean by 15% at most beyond what its absence
-// gives, as long as 16 others are answered between its own answers.
+// Whatever a caller does, it alone moves the mean by 20% up or 15% down at most, on average
+// over time, as long as enough others are answered.
 func TestNoCallerMovesTheMeanFar(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
