--- a/cmd/saltbendd/packetparts.go
+++ b/cmd/saltbendd/packetparts.go
@@ -12,9 +12,8 @@
 // have room for. With partAuto a part acts where the route states a target latency and a
 // timeout and the other processes support it; partOff switches it off like --without.
 type partSettings struct {
-	HeldOpenings  string `long:"held-openings" env:"SALTBEND_HELD_OPENINGS" value-name:"auto|off" default:"auto" description:"hold opening packets at the agent while its upstream has no room, and refuse those that cannot be answered in time"`
-	ServiceLevel  string `long:"service-level" env:"SALTBEND_SERVICE_LEVEL" value-name:"auto|off" default:"auto" description:"refuse opening packets at the balancer that no agent of the service has room for"`
-	RoomPlacement string `long:"room-placement" env:"SALTBEND_ROOM_PLACEMENT" value-name:"auto|off" default:"auto" description:"place new flows by the room that upstreams are known to have"`
+	HeldOpenings string `long:"held-openings" env:"SALTBEND_HELD_OPENINGS" value-name:"auto|off" default:"auto" description:"hold opening packets at the agent while its upstream has no room, and refuse those that cannot be answered in time"`
+	ServiceLevel string `long:"service-level" env:"SALTBEND_SERVICE_LEVEL" value-name:"auto|off" default:"auto" description:"refuse opening packets at the balancer that no agent of the service has room for"`
 }
 
 // Values of the flags.
@@ -34,7 +33,6 @@
 	return []partFlag{
 		{policy.HeldOpenings, s.HeldOpenings},
 		{policy.ServiceLevel, s.ServiceLevel},
-		{policy.RoomPlacement, s.RoomPlacement},
 	}
 }
 
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -310,9 +310,3 @@
 	g.openings.Remove(id)
 	delete(g.held, id)
 }
-
-// loadReport returns the room that the upstream has, as reported to balancers.
-func (g *Gate) loadReport(now time.Duration) inner.Load {
-	ahead := g.ahead(now)
-	return inner.Load{Wait: g.openings.LongestWait(g.pace(), ahead), Bar: g.openings.Bar(g.pace(), ahead), Epoch: g.epochs.At(now)}
-}
--- a/internal/packetface/policy/policy.go
+++ b/internal/packetface/policy/policy.go
@@ -38,8 +38,6 @@
 	// Repetition assumes that flows opened right after a start retry earlier requests,
 	// which have less time left than they appear to have (admission).
 	Repetition Name = "repetition"
-	// RoomPlacement places new flows by the room that upstreams are known to have (steer).
-	RoomPlacement Name = "room-placement"
 	// ServiceLevel refuses opening packets at the balancer while all agents of a service
 	// refuse such packets (steer).
 	ServiceLevel Name = "service-level"
@@ -56,7 +54,7 @@
 
 // names are all decisions that can be switched off.
 var names = []Name{
-	BoundedSearches, EarlyOpenings, HeldOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, RoomPlacement, ServiceLevel, SharedWatches, ShortestQueue, SlowUpstreams,
+	BoundedSearches, EarlyOpenings, HeldOpenings, InheritedEntries, LeastSlack, ListedSlots, Outcomes, Repetition, ServiceLevel, SharedWatches, ShortestQueue, SlowUpstreams,
 }
 
 // Set is a set of decisions that are switched off. The zero value has all decisions
