--- a/internal/packetface/steer/refusal_property_test.go
+++ b/internal/packetface/steer/refusal_property_test.go
@@ -24,9 +24,8 @@
 	id platform.Flow
 	// path is the balancer to which the network routes the caller's packets.
 	path *balancer
-	// sent is the number of copies sent, asked is set once the request is sent.
-	sent  int
-	asked bool
+	// sent is the number of copies sent.
+	sent int
 }
 
 // callerPacket is a packet on its way from a caller to a balancer.
@@ -41,8 +40,8 @@
 	*simFleet
 	openers []*opener
 	packets []callerPacket
-	// refused counts the flows refused, moved the copies that took another path.
-	refused, moved int
+	// refused counts the flows refused.
+	refused int
 	// interval is the time between two new flows.
 	interval time.Duration
 	next     uint16
