--- a/internal/packetface/admission/openings.go
+++ b/internal/packetface/admission/openings.go
@@ -14,9 +14,9 @@
 	// nextEnd and nextDeadline are times before which no waiting opening's attempt ends and
 	// no caller gives up.
 	nextEnd, nextDeadline time.Duration
-	// waiting counts the openings by priority; routes are the terms of the latest opening
-	// of each priority.
-	waiting   [trackedPriorities]int
+	// open counts the requests that wait on open flows; routes are the terms of the latest
+	// opening of each priority.
+	open      Counts
 	routes    [trackedPriorities]Request
 	pressures [trackedPriorities]pressure
 }
@@ -69,19 +69,16 @@
 	o.nextEnd = min(o.nextEnd, attemptEnds)
 	o.nextDeadline = min(o.nextDeadline, r.lastDeadline())
 	o.queue.Add(r, item)
-	o.waiting[trackedPriority(r.Priority)]++
 }
 
 // Remove removes an opening and reports whether it was waiting.
 func (o *Openings[T]) Remove(item T) bool {
-	r, ok := o.queue.find(item)
-	if !ok {
-		return false
-	}
-	o.waiting[trackedPriority(r.Priority)]--
 	return o.queue.Remove(item)
 }
 
+// SetOpen records how many requests wait on open flows for a slot, by priority.
+func (o *Openings[T]) SetOpen(waiting Counts) { o.open = waiting }
+
 // Find returns the properties of a waiting opening.
 func (o *Openings[T]) Find(item T) (Request, bool) { return o.queue.find(item) }
 
@@ -151,14 +148,13 @@
 
 // Wait returns how long an opening of the given priority that arrives now is expected to
 // wait until the upstream begins on its request. Requests of more urgent routes that arrive
-// meanwhile run before it.
+// meanwhile run before it. ahead are the requests that run before it whatever their
+// priority.
 func (o *Openings[T]) Wait(priority uint8, p Pace, ahead int) time.Duration {
 	if p.Slots == 0 {
 		return 0
 	}
-	for i := range trackedPriority(priority) + 1 {
-		ahead += o.waiting[i]
-	}
+	ahead += o.open.upTo(priority) + o.queue.counts.upTo(priority)
 	behind := max(ahead-p.Slots+1, 0)
 	each := p.Answer.Seconds() / float64(p.Slots) / (1 - o.demand.UrgentShare(priority, p))
 	return time.Duration(float64(behind) * each * float64(time.Second))
--- a/internal/packetface/admission/queue.go
+++ b/internal/packetface/admission/queue.go
@@ -14,6 +14,7 @@
 	// last.
 	LateLast bool
 	waiting  []waiting[T]
+	counts   Counts
 	// late and priorities are buffers that are reused across calls.
 	late       []lateRequest
 	priorities []uint8
@@ -35,9 +36,24 @@
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return len(q.waiting) }
 
+// Counts are numbers of requests by priority; the last one stands for all less urgent ones.
+type Counts [trackedPriorities]int
+
+// upTo returns the number of requests of the given priority and of more urgent ones.
+func (c *Counts) upTo(priority uint8) (n int) {
+	for i := range trackedPriority(priority) + 1 {
+		n += c[i]
+	}
+	return n
+}
+
+// Counts returns the numbers of waiting requests by priority.
+func (q *Queue[T]) Counts() Counts { return q.counts }
+
 // Add appends a request to the queue.
 func (q *Queue[T]) Add(r Request, item T) {
 	q.waiting = append(q.waiting, waiting[T]{r, item})
+	q.counts[trackedPriority(r.Priority)]++
 }
 
 // Remove removes a request from the queue and reports whether it was in it.
@@ -46,6 +62,7 @@
 	if at < 0 {
 		return false
 	}
+	q.counts[trackedPriority(q.waiting[at].Priority)]--
 	q.waiting = slices.Delete(q.waiting, at, at+1)
 	return true
 }
--- a/internal/packetface/gate/openings.go
+++ b/internal/packetface/gate/openings.go
@@ -83,7 +83,7 @@
 	if len(g.held) >= maxHeldOpenings {
 		return admission.Overloaded
 	}
-	return g.openings.Judge(now, r, g.standing(now, id, r.Priority), g.pace(), g.ahead(now))
+	return g.openings.Judge(now, r, g.standing(now, id, r.Priority), g.pace(), g.begun(now))
 }
 
 // mayHold reports whether an opening packet may wait: the balancer has to send the terms of
@@ -133,6 +133,14 @@
 	return g.ahead(now) < 2*g.slots() || !g.shares.Heavy(now, id.Caller, g.epochs.At(now))
 }
 
+// begun returns the number of requests that the upstream processes, or whose flows have just
+// been opened, and passes the numbers of those that wait for a slot on.
+func (g *Gate) begun(now time.Duration) int {
+	g.dropExpected(now)
+	g.openings.SetOpen(g.queue.Counts())
+	return g.running + g.expectedCount
+}
+
 // ahead returns the number of requests that the upstream processes, that wait for a slot, or
 // whose flows have just been opened.
 func (g *Gate) ahead(now time.Duration) int {
@@ -244,9 +252,10 @@
 // served to the last request.
 func (g *Gate) pressing(now time.Duration) int {
 	if now < g.upstream.coldEnd {
+		g.openings.SetOpen(admission.Counts{})
 		return 0
 	}
-	return g.ahead(now)
+	return g.begun(now)
 }
 
 // closedReason returns why the upstream gets no new flows at present, 0 if it does.
--- a/internal/packetface/gate/room.go
+++ b/internal/packetface/gate/room.go
@@ -14,7 +14,7 @@
 
 // loadReport returns the room that the upstream has, as reported to balancers.
 func (g *Gate) loadReport(now time.Duration) inner.Load {
-	ahead := g.ahead(now)
+	ahead := g.begun(now)
 	load := inner.Load{
 		Wait: g.openings.LongestWait(g.pace(), ahead), Utilization: g.use.Share(now), Bar: g.openings.Bar(g.pace(), ahead), Epoch: g.epochs.At(now),
 	}
