--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var scenarios = map[string]scenario{
 	"silent-channels": silentChannels,
 	"late-check-in":   lateCheckin,
+	"rolling-restart": rollingRestart,
 }
 
 // limit is the longest time that a case may take.
