--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -13,16 +13,27 @@
 	cutLasts    = 8 * time.Second
 	firstStarts = 300 * time.Millisecond
 	firstEnds   = 1300 * time.Millisecond
-	nextStarts  = 2300 * time.Millisecond
+	nextStarts  = firstEnds + reuseAfter + 100*time.Millisecond
 	loadEnds    = 22 * time.Second
 )
 
-// lateCheckin cuts off the backend of a machine that is being added. The backend crashes
-// behind the cut and starts again. The first check-in of the lifetime that crashed is held
-// up by the cut and arrives once the next lifetime has registered and holds flows.
+// lateCheckin plays the case with the next lifetime of the same service.
 func lateCheckin(f *fleet, rec *recorder, trouble bool) error {
+	return lateCheckinBefore("alpha", f, rec, trouble)
+}
+
+// lateCheckinReuse plays it with the address going to another service.
+func lateCheckinReuse(f *fleet, rec *recorder, trouble bool) error {
+	return lateCheckinBefore("beta", f, rec, trouble)
+}
+
+// lateCheckinBefore cuts off the backend of a machine that is being added. The backend crashes
+// behind the cut and starts again. The first check-in of the lifetime that crashed is held
+// up by the cut and arrives once the next lifetime, of the given service, has registered.
+func lateCheckinBefore(nextService string, f *fleet, rec *recorder, trouble bool) error {
 	at := end{f.nextAddr(), 8443}
-	f.configure(4, []string{"alpha"}, route{at, "alpha", "unsafe"})
+	other := end{at.addr, 8080}
+	f.configure(4, []string{"alpha", "beta"}, route{at, "alpha", "unsafe"}, route{other, "beta", "unsafe"})
 	var fronts, sides []*machine
 	for i := range 3 {
 		fronts = append(fronts, f.add(fmt.Sprintf("front-%d", i+1), "hall-a", ""))
@@ -55,6 +66,10 @@
 	if err != nil {
 		return err
 	}
+	fresh, err := startLoad(f, router, rec, "alpha", at, 8, 150*time.Millisecond)
+	if err != nil {
+		return err
+	}
 	time.Sleep(3 * time.Second)
 
 	if err := added.start(); err != nil {
@@ -79,12 +94,17 @@
 	sleepUntil(began.Add(firstEnds))
 	first.crash()
 	sleepUntil(began.Add(nextStarts))
-	next, err := startBackend(added, "alpha", control, links, rec)
+	next, err := startBackend(added, nextService, control, links, rec)
 	if err != nil {
 		return err
 	}
 	sleepUntil(began.Add(loadEnds))
-	resets := l.end()
+	resets, all := l.end(), fresh.end()
+	for _, r := range rec.allRuns() {
+		if _, ok := all[r.attempt]; ok && r.backend.service != "alpha" {
+			rec.fault("ROUTE: request %s of the route to alpha ran at %s of service %s", r.attempt, r.backend.id, r.backend.service)
+		}
+	}
 	rec.note("%d flows opened at %s, %d requests ran there", rec.openedAt(next), next.id, next.ranSoFar())
 
 	inTouch := began
@@ -99,7 +119,7 @@
 		rec.fault("FLOW: client %s:%d gets a reset %.1f s after the cut ended, on a flow that is open at %s, which lives and sent none",
 			r.id.client.addr, r.id.client.port, r.at.Sub(began.Add(cutLasts)).Seconds(), owner.id)
 	}
-	if rec.openedAt(next) == 0 {
+	if nextService == "alpha" && rec.openedAt(next) == 0 {
 		return fmt.Errorf("no flow opened at %s", next.id)
 	}
 	for _, m := range f.machines {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,9 +20,10 @@
 type scenario func(f *fleet, rec *recorder, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"silent-channels": silentChannels,
-	"late-check-in":   lateCheckin,
-	"rolling-restart": rollingRestart,
+	"late-check-in":       lateCheckin,
+	"late-check-in-reuse": lateCheckinReuse,
+	"silent-channels":     silentChannels,
+	"rolling-restart":     rollingRestart,
 }
 
 // limit is the longest time that a case may take.
