--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -36,6 +37,13 @@
 	return r
 }
 
+// remove takes nodes that have left out of the router.
+func (r *router) remove(left []*machine) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = slices.DeleteFunc(slices.Clone(r.nodes), func(n *machine) bool { return slices.Contains(left, n) })
+}
+
 // probe checks the readiness of a node twice a second; two misses take it out of rotation.
 func (r *router) probe(n *machine) {
 	client := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"late-check-in-reuse": lateCheckinReuse,
 	"silent-channels":     silentChannels,
 	"rolling-restart":     rollingRestart,
+	"unlisted-agent":      unlistedAgent,
 }
 
 // limit is the longest time that a case may take.
--- a/review/standin/roll.go
+++ b/review/standin/roll.go
@@ -7,7 +7,7 @@
 )
 
 // restartAfter is the delay after which the platform starts a process again that has ended.
-const restartAfter = 2 * time.Second
+const restartAfter = 1500 * time.Millisecond
 
 // rollingRestart is planned work: machines of both classes get SIGTERM in turn and start
 // again. The restart of one side machine and that of one front machine overlap.
@@ -46,11 +46,12 @@
 
 	done := make(chan error, 2)
 	if trouble {
-		// A front node takes 1.5 s to end, a side node 0.2 s and its running requests.
-		go restart(fronts[0], done)
+		// The side node needs 0.2 s to end, and the time of its running requests. The front
+		// node starts again just after that, some 1.5 s after its own end.
+		go restart(fronts[0], sides[0].ended, done)
 		<-fronts[0].ended
-		time.Sleep(restartAfter - 600*time.Millisecond)
-		go restart(sides[0], done)
+		time.Sleep(restartAfter - 400*time.Millisecond)
+		go restart(sides[0], nil, done)
 		for range 2 {
 			if err := <-done; err != nil {
 				return err
@@ -71,8 +72,9 @@
 	return nil
 }
 
-// restart stops a machine's process as the platform does, and starts it again.
-func restart(m *machine, done chan<- error) {
+// restart stops a machine's process as the platform does, and starts it again after the
+// delay, or once another process has ended if that is not nil.
+func restart(m *machine, other <-chan struct{}, done chan<- error) {
 	m.fleet.rec.note("SIGTERM to the process on %s", m.name)
 	m.signal(syscall.SIGTERM)
 	select {
@@ -82,6 +84,10 @@
 		<-m.ended
 	}
 	m.fleet.rec.note("the process on %s has ended", m.name)
-	time.Sleep(restartAfter)
+	if other != nil {
+		<-other
+	} else {
+		time.Sleep(restartAfter)
+	}
 	done <- m.start()
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -22,8 +22,9 @@
 }
 
 type lease struct {
-	ttl  time.Duration
-	ends time.Time
+	ttl   time.Duration
+	ends  time.Time
+	owner string // the machine that asked for it, if known
 }
 
 // Sizes of the store's answers and calls, from PROTOCOL.md.
@@ -81,6 +82,19 @@
 	return s.items[key].Value
 }
 
+// revoke takes a machine's keys away and returns how many there were.
+func (s *metadataStore) revoke(machine string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.items)
+	for id, l := range s.leases {
+		if l.owner == machine {
+			s.endLease(id)
+		}
+	}
+	return before - len(s.items)
+}
+
 // expire removes the keys of leases that have run out.
 func (s *metadataStore) expire() {
 	for range time.Tick(50 * time.Millisecond) {
@@ -247,7 +261,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
-	s.leases[s.lastLease] = &lease{ttl, time.Now().Add(ttl)}
+	s.leases[s.lastLease] = &lease{ttl, time.Now().Add(ttl), r.Header.Get(machineHeader)}
 	answer(w, map[string]any{"lease": s.lastLease, "ttlMs": ttl.Milliseconds()})
 }
 
