--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -219,21 +219,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// log returns the log lines of a machine that contain all the texts.
-func (m *machine) log(texts ...string) (lines []string) {
-	all, _ := os.ReadFile(filepath.Join(m.fleet.dir, m.name+".log"))
-	for _, line := range strings.Split(string(all), "\n") {
-		hit := line != ""
-		for _, t := range texts {
-			hit = hit && strings.Contains(line, t)
-		}
-		if hit {
-			lines = append(lines, line)
-		}
-	}
-	return lines
-}
-
 // close ends all processes and removes the temporary folder.
 func (f *fleet) close() {
 	for _, m := range f.machines {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -75,13 +75,6 @@
 	return time.Now()
 }
 
-// value returns the value of a key for the record, nil if there is none.
-func (s *metadataStore) value(key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.items[key].Value
-}
-
 // revoke takes a machine's keys away and returns how many there were.
 func (s *metadataStore) revoke(machine string) int {
 	s.mu.Lock()
