--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -94,3 +94,10 @@
 	}
 	return n
 }
+
+// count returns the number of open channels.
+func (p *proxy) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// Numbers of side nodes: those that start with the system, and the least and the most in all.
+const firstSides, leastSides, mostSides = 4, 10, 13
+
+// silentAfter is the time from the start to the silence. It lies between two renewals of the
+// agents' leases, which come each 10 s: one right after it would use up an idle channel.
+const silentAfter = 17500 * time.Millisecond
+
 // silentChannels lets the channels that are open to the platform's store go silent. The
 // operator then drops a route. New channels to the store work all the while.
 func silentChannels(f *fleet, rec *recorder, trouble bool) error {
@@ -18,28 +25,36 @@
 	for i := range 3 {
 		fronts = append(fronts, f.add(fmt.Sprintf("front-%d", i+1), "hall-a", ""))
 	}
-	var sides []*machine
-	for i := range 10 {
-		service := services[i%2]
-		sides = append(sides, f.add(fmt.Sprintf("side-%d", i+1), "hall-a", service))
-	}
-	for _, m := range f.machines {
+	start := func(m *machine) error {
 		p, err := newProxy(f.nextAddr().String(), f.store.address())
 		if err != nil {
 			return err
 		}
 		proxies[m], m.storeAt = p, p.address()
+		return m.start()
 	}
+	started := time.Now()
 	for _, m := range fronts {
-		if err := m.start(); err != nil {
+		if err := start(m); err != nil {
 			return err
 		}
 	}
-	for i, m := range sides { // the last of them are added while the system runs
-		if i >= 4 {
+	// The last side nodes are added while the system runs, until each front node has written
+	// the entry of one and has two channels to the store.
+	written := func() bool {
+		for _, m := range fronts {
+			if proxies[m].count() < 2 {
+				return false
+			}
+		}
+		return true
+	}
+	for i := 0; i < leastSides || i < mostSides && !written(); i++ {
+		if i >= firstSides {
 			time.Sleep(600 * time.Millisecond)
 		}
-		if err := m.start(); err != nil {
+		m := f.add(fmt.Sprintf("side-%d", i+1), "hall-a", services[i%2])
+		if err := start(m); err != nil {
 			return err
 		}
 		if _, err := startBackend(m, m.service, m.at(f.ports.control), nil, rec); err != nil {
@@ -65,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(13 * time.Second)
+	sleepUntil(started.Add(silentAfter))
 	silentAt := time.Now()
 	if trouble {
 		for _, m := range f.machines {
