--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -36,7 +36,7 @@
 		f: f, backends: map[*machine]*backend{}, stop: make(chan struct{}),
 		resultsFace: netip.AddrPortFrom(f.nextIP(), 8443), timingFace: netip.AddrPortFrom(f.nextIP(), 8080),
 	}
-	f.configure(1, route{s.resultsFace, results, "unsafe"}, route{s.timingFace, timing, "upload"})
+	f.configure(1, s.resultsRoute(""), s.timingRoute())
 	for range nFront {
 		f.addFront()
 	}
@@ -64,6 +64,17 @@
 	return s, nil
 }
 
+// resultsRoute returns the route of resultsFace, with half of its flows to a second service
+// unless that is empty.
+func (s *site) resultsRoute(split string) route {
+	return route{face: s.resultsFace, service: results, kind: "unsafe", split: split}
+}
+
+// timingRoute returns the route of timingFace.
+func (s *site) timingRoute() route {
+	return route{face: s.timingFace, service: timing, kind: "upload"}
+}
+
 // callers starts clients that each send a request on a flow of its own at the given interval.
 func (s *site) callers(n int, face netip.AddrPort, interval time.Duration) error {
 	for range n {
@@ -132,13 +143,15 @@
 		return
 	}
 	c.rec.line("long flow %s to %s is open", f.src, face)
+	pause := time.Duration(0) // the first request follows at once
 	for i := 0; ; i++ {
 		select {
 		case <-s.stop:
 			f.close()
 			return
-		case <-time.After(interval):
+		case <-time.After(pause):
 		}
+		pause = interval
 		id := fmt.Sprintf("GET /%s-%d-%d", c.ip, f.src.Port(), i)
 		switch _, err := f.request(id, budget); {
 		case errors.Is(err, errReset):
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -56,6 +56,8 @@
 	side      []*machine
 	r         *routers
 
+	// maxFlowS is the age in seconds from which a flow may be discarded.
+	maxFlowS int
 	// running is set once the system has started for the first time.
 	running bool
 
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, dir: dir, net: [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(256))}, runs: map[string]int{}, owners: map[netip.AddrPort]*backend{}, allowed: map[netip.AddrPort][]string{}}
+	f := &fleet{maxFlowS: 60, rec: rec, dir: dir, net: [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(256))}, runs: map[string]int{}, owners: map[netip.AddrPort]*backend{}, allowed: map[netip.AddrPort][]string{}}
 	f.r = &routers{misses: map[*machine]int{}, opened: map[netip.AddrPort]time.Time{}}
 	for i := range f.ports {
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -147,7 +149,7 @@
 		"contracts":   []string{"base", "drain", "config", "cost", "recover", "flows", "platform"},
 		"bounds": map[string]any{
 			"seedLagS": 3, "reuseAfterS": 2, "contactMs": 4000, "ackMs": 5000, "catchUpS": 4, "drainMs": 3000, "graceS": 6, "lossSlackMs": 200,
-			"configApplyMs": 3000, "rollbackSlackMs": 250, "maxStretchMs": 12000, "recoveryS": 12, "flowStrayMs": 2000, "maxFlowS": 60,
+			"configApplyMs": 3000, "rollbackSlackMs": 250, "maxStretchMs": 12000, "recoveryS": 12, "flowStrayMs": 2000, "maxFlowS": f.maxFlowS,
 		},
 		"hash": "mod", "forwarding": "agent",
 		"platform": map[string]any{
@@ -201,28 +203,13 @@
 	}
 }
 
-// restartDelay is the short delay after which the platform starts a process again.
-const restartDelay = 500 * time.Millisecond
-
-// restart sends a signal, waits for the end of the process and starts it again.
-func (m *machine) restart(s syscall.Signal) error {
-	m.f.rec.line("process of %s gets signal %s", m.name, s)
-	m.signal(s)
-	select {
-	case <-m.done:
-	case <-time.After(6 * time.Second):
-		m.signal(syscall.SIGKILL)
-		<-m.done
-	}
-	time.Sleep(restartDelay)
-	return m.start()
-}
-
-// route is a route of a configuration.
+// route is a route of a configuration. If split names a second service, each of the two gets
+// half of the new flows.
 type route struct {
 	face    netip.AddrPort
 	service string
 	kind    string
+	split   string
 }
 
 // configure writes a configuration as the operator does.
@@ -230,10 +217,16 @@
 	rows, services := []map[string]any{}, []map[string]any{}
 	f.mu.Lock()
 	for i, r := range routes {
-		rows = append(rows, map[string]any{
+		row := map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "hostname": r.face.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.face.Port()), "type": r.kind,
 			"timeoutMs": 5000, "targetLatencyMs": 500, "priority": 2, "service": r.service, "maxAttempts": 2,
-		})
+		}
+		if r.split != "" {
+			delete(row, "service")
+			row["trafficSplit"] = []map[string]any{{"service": r.service, "weight": 50}, {"service": r.split, "weight": 50}}
+			f.allowed[r.face] = append(f.allowed[r.face], r.split)
+		}
+		rows = append(rows, row)
 		services = append(services, map[string]any{"name": r.service, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false})
 		f.allowed[r.face] = append(f.allowed[r.face], r.service)
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,7 @@
 	"late-checkin":       lateCheckIn,
 	"silent-channels":    silentChannels,
 	"overwritten-entry":  overwrittenEntry,
+	"missed-version":     missedVersion,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/silent.go
+++ b/review/standin2/silent.go
@@ -32,7 +32,7 @@
 		p.silence()
 	}
 	time.Sleep(500 * time.Millisecond)
-	f.configure(4, route{s.timingFace, timing, "upload"})
+	f.configure(4, s.timingRoute())
 	confirmed := time.Now()
 	due := confirmed.Add(apply)
 	if trouble && silence.Add(contact).After(due) {
