--- a/review/standin2/missed.go
+++ b/review/standin2/missed.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// contact is contactMs of the settings.
+	contact = 4 * time.Second
 	// shortMaxFlowS replaces maxFlowS of the site, so that a balancer has run for three times
 	// as long within the time of a script. LONG=1 in the environment leaves maxFlowS as it is.
 	shortMaxFlowS = 20
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -281,3 +281,12 @@
 		s.mu.Unlock()
 	}
 }
+
+// lapse ends all leases, as they run out while the store is down.
+func (s *kvStore) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
