--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/saltbendd ] && [ -x target/standin2 ] || exit 2
-exec target/standin2 overwritten-entry review/6/record.txt
+exec target/standin2 reuse-lost-checkin review/6/record.txt
