--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/saltbendd ] && [ -x target/standin2 ] || exit 2
-exec target/standin2 missed-version review/8/record.txt
+exec target/standin2 reuse-slow-store review/8/record.txt
