Agent: stop new flows before a new service is looked up in the store

Only a failed read stopped new flows.

Change: the heartbeat is passed to the gate as a claim before the lookup. The lookup holds no lock that other heartbeats need, and heartbeats that need it at the same time share one read. A service in no configuration counts as a claim, too, until the current upstream reports again.

Why it works: the claim is the earliest sign that the address has changed hands, and nothing that decides about an opening waits for the store now.

--- a/internal/packetface/gate/reassignment.go
+++ b/internal/packetface/gate/reassignment.go
@@ -51,6 +51,14 @@
 	return now-g.upstream.lastHeartbeat >= max(delay, overdue)
 }
 
+// HandleClaim handles a heartbeat before it is known whether its service exists. It only
+// stops new flows if the heartbeat comes from an instance of another service.
+func (g *Gate) HandleClaim(now time.Duration, beat platform.Heartbeat) *Result {
+	g.resetResult()
+	g.noteClaim(now, beat)
+	return &g.out
+}
+
 // HandleUncheckedHeartbeat handles a heartbeat of an instance of another service that could
 // not be checked against the configuration. It counts as a claim to the address. contested
 // is false if the current instance has ended or is overdue; the heartbeat must then be
--- a/internal/packetface/role/agent.go
+++ b/internal/packetface/role/agent.go
@@ -268,6 +268,7 @@
 
 // Heartbeat implements platform.UpstreamListener.
 func (a *agent) Heartbeat(beat platform.Heartbeat) bool {
+	a.noteClaim(beat) // before the lookup of the service, which may take servicesTimeout
 	known := a.serviceStatusOf(beat.Service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -288,6 +289,13 @@
 	return ok
 }
 
+// noteClaim informs the core of a heartbeat whose service has not been looked up yet.
+func (a *agent) noteClaim(beat platform.Heartbeat) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(a.core.HandleClaim(a.clock(), beat))
+}
+
 // Deregistered implements platform.UpstreamListener.
 func (a *agent) Deregistered(instance platform.Instance) bool {
 	a.mu.Lock()
--- a/internal/packetface/role/services.go
+++ b/internal/packetface/role/services.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/saltbend/saltbend/platform"
 )
 
@@ -34,6 +36,10 @@
 
 // serviceCache holds the services that the last configuration read from the store names.
 type serviceCache struct {
+	// reads makes heartbeats that need the configuration at the same time share one read.
+	reads singleflight.Group
+	// mu guards the fields from here on. It is not held during a read, so heartbeats of
+	// known services do not wait for the store.
 	mu         sync.Mutex
 	configured map[string]bool
 	// version is the version of the last configuration read.
@@ -51,42 +57,52 @@
 		return serviceConfigured
 	}
 	s := &a.services
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.configured[name] {
-		return serviceConfigured
+	now := a.clock()
+	if s.names(name) || !s.readDue(now) {
+		return s.status(name)
 	}
-	if now := a.clock(); s.readAt == 0 || now-s.readAt >= servicesInterval {
-		err := s.read(a.store)
-		s.readAt, s.readOK = now, err == nil
-		if err != nil {
-			a.log.Warn("Failed to read the configuration to check a service.", "service", name, "error", err.Error())
-		}
+	_, err, _ := s.reads.Do(platform.ConfigKey, func() (any, error) { return nil, s.read(a.store, now) })
+	if err != nil {
+		a.log.Warn("Failed to read the configuration to check a service.", "service", name, "error", err.Error())
 	}
+	return s.status(name)
+}
+
+// names reports whether the cached configuration names a service.
+func (s *serviceCache) names(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configured[service]
+}
+
+// readDue reports whether the last read is long enough ago for another one.
+func (s *serviceCache) readDue(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readAt == 0 || now-s.readAt >= servicesInterval
+}
+
+// status returns whether the configuration names a service, as far as the last read shows.
+func (s *serviceCache) status(service string) serviceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
+	case s.configured[service]:
+		return serviceConfigured
 	case !s.readOK:
 		return serviceUnknown
-	case s.configured[name]:
-		return serviceConfigured
 	}
 	return serviceNotConfigured
 }
 
-// read replaces the cached services by those of the configuration in the store, unless the
-// store's configuration is older than the cached one.
-func (s *serviceCache) read(store *platform.Store) error {
-	ctx, cancel := context.WithTimeout(context.Background(), servicesTimeout)
-	defer cancel()
-	item, _, err := store.Get(ctx, platform.ConfigKey)
-	if err != nil {
-		return err
-	}
-	config, _, err := platform.ParseConfiguration(item.Value)
-	if err != nil {
-		return err
-	}
-	if config.Version < s.version {
-		return nil // the store was restored from an older copy; operators will write the newer version again
+// read requests the configuration from the store and records the outcome.
+func (s *serviceCache) read(store *platform.Store, now time.Duration) error {
+	config, err := readConfiguration(store)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readAt, s.readOK = now, err == nil
+	if err != nil || config.Version < s.version {
+		return err // an older version: the store was restored from a copy, and operators will write the newer version again
 	}
 	s.version, s.configured = config.Version, make(map[string]bool)
 	for _, name := range config.ServiceNames() {
@@ -94,3 +110,15 @@
 	}
 	return nil
 }
+
+// readConfiguration returns the configuration in the store.
+func readConfiguration(store *platform.Store) (platform.Configuration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), servicesTimeout)
+	defer cancel()
+	item, _, err := store.Get(ctx, platform.ConfigKey)
+	if err != nil {
+		return platform.Configuration{}, err
+	}
+	config, _, err := platform.ParseConfiguration(item.Value)
+	return config, err
+}
