Balancer: do not take an agent's planned restart for absence

Cause: an agent that has announced that it stops has 7 s before it counts as absent, any other 1 s. The balancer took the lack of an announcement for the lack of a restart. But an agent announces a restart only to balancers that its process has received something from within 10 s; this balancer had started after that, and had never received anything from the agent.

Ruled out: an incomplete list of agents (all four were listed), an answer of another agent that was wrong (three answered that they do not hold the flows, rightly), resets by the agent (the balancer logs `reset held-by-none` 1.005 s after its start).

Change: the silence of an agent counts after 1 s only if the agent would have announced a restart to this balancer. Otherwise, it has the restart's time, also before it is removed because it is not listed. The state of a draining or silent upstream hid that the agent's process stops: a status now has a flag for it, in a free bit, which earlier builds ignore and do not set. The reset names the first skipped agent, its silence, and how many were skipped.

Why it works: the wait covers a planned restart whatever the balancer has missed, and ends on its own, so that flows of an upstream that is gone are still reset.

--- a/internal/packetface/gate/answer.go
+++ b/internal/packetface/gate/answer.go
@@ -139,7 +139,7 @@
 		Running: g.load(), Slots: uint16(u.slots), Flows: uint32(g.open),
 		Balancers: uint16(min(len(g.balancers), 1<<16-1)), Cold: now < u.coldEnd, Evacuation: g.evacuation,
 		ResponseTime: g.responseTime(now), Warmup: max(g.cold.reported, g.cold.estimate), KnowsAllFlows: u.fullyObserved,
-		AcceptsTerms: g.settings.Policies.On(policy.HeldOpenings),
+		AcceptsTerms: g.settings.Policies.On(policy.HeldOpenings), Stopping: g.stopping,
 	}
 }
 
--- a/internal/packetface/gate/flows.go
+++ b/internal/packetface/gate/flows.go
@@ -183,11 +183,11 @@
 
 // sweep removes flows that were closed or never opened once their retention time is over,
 // open flows without a packet for FlowMaxAge, and balancers that have been silent for
-// balancerTTL. Requests without an answer for maxRunningTime no longer count as running.
+// inner.BalancerTTL. Requests without an answer for maxRunningTime no longer count as running.
 func (g *Gate) sweep(now time.Duration) {
 	g.swept = now
 	for balancer, at := range g.balancers {
-		if now-at > balancerTTL {
+		if now-at > inner.BalancerTTL {
 			delete(g.balancers, balancer)
 			delete(g.loadReceivers, balancer)
 		}
--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -169,9 +169,6 @@
 	// maxRunningTime is the time after which an unanswered request no longer counts as
 	// running; callers give up on a request after 10 s at most.
 	maxRunningTime = 10 * time.Second
-	// balancerTTL is how long after its last datagram a balancer is still sent changes of
-	// the status.
-	balancerTTL = 10 * time.Second
 	// maxFlows bounds the flow table: twice what an upstream holds (2,000 connections),
 	// with as many closed flows.
 	maxFlows = 8192
--- a/internal/packetface/gate/restart_test.go
+++ b/internal/packetface/gate/restart_test.go
@@ -116,3 +116,32 @@
 	b.heartbeatWithStart(0, 3)
 	b.Expect(b.gate.Counts(b.now).HeartbeatAge).To(BeZero())
 }
+
+// Balancers wait longer for an agent whose process is being restarted. They must be told so
+// also if the state is that of a draining or silent upstream.
+func TestStopIsReportedWhateverTheUpstreamsState(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(*bench)
+		want inner.State
+	}{
+		{"ready", func(*bench) {}, inner.StateStopping},
+		{"draining", func(b *bench) { b.heartbeat("i-1", true) }, inner.StateDraining},
+		{"silent", func(b *bench) {
+			b.now += 5 * second
+			b.gate.Tick(b.now)
+		}, inner.StateSilent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.begin("i-1")
+			b.balancerSends(inner.AppendPoll(nil, inner.Poll{}))
+			c.do(b)
+			b.last = b.gate.Stop(b.now)
+			b.Expect(b.states()).To(Equal([]inner.State{c.want}))
+			status, err := inner.ParseStatus(b.last.Actions[0].Bytes)
+			b.Expect(err).NotTo(HaveOccurred())
+			b.Expect(status.Stopping).To(BeTrue())
+		})
+	}
+}
--- a/internal/packetface/inner/inner.go
+++ b/internal/packetface/inner/inner.go
@@ -172,6 +172,8 @@
 	KnowsAllFlows bool
 	// AcceptsTerms reports that the agent decodes FlagTerms.
 	AcceptsTerms bool
+	// Stopping reports that the agent's process is shutting down, whatever the State.
+	Stopping bool
 	// Load is the room that the upstream has, valid if HasLoad is set: it is sent only to
 	// balancers that set FlagLoad.
 	Load    Load
@@ -287,7 +289,7 @@
 	b = binary.BigEndian.AppendUint32(b, s.Flows)
 	b = binary.BigEndian.AppendUint32(b, uint32(s.StateFor/time.Millisecond))
 	b = binary.BigEndian.AppendUint16(b, s.Balancers)
-	b = append(b, flag(s.Cold, statusCold)|flag(s.KnowsAllFlows, statusAllFlows)|flag(s.AcceptsTerms, statusTerms))
+	b = append(b, flag(s.Cold, statusCold)|flag(s.KnowsAllFlows, statusAllFlows)|flag(s.AcceptsTerms, statusTerms)|flag(s.Stopping, statusStopping))
 	b = append(b, s.Source[:]...)
 	b = appendEvacuation(b, s.Evacuation)
 	b = appendMillis(b, s.ResponseTime)
@@ -303,6 +305,7 @@
 	statusCold = 1 << iota
 	statusAllFlows
 	statusTerms
+	statusStopping
 )
 
 // ParseStatus decodes a datagram of KindStatus.
@@ -322,6 +325,7 @@
 		Cold:          b[40]&statusCold != 0,
 		KnowsAllFlows: b[40]&statusAllFlows != 0,
 		AcceptsTerms:  b[40]&statusTerms != 0,
+		Stopping:      b[40]&statusStopping != 0,
 		Source:        [4]byte(b[41:]),
 		Evacuation:    parseEvacuation(b[45:]),
 		ResponseTime:  parseMillis(b[45+evacuationSize:]),
--- a/internal/packetface/inner/inner_test.go
+++ b/internal/packetface/inner/inner_test.go
@@ -91,6 +91,7 @@
 			Source:     [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "source")),
 			Evacuation: drawEvacuation(t), ResponseTime: time.Duration(rapid.Uint16().Draw(t, "answer")) * time.Millisecond,
 		}
+		status.Stopping = rapid.Bool().Draw(t, "stopping")
 		status.AcceptsTerms, status.HasLoad = rapid.Bool().Draw(t, "accepts terms"), rapid.Bool().Draw(t, "has load")
 		if status.HasLoad {
 			status.Load = drawLoad(t)
--- a/internal/packetface/inner/state.go
+++ b/internal/packetface/inner/state.go
@@ -1,5 +1,11 @@
 package inner
 
+import "time"
+
+// BalancerTTL is how long after a balancer's last datagram an agent sends it changes of its
+// status.
+const BalancerTTL = 10 * time.Second
+
 // Reason is why an agent returns a packet. No request of a returned packet has been
 // executed.
 type Reason uint8
--- a/internal/packetface/role/decisionlog.go
+++ b/internal/packetface/role/decisionlog.go
@@ -91,6 +91,9 @@
 		if note.Count != 0 {
 			attrs = append(attrs, slog.Int("count", note.Count))
 		}
+		if note.Absent != 0 {
+			attrs = append(attrs, slog.Int("absent", note.Absent))
+		}
 		attrs = append(attrs, refusalAttrs(note)...)
 		n.log.LogAttrs(context.Background(), slog.LevelInfo, string(note.Kind), attrs...)
 	}
--- a/internal/packetface/steer/agents.go
+++ b/internal/packetface/steer/agents.go
@@ -52,9 +52,9 @@
 	// DefaultAbsentAfter is the usual value of Settings.AbsentAfter, the time without an
 	// answer after which an agent counts as absent.
 	DefaultAbsentAfter = time.Second
-	// restartAllowance replaces a shorter AbsentAfter for an agent that has reported that
-	// its process is stopping: its upstream keeps running, and a new agent process starts
-	// within the grace period.
+	// restartAllowance replaces a shorter AbsentAfter for an agent whose process may be
+	// restarting: its upstream keeps running, and a new agent process starts within the
+	// grace period.
 	restartAllowance = 7 * time.Second
 	// absentDivisor limits how many agents a search may skip as absent: at most one in
 	// absentDivisor. If more are silent, it is the balancer that is cut off.
@@ -87,8 +87,11 @@
 	// waitingSince is when the oldest unanswered request was sent, 0 for none; unanswered
 	// counts the unanswered requests, and lastRequest is when the latest was sent.
 	waitingSince, lastRequest time.Duration
-	unanswered                int
-	suspected                 bool
+	// lastAnswered is when the last request before the unanswered ones was sent, 0 for
+	// never.
+	lastAnswered time.Duration
+	unanswered   int
+	suspected    bool
 	// warmupReported is the warm-up in the agent's last status, warmupSent the one in the
 	// last poll sent to the agent.
 	warmupReported, warmupSent time.Duration
@@ -114,7 +117,7 @@
 
 func (a *agent) noteRequest(now time.Duration) {
 	if a.waitingSince == 0 {
-		a.waitingSince = now
+		a.waitingSince, a.lastAnswered = now, a.lastRequest
 	}
 	a.unanswered++
 	a.lastRequest = now
@@ -156,17 +159,33 @@
 }
 
 // isAbsent reports whether the agent has left requests unanswered for longer than the
-// duration after, so that its flows make no progress. An agent that is stopping has
+// duration after, so that its flows make no progress. An agent that may be restarting has
 // restartAllowance if that is longer than after. If after is not positive, no agent
 // counts as absent.
 func (a *agent) isAbsent(now, after time.Duration) bool {
 	if after <= 0 || !a.isSuspect(now) {
 		return false
 	}
-	if a.status.State == inner.StateStopping {
-		after = max(after, restartAllowance)
+	return now-a.waitingSince > a.silenceLimit(after)
+}
+
+// silenceLimit returns the silence that shows that the agent has left: the duration after,
+// or restartAllowance if that is longer and the agent may be restarting.
+func (a *agent) silenceLimit(after time.Duration) time.Duration {
+	if a.mayBeRestarting() {
+		return max(after, restartAllowance)
 	}
-	return now-a.waitingSince > after
+	return after
+}
+
+// mayBeRestarting reports whether the agent's silence may be a planned restart of its
+// process, which does not affect its upstream's flows. An agent announces that its process
+// is stopping, but only to balancers from which that process has received a datagram
+// within inner.BalancerTTL. So the silence of an agent that this balancer has never
+// received anything from, or that it had not sent anything for that long, proves nothing.
+func (a *agent) mayBeRestarting() bool {
+	stopping := a.status.Stopping || a.status.State == inner.StateStopping // an agent of an earlier version reports only the state
+	return stopping || a.lastReceived == 0 || a.waitingSince-a.lastAnswered > inner.BalancerTTL
 }
 
 // removeAgent removes an agent, also from searches, which must not wait for an agent that
@@ -371,12 +390,14 @@
 }
 
 // hasLeft reports whether an unlisted agent has left: it has reported its upstream as
-// down since it became unlisted, or has been silent for longer than removeAfter.
+// down since it became unlisted, or has been silent for longer than removeAfter, or than
+// restartAllowance if it may be restarting.
 func (c *Core) hasLeft(a *agent, now time.Duration) bool {
 	if a.status.State == inner.StateDown && a.statusAt > a.unlistedSince {
 		return true
 	}
-	return now-a.unlistedSince > removeAfter && now-a.lastReceived > removeAfter
+	limit := a.silenceLimit(removeAfter)
+	return now-a.unlistedSince > limit && now-a.lastReceived > limit
 }
 
 // pollDue reports whether the agent is to be polled now: because it is unlisted or its
--- a/internal/packetface/steer/owner_search.go
+++ b/internal/packetface/steer/owner_search.go
@@ -272,36 +272,41 @@
 
 // conclude resets the flow if it is proved that no upstream holds it.
 func (c *Core) conclude(now time.Duration, id platform.Flow, q *ownerSearch) {
-	if !c.provenUnheld(now, id, q) {
+	skipped, proven := c.provenUnheld(now, id, q)
+	if !proven {
 		return
 	}
 	delete(c.searches, id)
 	c.dead[id] = now + deadFlowRetention
-	c.resetWithNote(id, q.acknowledged, Note{Reason: reasonHeldByNone, Count: q.search.Asked(), Age: q.search.Age(now)})
+	n := Note{Reason: reasonHeldByNone, Count: q.search.Asked(), Age: q.search.Age(now), Absent: len(skipped)}
+	if len(skipped) > 0 {
+		n.Agent, n.Took = skipped[0].Addr, now-skipped[0].waitingSince
+	}
+	c.resetWithNote(id, q.acknowledged, n)
 }
 
 // provenUnheld reports whether every agent that may hold the flow has answered that its
 // upstream does not. The list of agents may lack the owner if an agent has reported a
 // newer list, or if a service of the route has no agent listed; then nothing is proved. A
-// limited number of agents may be skipped as absent.
-func (c *Core) provenUnheld(now time.Duration, id platform.Flow, q *ownerSearch) bool {
+// limited number of agents may be skipped as absent; they are returned.
+func (c *Core) provenUnheld(now time.Duration, id platform.Flow, q *ownerSearch) (skipped []*agent, proven bool) {
 	if !c.listComplete(now) {
-		return false
+		return nil, false
 	}
 	if route := c.route(id); route != nil && !c.roster.servesAll(route.Services) {
-		return false
+		return nil, false
 	}
-	absent, holders := 0, c.possibleHolders(now, id)
+	holders := c.possibleHolders(now, id)
 	for _, a := range holders {
 		if q.search.Proved(a.id) {
 			continue
 		}
 		if !c.maySkip(now, id, a) {
-			return false
+			return nil, false
 		}
-		absent++
+		skipped = append(skipped, a)
 	}
-	return absent*absentDivisor <= len(holders)
+	return skipped, len(skipped)*absentDivisor <= len(holders)
 }
 
 // blockReason returns what kept a flow from being reset, for the log.
--- a/internal/packetface/steer/property_test.go
+++ b/internal/packetface/steer/property_test.go
@@ -174,12 +174,17 @@
 		w.callerSends(id, platform.FlagSYN, 0, 0)
 	}
 	w.run(5 * time.Millisecond)
+	w.useFlows()
+	w.run(5 * time.Millisecond)
+}
+
+// useFlows sends a packet on each flow that was answered.
+func (w *simFleet) useFlows() {
 	for _, id := range slices.Clone(w.flows) {
 		if ack, ok := w.accepted[id]; ok {
 			w.callerSends(id, platform.FlagACK, ack, 30)
 		}
 	}
-	w.run(5 * time.Millisecond)
 }
 
 func runRandomSteps(t *rapid.T, w *simFleet) {
--- a/internal/packetface/steer/sim_fleet_test.go
+++ b/internal/packetface/steer/sim_fleet_test.go
@@ -43,6 +43,9 @@
 	started, upstreamStarted, acknowledged time.Duration
 	// listedAt is when the restarted agent process will be listed, 0 once it has been.
 	listedAt time.Duration
+	// downFrom and downUntil are the time in which no agent process runs, from the end of
+	// one that was asked to stop to the start of the next one; both are 0 for none.
+	downFrom, downUntil time.Duration
 	// entryLost is set if the restored store lacks the entry. era is the store's era as
 	// the agent knows it, verifyAt is when the agent checks its entry, 0 for no check.
 	entryLost bool
@@ -341,6 +344,9 @@
 }
 
 func (w *simFleet) reply(s *simAgent, b []byte) {
+	if s.isDown(w.now) {
+		return
+	}
 	r, err := s.gate.FromUpstream(w.now, b)
 	if err != nil {
 		w.t.Fatalf("agent rejected a packet from its upstream: %v", err)
--- a/internal/packetface/steer/sim_network_test.go
+++ b/internal/packetface/steer/sim_network_test.go
@@ -86,6 +86,10 @@
 				w.fromBalancer(b.addr, b.core.Tick(w.now))
 			}
 			for _, s := range w.agents {
+				w.restartDue(s)
+				if s.isDown(w.now) {
+					continue
+				}
 				w.fromAgent(s, s.gate.Tick(w.now))
 				w.registerDue(s)
 			}
@@ -116,7 +120,7 @@
 		}
 		w.fromBalancer(l.to, r)
 	}
-	if s := w.agentByAddr[l.to]; s != nil {
+	if s := w.agentByAddr[l.to]; s != nil && !s.isDown(w.now) {
 		r, err := s.gate.FromBalancer(w.now, l.from, l.bytes)
 		if err != nil {
 			w.t.Fatalf("agent refused %x: %v", l.bytes, err)
--- a/internal/packetface/steer/sim_restarts_test.go
+++ b/internal/packetface/steer/sim_restarts_test.go
@@ -28,7 +28,7 @@
 
 func (w *simFleet) startAgent(s *simAgent) {
 	s.incarnation++
-	s.started = w.now
+	s.started, s.downFrom, s.downUntil = w.now, 0, 0
 	s.listedAt = w.now + time.Duration(w.random.Int64N(int64(50*time.Millisecond)))
 	s.gate = gate.New(gate.Settings{
 		Service: service, CallerPort: callerPort, Incarnation: s.incarnation,
@@ -36,8 +36,37 @@
 	})
 }
 
+// stopMinimum is the least time for which an agent process that was asked to stop runs on.
+const stopMinimum = 200 * time.Millisecond
+
+// stopAgent asks an agent process to stop, as in a planned restart. The next one starts the
+// given time after it has ended.
+func (w *simFleet) stopAgent(s *simAgent, away time.Duration) {
+	w.logEvent("agent %s is asked to stop", s.addr)
+	w.fromAgent(s, s.gate.Stop(w.now))
+	s.downFrom = w.now + stopMinimum
+	s.downUntil = s.downFrom + away
+}
+
+// isDown reports whether no agent process runs.
+func (s *simAgent) isDown(now time.Duration) bool {
+	return s.downUntil != 0 && now >= s.downFrom
+}
+
+// restartDue starts the next process of an agent that was stopped.
+func (w *simFleet) restartDue(s *simAgent) {
+	if s.downUntil != 0 && w.now >= s.downUntil {
+		w.startAgent(s)
+		s.sequence = max(s.sequence, 1)
+		w.heartbeat(s)
+	}
+}
+
 func (w *simFleet) heartbeat(s *simAgent) {
 	s.sequence++
+	if s.isDown(w.now) {
+		return
+	}
 	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{Instance: s.instances[s.instance], Slots: 2, Sequence: s.sequence, WarmupLeft: s.warmupLeft(w.now), Age: s.age(w.now)})
 	s.acknowledged = w.now
 	w.fromAgent(s, r)
@@ -99,7 +128,7 @@
 
 // lateHeartbeat delivers a delayed heartbeat of an earlier instance of the upstream.
 func (w *simFleet) lateHeartbeat(s *simAgent) {
-	if s.instance == 0 || s.sequence == 0 {
+	if s.instance == 0 || s.sequence == 0 || s.isDown(w.now) {
 		return // there is no earlier instance, or the present one has not reported yet
 	}
 	r, _ := s.gate.Heartbeat(w.now, platform.Heartbeat{Instance: s.instances[w.random.IntN(s.instance)], Slots: 2, Sequence: 2 + w.random.Uint64N(20)})
--- a/internal/packetface/steer/steer.go
+++ b/internal/packetface/steer/steer.go
@@ -93,13 +93,17 @@
 	// Age is the age of the information on the agent on which the decision is based.
 	Age time.Duration
 	// Took is how long the previous agent had an opening packet that is sent to another
-	// agent, or how long a service has been short of room.
+	// agent, how long a service has been short of room, or for how long the first of the
+	// Absent agents has been silent.
 	Took time.Duration
 	// Source is the host of a balancer that has a newer version.
 	Source netip.Addr
 	// Count depends on the kind: the hops of a placement, the number of agents asked, or
 	// the previous state (0: none was known).
 	Count int
+	// Absent is the number of agents that a search skipped as absent before the flow was
+	// reset; Agent is the first of them.
+	Absent int
 	// Bar, Standing and Agents describe the refusal of a flow for lack of room: the bar of
 	// its service (0 for none), the flow's standing, and the number of agents from whose
 	// figures the bar was computed. Age is the age of the oldest of these figures.
