Soak: planned restarts of agents, without the excuse for their resets

The soak excused every reset of a flow within 4 s of a fault of its agent's process, planned restarts included, and never restarted an agent as planned. Now agents and balancers are stopped by SIGTERM and started again after 0.2 to 2.5 s, in a series of its own that overlaps all other faults, and a reset of a flow whose upstream runs is a finding then. Only if the next process does not become ready in time, and is killed, is it excused.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -55,7 +55,7 @@
 	switch f.Kind {
 	case KillBalancer, StopBalancer, FreezeBalancer:
 		return r.fleet.Balancers[f.Target%len(r.fleet.Balancers)]
-	case KillAgent, FreezeAgent, CrashUpstream, DrainUpstream, SlowUpstream:
+	case KillAgent, StopAgent, FreezeAgent, CrashUpstream, DrainUpstream, SlowUpstream:
 		return r.fleet.Agents[f.Target%len(r.fleet.Agents)]
 	case LossyFabric:
 		return fabricSubject
@@ -79,8 +79,10 @@
 	defer r.release(what)
 	fmt.Fprintln(r.Log, f)
 	switch node, _ := what.(*packetfleet.Node); f.Kind {
-	case KillBalancer, StopBalancer, FreezeBalancer, KillAgent, FreezeAgent:
+	case KillBalancer, FreezeBalancer, KillAgent, FreezeAgent:
 		r.injectProcess(ctx, f, node)
+	case StopBalancer, StopAgent:
+		r.restartAsPlanned(ctx, f, node)
 	case CrashUpstream, DrainUpstream, SlowUpstream:
 		r.injectUpstream(ctx, f, node)
 	case LossyFabric:
@@ -113,9 +115,6 @@
 			n.Process.Thaw()
 		}
 		return
-	case StopBalancer:
-		n.Process.Signal(syscall.SIGTERM)
-		<-n.Process.Done()
 	default:
 		n.Process.Kill()
 		_ = wait.For(ctx, f.For/4) // the process is restarted also if ctx is cancelled
@@ -123,6 +122,22 @@
 	r.restart(ctx, n)
 }
 
+// restartAsPlanned stops a node's process by a signal and starts the next one after the
+// duration of the fault. No flow of a running upstream may be reset because of it.
+func (r *run) restartAsPlanned(ctx context.Context, f Fault, n *packetfleet.Node) {
+	n.Process.Signal(syscall.SIGTERM)
+	<-n.Process.Done()
+	_ = wait.For(ctx, f.For) // the process is restarted also if ctx is cancelled
+	if r.fleet.Start(ctx, n) == nil {
+		return
+	}
+	if n.Upstream != nil { // the process was killed, as it did not become ready in time
+		r.checker.disturb(n.Upstream.ID, time.Hour)
+		defer r.checker.disturb(n.Upstream.ID, 0)
+	}
+	r.restart(ctx, n)
+}
+
 // restart starts a node's process and repeats that until the process becomes ready in
 // time, which it may not do while the store is unavailable.
 func (r *run) restart(ctx context.Context, n *packetfleet.Node) {
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -20,6 +20,7 @@
 	StopBalancer    Kind = "stop-balancer" // SIGTERM, then started again
 	FreezeBalancer  Kind = "freeze-balancer"
 	KillAgent       Kind = "kill-agent"
+	StopAgent       Kind = "stop-agent" // SIGTERM, then started again after the duration
 	FreezeAgent     Kind = "freeze-agent"
 	CrashUpstream   Kind = "crash-upstream" // a new upstream starts afterwards
 	DrainUpstream   Kind = "drain-upstream" // it drains and ends; a new upstream starts
@@ -71,8 +72,13 @@
 	meanReturnGap = 2500 * time.Millisecond
 	minFor        = 200 * time.Millisecond
 	maxFor        = 2500 * time.Millisecond
+	// meanRestartGap is the mean interval between planned restarts.
+	meanRestartGap = 2 * time.Second
 )
 
+// restartKinds are planned restarts of single processes.
+var restartKinds = []Kind{StopAgent, StopBalancer}
+
 // PlanReturns returns the faults of a seed and adds restores of the store from copies and
 // evacuations.
 func PlanReturns(seed uint64, length time.Duration) []Fault {
@@ -85,6 +91,7 @@
 func Plan(seed uint64, length time.Duration) []Fault {
 	all := plan(rand.New(rand.NewPCG(seed, seed)), kinds, meanGap, length)
 	all = append(all, planRushes(rand.New(rand.NewPCG(^seed, seed)), length)...)
+	all = append(all, plan(rand.New(rand.NewPCG(seed, seed+1)), restartKinds, meanRestartGap, length)...)
 	slices.SortStableFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return all
 }
