Agent: repeat the announcement that the process stops

An agent tells balancers once, in one datagram each, that its process is being stopped. A balancer that does not get it takes the silence after the end of the process for that of a failed host and resets flows after 1 s, although the restart is planned.

The announcement is repeated at the next two ticks; a process that stops runs for one tick (200 ms) at least. TestStopIsAnnouncedAgain fails without it (0 announcements after the first).

--- a/internal/packetface/gate/gate.go
+++ b/internal/packetface/gate/gate.go
@@ -164,6 +164,9 @@
 	refusals = 2
 	// refusalSpan is the least time between the first and the last of these refusals.
 	refusalSpan = 20 * time.Millisecond
+	// stopRepeats is how often a process that stops repeats its announcement of that, at
+	// its next ticks: the datagram to a balancer may be lost.
+	stopRepeats = 2
 	// sweepEvery is the interval at which expired flows are removed.
 	sweepEvery = 2 * time.Second
 	// maxRunningTime is the time after which an unanswered request no longer counts as
@@ -279,8 +282,11 @@
 	// listedSlots is the highest number of slots that balancers have reported for the
 	// upstream, 0 if none has.
 	listedSlots int
-	stopping    bool
-	unlisted    bool
+	// stopping is true once the process has been asked to stop; stopAnnounced counts how
+	// often that was announced again.
+	stopping      bool
+	stopAnnounced int
+	unlisted      bool
 	// ownPosition is the store's position at which this process last read or wrote the
 	// store itself, 0 if it has not; pastSettleTime is true once the process has run for
 	// settleTime.
@@ -373,6 +379,7 @@
 	g.pastSettleTime = now >= settleTime
 	g.checkUpstream(now)
 	g.checkVerdict(now)
+	g.repeatStop(now)
 	g.release(now)
 	if now-g.swept >= sweepEvery {
 		g.sweep(now)
--- a/internal/packetface/gate/restart_test.go
+++ b/internal/packetface/gate/restart_test.go
@@ -145,3 +145,19 @@
 		})
 	}
 }
+
+// The announcement that an agent process stops may be lost on the way to a balancer, which
+// would then take a planned restart for a failure.
+func TestStopIsAnnouncedAgain(t *testing.T) {
+	b := newBench(t)
+	b.begin("i-1")
+	b.balancerSends(inner.AppendPoll(nil, inner.Poll{}))
+	b.last = b.gate.Stop(b.now)
+	announced := 0
+	for range 10 {
+		b.now += 200 * time.Millisecond
+		b.last = b.gate.Tick(b.now)
+		announced += len(b.states())
+	}
+	b.Expect(announced).To(Equal(2))
+}
--- a/internal/packetface/gate/upstream.go
+++ b/internal/packetface/gate/upstream.go
@@ -175,6 +175,15 @@
 	return &g.out
 }
 
+// repeatStop announces again that the process is stopping. A balancer that has not been
+// told takes the silence of the process after its end for that of a failed host.
+func (g *Gate) repeatStop(now time.Duration) {
+	if g.stopping && g.stopAnnounced < stopRepeats {
+		g.stopAnnounced++
+		g.announce(now)
+	}
+}
+
 // noSignSinceStart reports whether the upstream has sent neither heartbeats nor packets
 // that prove it alive since the process's start, for longer than missedHeartbeats
 // intervals, counted from the end of the process's last pause if there was one. The
