Agent: bound the service's name in the log of a claim

A claim is logged before its service has been looked up, and the name may be any text of another program, up to the size of a heartbeat.

--- a/internal/packetface/gate/reassignment.go
+++ b/internal/packetface/gate/reassignment.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/saltbend/saltbend/platform"
@@ -82,11 +83,11 @@
 		return
 	}
 	if d.rebuttals >= settledRebuttals && now-g.upstream.lastHeartbeat < g.settings.AddressReuseDelay {
-		g.note(now, Note{Kind: KindUpstream, Reason: "ignored rebutted claim of " + beat.Instance.String() + " of service " + beat.Service})
+		g.note(now, Note{Kind: KindUpstream, Reason: "ignored rebutted claim of " + claimant(beat)})
 		return
 	}
 	d.open, d.claimed = true, true
-	g.note(now, Note{Kind: KindUpstream, Reason: "contested by " + beat.Instance.String() + " of service " + beat.Service})
+	g.note(now, Note{Kind: KindUpstream, Reason: "contested by " + claimant(beat)})
 	g.announce(now)
 }
 
@@ -112,3 +113,9 @@
 		g.announce(now)
 	}
 }
+
+// claimant names the sender of a claim in logs. The service may be any text of another
+// program.
+func claimant(beat platform.Heartbeat) string {
+	return fmt.Sprintf("%s of service %.80s", beat.Instance, beat.Service)
+}
