home: give the blocking request of the queue tests a deadline of its own

Cause: the test takes for granted that the request in the queue reaches its deadline while the blocker holds the only slot. But the blocker has the same deadline (1.5 s) and was sent earlier; the queued request expires first only because the home gets 20 ms less (answerMargin). If more than that passes between the two, the blocker's run is cancelled first and the queued request runs, once, which no answer contradicts. The program is right, the test wrong.

The blocker now has a class with a long deadline, so the slot is taken until the test releases it. The expected outcome and all other checks are as before.

--- a/internal/home/faults_test.go
+++ b/internal/home/faults_test.go
@@ -54,9 +54,9 @@
 		return f.others[0].send(f.ticket, body)
 	}},
 	{"queued", "victim", func(f *fleet, body string, before func()) <-chan reply {
-		blocker := f.result(f.home.send("", "nothing")).Ticket
-		f.home.send(blocker, hold+"blocker")
-		f.running(hold + "blocker")
+		ticket := f.result(f.home.send("", "nothing")).Ticket
+		f.home.send(ticket, blocker)
+		f.running(blocker)
 		attempt := f.others[0].send(f.ticket, body)
 		f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_entries") }, waitTimeout).Should(Equal("3"))
 		before()
@@ -136,7 +136,7 @@
 				f.Expect(f.outcome(f.others[1].send(f.ticket, step.body))).To(Equal(request.OutcomeUnknown))
 				agent := fault.recover(f, step.body)
 				last := agent.send(f.ticket, step.body)
-				f.upstream.release(hold + "blocker")
+				f.upstream.release(blocker)
 				f.upstream.release(step.body)
 				f.Expect(f.outcome(last)).To(BeElementOf(lastOutcomes(fault.name, step.name)), "%+v", f.responses)
 				f.waitUntilIdle(f.home)
@@ -270,15 +270,15 @@
 func TestQueuedRequestIsVoidedWhenItsLastCallerLeaves(t *testing.T) {
 	acquireFleetSlot(t)
 	f := startFleet(t, longDeadline)
-	blocker := f.result(f.home.send("", "nothing")).Ticket
-	f.home.send(blocker, hold+"blocker")
-	f.running(hold + "blocker")
+	ticket := f.result(f.home.send("", "nothing")).Ticket
+	f.home.send(ticket, blocker)
+	f.running(blocker)
 	leave := f.others[0].sendAndLeave(f.ticket, "victim")
 	f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_entries") }, waitTimeout).Should(Equal("3"))
 	leave()
 	f.Eventually(func() string { return f.home.metric("saltbend_ticket_window_entries") }, waitTimeout).Should(Equal("2"))
 	f.Expect(f.outcome(f.others[1].send(f.ticket, "victim"))).To(Equal(request.OutcomeNotRun))
-	f.upstream.release(hold + "blocker")
+	f.upstream.release(blocker)
 	f.waitUntilIdle(f.home)
 	f.Expect(f.upstream.ran("victim")).To(BeZero())
 }
--- a/internal/home/fleet_test.go
+++ b/internal/home/fleet_test.go
@@ -33,6 +33,15 @@
 	crash = "crash "
 )
 
+// Requests with the body blocker have a class of their own with longDeadline. They occupy
+// the upstream's slot until the test releases them, so that requests behind them run into
+// their own deadlines in the queue.
+const (
+	blocker     = hold + "blocker"
+	blockerPath = "/blockers"
+	answerPath  = "/answers"
+)
+
 // upstreamServer is an HTTP upstream that counts the runs of each body.
 type upstreamServer struct {
 	*httptest.Server
--- a/internal/home/node_test.go
+++ b/internal/home/node_test.go
@@ -97,11 +97,14 @@
 }
 
 func (s start) serve(mux *http.ServeMux, p *peer.Peer) {
-	class := config.Class{Name: "answer", Path: "/*", Kind: config.KindRequest, Deadline: s.Deadline}
+	classes := []config.Class{
+		{Name: "blocker", Path: blockerPath, Kind: config.KindRequest, Deadline: longDeadline},
+		{Name: "answer", Path: "/*", Kind: config.KindRequest, Deadline: s.Deadline},
+	}
 	service := config.Service{
 		Name:    testService,
 		Limits:  config.Limits{Slots: 1, Queue: 8, Connections: 8},
-		Classes: []config.Class{class},
+		Classes: classes,
 	}
 	view := fleetsource.New(&control.Snapshot{
 		Config: &config.Config{Services: []config.Service{service}},
@@ -228,7 +231,11 @@
 func (n *node) sendWith(ctx context.Context, ticket, body string) <-chan reply {
 	out := make(chan reply, 1)
 	go func() {
-		r := must(http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.HTTP+"/answers", strings.NewReader(body)))
+		path := answerPath
+		if body == blocker {
+			path = blockerPath
+		}
+		r := must(http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.HTTP+path, strings.NewReader(body)))
 		if ticket != "" {
 			r.Header.Set(request.HeaderTicket, ticket)
 		}
